refactor: shared types for machine, hosts, health and slots

Cause: several parts are about to be built side by side and need common types. Conclusion: parts can be built against these types.

--- a/crates/core/src/board.rs
+++ b/crates/core/src/board.rs
@@ -11,6 +11,9 @@
 use crate::clock::Clock;
 use crate::config::State;
 use crate::event::Ring;
+use crate::host;
+use crate::host::Host;
+use crate::id::HostId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 use crate::key::Digest;
@@ -31,6 +34,7 @@
     routes: Rc<Table>,
     withdrawn: BTreeSet<Digest>,
     services: BTreeMap<ServiceId, BTreeMap<UpstreamId, Upstream>>,
+    hosts: BTreeMap<HostId, Host>,
     events: Ring,
 }
 
@@ -44,6 +48,7 @@
             routes: Rc::new(Table::default()),
             withdrawn: BTreeSet::new(),
             services: BTreeMap::new(),
+            hosts: BTreeMap::new(),
             events: Ring::default(),
         }
     }
@@ -90,6 +95,18 @@
         self.services.get_mut(service)?.get_mut(id)
     }
 
+    /// Returns the hosts that are known, this one included.
+    #[must_use]
+    pub const fn hosts(&self) -> &BTreeMap<HostId, Host> {
+        &self.hosts
+    }
+
+    /// Returns the names of the hosts that can be given duties.
+    pub fn live_hosts(&self) -> impl Iterator<Item = &str> {
+        let live = self.hosts.iter().filter(|(_, host)| host.is_live());
+        live.map(|(id, _)| id.as_str())
+    }
+
     /// Returns the events of this process.
     #[must_use]
     pub const fn events(&self) -> &Ring {
@@ -143,6 +160,29 @@
         true
     }
 
+    /// Takes in an announcement of a host and returns whether it was news.
+    pub fn announce_host(&mut self, announcement: host::Announcement) -> bool {
+        let now = self.now();
+        let known = self.hosts.get(&announcement.id);
+        if known.is_some_and(|known| !announcement.supersedes(&known.announcement)) {
+            return false;
+        }
+        let host = Host {
+            heard: now,
+            suspected: false,
+            announcement,
+        };
+        self.hosts.insert(host.announcement.id.clone(), host);
+        true
+    }
+
+    /// Marks a host as suspected or clears the suspicion.
+    pub fn suspect(&mut self, id: &str, suspected: bool) {
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.suspected = suspected;
+        }
+    }
+
     /// Removes upstreams whose announcement lapsed long ago or that have left.
     pub fn sweep(&mut self) {
         let now = self.now();
--- /dev/null
+++ b/crates/core/src/health.rs
@@ -0,0 +1,58 @@
+//! Grey failures: evidence from live requests and the verdict on each upstream.
+
+use std::time::Duration;
+
+use crate::id::TenantId;
+use crate::id::UpstreamId;
+use crate::id::Zone;
+
+/// How an attempt at an upstream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Sign {
+    /// A whole answer that is no server error.
+    Answered,
+    /// A server error.
+    Failed,
+    /// An answer that broke off or was malformed.
+    Truncated,
+    /// No answer in time.
+    TimedOut,
+    /// No connection could be made.
+    Unreachable,
+    /// Shed without running.
+    Shed,
+    /// Given up by the caller or by a faster attempt; says nothing about the upstream.
+    Cancelled,
+}
+
+/// One observation of an upstream.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Evidence {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Zone of the host that saw it.
+    pub zone: Zone,
+    /// Tenant of the request, if a key came with it.
+    pub tenant: Option<TenantId>,
+    /// How the attempt ended.
+    pub sign: Sign,
+    /// Time from sending to the end of the attempt.
+    pub latency: Duration,
+    /// Whether the connection had been used before; a timeout over such a one says nothing yet
+    /// about the upstream.
+    pub reused: bool,
+}
+
+/// What may be sent to an upstream now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Verdict {
+    /// Requests, with a weight above 0 and up to 1.
+    Use {
+        /// Share of its slots that may be used.
+        weight: f64,
+    },
+    /// One request at a time, to find out whether it has recovered.
+    Trial,
+    /// Nothing.
+    Ejected,
+}
--- /dev/null
+++ b/crates/core/src/host.rs
@@ -0,0 +1,56 @@
+//! Entry hosts as they announce themselves to each other.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::id::Zone;
+
+/// What a host says about itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// Name of the host.
+    pub id: HostId,
+    /// Zone that it runs in.
+    pub zone: Zone,
+    /// Address for peers.
+    pub peers: SocketAddr,
+    /// Raised at each start.
+    pub incarnation: Incarnation,
+    /// Raised at each announcement of one incarnation.
+    pub sequence: u64,
+    /// Whether it is stopping.
+    pub stopping: bool,
+}
+
+impl Announcement {
+    /// Returns whether this announcement is newer than `other` of the same host.
+    #[must_use]
+    pub const fn supersedes(&self, other: &Self) -> bool {
+        self.incarnation > other.incarnation
+            || (self.incarnation == other.incarnation && self.sequence > other.sequence)
+    }
+}
+
+/// A host on the board of another.
+#[derive(Debug, Clone)]
+pub struct Host {
+    /// What it last said about itself.
+    pub announcement: Announcement,
+    /// When news of it last arrived.
+    pub heard: Instant,
+    /// Whether enough witnesses suspect that it is gone.
+    pub suspected: bool,
+}
+
+impl Host {
+    /// Returns whether the host can be given duties.
+    #[must_use]
+    pub const fn is_live(&self) -> bool {
+        !self.suspected && !self.announcement.stopping
+    }
+}
--- a/programs/pb-control/src/node.rs
+++ b/programs/pb-control/src/node.rs
@@ -17,6 +17,9 @@
 use persimmonbend_core::config::Submission;
 use persimmonbend_core::id::HostId;
 use persimmonbend_core::id::Revision;
+use persimmonbend_core::machine::Command;
+use persimmonbend_core::machine::Machine;
+use persimmonbend_core::machine::Reply;
 use persimmonbend_replica::journal::Journal;
 use persimmonbend_wire::update::Update;
 use serde_json::json;
@@ -48,7 +51,7 @@
 #[derive(Debug)]
 struct Inner {
     journal: Journal,
-    state: State,
+    machine: Machine,
     recent: VecDeque<Entry>,
     hosts: BTreeMap<HostId, Seen>,
 }
@@ -66,14 +69,13 @@
         let (journal, records) = Journal::open(&folder.join("journal"))?;
         let mut inner = Inner {
             journal,
-            state: State::default(),
+            machine: Machine::default(),
             recent: VecDeque::new(),
             hosts: BTreeMap::new(),
         };
         for record in records {
-            let entry: Entry =
-                serde_json::from_slice(&record).context("unreadable journal entry")?;
-            inner.apply(entry);
+            let command = serde_json::from_slice(&record).context("unreadable journal entry")?;
+            inner.apply(&command);
         }
         Ok(Self {
             host: settings.host.clone(),
@@ -86,41 +88,31 @@
     /// Returns the revision in force.
     #[must_use]
     pub fn revision(&self) -> Revision {
-        self.inner.borrow().state.revision()
+        self.inner.borrow().machine.config().revision()
     }
 
     /// Returns the configuration in force.
     #[must_use]
     pub fn state(&self) -> State {
-        self.inner.borrow().state.clone()
+        self.inner.borrow().machine.config().clone()
     }
 
-    /// Judges a submission and syncs it if it is accepted.
+    /// Syncs a submission and returns its outcome.
     ///
     /// # Errors
     ///
     /// Returns an error when the journal cannot be written; the outcome is then unknown.
     pub fn submit(&self, submission: Submission) -> anyhow::Result<Outcome> {
+        let command = Command::Change { submission };
         let mut inner = self.inner.borrow_mut();
-        let outcome = inner.state.judge(&submission);
-        let Outcome::Accepted { revision } = outcome else {
-            return Ok(outcome);
-        };
-        if revision <= inner.state.revision() {
-            return Ok(outcome);
-        }
-        info!(
-            "control: revision {revision}: {}",
-            submission.change.describe()
-        );
-        let entry = Entry {
-            revision,
-            submission,
-        };
-        inner.journal.append(&serde_json::to_vec(&entry)?)?;
-        inner.apply(entry);
+        inner.journal.append(&serde_json::to_vec(&command)?)?;
+        let Reply::Change { outcome, entry } = inner.apply(&command);
         drop(inner);
-        self.changed.notify(usize::MAX);
+        if let Some(entry) = entry {
+            let text = entry.submission.change.describe();
+            info!("control: revision {}: {text}", entry.revision);
+            self.changed.notify(usize::MAX);
+        }
         Ok(outcome)
     }
 
@@ -132,7 +124,7 @@
             let _ = compio::time::timeout(wait.min(MAX_WAIT), listener).await;
         }
         let inner = self.inner.borrow();
-        (inner.state.revision(), inner.update(since))
+        (inner.machine.config().revision(), inner.update(since))
     }
 
     /// Returns what operators ask for first.
@@ -150,7 +142,7 @@
         json!({
             "host": self.host,
             "leader": true,
-            "revision": inner.state.revision(),
+            "revision": inner.machine.config().revision(),
             "hosts": inner.hosts.iter().map(host).collect::<Vec<_>>(),
         })
     }
@@ -165,18 +157,23 @@
 }
 
 impl Inner {
-    fn apply(&mut self, entry: Entry) {
-        if !self.state.apply(&entry) {
-            return;
+    fn apply(&mut self, command: &Command) -> Reply {
+        let reply = self.machine.apply(command);
+        if let Reply::Change {
+            entry: Some(entry), ..
+        } = &reply
+        {
+            self.recent.push_back(entry.clone());
         }
-        self.recent.push_back(entry);
         if self.recent.len() > RECENT_ENTRIES {
             self.recent.pop_front();
         }
+        reply
     }
 
     fn update(&self, since: Revision) -> Update {
-        if since >= self.state.revision() {
+        let config = self.machine.config();
+        if since >= config.revision() {
             return Update::Changes(Vec::new());
         }
         let reaches = self
@@ -184,7 +181,7 @@
             .front()
             .is_some_and(|first| first.revision <= since + 1);
         if !reaches {
-            return Update::Snapshot(Box::new(self.state.clone()));
+            return Update::Snapshot(Box::new(config.clone()));
         }
         let newer = self.recent.iter().filter(|entry| entry.revision > since);
         Update::Changes(newer.cloned().collect())
--- a/programs/pb-proxy/src/forward.rs
+++ b/programs/pb-proxy/src/forward.rs
@@ -22,12 +22,15 @@
 use persimmonbend_app::http;
 use persimmonbend_app::http::Body;
 use persimmonbend_core::error::Kind;
+use persimmonbend_core::health::Sign;
 use persimmonbend_core::id::TenantId;
 use persimmonbend_core::id::UpstreamId;
 use persimmonbend_core::route::Target;
 
 use crate::node::Node;
 use crate::pool::Connection;
+use crate::slots::Ask;
+use crate::slots::Report;
 use crate::slots::Reservation;
 
 /// Header that tells an upstream how many milliseconds are left.
@@ -36,6 +39,9 @@
 /// Attempts at most for one request.
 const MAX_ATTEMPTS: usize = 3;
 
+/// Age up to which an idle connection is used again.
+const POOLED_LIFETIME: Duration = Duration::from_secs(20);
+
 /// Share of the remaining time that an attempt over a reused connection may take.
 const REUSED_SHARE: u32 = 3;
 
@@ -72,10 +78,28 @@
 #[derive(Debug, Clone, Copy)]
 struct Failure {
     kind: Kind,
+    /// What it says about the upstream.
+    sign: Sign,
     /// Whether a byte of the request may have reached the upstream.
     written: bool,
-    /// Whether the connection was used before.
-    reused: bool,
+}
+
+impl Failure {
+    const fn unwritten(kind: Kind, sign: Sign) -> Self {
+        Self {
+            kind,
+            sign,
+            written: false,
+        }
+    }
+
+    const fn written(kind: Kind, sign: Sign) -> Self {
+        Self {
+            kind,
+            sign,
+            written: true,
+        }
+    }
 }
 
 /// Sends a request until it is answered, its attempts are used up or its deadline passes.
@@ -89,22 +113,36 @@
     let mut avoid: Vec<UpstreamId> = Vec::new();
     let mut last = None;
     for _ in 0..MAX_ATTEMPTS {
-        let reserved = node.slots().reserve(node, &plan.target.service, &avoid);
-        let reservation = match (reserved, last) {
+        let ask = Ask {
+            service: &plan.target.service,
+            tenant: plan.tenant.as_deref(),
+            deadline: plan.deadline,
+            avoid: &avoid,
+        };
+        let mut reservation = match (node.slots().reserve(node, &ask).await, last) {
             (Ok(reservation), _) => reservation,
             (Err(_), Some(earlier)) => return Err(earlier),
             (Err(kind), None) => return Err(kind),
         };
-        let upstream = reservation.upstream().clone();
-        let failure = match attempt(node, plan, reservation).await {
-            Ok(response) => return Ok(response),
+        let connection = match open(node, plan, &reservation).await {
+            Ok(connection) => connection,
+            Err(failure) => {
+                avoid.push(fail(reservation, failure, false));
+                last = Some(failure.kind);
+                continue;
+            }
+        };
+        let reused = connection.reused;
+        let failure = match attempt(node, plan, &mut reservation, connection).await {
+            Ok(Answer::Whole(response)) => return Ok(response),
+            Ok(Answer::Partial(partial)) => return Ok(partial.stream(reservation)),
             Err(failure) => failure,
         };
-        debug!("forward: {upstream} failed: {}", failure.kind);
+        let upstream = fail(reservation, failure, reused);
         if failure.written && plan.target.route.non_idempotent {
             return Err(failure.kind);
         }
-        if !failure.reused {
+        if !reused {
             avoid.push(upstream);
         }
         last = Some(failure.kind);
@@ -112,39 +150,24 @@
     Err(last.unwrap_or(Kind::NoUpstream))
 }
 
-async fn attempt(
-    node: &Rc<Node>,
-    plan: &Plan,
-    reservation: Reservation,
-) -> Result<Response<Body>, Failure> {
-    let left = plan.deadline.saturating_duration_since(node.now());
-    if left.is_zero() {
-        return Err(Failure {
-            kind: Kind::DeadlineBeforeSend,
-            written: false,
-            reused: false,
-        });
-    }
-    let connection = open(node, plan, &reservation).await?;
-    let reused = connection.reused;
-    let limit = if reused { left / REUSED_SHARE } else { left };
-    match timeout(limit, exchange(node, plan, reservation, connection, left)).await {
-        Ok(Ok(response)) => Ok(response),
-        Ok(Err(failure)) => Err(Failure { reused, ..failure }),
-        Err(_) => Err(Failure {
-            kind: Kind::UpstreamTimeout,
-            written: true,
-            reused,
-        }),
-    }
+/// Reports a failed attempt and returns the upstream that it was made at.
+fn fail(mut reservation: Reservation, failure: Failure, reused: bool) -> UpstreamId {
+    debug!(
+        "forward: {} failed: {}",
+        reservation.upstream(),
+        failure.kind
+    );
+    reservation.report(Report {
+        sign: failure.sign,
+        reused,
+    });
+    reservation.upstream().clone()
 }
 
 async fn open(node: &Node, plan: &Plan, reservation: &Reservation) -> Result<Connection, Failure> {
     let address = reservation.address();
     if !plan.target.route.non_idempotent
-        && let Some(connection) = node
-            .pool()
-            .take(address, node.now() - Duration::from_secs(20))
+        && let Some(connection) = node.pool().take(address, node.now() - POOLED_LIFETIME)
     {
         return Ok(connection);
     }
@@ -154,50 +177,74 @@
             "forward: cannot connect to {}: {error}",
             reservation.upstream()
         );
-        Failure {
-            kind: Kind::ConnectFailed,
-            written: false,
-            reused: false,
-        }
+        Failure::unwritten(Kind::ConnectFailed, Sign::Unreachable)
     })
 }
 
+async fn attempt(
+    node: &Rc<Node>,
+    plan: &Plan,
+    reservation: &mut Reservation,
+    connection: Connection,
+) -> Result<Answer, Failure> {
+    let left = plan.deadline.saturating_duration_since(node.now());
+    if left.is_zero() {
+        return Err(Failure::unwritten(
+            Kind::DeadlineBeforeSend,
+            Sign::Cancelled,
+        ));
+    }
+    let reused = connection.reused;
+    let limit = if reused { left / REUSED_SHARE } else { left };
+    let exchange = exchange(node, plan, reservation, connection, left);
+    match timeout(limit, exchange).await {
+        Ok(result) => result,
+        Err(_) => {
+            if reused {
+                node.pool().forget(reservation.address());
+            }
+            Err(Failure::written(Kind::UpstreamTimeout, Sign::TimedOut))
+        }
+    }
+}
+
 async fn exchange(
     node: &Rc<Node>,
     plan: &Plan,
-    reservation: Reservation,
+    reservation: &mut Reservation,
     mut connection: Connection,
     left: Duration,
-) -> Result<Response<Body>, Failure> {
+) -> Result<Answer, Failure> {
+    let reused = connection.reused;
     let sent = connection.sender.try_send_request(plan.request(left)).await;
-    let response = sent.map_err(|mut error| Failure {
-        kind: Kind::UpstreamBroken,
-        written: error.take_message().is_none(),
-        reused: false,
+    let response = sent.map_err(|mut error| match error.take_message() {
+        Some(_) => Failure::unwritten(Kind::ConnectFailed, Sign::Cancelled),
+        None => Failure::written(Kind::UpstreamBroken, Sign::Truncated),
     })?;
     if is_shed(&response) {
-        return Err(Failure {
-            kind: Kind::Shed,
-            written: false,
-            reused: false,
-        });
+        return Err(Failure::unwritten(Kind::Shed, Sign::Shed));
     }
-    let hold = node.settings().answer_hold_bytes;
+    let sign = if response.status().is_server_error() {
+        Sign::Failed
+    } else {
+        Sign::Answered
+    };
     let (head, mut body) = response.into_parts();
-    let (held, whole) = hold_back(&mut body, hold).await.map_err(|_| Failure {
-        kind: Kind::UpstreamBroken,
-        written: true,
-        reused: false,
-    })?;
+    let held = hold_back(&mut body, node.settings().answer_hold_bytes).await;
+    let (held, whole) =
+        held.map_err(|_| Failure::written(Kind::UpstreamBroken, Sign::Truncated))?;
+    reservation.report(Report { sign, reused });
     if whole {
         node.pool()
             .put(reservation.address(), connection, node.now());
-        return Ok(Response::from_parts(head, http::full(held)));
+        return Ok(Answer::Whole(Response::from_parts(head, http::full(held))));
     }
-    Ok(Response::from_parts(
+    Ok(Answer::Partial(Partial {
         head,
-        stream_rest(held, body, reservation, connection),
-    ))
+        held,
+        body,
+        connection,
+    }))
 }
 
 /// Returns whether the upstream says that it did not run the request.
@@ -222,16 +269,31 @@
     Ok((held.freeze(), true))
 }
 
-fn stream_rest(
+/// An answer from an upstream.
+enum Answer {
+    /// Known to be whole.
+    Whole(Response<Body>),
+    /// Larger than what is held back.
+    Partial(Partial),
+}
+
+/// An answer whose rest is still to come.
+struct Partial {
+    head: hyper::http::response::Parts,
     held: Bytes,
     body: Incoming,
-    reservation: Reservation,
     connection: Connection,
-) -> Body {
-    let first = stream::iter([Ok(Frame::data(held))]);
-    let rest = body.into_data_stream().map(move |chunk| {
-        let _keep = (&reservation, &connection);
-        chunk.map(Frame::data).map_err(io::Error::other)
-    });
-    Box::pin(StreamBody::new(first.chain(rest)))
+}
+
+impl Partial {
+    /// Returns an answer that passes on the rest and aborts the caller's connection if it breaks.
+    fn stream(self, reservation: Reservation) -> Response<Body> {
+        let first = stream::iter([Ok(Frame::data(self.held))]);
+        let connection = self.connection;
+        let rest = self.body.into_data_stream().map(move |chunk| {
+            let _keep = (&reservation, &connection);
+            chunk.map(Frame::data).map_err(io::Error::other)
+        });
+        Response::from_parts(self.head, Box::pin(StreamBody::new(first.chain(rest))))
+    }
 }
