feat(core): a judge of grey upstreams by a sequential test

Cause: nothing told a grey upstream from a healthy one. Change: health::Judge runs a cumulative likelihood-ratio test per upstream and per zone, with the false-alarm rate as a setting. What is expected of a healthy upstream comes from the typical other one, from the same tenant elsewhere and from the service's latest outcomes pooled. The floor is the judge's own. Return by trials with a doubling hold, then a ramp.

--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -1,4 +1,29 @@
 //! Grey failures: evidence from live requests and the verdict on each upstream.
+//!
+//! [`Judge`] takes [`Evidence`] on the upstreams of one service and gives a [`Verdict`] on each.
+//! It compares every upstream with the others of its service, so that a service that slows down
+//! as a whole ejects nobody, and with what the same tenant sees elsewhere, so that one tenant's
+//! bad requests eject nobody either.
+//!
+//! ```
+//! use std::time::Instant;
+//!
+//! use persimmonbend_core::health::Judge;
+//! use persimmonbend_core::health::Member;
+//! use persimmonbend_core::health::Policy;
+//! use persimmonbend_core::health::Verdict;
+//!
+//! let now = Instant::now();
+//! let mut judge = Judge::new(Policy::default());
+//! judge.sync([Member::new("herd-1", 3, true)], now);
+//! assert_eq!(judge.verdict("herd-1", "a", now), Verdict::Use { weight: 1.0 });
+//! ```
+
+mod judge;
+mod policy;
+mod standing;
+mod subject;
+mod window;
 
 use std::time::Duration;
 
@@ -6,6 +31,12 @@
 use crate::id::UpstreamId;
 use crate::id::Zone;
 
+pub use judge::Decision;
+pub use judge::Judge;
+pub use judge::Member;
+pub use judge::Report;
+pub use policy::Policy;
+
 /// How an attempt at an upstream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Sign {
@@ -43,6 +74,18 @@
     pub reused: bool,
 }
 
+impl Evidence {
+    /// Returns whether the observation says anything about the upstream.
+    #[must_use]
+    pub const fn counts(&self) -> bool {
+        match self.sign {
+            Sign::Cancelled => false,
+            Sign::TimedOut | Sign::Truncated => !self.reused,
+            Sign::Answered | Sign::Failed | Sign::Unreachable | Sign::Shed => true,
+        }
+    }
+}
+
 /// What may be sent to an upstream now.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Verdict {
--- /dev/null
+++ b/crates/core/tests/health.rs
@@ -0,0 +1,313 @@
+//! The judge against healthy, grey, slow-as-a-whole and poisoned services.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+use std::time::Instant;
+
+use persimmonbend_core::health::Evidence;
+use persimmonbend_core::health::Judge;
+use persimmonbend_core::health::Member;
+use persimmonbend_core::health::Policy;
+use persimmonbend_core::health::Sign;
+use persimmonbend_core::health::Verdict;
+use quickcheck::quickcheck;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const UPSTREAMS: usize = 13;
+const ZONES: [&str; 4] = ["a", "b", "c", "d"];
+const TENANTS: usize = 8;
+const STEP: Duration = Duration::from_millis(2);
+const SEEDS: u64 = 5;
+
+/// Bad answers after which a grey upstream has to be out of use.
+const TARGET_BAD_ANSWERS: usize = 10;
+
+/// A service whose requests are observed one by one.
+struct Service {
+    judge: Judge,
+    now: Instant,
+    rng: ChaCha8Rng,
+}
+
+/// One simulated request.
+struct Request {
+    upstream: usize,
+    zone: usize,
+    tenant: usize,
+    work: Duration,
+}
+
+impl Service {
+    fn new(seed: u64) -> Self {
+        let now = Instant::now();
+        let mut judge = Judge::new(Policy::default());
+        judge.sync(
+            (0..UPSTREAMS).map(|id| Member::new(&name(id), 3, true)),
+            now,
+        );
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        Self { judge, now, rng }
+    }
+
+    fn request(&mut self) -> Request {
+        let mean = Duration::from_millis(20);
+        let work = mean.mul_f64(-self.rng.random_range(f64::EPSILON..1.0).ln());
+        Request {
+            upstream: self.rng.random_range(0..UPSTREAMS),
+            zone: self.rng.random_range(0..ZONES.len()),
+            tenant: self.rng.random_range(0..TENANTS),
+            work,
+        }
+    }
+
+    /// Sends one request where the verdict allows it; returns it with its sign when sent.
+    fn step<F>(&mut self, answer: F) -> Option<(Request, Sign)>
+    where
+        F: Fn(&mut ChaCha8Rng, &Request) -> (Sign, Duration),
+    {
+        self.now += STEP;
+        let request = self.request();
+        let zone = ZONES[request.zone];
+        if self.judge.verdict(&name(request.upstream), zone, self.now) == Verdict::Ejected {
+            return None;
+        }
+        let (sign, latency) = answer(&mut self.rng, &request);
+        let evidence = Evidence {
+            upstream: name(request.upstream),
+            zone: zone.to_owned(),
+            tenant: Some(format!("tenant-{}", request.tenant)),
+            sign,
+            latency,
+            reused: false,
+        };
+        self.judge.observe(&evidence, self.now);
+        Some((request, sign))
+    }
+
+    fn run<F>(&mut self, requests: usize, answer: F)
+    where
+        F: Fn(&mut ChaCha8Rng, &Request) -> (Sign, Duration) + Copy,
+    {
+        for _ in 0..requests {
+            self.step(answer);
+        }
+    }
+
+    fn out(&self) -> Vec<String> {
+        let reports = self.judge.reports();
+        let out = reports
+            .iter()
+            .filter(|one| one.out || !one.out_in_zones.is_empty());
+        out.map(|one| one.upstream.clone()).collect()
+    }
+}
+
+fn name(id: usize) -> String {
+    format!("up-{id}")
+}
+
+fn healthy(_rng: &mut ChaCha8Rng, request: &Request) -> (Sign, Duration) {
+    (Sign::Answered, request.work)
+}
+
+#[test]
+fn a_healthy_service_ejects_nobody() {
+    for seed in 0..SEEDS {
+        let mut service = Service::new(seed);
+        service.run(40_000, |rng, request| {
+            let failed = rng.random_bool(0.002);
+            (
+                if failed { Sign::Failed } else { Sign::Answered },
+                request.work,
+            )
+        });
+        let decisions = service.judge.take_decisions();
+        assert!(decisions.is_empty(), "seed {seed}: {decisions:?}");
+    }
+}
+
+#[test]
+fn a_service_that_changes_as_a_whole_ejects_nobody() {
+    let slow = |_: &mut ChaCha8Rng, request: &Request| (Sign::Answered, request.work * 10);
+    let failing = |_: &mut ChaCha8Rng, request: &Request| (Sign::Failed, request.work);
+    for seed in 0..SEEDS {
+        for (case, sudden) in [("slow", slow as fn(&mut _, &_) -> _), ("failing", failing)] {
+            let mut service = Service::new(seed);
+            service.run(20_000, healthy);
+            service.run(20_000, sudden);
+            let decisions = service.judge.take_decisions();
+            assert!(decisions.is_empty(), "{case}, seed {seed}: {decisions:?}");
+        }
+    }
+}
+
+#[test]
+fn one_tenants_bad_requests_eject_nobody() {
+    for seed in 0..SEEDS {
+        let mut service = Service::new(seed);
+        service.run(5_000, healthy);
+        service.run(20_000, |_, request| {
+            let bad = request.tenant == 3;
+            (
+                if bad { Sign::Failed } else { Sign::Answered },
+                request.work,
+            )
+        });
+        let decisions = service.judge.take_decisions();
+        assert!(decisions.is_empty(), "seed {seed}: {decisions:?}");
+    }
+}
+
+#[test]
+fn a_grey_upstream_is_out_after_ten_bad_answers() {
+    type Answer = fn(&mut ChaCha8Rng, &Request) -> (Sign, Duration);
+    let late: Answer = |_, request| (Sign::Answered, request.work + Duration::from_millis(300));
+    let failing: Answer = |_, request| (Sign::Failed, request.work);
+    let half: Answer = |rng, request| {
+        let failed = rng.random_bool(0.5);
+        (
+            if failed { Sign::Failed } else { Sign::Answered },
+            request.work,
+        )
+    };
+    let silent: Answer = |_, _| (Sign::TimedOut, Duration::from_secs(1));
+    let cut: Answer = |_, request| (Sign::Truncated, request.work);
+    let cases = [
+        ("late", late),
+        ("failing", failing),
+        ("half", half),
+        ("silent", silent),
+        ("cut", cut),
+    ];
+    for (case, fault) in cases {
+        for seed in 0..SEEDS {
+            let mut service = Service::new(seed);
+            service.run(5_000, healthy);
+            let bad = bad_answers_until_out(&mut service, fault);
+            assert!(
+                bad <= TARGET_BAD_ANSWERS,
+                "{case}, seed {seed}: {bad} bad answers"
+            );
+            assert_eq!(service.out(), [name(0)], "{case}, seed {seed}");
+        }
+    }
+}
+
+fn bad_answers_until_out(
+    service: &mut Service,
+    fault: fn(&mut ChaCha8Rng, &Request) -> (Sign, Duration),
+) -> usize {
+    let mut bad = 0;
+    for _ in 0..20_000 {
+        let sent = service.step(|rng, request| match request.upstream {
+            0 => fault(rng, request),
+            _ => healthy(rng, request),
+        });
+        let Some((request, sign)) = sent else {
+            continue;
+        };
+        let late = request.work + Duration::from_millis(300);
+        let was_late = fault(&mut ChaCha8Rng::seed_from_u64(0), &request).1 == late;
+        if request.upstream == 0 && (sign != Sign::Answered || was_late) {
+            bad += 1;
+        }
+        if service.judge.reports()[0].out {
+            return bad;
+        }
+    }
+    usize::MAX
+}
+
+#[test]
+fn an_upstream_that_one_zone_cannot_reach_stays_in_use_elsewhere() {
+    for seed in 0..SEEDS {
+        let mut service = Service::new(seed);
+        service.run(5_000, healthy);
+        service.run(3_000, |_, request| match (request.upstream, request.zone) {
+            (0, 0) => (Sign::Unreachable, Duration::from_millis(500)),
+            _ => (Sign::Answered, request.work),
+        });
+        let report = &service.judge.reports()[0];
+        assert!(
+            !report.out,
+            "seed {seed}: {:?}",
+            service.judge.take_decisions()
+        );
+        assert_eq!(report.out_in_zones, ["a"], "seed {seed}");
+        let elsewhere = service.judge.verdict("up-0", "b", service.now);
+        assert!(
+            matches!(elsewhere, Verdict::Use { .. }),
+            "seed {seed}: {elsewhere:?}"
+        );
+    }
+}
+
+#[test]
+fn a_flapping_upstream_is_held_longer_each_time() {
+    let mut service = Service::new(1);
+    service.run(5_000, healthy);
+    let mut outages = Vec::new();
+    for _ in 0..4 {
+        bad_answers_until_out(&mut service, |_, request| (Sign::Failed, request.work));
+        let since = service.now;
+        while service.judge.reports()[0].out {
+            service.step(healthy);
+        }
+        outages.push(service.now - since);
+    }
+    assert!(
+        outages.windows(2).all(|pair| pair[1] > pair[0]),
+        "{outages:?}"
+    );
+    let fresh = service.judge.verdict("up-0", "a", service.now);
+    assert!(
+        matches!(fresh, Verdict::Use { weight } if weight < 0.2),
+        "{fresh:?}"
+    );
+}
+
+#[test]
+fn nearly_half_of_a_service_turning_bad_reaches_the_floor_and_stops() {
+    let mut service = Service::new(7);
+    service.run(5_000, healthy);
+    for _ in 0..10_000 {
+        service.step(|_, request| match request.upstream {
+            0..6 => (Sign::Failed, request.work),
+            _ => (Sign::Answered, request.work),
+        });
+        let share = service.judge.capacity_in_use(None);
+        assert!(
+            share >= Policy::default().floor,
+            "{share} of the capacity in use"
+        );
+    }
+    assert_eq!(
+        service.out().len(),
+        3,
+        "{:?}",
+        service.judge.take_decisions()
+    );
+}
+
+quickcheck! {
+    fn ejection_never_breaks_the_floor(seed: u64, floor: u8, bad: Vec<(u8, u8)>) -> bool {
+        let floor = f64::from(floor % 101) / 100.0;
+        let mut service = Service::new(seed);
+        service.judge.set_floor(floor);
+        bad.iter().all(|(upstream, kind)| {
+            let sign = [Sign::Failed, Sign::TimedOut, Sign::Unreachable, Sign::Truncated][usize::from(*kind) % 4];
+            let target = usize::from(*upstream) % UPSTREAMS;
+            for _ in 0..20 {
+                service.step(|_, request| {
+                    let hit = request.upstream == target || request.zone == usize::from(*kind) % 4;
+                    (if hit { sign } else { Sign::Answered }, request.work)
+                });
+            }
+            let shares = ZONES.iter().map(|zone| service.judge.capacity_in_use(Some(zone)));
+            shares.chain([service.judge.capacity_in_use(None)]).all(|share| share >= floor)
+        })
+    }
+}
