feat(core): steward that hands out the slots of a service

Cause: hosts that choose upstreams by their own counts over-book the few slots of an upstream while others are idle. Change: core::steward decides on reserve, hold, release and tick over the board and a Verdicts border; the queue is deficit round robin over tenants, and an ask whose deadline cannot be met is refused at once.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,4 +30,5 @@
 pub mod rendezvous;
 pub mod route;
 pub mod routing;
+pub mod steward;
 pub mod upstream;
--- /dev/null
+++ b/crates/core/src/steward.rs
@@ -0,0 +1,400 @@
+//! The steward of a service, which hands out the slots of its upstreams to all hosts.
+//!
+//! A host asks with [`Steward::reserve`] before it sends a request and calls
+//! [`Steward::release`] when the attempt has ended. Every call returns the [`Answer`]s that are
+//! due, to this host and to others. An [`Ask`] gets exactly one final answer, a grant or a
+//! refusal; one that has to wait hears [`Decision::Queued`] first.
+//!
+//! A steward never grants more slots of an upstream than the upstream has. Slots that hosts took
+//! without it, or from an earlier steward, are reported with [`Steward::hold`] and count too.
+
+mod ask;
+mod estimate;
+mod queue;
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+use std::time::Instant;
+
+pub use ask::Answer;
+pub use ask::Ask;
+pub use ask::Decision;
+pub use ask::Hold;
+pub use ask::Release;
+pub use ask::Ticket;
+pub use estimate::Estimate;
+pub use queue::Queue;
+
+use crate::board::Board;
+use crate::error::Kind;
+use crate::health::Evidence;
+use crate::health::Sign;
+use crate::health::Verdict;
+use crate::id::HostId;
+use crate::id::ServiceId;
+use crate::id::TenantId;
+use crate::id::UpstreamId;
+use crate::upstream::Upstream;
+
+/// Silence after which the reservations of a host lapse.
+pub const LAPSE: Duration = Duration::from_secs(3);
+
+/// Asks that wait at a time.
+pub const MAX_QUEUED: usize = 4_096;
+
+/// Tenants whose slot times are remembered.
+const MAX_TENANTS: usize = 1_024;
+
+/// Judges upstreams by the evidence of requests.
+pub trait Verdicts: fmt::Debug {
+    /// Takes in an observation.
+    fn observe(&mut self, evidence: &Evidence, now: Instant);
+
+    /// Returns what may be sent to `upstream` from hosts in `zone`.
+    fn verdict(&self, upstream: &str, zone: &str, now: Instant) -> Verdict;
+}
+
+/// Uses every upstream whatever the evidence.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Unconditional;
+
+impl Verdicts for Unconditional {
+    fn observe(&mut self, _evidence: &Evidence, _now: Instant) {}
+
+    fn verdict(&self, _upstream: &str, _zone: &str, _now: Instant) -> Verdict {
+        Verdict::Use { weight: 1.0 }
+    }
+}
+
+/// The slots of one service.
+#[derive(Debug)]
+pub struct Steward {
+    service: ServiceId,
+    held: BTreeMap<Ticket, Hold>,
+    loads: BTreeMap<UpstreamId, Load>,
+    queue: Queue<Ask>,
+    heard: BTreeMap<HostId, Instant>,
+    slot_time: Estimate,
+    tenants: BTreeMap<TenantId, Estimate>,
+    grants: u64,
+}
+
+/// What a steward knows of the use of one upstream.
+#[derive(Debug, Clone, Copy, Default)]
+struct Load {
+    running: u32,
+    /// Number of the last grant, which spreads equal choices.
+    last_grant: u64,
+}
+
+/// A place that an ask could be given, better ones greater.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+struct Rank {
+    trial: bool,
+    near: bool,
+    free: f64,
+    idle_for: u64,
+}
+
+impl Steward {
+    /// Creates a steward that knows of no reservations.
+    #[must_use]
+    pub const fn new(service: ServiceId) -> Self {
+        Self {
+            service,
+            held: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            queue: Queue::new(),
+            heard: BTreeMap::new(),
+            slot_time: Estimate::new(),
+            tenants: BTreeMap::new(),
+            grants: 0,
+        }
+    }
+
+    /// Returns the slots of an upstream that are known to be in use.
+    #[must_use]
+    pub fn running(&self, upstream: &str) -> u32 {
+        self.loads.get(upstream).map_or(0, |load| load.running)
+    }
+
+    /// Returns how many asks are waiting.
+    #[must_use]
+    pub const fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns how many reservations are known.
+    #[must_use]
+    pub fn reserved(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Returns how long a request holds a slot on average.
+    #[must_use]
+    pub fn slot_time(&self) -> Duration {
+        self.slot_time.mean()
+    }
+
+    /// Notes that a host was heard from.
+    pub fn hear(&mut self, host: &str, now: Instant) {
+        match self.heard.get_mut(host) {
+            Some(heard) => *heard = now,
+            None => {
+                self.heard.insert(host.to_owned(), now);
+            }
+        }
+    }
+
+    /// Asks for a slot.
+    pub fn reserve(&mut self, board: &Board, verdicts: &dyn Verdicts, ask: Ask) -> Vec<Answer> {
+        let now = board.now();
+        self.hear(&ask.ticket.host, now);
+        if self.held.contains_key(&ask.ticket) {
+            return Vec::new();
+        }
+        if self.queue.is_empty()
+            && let Some(upstream) = self.place(board, verdicts, &ask)
+        {
+            return vec![self.grant(ask, upstream)];
+        }
+        let capacity = self.capacity(board, verdicts, &ask);
+        if capacity == 0 {
+            return vec![Answer::refused(ask.ticket, Kind::NoUpstream)];
+        }
+        if self.queue.len() >= MAX_QUEUED || !self.is_in_time(&ask, capacity, now) {
+            return vec![Answer::refused(ask.ticket, Kind::Overloaded)];
+        }
+        let queued = Answer {
+            ticket: ask.ticket.clone(),
+            decision: Decision::Queued,
+        };
+        let tenant = ask.tenant.clone().unwrap_or_default();
+        self.queue.push(&tenant, self.cost(&tenant), ask);
+        let mut answers = vec![queued];
+        answers.extend(self.serve_queue(board, verdicts));
+        answers
+    }
+
+    /// Takes in a slot that a host uses without a grant of this steward.
+    pub fn hold(&mut self, ticket: Ticket, hold: Hold, now: Instant) {
+        self.hear(&ticket.host, now);
+        self.free(&ticket);
+        self.loads.entry(hold.upstream.clone()).or_default().running += 1;
+        self.held.insert(ticket, hold);
+    }
+
+    /// Gives back a slot, or withdraws an ask that waits, and takes in what the attempt showed.
+    pub fn release(
+        &mut self,
+        board: &Board,
+        verdicts: &mut dyn Verdicts,
+        release: &Release,
+    ) -> Vec<Answer> {
+        let now = board.now();
+        self.hear(&release.ticket.host, now);
+        match self.free(&release.ticket) {
+            Some(hold) => self.learn(verdicts, hold, release, now),
+            None => {
+                self.queue.remove_if(|ask| ask.ticket == release.ticket);
+            }
+        }
+        self.serve_queue(board, verdicts)
+    }
+
+    /// Gives up what a host had reserved and asked for, as when it starts anew.
+    pub fn forget(&mut self, host: &str) {
+        let tickets: Vec<Ticket> = self
+            .held
+            .keys()
+            .filter(|ticket| ticket.host == host)
+            .cloned()
+            .collect();
+        for ticket in tickets {
+            self.free(&ticket);
+        }
+        self.queue.remove_if(|ask| ask.ticket.host == host);
+        self.heard.remove(host);
+    }
+
+    /// Lets reservations of silent hosts lapse and answers asks whose time has come.
+    pub fn tick(&mut self, board: &Board, verdicts: &dyn Verdicts) -> Vec<Answer> {
+        let now = board.now();
+        let silent: Vec<HostId> = self
+            .heard
+            .iter()
+            .filter(|(_, heard)| now.saturating_duration_since(**heard) >= LAPSE)
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in silent {
+            self.forget(&host);
+        }
+        self.loads.retain(|upstream, load| {
+            let known = |one: &Upstream| one.announcement.id == *upstream;
+            load.running > 0 || board.upstreams(&self.service).any(known)
+        });
+        let mut answers = self.refuse_unplaceable(board, verdicts);
+        answers.extend(self.serve_queue(board, verdicts));
+        answers
+    }
+
+    fn serve_queue(&mut self, board: &Board, verdicts: &dyn Verdicts) -> Vec<Answer> {
+        let mut answers = self.shed(board.now());
+        while !self.queue.is_empty() {
+            let mut queue = std::mem::take(&mut self.queue);
+            let next = queue.take(|ask| self.place(board, verdicts, ask));
+            self.queue = queue;
+            let Some((ask, upstream)) = next else {
+                break;
+            };
+            answers.push(self.grant(ask, upstream));
+        }
+        answers
+    }
+
+    /// Refuses the asks that cannot be answered within their deadline any more.
+    fn shed(&mut self, now: Instant) -> Vec<Answer> {
+        let least = self.slot_time.mean() / 2;
+        let late = self.queue.remove_if(|ask| now + least >= ask.deadline);
+        late.into_iter()
+            .map(|ask| Answer::refused(ask.ticket, Kind::Overloaded))
+            .collect()
+    }
+
+    /// Refuses the asks that no upstream is left for.
+    fn refuse_unplaceable(&mut self, board: &Board, verdicts: &dyn Verdicts) -> Vec<Answer> {
+        let mut queue = std::mem::take(&mut self.queue);
+        let refused = queue.remove_if(|ask| self.capacity(board, verdicts, ask) == 0);
+        self.queue = queue;
+        refused
+            .into_iter()
+            .map(|ask| Answer::refused(ask.ticket, Kind::NoUpstream))
+            .collect()
+    }
+
+    fn grant(&mut self, ask: Ask, upstream: UpstreamId) -> Answer {
+        self.grants += 1;
+        let load = self.loads.entry(upstream.clone()).or_default();
+        load.running += 1;
+        load.last_grant = self.grants;
+        let hold = Hold {
+            zone: ask.zone,
+            tenant: ask.tenant,
+            upstream: upstream.clone(),
+        };
+        self.held.insert(ask.ticket.clone(), hold);
+        Answer {
+            ticket: ask.ticket,
+            decision: Decision::Granted { upstream },
+        }
+    }
+
+    fn free(&mut self, ticket: &Ticket) -> Option<Hold> {
+        let hold = self.held.remove(ticket)?;
+        if let Some(load) = self.loads.get_mut(&hold.upstream) {
+            load.running = load.running.saturating_sub(1);
+        }
+        Some(hold)
+    }
+
+    fn learn(&mut self, verdicts: &mut dyn Verdicts, hold: Hold, release: &Release, now: Instant) {
+        if release.sign != Sign::Cancelled {
+            self.slot_time.observe(release.latency);
+            let tenant = hold.tenant.clone().unwrap_or_default();
+            if self.tenants.len() < MAX_TENANTS || self.tenants.contains_key(&tenant) {
+                let estimate = self.tenants.entry(tenant).or_default();
+                estimate.observe(release.latency);
+            }
+        }
+        let evidence = Evidence {
+            upstream: hold.upstream,
+            zone: hold.zone,
+            tenant: hold.tenant,
+            sign: release.sign,
+            latency: release.latency,
+            reused: release.reused,
+        };
+        verdicts.observe(&evidence, now);
+    }
+
+    fn cost(&self, tenant: &str) -> Duration {
+        let own = self.tenants.get(tenant);
+        own.map_or_else(|| self.slot_time.mean(), Estimate::mean)
+    }
+
+    fn is_in_time(&self, ask: &Ask, capacity: u32, now: Instant) -> bool {
+        let tenant = ask.tenant.as_deref().unwrap_or_default();
+        let ahead = u32::try_from(self.queue.ahead_of(tenant)).unwrap_or(u32::MAX);
+        let slot_time = self.slot_time.mean();
+        let wait = slot_time.saturating_mul(ahead) / capacity;
+        now + wait + slot_time / 2 < ask.deadline
+    }
+
+    /// Returns the slots that an ask could be given if none were in use.
+    fn capacity(&self, board: &Board, verdicts: &dyn Verdicts, ask: &Ask) -> u32 {
+        self.candidates(board, ask)
+            .map(|upstream| limit(upstream, verdict(verdicts, upstream, ask, board.now())))
+            .sum()
+    }
+
+    fn place(&self, board: &Board, verdicts: &dyn Verdicts, ask: &Ask) -> Option<UpstreamId> {
+        let now = board.now();
+        let mut best: Option<(Rank, &Upstream)> = None;
+        for upstream in self.candidates(board, ask) {
+            let Some(rank) = self.rank(upstream, verdict(verdicts, upstream, ask, now), ask) else {
+                continue;
+            };
+            if best.is_none_or(|(other, _)| rank > other) {
+                best = Some((rank, upstream));
+            }
+        }
+        best.map(|(_, upstream)| upstream.announcement.id.clone())
+    }
+
+    fn rank(&self, upstream: &Upstream, verdict: Verdict, ask: &Ask) -> Option<Rank> {
+        let load = self.loads.get(&upstream.announcement.id);
+        let load = load.copied().unwrap_or_default();
+        let limit = limit(upstream, verdict);
+        if load.running >= limit {
+            return None;
+        }
+        Some(Rank {
+            trial: verdict == Verdict::Trial,
+            near: upstream.announcement.zone == ask.zone,
+            free: f64::from(limit - load.running) / f64::from(limit),
+            idle_for: self.grants - load.last_grant,
+        })
+    }
+
+    fn candidates<'a>(
+        &'a self,
+        board: &'a Board,
+        ask: &'a Ask,
+    ) -> impl Iterator<Item = &'a Upstream> {
+        let now = board.now();
+        board
+            .upstreams(&self.service)
+            .filter(move |upstream| upstream.is_current(now))
+            .filter(|upstream| upstream.announcement.stage.takes_requests())
+            .filter(|upstream| !ask.avoid.contains(&upstream.announcement.id))
+    }
+}
+
+fn verdict(verdicts: &dyn Verdicts, upstream: &Upstream, ask: &Ask, now: Instant) -> Verdict {
+    verdicts.verdict(&upstream.announcement.id, &ask.zone, now)
+}
+
+/// Returns the slots of an upstream that a verdict lets be used.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn limit(upstream: &Upstream, verdict: Verdict) -> u32 {
+    let slots = upstream.announcement.slots;
+    match verdict {
+        Verdict::Use { weight } => {
+            let share = (f64::from(slots) * weight).round();
+            (share as u32).clamp(1, slots)
+        }
+        Verdict::Trial => 1,
+        Verdict::Ejected => 0,
+    }
+}
