feat(wire): frames of the slot protocol

Cause: a reservation for each request has to fit into the control traffic of a host, which an RPC call with its 280 bytes does not. Change: packed Cap'n Proto frames behind their length, names numbered once per connection and direction, bounded frames, names, lists and queues; a channel writes all that wait in one write. The schema gains SlotFrame. Shown by: quickcheck properties for round trips under any cutting of the bytes, garbage and damaged frames.

--- a/crates/core/src/steward.rs
+++ b/crates/core/src/steward.rs
@@ -11,6 +11,7 @@
 mod ask;
 mod estimate;
 mod queue;
+mod rank;
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -35,6 +36,8 @@
 use crate::id::ServiceId;
 use crate::id::TenantId;
 use crate::id::UpstreamId;
+use crate::steward::rank::Rank;
+use crate::steward::rank::limit;
 use crate::upstream::Upstream;
 
 /// Silence after which the reservations of a host lapse.
@@ -88,15 +91,6 @@
     last_grant: u64,
 }
 
-/// A place that an ask could be given, better ones greater.
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
-struct Rank {
-    trial: bool,
-    near: bool,
-    free: f64,
-    idle_for: u64,
-}
-
 impl Steward {
     /// Creates a steward that knows of no reservations.
     #[must_use]
@@ -342,7 +336,11 @@
         let now = board.now();
         let mut best: Option<(Rank, &Upstream)> = None;
         for upstream in self.candidates(board, ask) {
-            let Some(rank) = self.rank(upstream, verdict(verdicts, upstream, ask, now), ask) else {
+            let verdict = verdict(verdicts, upstream, ask, now);
+            let load = self.loads.get(&upstream.announcement.id);
+            let load = load.copied().unwrap_or_default();
+            let idle_for = self.grants - load.last_grant;
+            let Some(rank) = Rank::new(upstream, verdict, ask, load.running, idle_for) else {
                 continue;
             };
             if best.is_none_or(|(other, _)| rank > other) {
@@ -352,21 +350,6 @@
         best.map(|(_, upstream)| upstream.announcement.id.clone())
     }
 
-    fn rank(&self, upstream: &Upstream, verdict: Verdict, ask: &Ask) -> Option<Rank> {
-        let load = self.loads.get(&upstream.announcement.id);
-        let load = load.copied().unwrap_or_default();
-        let limit = limit(upstream, verdict);
-        if load.running >= limit {
-            return None;
-        }
-        Some(Rank {
-            trial: verdict == Verdict::Trial,
-            near: upstream.announcement.zone == ask.zone,
-            free: f64::from(limit - load.running) / f64::from(limit),
-            idle_for: self.grants - load.last_grant,
-        })
-    }
-
     fn candidates<'a>(
         &'a self,
         board: &'a Board,
@@ -384,17 +367,3 @@
 fn verdict(verdicts: &dyn Verdicts, upstream: &Upstream, ask: &Ask, now: Instant) -> Verdict {
     verdicts.verdict(&upstream.announcement.id, &ask.zone, now)
 }
-
-/// Returns the slots of an upstream that a verdict lets be used.
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn limit(upstream: &Upstream, verdict: Verdict) -> u32 {
-    let slots = upstream.announcement.slots;
-    match verdict {
-        Verdict::Use { weight } => {
-            let share = (f64::from(slots) * weight).round();
-            (share as u32).clamp(1, slots)
-        }
-        Verdict::Trial => 1,
-        Verdict::Ejected => 0,
-    }
-}
--- /dev/null
+++ b/crates/core/src/steward/rank.rs
@@ -0,0 +1,52 @@
+//! The order of the upstreams that an ask could be given.
+
+use crate::health::Verdict;
+use crate::steward::Ask;
+use crate::upstream::Upstream;
+
+/// A place that an ask could be given, better ones greater.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+pub struct Rank {
+    trial: bool,
+    near: bool,
+    free: f64,
+    idle_for: u64,
+}
+
+impl Rank {
+    /// Returns the rank of an upstream, or `None` when it has no free slot.
+    #[must_use]
+    pub fn new(
+        upstream: &Upstream,
+        verdict: Verdict,
+        ask: &Ask,
+        running: u32,
+        idle_for: u64,
+    ) -> Option<Self> {
+        let limit = limit(upstream, verdict);
+        if running >= limit {
+            return None;
+        }
+        Some(Self {
+            trial: verdict == Verdict::Trial,
+            near: upstream.announcement.zone == ask.zone,
+            free: f64::from(limit - running) / f64::from(limit),
+            idle_for,
+        })
+    }
+}
+
+/// Returns the slots of an upstream that a verdict lets be used.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+#[must_use]
+pub fn limit(upstream: &Upstream, verdict: Verdict) -> u32 {
+    let slots = upstream.announcement.slots;
+    match verdict {
+        Verdict::Use { weight } => {
+            let share = (f64::from(slots) * weight).round();
+            (share as u32).clamp(1, slots)
+        }
+        Verdict::Trial => 1,
+        Verdict::Ejected => 0,
+    }
+}
--- a/crates/core/tests/steward.rs
+++ b/crates/core/tests/steward.rs
@@ -547,16 +547,17 @@
             ends.remove(&(at, number));
             answers.extend(steward.release(&board, &mut judge, &release(number, WORK)));
         }
-        for tenant in 0..TENANTS {
+        for (tenant, seen) in seen.iter_mut().enumerate() {
             let every = if tenant == 0 { 10 / factor } else { 10 };
-            if millis % every == 0 {
-                next += 1;
-                seen[tenant].asked += 1;
-                asked.insert(next, (tenant, board.now()));
-                let name = format!("t{tenant}");
-                let ask = ask(&board, next, &name, Duration::from_millis(400));
-                answers.extend(steward.reserve(&board, &judge, ask));
+            if millis % every != 0 {
+                continue;
             }
+            next += 1;
+            seen.asked += 1;
+            asked.insert(next, (tenant, board.now()));
+            let name = format!("t{tenant}");
+            let ask = ask(&board, next, &name, Duration::from_millis(400));
+            answers.extend(steward.reserve(&board, &judge, ask));
         }
         answers.extend(steward.tick(&board, &judge));
         for answer in answers {
--- a/crates/wire/src/fleet_capnp.rs
+++ b/crates/wire/src/fleet_capnp.rs
@@ -10203,3 +10203,572 @@
         }
     }
 }
+
+pub mod slot_frame {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_first(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn get_second(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn get_third(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn get_kind(self) -> ::core::result::Result<crate::fleet_capnp::slot_frame::Kind,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(8))
+        }
+        #[inline]
+        pub fn get_code(self) -> u8 {
+            self.reader.get_data_field::<u8>(18)
+        }
+        #[inline]
+        pub fn get_flag(self) -> bool {
+            self.reader.get_bool_field(152)
+        }
+        #[inline]
+        pub fn get_text(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_text(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_list(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u32>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_list(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_first(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_first(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
+        pub fn get_second(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_second(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn get_third(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_third(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
+        pub fn get_kind(self) -> ::core::result::Result<crate::fleet_capnp::slot_frame::Kind,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(8))
+        }
+        #[inline]
+        pub fn set_kind(&mut self, value: crate::fleet_capnp::slot_frame::Kind)  {
+            self.builder.set_data_field::<u16>(8, value as u16);
+        }
+        #[inline]
+        pub fn get_code(self) -> u8 {
+            self.builder.get_data_field::<u8>(18)
+        }
+        #[inline]
+        pub fn set_code(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(18, value);
+        }
+        #[inline]
+        pub fn get_flag(self) -> bool {
+            self.builder.get_bool_field(152)
+        }
+        #[inline]
+        pub fn set_flag(&mut self, value: bool)  {
+            self.builder.set_bool_field(152, value);
+        }
+        #[inline]
+        pub fn get_text(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_text(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_text(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_text(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_list(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u32>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_list(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_list(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u32> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_list(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 159] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(92, 133, 209, 201, 120, 18, 128, 136),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(111, 82, 228, 155, 195, 167, 240, 209),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 23, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 83, 108, 111, 116),
+            ::capnp::word(70, 114, 97, 109, 101, 0, 0, 0),
+            ::capnp::word(4, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(3, 43, 49, 243, 32, 119, 85, 215),
+            ::capnp::word(1, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(75, 105, 110, 100, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 18, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 152, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 105, 114, 115, 116, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 99, 111, 110, 100, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 104, 105, 114, 100, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 105, 110, 100, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 43, 49, 243, 32, 119, 85, 215),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 100, 101, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 97, 103, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 101, 120, 116, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <crate::fleet_capnp::slot_frame::Kind as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,1,6,4,8,0,2,7,3];
+        pub(crate) const TYPE_ID: u64 = 0x8880_1278_c9d1_855c;
+    }
+
+    #[repr(u16)]
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum Kind {
+        Hello = 0,
+        Name = 1,
+        Reserve = 2,
+        Granted = 3,
+        Queued = 4,
+        Refused = 5,
+        Hold = 6,
+        Release = 7,
+        Ping = 8,
+        Pong = 9,
+        Advice = 10,
+    }
+
+    impl ::capnp::introspect::Introspect for Kind {
+        fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&kind::ARENA, kind::get_annotation_types)).into() }
+    }
+    impl ::core::convert::From<Kind> for ::capnp::dynamic_value::Reader<'_> {
+        fn from(e: Kind) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&kind::ARENA, kind::get_annotation_types).into()).into() }
+    }
+    impl ::core::convert::TryFrom<u16> for Kind {
+        type Error = ::capnp::NotInSchema;
+        fn try_from(value: u16) -> ::core::result::Result<Self, <Kind as ::core::convert::TryFrom<u16>>::Error> {
+            match value {
+                0 => ::core::result::Result::Ok(Self::Hello),
+                1 => ::core::result::Result::Ok(Self::Name),
+                2 => ::core::result::Result::Ok(Self::Reserve),
+                3 => ::core::result::Result::Ok(Self::Granted),
+                4 => ::core::result::Result::Ok(Self::Queued),
+                5 => ::core::result::Result::Ok(Self::Refused),
+                6 => ::core::result::Result::Ok(Self::Hold),
+                7 => ::core::result::Result::Ok(Self::Release),
+                8 => ::core::result::Result::Ok(Self::Ping),
+                9 => ::core::result::Result::Ok(Self::Pong),
+                10 => ::core::result::Result::Ok(Self::Advice),
+                n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+            }
+        }
+    }
+    impl From<Kind> for u16 {
+        #[inline]
+        fn from(x: Kind) -> u16 { x as u16 }
+    }
+    impl ::capnp::traits::HasTypeId for Kind {
+        const TYPE_ID: u64 = 0xd755_7720_f331_2b03u64;
+    }
+    mod kind {
+    pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+        ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+        ::capnp::word(3, 43, 49, 243, 32, 119, 85, 215),
+        ::capnp::word(22, 0, 0, 0, 2, 0, 0, 0),
+        ::capnp::word(92, 133, 209, 201, 120, 18, 128, 136),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+        ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(29, 0, 0, 0, 15, 1, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+        ::capnp::word(112, 110, 112, 58, 83, 108, 111, 116),
+        ::capnp::word(70, 114, 97, 109, 101, 46, 75, 105),
+        ::capnp::word(110, 100, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+        ::capnp::word(44, 0, 0, 0, 1, 0, 2, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(117, 0, 0, 0, 42, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(93, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(85, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(61, 0, 0, 0, 42, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(53, 0, 0, 0, 42, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(104, 101, 108, 108, 111, 0, 0, 0),
+        ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
+        ::capnp::word(114, 101, 115, 101, 114, 118, 101, 0),
+        ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
+        ::capnp::word(113, 117, 101, 117, 101, 100, 0, 0),
+        ::capnp::word(114, 101, 102, 117, 115, 101, 100, 0),
+        ::capnp::word(104, 111, 108, 100, 0, 0, 0, 0),
+        ::capnp::word(114, 101, 108, 101, 97, 115, 101, 0),
+        ::capnp::word(112, 105, 110, 103, 0, 0, 0, 0),
+        ::capnp::word(112, 111, 110, 103, 0, 0, 0, 0),
+        ::capnp::word(97, 100, 118, 105, 99, 101, 0, 0),
+    ];
+    pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+        ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+    }
+    pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod link;
 pub mod listener;
 pub mod peer;
+pub mod slots;
 pub mod update;
 
 #[allow(clippy::all, clippy::pedantic, clippy::restriction, missing_docs)]
--- /dev/null
+++ b/crates/wire/src/slots/raw.rs
@@ -0,0 +1,199 @@
+//! The fields of a frame and their place in the schema.
+
+use capnp::message::Builder;
+use capnp::message::HeapAllocator;
+use capnp::message::ReaderOptions;
+use capnp::serialize_packed;
+use persimmonbend_core::error::Kind;
+use persimmonbend_core::health::Sign;
+use persimmonbend_core::health::Verdict;
+
+use crate::error::Error;
+use crate::fleet_capnp::slot_frame;
+use crate::fleet_capnp::slot_frame::Kind as Tag;
+
+/// Longest frame in bytes.
+pub const MAX_FRAME_BYTES: usize = 4 * 1024;
+
+/// Longest name in bytes.
+pub const MAX_NAME_BYTES: usize = 256;
+
+/// Most upstreams in one list.
+pub const MAX_LIST: usize = 64;
+
+/// Bytes of the length before a frame.
+const LENGTH_BYTES: usize = 2;
+
+/// Words of the buffer that a frame is built in.
+const SEGMENT_WORDS: u32 = 16;
+
+/// Largest decoded message in words.
+const MAX_MESSAGE_WORDS: usize = 1_024;
+
+/// Weight of 1 in thousandths.
+const FULL_WEIGHT: f64 = 1_000.0;
+
+/// Codes of signs, by position.
+pub const SIGNS: [Sign; 7] = [
+    Sign::Answered,
+    Sign::Failed,
+    Sign::Truncated,
+    Sign::TimedOut,
+    Sign::Unreachable,
+    Sign::Shed,
+    Sign::Cancelled,
+];
+
+/// Codes of reasons of a refusal, by position.
+pub const REFUSALS: [Kind; 2] = [Kind::Overloaded, Kind::NoUpstream];
+
+/// The fields of a frame as the schema has them.
+#[derive(Debug, Clone, Default)]
+pub struct Raw {
+    /// Number of the reservation, name or ping.
+    pub number: u32,
+    /// First datum of the kind.
+    pub first: u32,
+    /// Second datum of the kind.
+    pub second: u32,
+    /// Third datum of the kind.
+    pub third: u32,
+    /// Code of a sign, a reason or a verdict.
+    pub code: u8,
+    /// Whether the connection had been used before.
+    pub flag: bool,
+    /// A name.
+    pub text: String,
+    /// Numbers of names.
+    pub list: Vec<u32>,
+}
+
+/// A frame without its length, and the bytes after it.
+pub type Split<'a> = (&'a [u8], &'a [u8]);
+
+/// Returns the first frame in `bytes` without its length, or `None` when it is not whole.
+///
+/// # Errors
+///
+/// Returns [`Error::Malformed`] for a length out of bounds.
+pub fn split(bytes: &[u8]) -> Result<Option<Split<'_>>, Error> {
+    let Some((length, rest)) = bytes.split_first_chunk::<LENGTH_BYTES>() else {
+        return Ok(None);
+    };
+    let length = usize::from(u16::from_le_bytes(*length));
+    if length == 0 || length > MAX_FRAME_BYTES {
+        return Err(Error::Malformed(format!("a frame of {length} bytes")));
+    }
+    Ok(rest.split_at_checked(length))
+}
+
+/// Appends a frame with its length to `bytes`.
+///
+/// # Errors
+///
+/// Returns [`Error::Malformed`] when the frame is too long.
+pub fn write(tag: Tag, raw: &Raw, bytes: &mut Vec<u8>) -> Result<(), Error> {
+    let allocator = HeapAllocator::new().first_segment_words(SEGMENT_WORDS);
+    let mut message = Builder::new(allocator);
+    let mut frame = message.init_root::<slot_frame::Builder<'_>>();
+    frame.set_kind(tag);
+    frame.set_number(raw.number);
+    frame.set_first(raw.first);
+    frame.set_second(raw.second);
+    frame.set_third(raw.third);
+    frame.set_code(raw.code);
+    frame.set_flag(raw.flag);
+    if !raw.text.is_empty() {
+        frame.set_text(raw.text.as_str());
+    }
+    if !raw.list.is_empty() {
+        frame.set_list(raw.list.as_slice())?;
+    }
+    let start = bytes.len();
+    bytes.extend_from_slice(&[0; LENGTH_BYTES]);
+    serialize_packed::write_message(&mut *bytes, &message)?;
+    let length = bytes.len() - start - LENGTH_BYTES;
+    if length > MAX_FRAME_BYTES {
+        bytes.truncate(start);
+        return Err(Error::Malformed(format!("a frame of {length} bytes")));
+    }
+    let length = u16::try_from(length).unwrap_or(u16::MAX).to_le_bytes();
+    bytes[start..start + LENGTH_BYTES].copy_from_slice(&length);
+    Ok(())
+}
+
+/// Reads a frame without its length.
+///
+/// # Errors
+///
+/// Returns [`Error::Malformed`] when a field is out of bounds.
+pub fn read(mut body: &[u8]) -> Result<(Tag, Raw), Error> {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
+    let message = serialize_packed::read_message(&mut body, options)?;
+    let frame = message.get_root::<slot_frame::Reader<'_>>()?;
+    let tag = frame.get_kind().map_err(capnp::Error::from)?;
+    Ok((tag, fields(frame)?))
+}
+
+fn fields(frame: slot_frame::Reader<'_>) -> Result<Raw, Error> {
+    let text = frame.get_text()?.to_str()?;
+    let list = frame.get_list()?;
+    if text.len() > MAX_NAME_BYTES || list.len() as usize > MAX_LIST {
+        return Err(Error::Malformed("a field is too long".to_owned()));
+    }
+    Ok(Raw {
+        number: frame.get_number(),
+        first: frame.get_first(),
+        second: frame.get_second(),
+        third: frame.get_third(),
+        code: frame.get_code(),
+        flag: frame.get_flag(),
+        text: text.to_owned(),
+        list: list.iter().collect(),
+    })
+}
+
+/// Returns the code of an item.
+pub fn position<T: PartialEq>(items: &[T], item: &T) -> u8 {
+    let found = items.iter().position(|one| one == item);
+    found
+        .and_then(|index| u8::try_from(index).ok())
+        .unwrap_or(0)
+}
+
+/// Returns the item of a code.
+///
+/// # Errors
+///
+/// Returns [`Error::Malformed`] for a code without an item.
+pub fn item<T: Copy>(items: &[T], code: u8) -> Result<T, Error> {
+    let unknown = || Error::Malformed(format!("unknown code {code}"));
+    items.get(usize::from(code)).copied().ok_or_else(unknown)
+}
+
+/// Returns the code and the weight of a verdict.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub fn verdict_code(verdict: Verdict) -> (u8, u32) {
+    match verdict {
+        Verdict::Use { weight } => (0, (weight * FULL_WEIGHT).round() as u32),
+        Verdict::Trial => (1, 0),
+        Verdict::Ejected => (2, 0),
+    }
+}
+
+/// Returns the verdict of a code and a weight.
+///
+/// # Errors
+///
+/// Returns [`Error::Malformed`] for an unknown code.
+pub fn verdict(code: u8, weight: u32) -> Result<Verdict, Error> {
+    match code {
+        0 => Ok(Verdict::Use {
+            weight: (f64::from(weight) / FULL_WEIGHT).clamp(0.0, 1.0),
+        }),
+        1 => Ok(Verdict::Trial),
+        2 => Ok(Verdict::Ejected),
+        other => Err(Error::Malformed(format!("unknown verdict {other}"))),
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/slots.rs
@@ -0,0 +1,170 @@
+//! The codec of the slot protocol: round trips, garbage, sizes.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use persimmonbend_core::error::Kind;
+use persimmonbend_core::health::Sign;
+use persimmonbend_core::health::Verdict;
+use persimmonbend_wire::slots::Decoder;
+use persimmonbend_wire::slots::Encoder;
+use persimmonbend_wire::slots::Frame;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::quickcheck;
+
+#[derive(Debug, Clone)]
+struct Any(Frame);
+
+fn name(g: &mut Gen) -> String {
+    format!("name-{}", u8::arbitrary(g))
+}
+
+fn tenant(g: &mut Gen) -> Option<String> {
+    bool::arbitrary(g).then(|| name(g))
+}
+
+impl Arbitrary for Any {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let number = u32::arbitrary(g);
+        let signs = [
+            Sign::Answered,
+            Sign::Failed,
+            Sign::TimedOut,
+            Sign::Cancelled,
+        ];
+        let verdicts = [
+            Verdict::Use { weight: 0.25 },
+            Verdict::Trial,
+            Verdict::Ejected,
+        ];
+        Self(match u8::arbitrary(g) % 10 {
+            0 => Frame::Hello {
+                host: name(g),
+                zone: name(g),
+            },
+            1 => Frame::Reserve {
+                number,
+                service: name(g),
+                tenant: tenant(g),
+                left: Duration::from_millis(u64::from(u16::arbitrary(g))),
+                avoid: (0..u8::arbitrary(g) % 3).map(|_| name(g)).collect(),
+            },
+            2 => Frame::Granted {
+                number,
+                upstream: name(g),
+            },
+            3 => Frame::Queued { number },
+            4 => Frame::Refused {
+                number,
+                kind: *g.choose(&[Kind::NoUpstream, Kind::Overloaded]).unwrap(),
+            },
+            5 => Frame::Hold {
+                number,
+                service: name(g),
+                tenant: tenant(g),
+                upstream: name(g),
+            },
+            6 => Frame::Release {
+                number,
+                sign: *g.choose(&signs).unwrap(),
+                latency: Duration::from_micros(u64::from(u32::arbitrary(g))),
+                reused: bool::arbitrary(g),
+            },
+            7 => Frame::Ping { number },
+            8 => Frame::Pong { number },
+            _ => Frame::Advice {
+                upstream: name(g),
+                verdict: *g.choose(&verdicts).unwrap(),
+            },
+        })
+    }
+}
+
+quickcheck! {
+    fn frames_come_out_as_they_went_in_however_the_bytes_are_cut(frames: Vec<Any>, cut: u8) -> bool {
+        let frames: Vec<Frame> = frames.into_iter().map(|any| any.0).collect();
+        let mut encoder = Encoder::new();
+        let mut bytes = Vec::new();
+        for frame in &frames {
+            encoder.encode(frame, &mut bytes).unwrap();
+        }
+        let mut decoder = Decoder::new();
+        let mut decoded = Vec::new();
+        for piece in bytes.chunks(usize::from(cut) + 1) {
+            decoded.extend(decoder.feed(piece).unwrap());
+        }
+        decoded == frames
+    }
+
+    fn garbage_is_an_error_or_waits_for_more_and_never_a_panic(garbage: Vec<u8>) -> bool {
+        let _ = Decoder::new().feed(&garbage);
+        true
+    }
+
+    fn damaged_frames_never_panic(frames: Vec<Any>, at: usize, to: u8) -> bool {
+        let mut encoder = Encoder::new();
+        let mut bytes = Vec::new();
+        for frame in &frames {
+            encoder.encode(&frame.0, &mut bytes).unwrap();
+        }
+        if !bytes.is_empty() {
+            let at = at % bytes.len();
+            bytes[at] = to;
+        }
+        let _ = Decoder::new().feed(&bytes);
+        true
+    }
+}
+
+#[test]
+fn a_request_takes_few_bytes_once_the_names_are_known() {
+    let number = 70_000;
+    let frames = [
+        Frame::Reserve {
+            number,
+            service: "herd".to_owned(),
+            tenant: Some("clinic-etna".to_owned()),
+            left: Duration::from_millis(1_500),
+            avoid: Vec::new(),
+        },
+        Frame::Granted {
+            number,
+            upstream: "upstream-7".to_owned(),
+        },
+        Frame::Release {
+            number,
+            sign: Sign::Answered,
+            latency: Duration::from_micros(21_337),
+            reused: true,
+        },
+    ];
+    let mut encoder = Encoder::new();
+    let mut sizes = Vec::new();
+    for _ in 0..2 {
+        sizes.clear();
+        for frame in &frames {
+            let mut bytes = Vec::new();
+            encoder.encode(frame, &mut bytes).unwrap();
+            sizes.push(bytes.len());
+        }
+    }
+    println!("reserve, granted, release: {sizes:?} bytes");
+    assert!(sizes.iter().all(|size| *size <= 30), "{sizes:?}");
+}
+
+#[test]
+fn more_names_than_the_bound_are_defined_anew() {
+    let mut encoder = Encoder::new();
+    let mut decoder = Decoder::new();
+    for number in 0..40_000 {
+        let frame = Frame::Granted {
+            number,
+            upstream: format!("upstream-{number}"),
+        };
+        let mut bytes = Vec::new();
+        encoder.encode(&frame, &mut bytes).unwrap();
+        assert_eq!(decoder.feed(&bytes).unwrap(), [frame]);
+    }
+}
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -88,3 +88,34 @@
   status @6 () -> (report :Data);
   order @7 (order :Data) -> (outcome :Data);
 }
+
+# One frame of the slot protocol, packed, behind its length in two bytes. Names
+# of services, tenants and upstreams travel once per connection and direction
+# in `name` frames and are numbers after that; 0 stands for no name.
+struct SlotFrame {
+  # Number of the reservation, or of the name that a `name` frame defines.
+  number @0 :UInt32;
+  # Further data of the kind; see persimmonbend-wire's slots module.
+  first @1 :UInt32;
+  second @2 :UInt32;
+  third @3 :UInt32;
+  kind @4 :Kind;
+  code @5 :UInt8;
+  flag @6 :Bool;
+  text @7 :Text;
+  list @8 :List(UInt32);
+
+  enum Kind {
+    hello @0;
+    name @1;
+    reserve @2;
+    granted @3;
+    queued @4;
+    refused @5;
+    hold @6;
+    release @7;
+    ping @8;
+    pong @9;
+    advice @10;
+  }
+}
