feat(control): proposals, leadership and observers on the node

The grant issuer needs a place to propose commands and to hear of a change of leader before the replicated log is there. Node::propose returns the applied reply, Node::observe tells an observer the role and its changes. The single replica leads its first term from its start.

--- a/programs/pb-control/src/lib.rs
+++ b/programs/pb-control/src/lib.rs
@@ -1,5 +1,7 @@
 //! The control replica: accepts changes, syncs them and hands them to the fleet.
 
+pub mod error;
+pub mod leadership;
 pub mod node;
 pub mod server;
 pub mod settings;
--- a/programs/pb-control/src/node.rs
+++ b/programs/pb-control/src/node.rs
@@ -24,8 +24,15 @@
 use persimmonbend_wire::update::Update;
 use serde_json::json;
 
+use crate::error::Error;
+use crate::leadership::Leadership;
+use crate::leadership::Observer;
+use crate::leadership::Term;
 use crate::settings::Settings;
 
+/// Term of a replica that has no others.
+const FIRST_TERM: Term = 1;
+
 /// Entries kept for hosts that are a little behind.
 const RECENT_ENTRIES: usize = 1_024;
 
@@ -44,7 +51,9 @@
 pub struct Node {
     host: HostId,
     clock: Rc<dyn Clock>,
+    started: Instant,
     inner: RefCell<Inner>,
+    observers: RefCell<Vec<Rc<dyn Observer>>>,
     changed: Event,
 }
 
@@ -79,8 +88,10 @@
         }
         Ok(Self {
             host: settings.host.clone(),
+            started: clock.now(),
             clock,
             inner: RefCell::new(inner),
+            observers: RefCell::new(Vec::new()),
             changed: Event::new(),
         })
     }
@@ -97,23 +108,57 @@
         self.inner.borrow().machine.config().clone()
     }
 
-    /// Syncs a submission and returns its outcome.
+    /// Returns whether this replica leads and may answer for the fleet.
+    #[must_use]
+    pub fn is_leader(&self) -> bool {
+        self.leadership().is_leader()
+    }
+
+    /// Returns the newest term that the replica knows.
+    #[must_use]
+    pub fn term(&self) -> Term {
+        self.leadership().term()
+    }
+
+    /// Returns the role of this replica.
+    #[must_use]
+    pub fn leadership(&self) -> Leadership {
+        Leadership::Leader {
+            term: FIRST_TERM,
+            since: self.started,
+        }
+    }
+
+    /// Adds an observer of leadership and tells it the present role.
+    pub fn observe(&self, observer: Rc<dyn Observer>) {
+        observer.changed(self.leadership());
+        self.observers.borrow_mut().push(observer);
+    }
+
+    /// Proposes a command and returns its reply once it is committed and applied.
     ///
     /// # Errors
     ///
-    /// Returns an error when the journal cannot be written; the outcome is then unknown.
-    pub fn submit(&self, submission: Submission) -> anyhow::Result<Outcome> {
-        let command = Command::Change { submission };
+    /// Returns an error when this replica does not lead or cannot commit the command.
+    pub async fn propose(&self, command: Command) -> Result<Reply, Error> {
+        let record = serde_json::to_vec(&command).map_err(invalid)?;
         let mut inner = self.inner.borrow_mut();
-        inner.journal.append(&serde_json::to_vec(&command)?)?;
-        let Reply::Change { outcome, entry } = inner.apply(&command);
+        inner.journal.append(&record).map_err(stopped)?;
+        let reply = inner.apply(&command);
         drop(inner);
-        if let Some(entry) = entry {
-            let text = entry.submission.change.describe();
-            info!("control: revision {}: {text}", entry.revision);
-            self.changed.notify(usize::MAX);
+        self.announce(&reply);
+        Ok(reply)
+    }
+
+    /// Proposes a submission and returns its outcome.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`Node::propose`] does.
+    pub async fn submit(&self, submission: Submission) -> Result<Outcome, Error> {
+        match self.propose(Command::Change { submission }).await? {
+            Reply::Change { outcome, .. } => Ok(outcome),
         }
-        Ok(outcome)
     }
 
     /// Waits at most `wait` for configuration newer than `since` and returns it.
@@ -147,6 +192,18 @@
         })
     }
 
+    fn announce(&self, reply: &Reply) {
+        let Reply::Change {
+            entry: Some(entry), ..
+        } = reply
+        else {
+            return;
+        };
+        let text = entry.submission.change.describe();
+        info!("control: revision {}: {text}", entry.revision);
+        self.changed.notify(usize::MAX);
+    }
+
     fn saw(&self, host: &str, revision: Revision) {
         let seen = Seen {
             revision,
@@ -187,3 +244,11 @@
         Update::Changes(newer.cloned().collect())
     }
 }
+
+fn invalid<E: std::fmt::Display>(error: E) -> Error {
+    Error::Invalid(error.to_string())
+}
+
+fn stopped<E: std::fmt::Display>(error: E) -> Error {
+    Error::Stopped(error.to_string())
+}
--- a/programs/pb-control/src/server.rs
+++ b/programs/pb-control/src/server.rs
@@ -25,7 +25,7 @@
         _params: control::PingParams,
         mut results: control::PingResults,
     ) -> Result<(), Error> {
-        results.get().set_leader(true);
+        results.get().set_leader(self.node.is_leader());
         Ok(())
     }
 
@@ -48,7 +48,7 @@
         mut results: control::SubmitResults,
     ) -> Result<(), Error> {
         let submission = serde_json::from_slice(params.get()?.get_submission()?).map_err(failed)?;
-        let outcome = self.node.submit(submission).map_err(failed)?;
+        let outcome = self.node.submit(submission).await?;
         let document = serde_json::to_vec(&outcome).map_err(failed)?;
         results.get().set_outcome(&document);
         Ok(())
