feat(proxy): retries by budget, and silent connections told apart

Cause: a request ran into its deadline at a grey upstream, and a timeout over an idle connection gone silent looked like a sick upstream. A later refusal as not run could also hide an earlier attempt that may have run. Change: core::retry decides what comes after a failed attempt. A failed attempt over a used connection goes to the same upstream over a new one; an attempt is limited to 4 times the service's high latency while a retry is affordable; the budget is a tenth of the requests. An answer of the upstream that says that it failed is kept as the last resort. A failure that may have run the request is never replaced by one that has not.

--- a/crates/core/src/board.rs
+++ b/crates/core/src/board.rs
@@ -17,6 +17,7 @@
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 use crate::key::Digest;
+use crate::retry::Account;
 use crate::route::Table;
 use crate::upstream::Announcement;
 use crate::upstream::LIFETIME;
@@ -35,6 +36,7 @@
     withdrawn: BTreeSet<Digest>,
     services: BTreeMap<ServiceId, BTreeMap<UpstreamId, Upstream>>,
     hosts: BTreeMap<HostId, Host>,
+    retries: BTreeMap<ServiceId, Account>,
     events: Ring,
 }
 
@@ -49,6 +51,7 @@
             withdrawn: BTreeSet::new(),
             services: BTreeMap::new(),
             hosts: BTreeMap::new(),
+            retries: BTreeMap::new(),
             events: Ring::default(),
         }
     }
@@ -107,6 +110,11 @@
         live.map(|(id, _)| id.as_str())
     }
 
+    /// Returns what this host knows of a service when it comes to retries.
+    pub fn retries_mut(&mut self, service: &str) -> &mut Account {
+        self.retries.entry(service.to_owned()).or_default()
+    }
+
     /// Returns the events of this process.
     #[must_use]
     pub const fn events(&self) -> &Ring {
--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -23,7 +23,7 @@
 mod policy;
 mod standing;
 mod subject;
-mod window;
+pub(crate) mod window;
 
 use std::time::Duration;
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod key;
 pub mod machine;
 pub mod rendezvous;
+pub mod retry;
 pub mod route;
 pub mod routing;
 pub mod steward;
--- /dev/null
+++ b/crates/core/tests/retry.rs
@@ -0,0 +1,68 @@
+//! What is sent again, against a naive reading of the rules.
+
+use std::time::Duration;
+
+use persimmonbend_core::retry;
+use persimmonbend_core::retry::Account;
+use persimmonbend_core::retry::Budget;
+use persimmonbend_core::retry::Failure;
+use persimmonbend_core::retry::MAX_ATTEMPTS;
+use persimmonbend_core::retry::Step;
+use quickcheck::quickcheck;
+
+quickcheck! {
+    fn a_written_non_idempotent_request_is_never_sent_again(stale: bool, refused: bool, attempts: u32, affordable: bool) -> bool {
+        let failure = Failure { written: true, stale, refused };
+        retry::next(failure, false, attempts, affordable) == Step::GiveUp
+    }
+
+    fn attempts_end(written: bool, stale: bool, refused: bool, idempotent: bool) -> bool {
+        let failure = Failure { written, stale, refused };
+        retry::next(failure, idempotent, MAX_ATTEMPTS, true) == Step::GiveUp
+    }
+
+    fn an_exhausted_budget_stops_what_costs(stale: bool, refused: bool) -> bool {
+        let written = Failure { written: true, stale, refused };
+        let shed = Failure { written: false, stale, refused: true };
+        retry::next(written, true, 1, false) == Step::GiveUp
+            && retry::next(shed, true, 1, false) == Step::GiveUp
+    }
+
+    fn retries_stay_below_the_share(requests: u16) -> bool {
+        let mut budget = Budget::new();
+        let mut retries = 0;
+        for _ in 0..requests {
+            budget.earn();
+            while budget.is_affordable() {
+                budget.spend();
+                retries += 1;
+            }
+        }
+        retries <= 20 + u32::from(requests) / 10 + 1
+    }
+
+    fn a_limit_never_exceeds_what_is_left(left_ms: u16, idempotent: bool, attempts: u8, seen_ms: Vec<u16>) -> bool {
+        let mut account = Account::new();
+        for seen in seen_ms {
+            account.observe(Duration::from_millis(u64::from(seen)));
+        }
+        let left = Duration::from_millis(u64::from(left_ms));
+        account.limit(left, idempotent, u32::from(attempts)) <= left
+    }
+}
+
+#[test]
+fn the_limit_follows_the_latencies_of_the_service() {
+    let mut account = Account::new();
+    let left = Duration::from_secs(2);
+    for _ in 0..64 {
+        account.observe(Duration::from_millis(20));
+    }
+    assert_eq!(account.limit(left, true, 1), Duration::from_millis(80));
+    assert_eq!(account.limit(left, false, 1), left);
+    assert_eq!(account.limit(left, true, MAX_ATTEMPTS), left);
+    for _ in 0..64 {
+        account.observe(Duration::from_millis(200));
+    }
+    assert_eq!(account.limit(left, true, 1), Duration::from_millis(800));
+}
--- a/programs/pb-proxy/src/forward.rs
+++ b/programs/pb-proxy/src/forward.rs
@@ -25,6 +25,8 @@
 use persimmonbend_core::health::Sign;
 use persimmonbend_core::id::TenantId;
 use persimmonbend_core::id::UpstreamId;
+use persimmonbend_core::retry;
+use persimmonbend_core::retry::Step;
 use persimmonbend_core::route::Target;
 
 use crate::node::Node;
@@ -36,14 +38,11 @@
 /// Header that tells an upstream how many milliseconds are left.
 pub const DEADLINE_HEADER: &str = "x-request-deadline-ms";
 
-/// Attempts at most for one request.
-const MAX_ATTEMPTS: usize = 3;
-
 /// Age up to which an idle connection is used again.
 const POOLED_LIFETIME: Duration = Duration::from_secs(20);
 
-/// Share of the remaining time that an attempt over a reused connection may take.
-const REUSED_SHARE: u32 = 3;
+/// Age up to which an idle connection is trusted with a non-idempotent request.
+const PROVEN_LIFETIME: Duration = Duration::from_secs(1);
 
 /// A request that may be sent more than once.
 #[derive(Debug, Clone)]
@@ -108,67 +107,137 @@
 ///
 /// # Errors
 ///
-/// Returns the kind of the last failure.
+/// Returns the kind of the last failure, or of the last one that may have run the request.
 pub async fn send(node: &Rc<Node>, plan: &Plan) -> Result<Response<Body>, Kind> {
-    let mut avoid: Vec<UpstreamId> = Vec::new();
-    let mut last = None;
-    for _ in 0..MAX_ATTEMPTS {
+    let mut trail = Trail::default();
+    node.board_mut()
+        .retries_mut(&plan.target.service)
+        .budget
+        .earn();
+    loop {
         let ask = Ask {
             service: &plan.target.service,
             tenant: plan.tenant.as_deref(),
             deadline: plan.deadline,
-            avoid: &avoid,
+            avoid: &trail.avoid,
         };
-        let mut reservation = match (node.slots().reserve(node, &ask).await, last) {
-            (Ok(reservation), _) => reservation,
-            (Err(_), Some(earlier)) => return Err(earlier),
-            (Err(kind), None) => return Err(kind),
+        let reservation = match node.slots().reserve(node, &ask).await {
+            Ok(reservation) => reservation,
+            Err(kind) => return trail.end(kind),
         };
-        let connection = match open(node, plan, &reservation).await {
-            Ok(connection) => connection,
-            Err(failure) => {
-                avoid.push(fail(reservation, failure, false));
-                last = Some(failure.kind);
-                continue;
+        if let Some(response) = visit(node, plan, reservation, &mut trail).await {
+            return response;
+        }
+    }
+}
+
+/// What became of the attempts so far.
+#[derive(Default)]
+struct Trail {
+    attempts: u32,
+    avoid: Vec<UpstreamId>,
+    /// The last failure that may have run the request, or else the last one.
+    failure: Option<Failure>,
+    /// A whole answer that says that the upstream failed.
+    answer: Option<Response<Body>>,
+}
+
+impl Trail {
+    /// Notes a failure; one that may have run the request is never replaced by one that has not.
+    fn note(&mut self, failure: Failure) {
+        let earlier = self.failure.is_some_and(|earlier| earlier.written);
+        if failure.written || !earlier {
+            self.failure = Some(failure);
+        }
+    }
+
+    /// Returns the best that came of the attempts, or `kind` where there were none.
+    fn end(&mut self, kind: Kind) -> Result<Response<Body>, Kind> {
+        match self.answer.take() {
+            Some(answer) => Ok(answer),
+            None => Err(self.failure.map_or(kind, |failure| failure.kind)),
+        }
+    }
+}
+
+/// Tries one upstream, over a second connection if the first may be at fault.
+///
+/// Returns `None` when the request is to be tried elsewhere.
+async fn visit(
+    node: &Rc<Node>,
+    plan: &Plan,
+    mut reservation: Reservation,
+    trail: &mut Trail,
+) -> Option<Result<Response<Body>, Kind>> {
+    let mut fresh = false;
+    loop {
+        trail.attempts += 1;
+        let opened = open(node, plan, &reservation, fresh).await;
+        let reused = opened.as_ref().is_ok_and(|connection| connection.reused);
+        let result = match opened {
+            Ok(connection) => {
+                attempt(node, plan, &mut reservation, connection, trail.attempts).await
             }
+            Err(failure) => Err(failure),
         };
-        let reused = connection.reused;
-        let failure = match attempt(node, plan, &mut reservation, connection).await {
-            Ok(Answer::Whole(response)) => return Ok(response),
-            Ok(Answer::Partial(partial)) => return Ok(partial.stream(reservation)),
+        let failure = match result {
+            Ok(Answer::Partial(partial)) => return Some(Ok(partial.stream(reservation))),
+            Ok(Answer::Whole(response)) => return Some(Ok(response)),
+            Ok(Answer::Failed(response)) => {
+                trail.answer = Some(response);
+                Failure::written(Kind::UpstreamBroken, Sign::Failed)
+            }
             Err(failure) => failure,
         };
-        let upstream = fail(reservation, failure, reused);
-        if failure.written && plan.target.route.non_idempotent {
-            return Err(failure.kind);
-        }
-        if !reused {
-            avoid.push(upstream);
+        let kind = failure.kind;
+        debug!("forward: {} failed: {kind}", reservation.upstream());
+        let sign = failure.sign;
+        reservation.report(Report { sign, reused });
+        trail.note(failure);
+        match step(node, plan, failure, reused, trail.attempts) {
+            Step::GiveUp => return Some(trail.end(kind)),
+            Step::Reconnect => {
+                node.pool().forget(reservation.address());
+                reservation.restart();
+                fresh = true;
+            }
+            Step::Elsewhere => {
+                trail.avoid.push(reservation.upstream().clone());
+                return None;
+            }
         }
-        last = Some(failure.kind);
     }
-    Err(last.unwrap_or(Kind::NoUpstream))
 }
 
-/// Reports a failed attempt and returns the upstream that it was made at.
-fn fail(mut reservation: Reservation, failure: Failure, reused: bool) -> UpstreamId {
-    debug!(
-        "forward: {} failed: {}",
-        reservation.upstream(),
-        failure.kind
-    );
-    reservation.report(Report {
-        sign: failure.sign,
-        reused,
-    });
-    reservation.upstream().clone()
+fn step(node: &Node, plan: &Plan, failure: Failure, reused: bool, attempts: u32) -> Step {
+    let mut board = node.board_mut();
+    let budget = &mut board.retries_mut(&plan.target.service).budget;
+    let failed = retry::Failure {
+        written: failure.written,
+        stale: reused && failure.sign != Sign::Failed && failure.sign != Sign::Shed,
+        refused: failure.sign == Sign::Shed,
+    };
+    let idempotent = !plan.target.route.non_idempotent;
+    let step = retry::next(failed, idempotent, attempts, budget.is_affordable());
+    if step != Step::GiveUp {
+        budget.spend();
+    }
+    step
 }
 
-async fn open(node: &Node, plan: &Plan, reservation: &Reservation) -> Result<Connection, Failure> {
+async fn open(
+    node: &Node,
+    plan: &Plan,
+    reservation: &Reservation,
+    fresh: bool,
+) -> Result<Connection, Failure> {
     let address = reservation.address();
-    if !plan.target.route.non_idempotent
-        && let Some(connection) = node.pool().take(address, node.now() - POOLED_LIFETIME)
-    {
+    let lifetime = if plan.target.route.non_idempotent {
+        PROVEN_LIFETIME
+    } else {
+        POOLED_LIFETIME
+    };
+    if !fresh && let Some(connection) = node.pool().take(address, lifetime, node.now()) {
         return Ok(connection);
     }
     let connected = node.pool().connect(address, node.now()).await;
@@ -186,6 +255,7 @@
     plan: &Plan,
     reservation: &mut Reservation,
     connection: Connection,
+    attempts: u32,
 ) -> Result<Answer, Failure> {
     let left = plan.deadline.saturating_duration_since(node.now());
     if left.is_zero() {
@@ -194,18 +264,20 @@
             Sign::Cancelled,
         ));
     }
-    let reused = connection.reused;
-    let limit = if reused { left / REUSED_SHARE } else { left };
+    let service = &plan.target.service;
+    let idempotent = !plan.target.route.non_idempotent;
+    let limit = node
+        .board_mut()
+        .retries_mut(service)
+        .limit(left, idempotent, attempts);
+    let started = node.now();
     let exchange = exchange(node, plan, reservation, connection, left);
-    match timeout(limit, exchange).await {
-        Ok(result) => result,
-        Err(_) => {
-            if reused {
-                node.pool().forget(reservation.address());
-            }
-            Err(Failure::written(Kind::UpstreamTimeout, Sign::TimedOut))
-        }
+    let result = timeout(limit, exchange).await;
+    let took = node.now().saturating_duration_since(started);
+    if matches!(result, Err(_) | Ok(Ok(Answer::Whole(_)))) {
+        node.board_mut().retries_mut(service).observe(took);
     }
+    result.unwrap_or(Err(Failure::written(Kind::UpstreamTimeout, Sign::TimedOut)))
 }
 
 async fn exchange(
@@ -237,7 +309,11 @@
     if whole {
         node.pool()
             .put(reservation.address(), connection, node.now());
-        return Ok(Answer::Whole(Response::from_parts(head, http::full(held))));
+        let response = Response::from_parts(head, http::full(held));
+        return Ok(match sign {
+            Sign::Failed => Answer::Failed(response),
+            _ => Answer::Whole(response),
+        });
     }
     Ok(Answer::Partial(Partial {
         head,
@@ -273,6 +349,8 @@
 enum Answer {
     /// Known to be whole.
     Whole(Response<Body>),
+    /// Known to be whole, and says that the upstream failed.
+    Failed(Response<Body>),
     /// Larger than what is held back.
     Partial(Partial),
 }
--- a/programs/pb-proxy/src/pool.rs
+++ b/programs/pb-proxy/src/pool.rs
@@ -51,21 +51,21 @@
         }
     }
 
-    /// Returns an idle connection that was used after `since`, the latest first.
+    /// Returns an idle connection that was used within `age` before `now`, the latest first.
     #[must_use]
-    pub fn take(&self, address: SocketAddr, since: Instant) -> Option<Connection> {
+    pub fn take(&self, address: SocketAddr, age: Duration, now: Instant) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        while let Some(connection) = connections.pop() {
-            if connection.idle_since < since {
-                connections.clear();
+        loop {
+            let latest = connections.last()?;
+            if now.saturating_duration_since(latest.idle_since) > age {
                 return None;
             }
+            let connection = connections.pop()?;
             if !connection.sender.is_closed() && connection.sender.is_ready() {
                 return Some(connection);
             }
         }
-        None
     }
 
     /// Makes a new connection.
--- a/programs/pb-proxy/src/slots.rs
+++ b/programs/pb-proxy/src/slots.rs
@@ -118,6 +118,11 @@
         self.report = report;
     }
 
+    /// Starts the clock of the attempt anew, for a second one at the same upstream.
+    pub fn restart(&mut self) {
+        self.started = self.node.now();
+    }
+
     fn evidence(&self) -> Evidence {
         Evidence {
             upstream: self.upstream.clone(),
