--- a/crates/core/src/board.rs
+++ b/crates/core/src/board.rs
@@ -6,9 +6,11 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use crate::clock::Clock;
+use crate::config::Order;
 use crate::config::State;
 use crate::event::Ring;
 use crate::host;
@@ -19,13 +21,24 @@
 use crate::key::Digest;
 use crate::route::Table;
 use crate::upstream::Announcement;
-use crate::upstream::LIFETIME;
 use crate::upstream::Stage;
 use crate::upstream::Upstream;
 
 /// Most upstreams that a board holds.
 pub const MAX_UPSTREAMS: usize = 65_536;
 
+/// Most hosts that a board holds.
+pub const MAX_HOSTS: usize = 8_192;
+
+/// Most withdrawals that a board holds while control has not confirmed them.
+pub const MAX_WITHDRAWN: usize = 4_096;
+
+/// Time for which an upstream or a stopped host that is gone is remembered.
+pub const GONE_RETENTION: Duration = Duration::from_secs(120);
+
+/// Time for which a suspected host still counts as part of the fleet.
+pub const SUSPECT_RETENTION: Duration = Duration::from_secs(600);
+
 /// What one process knows.
 #[derive(Debug)]
 pub struct Board {
@@ -35,6 +48,9 @@
     withdrawn: BTreeSet<Digest>,
     services: BTreeMap<ServiceId, BTreeMap<UpstreamId, Upstream>>,
     hosts: BTreeMap<HostId, Host>,
+    host_changes: u64,
+    upstream_changes: u64,
+    upstream_count: usize,
     events: Ring,
 }
 
@@ -49,6 +65,9 @@
             withdrawn: BTreeSet::new(),
             services: BTreeMap::new(),
             hosts: BTreeMap::new(),
+            host_changes: 0,
+            upstream_changes: 0,
+            upstream_count: 0,
             events: Ring::default(),
         }
     }
@@ -90,6 +109,43 @@
         self.services.values().flat_map(BTreeMap::values)
     }
 
+    /// Returns one upstream.
+    #[must_use]
+    pub fn upstream(&self, service: &str, id: &str) -> Option<&Upstream> {
+        self.services.get(service)?.get(id)
+    }
+
+    /// Returns whether an upstream may get new requests, as far as it says itself and operators
+    /// ordered.
+    #[must_use]
+    pub fn takes_requests(&self, upstream: &Upstream) -> bool {
+        let orders = self.config.orders();
+        let ordered_away = matches!(
+            orders.get(&upstream.announcement.id),
+            Some(Order::Drain | Order::Eject)
+        );
+        upstream.is_current() && upstream.announcement.stage.takes_requests() && !ordered_away
+    }
+
+    /// Returns whether a key was withdrawn, as far as this process knows.
+    #[must_use]
+    pub fn is_withdrawn(&self, digest: &Digest) -> bool {
+        let known = self.config.keys().get(digest);
+        known.is_some_and(|key| key.withdrawn) || self.withdrawn.contains(digest)
+    }
+
+    /// Returns a number that rises with every change of the hosts.
+    #[must_use]
+    pub const fn host_changes(&self) -> u64 {
+        self.host_changes
+    }
+
+    /// Returns a number that rises with every change of the upstreams.
+    #[must_use]
+    pub const fn upstream_changes(&self) -> u64 {
+        self.upstream_changes
+    }
+
     /// Returns one upstream for a change of this host's counts.
     pub fn upstream_mut(&mut self, service: &str, id: &str) -> Option<&mut Upstream> {
         self.services.get_mut(service)?.get_mut(id)
@@ -120,80 +176,152 @@
         }
         self.routes = Rc::new(Table::from(&state));
         self.config = Rc::new(state);
+        let config = Rc::clone(&self.config);
+        let confirmed =
+            |digest: &Digest| config.keys().get(digest).is_some_and(|key| key.withdrawn);
+        self.withdrawn.retain(|digest| !confirmed(digest));
         true
     }
 
     /// Marks a key as withdrawn and returns whether that was news.
+    ///
+    /// A withdrawal is never undone; it is dropped only once the configuration holds it. Beyond
+    /// [`MAX_WITHDRAWN`] it is not taken in.
     pub fn withdraw(&mut self, digest: Digest) -> bool {
+        if self.is_withdrawn(&digest) || self.withdrawn.len() >= MAX_WITHDRAWN {
+            return false;
+        }
         self.withdrawn.insert(digest)
     }
 
     /// Takes in an announcement and returns whether it was newer than what the board held.
     pub fn announce(&mut self, announcement: Announcement) -> bool {
+        self.put_upstream(announcement, false)
+    }
+
+    /// Takes in what the fleet knows of an upstream and returns whether that was news.
+    ///
+    /// An upstream that is gone and was not known stays unknown.
+    pub fn put_upstream(&mut self, announcement: Announcement, lapsed: bool) -> bool {
         let now = self.now();
-        let full = self.all_upstreams().count() >= MAX_UPSTREAMS;
-        let service = self
-            .services
-            .entry(announcement.service.clone())
-            .or_default();
-        let Some(known) = service.get_mut(&announcement.id) else {
-            if full {
-                return false;
+        let gone = lapsed || announcement.stage == Stage::Left;
+        let known = self.upstream(&announcement.service, &announcement.id);
+        let (since, in_flight) = match known {
+            None if gone || self.upstream_count >= MAX_UPSTREAMS => return false,
+            None => (now, 0),
+            Some(known) if !supersedes(&announcement, lapsed, known) => return false,
+            Some(known) if announcement.incarnation > known.announcement.incarnation => {
+                (now, known.in_flight)
             }
-            let upstream = Upstream {
-                heard: now,
-                since: now,
-                in_flight: 0,
-                announcement,
-            };
-            service.insert(upstream.announcement.id.clone(), upstream);
-            return true;
+            Some(known) => (known.since, known.in_flight),
         };
-        if !announcement.supersedes(&known.announcement) {
-            return false;
-        }
-        if announcement.incarnation > known.announcement.incarnation {
-            known.since = now;
+        if known.is_none() {
+            self.upstream_count += 1;
         }
-        known.heard = now;
-        known.announcement = announcement;
+        let upstream = Upstream {
+            heard: now,
+            since,
+            lapsed,
+            gone_since: gone.then_some(now),
+            in_flight,
+            announcement,
+        };
+        self.upstream_changes += 1;
+        self.services
+            .entry(upstream.announcement.service.clone())
+            .or_default()
+            .insert(upstream.announcement.id.clone(), upstream);
         true
     }
 
     /// Takes in an announcement of a host and returns whether it was news.
     pub fn announce_host(&mut self, announcement: host::Announcement) -> bool {
+        self.put_host(announcement, false)
+    }
+
+    /// Takes in what the fleet knows of a host and returns whether that was news.
+    ///
+    /// A host that is gone and was not known stays unknown.
+    pub fn put_host(&mut self, announcement: host::Announcement, suspected: bool) -> bool {
         let now = self.now();
-        let known = self.hosts.get(&announcement.id);
-        if known.is_some_and(|known| !announcement.supersedes(&known.announcement)) {
-            return false;
+        let gone = suspected || announcement.stopping;
+        match self.hosts.get(&announcement.id) {
+            None if gone || self.hosts.len() >= MAX_HOSTS => return false,
+            None => {}
+            Some(known) => {
+                let held = &known.announcement;
+                let held = (held.incarnation, held.sequence, known.suspected);
+                if (announcement.incarnation, announcement.sequence, suspected) <= held {
+                    return false;
+                }
+            }
         }
         let host = Host {
             heard: now,
-            suspected: false,
+            suspected,
+            gone_since: gone.then_some(now),
             announcement,
         };
+        self.host_changes += 1;
         self.hosts.insert(host.announcement.id.clone(), host);
         true
     }
 
     /// Marks a host as suspected or clears the suspicion.
     pub fn suspect(&mut self, id: &str, suspected: bool) {
-        if let Some(host) = self.hosts.get_mut(id) {
+        let now = self.now();
+        if let Some(host) = self.hosts.get_mut(id)
+            && host.suspected != suspected
+        {
             host.suspected = suspected;
+            host.gone_since = (suspected || host.announcement.stopping).then_some(now);
+            self.host_changes += 1;
         }
     }
 
-    /// Removes upstreams whose announcement lapsed long ago or that have left.
+    /// Notes that an upstream was heard of now.
+    pub fn hear_upstream(&mut self, service: &str, id: &str) {
+        let now = self.now();
+        if let Some(upstream) = self.upstream_mut(service, id) {
+            upstream.heard = now;
+        }
+    }
+
+    /// Notes that a host was heard of now.
+    pub fn hear_host(&mut self, id: &str) {
+        let now = self.now();
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.heard = now;
+        }
+    }
+
+    /// Removes upstreams and hosts that have been gone for long.
     pub fn sweep(&mut self) {
         let now = self.now();
+        let age = |since: Option<Instant>| {
+            since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+        };
         for service in self.services.values_mut() {
-            service.retain(|_, upstream| {
-                let age = now.saturating_duration_since(upstream.heard);
-                let gone = upstream.announcement.stage == Stage::Left && upstream.in_flight == 0;
-                age < LIFETIME * 6 && !(gone && age > LIFETIME)
-            });
+            service.retain(|_, one| age(one.gone_since) < GONE_RETENTION || one.in_flight > 0);
         }
         self.services.retain(|_, service| !service.is_empty());
+        let left = self.services.values().map(BTreeMap::len).sum();
+        if left != self.upstream_count {
+            self.upstream_count = left;
+            self.upstream_changes += 1;
+        }
+        let hosts = self.hosts.len();
+        self.hosts.retain(|_, host| {
+            let retention = if host.announcement.stopping {
+                GONE_RETENTION
+            } else {
+                SUSPECT_RETENTION
+            };
+            age(host.gone_since) < retention
+        });
+        if self.hosts.len() != hosts {
+            self.host_changes += 1;
+        }
     }
 
     /// Writes an event.
@@ -201,3 +329,12 @@
         self.events.push(self.clock.wall(), part, subject, text);
     }
 }
+
+fn supersedes(announcement: &Announcement, lapsed: bool, known: &Upstream) -> bool {
+    let known_version = (
+        known.announcement.incarnation,
+        known.announcement.sequence,
+        known.lapsed,
+    );
+    (announcement.incarnation, announcement.sequence, lapsed) > known_version
+}
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -1,6 +1,7 @@
 //! Entry hosts as they announce themselves to each other.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 use std::time::Instant;
 
 use serde::Deserialize;
@@ -10,6 +11,12 @@
 use crate::id::Incarnation;
 use crate::id::Zone;
 
+/// Time after which the watchers of a host doubt it unless they hear of it.
+pub const LIFETIME: Duration = Duration::from_secs(6);
+
+/// Longest name of a host or zone in bytes.
+pub const MAX_NAME_BYTES: usize = 128;
+
 /// What a host says about itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
@@ -34,6 +41,23 @@
         self.incarnation > other.incarnation
             || (self.incarnation == other.incarnation && self.sequence > other.sequence)
     }
+
+    /// Checks what a sender could have got wrong.
+    ///
+    /// # Errors
+    ///
+    /// Returns a sentence that names the field.
+    pub fn check(&self) -> Result<(), String> {
+        if self.id.is_empty() || self.id.len() > MAX_NAME_BYTES {
+            return Err(format!("host id: must have 1 to {MAX_NAME_BYTES} bytes"));
+        }
+        if self.zone.len() > MAX_NAME_BYTES {
+            return Err(format!(
+                "host zone: must have at most {MAX_NAME_BYTES} bytes"
+            ));
+        }
+        Ok(())
+    }
 }
 
 /// A host on the board of another.
@@ -45,6 +69,8 @@
     pub heard: Instant,
     /// Whether enough witnesses suspect that it is gone.
     pub suspected: bool,
+    /// When this host learnt that it is gone, if it is.
+    pub gone_since: Option<Instant>,
 }
 
 impl Host {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod id;
 pub mod key;
 pub mod machine;
+pub mod membership;
 pub mod rendezvous;
 pub mod route;
 pub mod routing;
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,333 @@
+//! Which hosts and upstreams there are, spread among hosts by push-pull gossip.
+//!
+//! [`Membership`] reads and writes the hosts, upstreams and withdrawals of a board. A program
+//! sends what [`Membership::tick`] returns, answers with [`Membership::answer`] and hands answers
+//! to [`Membership::take_in`]; the controller itself does no I/O.
+//!
+//! News is pushed at once to a few hosts, who push it on. What a push misses is found by regular
+//! exchanges that compare hashes. Renewals of an announcement go only to the hosts that vouch for
+//! it ([`duty`]); a subject lapses for all once most of its vouchers miss it.
+
+pub mod budget;
+pub mod duty;
+mod exchange;
+pub mod freshness;
+pub mod message;
+pub mod pace;
+pub mod view;
+pub mod watch;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::board::Board;
+use crate::host;
+use crate::id::HostId;
+use crate::id::Revision;
+use crate::key::Digest;
+use crate::membership::budget::Budget;
+use crate::membership::duty::Duty;
+use crate::membership::freshness::Freshness;
+use crate::membership::message::Key;
+use crate::membership::message::Mark;
+use crate::membership::message::Message;
+use crate::membership::message::Record;
+use crate::membership::message::Subject;
+use crate::membership::message::Version;
+use crate::membership::message::host_key;
+use crate::membership::message::upstream_key;
+use crate::membership::view::Place;
+use crate::membership::view::View;
+use crate::membership::watch::Watches;
+use crate::upstream;
+
+/// Most addresses of hosts that are not known by name yet.
+const MAX_CONTACTS: usize = 256;
+
+/// Most pieces of news that wait to be pushed; beyond it exchanges spread the rest.
+const MAX_NEWS: usize = 4_096;
+
+/// Most renewals that wait for one voucher.
+const MAX_RENEWALS: usize = 256;
+
+/// What became of an announcement of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Taken {
+    /// It says something new, which is spread.
+    News,
+    /// It renews what is known.
+    Renewal,
+    /// It is older than what is known, or there is no room for it.
+    Dropped,
+}
+
+/// A message with the address that it goes to.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Sending {
+    /// Where it goes.
+    pub to: SocketAddr,
+    /// The message.
+    pub message: Message,
+}
+
+/// The membership of one host.
+#[derive(Debug)]
+pub struct Membership {
+    own: host::Announcement,
+    contacts: BTreeSet<SocketAddr>,
+    view: View,
+    duty: Duty,
+    watches: Watches,
+    freshness: Freshness,
+    budget: Budget,
+    rng: ChaCha8Rng,
+    news: News,
+    renewals: BTreeMap<HostId, BTreeMap<Key, Version>>,
+    pace: pace::Pace,
+    lost_sight: bool,
+}
+
+/// What waits to be pushed.
+#[derive(Debug, Default)]
+struct News {
+    records: BTreeSet<Key>,
+    withdrawn: BTreeSet<Digest>,
+    told: Revision,
+}
+
+impl Membership {
+    /// Creates the membership of a host and puts the host on the board.
+    ///
+    /// What was heard longer than `window` ago does not count as heard.
+    #[must_use]
+    pub fn new(
+        board: &mut Board,
+        own: host::Announcement,
+        contacts: &[SocketAddr],
+        window: Duration,
+        seed: u64,
+    ) -> Self {
+        let now = board.now();
+        board.announce_host(own.clone());
+        Self {
+            contacts: contacts.iter().copied().collect(),
+            view: View::default(),
+            duty: Duty::default(),
+            watches: Watches::default(),
+            freshness: Freshness::new(host_key(&own.id), window),
+            budget: Budget::new(now),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            news: News::default(),
+            renewals: BTreeMap::new(),
+            pace: pace::Pace::new(now),
+            lost_sight: false,
+            own,
+        }
+    }
+
+    /// Returns what this host says about itself.
+    #[must_use]
+    pub const fn own(&self) -> &host::Announcement {
+        &self.own
+    }
+
+    /// Returns how many hosts and upstreams this host vouches for.
+    #[must_use]
+    pub fn vouched(&self) -> usize {
+        self.watches.count()
+    }
+
+    /// Returns the stamps of this host.
+    #[must_use]
+    pub const fn freshness(&self) -> &Freshness {
+        &self.freshness
+    }
+
+    /// Returns the addresses where other hosts may be found.
+    #[must_use]
+    pub fn contacts(&self) -> Vec<SocketAddr> {
+        let others = self.contacts.iter().filter(|one| **one != self.own.peers);
+        others.copied().collect()
+    }
+
+    /// Returns whether there is news to push.
+    #[must_use]
+    pub fn has_news(&self, board: &Board) -> bool {
+        !self.news.records.is_empty()
+            || !self.news.withdrawn.is_empty()
+            || self.news.told < board.config().revision()
+    }
+
+    /// Returns the hash of all records on the board.
+    pub fn root(&mut self, board: &Board) -> u64 {
+        self.refresh(board);
+        self.view.root()
+    }
+
+    /// Returns whether this host hears neither control nor more than half of the fleet.
+    ///
+    /// A host that knows no other is the whole fleet and never isolated.
+    pub fn is_isolated(&mut self, board: &Board) -> bool {
+        let now = board.now();
+        self.freshness.refresh(board);
+        !self.freshness.hears_control(now) && !self.freshness.hears_fleet(now)
+    }
+
+    /// Notes that control answered a call that was made at `sent`.
+    pub fn hear_control(&mut self, sent: Instant) {
+        self.freshness.hear_control(sent);
+    }
+
+    /// Adds addresses where other hosts may be found.
+    pub fn add_contacts<I: IntoIterator<Item = SocketAddr>>(&mut self, contacts: I) {
+        for contact in contacts {
+            if self.contacts.len() < MAX_CONTACTS {
+                self.contacts.insert(contact);
+            }
+        }
+    }
+
+    /// Notes that a message of `bytes` was sent or received.
+    pub fn spend(&mut self, bytes: usize) {
+        self.budget.spend(bytes);
+    }
+
+    /// Tells the fleet that this host is stopping.
+    pub fn stop(&mut self, board: &mut Board) {
+        self.own.stopping = true;
+        self.reannounce(board);
+    }
+
+    /// Takes in a withdrawal from an operator and returns whether the key is withdrawn now.
+    pub fn withdraw(&mut self, board: &mut Board, digest: Digest) -> bool {
+        self.take_withdrawal(board, digest);
+        board.is_withdrawn(&digest)
+    }
+
+    /// Takes in an announcement that an upstream sent to this host.
+    pub fn announce(&mut self, board: &mut Board, announcement: upstream::Announcement) -> Taken {
+        let key = upstream_key(&announcement.service, &announcement.id);
+        let version = Version {
+            incarnation: announcement.incarnation,
+            sequence: announcement.sequence,
+            lapsed: false,
+        };
+        let known = board.upstream(&announcement.service, &announcement.id);
+        if known.is_some_and(|known| !known.lapsed && announcement.renews(&known.announcement)) {
+            board.hear_upstream(&announcement.service, &announcement.id);
+            self.renew(board, Mark { key, version });
+            return Taken::Renewal;
+        }
+        let subject = Subject::Upstream(announcement);
+        let record = Record {
+            subject,
+            lapsed: false,
+        };
+        if self.put(board, record) {
+            return Taken::News;
+        }
+        Taken::Dropped
+    }
+
+    /// Passes a renewal on to the vouchers of its subject.
+    fn renew(&mut self, board: &Board, mark: Mark) {
+        self.refresh(board);
+        let now = board.now();
+        for voucher in self.duty.vouchers(mark.key) {
+            if voucher == self.own.id {
+                self.watches.renew(mark, now);
+                continue;
+            }
+            let waiting = self.renewals.entry(voucher).or_default();
+            if waiting.len() < MAX_RENEWALS {
+                waiting.insert(mark.key, mark.version);
+            }
+        }
+    }
+
+    /// Writes a record to the board and spreads it if it is news.
+    fn put(&mut self, board: &mut Board, record: Record) -> bool {
+        let key = record.key();
+        let lapsed = record.lapsed;
+        let news = match record.subject {
+            Subject::Host(host) if host.id == self.own.id => {
+                self.defend(board, &host, lapsed);
+                return false;
+            }
+            Subject::Host(host) => board.put_host(host, lapsed),
+            Subject::Upstream(upstream) => board.put_upstream(upstream, lapsed),
+        };
+        if news && self.news.records.len() < MAX_NEWS {
+            self.news.records.insert(key);
+        }
+        news
+    }
+
+    /// Overrides what others say about this host unless it is what this host says.
+    fn defend(&mut self, board: &mut Board, said: &host::Announcement, lapsed: bool) {
+        let own = (self.own.incarnation, self.own.sequence);
+        let theirs = (said.incarnation, said.sequence);
+        if theirs < own || (theirs == own && !lapsed) {
+            return;
+        }
+        self.own.incarnation = said.incarnation;
+        self.own.sequence = said.sequence;
+        self.reannounce(board);
+    }
+
+    fn reannounce(&mut self, board: &mut Board) {
+        self.own.sequence += 1;
+        board.put_host(self.own.clone(), false);
+        self.news.records.insert(host_key(&self.own.id));
+    }
+
+    fn take_withdrawal(&mut self, board: &mut Board, digest: Digest) {
+        if board.withdraw(digest) {
+            let text = "The key was withdrawn by word of an operator or of another host.";
+            board.record("keys", &digest.short(), text.to_owned());
+            self.news.withdrawn.insert(digest);
+        }
+    }
+
+    /// Brings what is derived from the board up to date.
+    fn refresh(&mut self, board: &Board) {
+        self.freshness.refresh(board);
+        let duties = self.duty.refresh(board);
+        let records = self.view.refresh(board);
+        if duties || records {
+            self.assign(board);
+        }
+    }
+
+    /// Takes up and gives up watches as duties change.
+    fn assign(&mut self, board: &Board) {
+        let now = board.now();
+        let mut kept = BTreeSet::new();
+        for (key, place) in self.view.places() {
+            if !is_watched(board, place) || !self.duty.vouchers(key).contains(&self.own.id) {
+                continue;
+            }
+            if let Some(version) = self.view.version(board, key) {
+                self.watches.watch(key, place, version, now);
+                kept.insert(key);
+            }
+        }
+        self.watches.retain(|key| kept.contains(&key));
+    }
+}
+
+/// Returns whether silence of a subject would say anything.
+fn is_watched(board: &Board, place: &Place) -> bool {
+    match place {
+        Place::Host(id) => board.hosts().get(id).is_some_and(host::Host::is_live),
+        Place::Upstream(service, id) => board
+            .upstream(service, id)
+            .is_some_and(|upstream| !upstream.is_gone()),
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/duty.rs
@@ -0,0 +1,64 @@
+//! Which hosts vouch for a host or an upstream.
+//!
+//! Keys fall into cells; the live hosts that rank first for a cell by rendezvous hashing vouch
+//! for what is in it. Every host with the same view of the hosts finds the same ones.
+
+use std::collections::BTreeMap;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::board::Board;
+use crate::id::HostId;
+use crate::membership::message::Key;
+use crate::membership::message::host_key;
+
+/// Hosts that vouch for one subject.
+pub const VOUCHERS: usize = 3;
+
+/// Cells that the keys are spread over.
+const CELLS: u64 = 1_024;
+
+/// The vouchers of each cell.
+#[derive(Debug, Default)]
+pub struct Duty {
+    changes: Option<u64>,
+    hosts: Vec<(Key, HostId)>,
+    cells: BTreeMap<u64, Vec<HostId>>,
+}
+
+impl Duty {
+    /// Takes in the live hosts and returns whether they changed.
+    pub fn refresh(&mut self, board: &Board) -> bool {
+        if self.changes == Some(board.host_changes()) {
+            return false;
+        }
+        self.changes = Some(board.host_changes());
+        self.cells.clear();
+        let live = board.live_hosts();
+        self.hosts = live.map(|id| (host_key(id), id.to_owned())).collect();
+        true
+    }
+
+    /// Returns the hosts that vouch for a key; a host does not vouch for itself.
+    pub fn vouchers(&mut self, key: Key) -> Vec<HostId> {
+        let cell = key % CELLS;
+        let hosts = &self.hosts;
+        let ranked = self.cells.entry(cell).or_insert_with(|| rank(hosts, cell));
+        let others = ranked.iter().filter(|id| host_key(id) != key);
+        others.take(VOUCHERS).cloned().collect()
+    }
+}
+
+/// Returns the hosts that rank first for a cell, one more than vouch.
+fn rank(hosts: &[(Key, HostId)], cell: u64) -> Vec<HostId> {
+    let mut first: Vec<(u64, &HostId)> = Vec::with_capacity(VOUCHERS + 2);
+    for (key, id) in hosts {
+        let weight = xxh3_64_with_seed(&key.to_le_bytes(), cell);
+        let at = first.partition_point(|(other, _)| *other > weight);
+        if at <= VOUCHERS {
+            first.insert(at, (weight, id));
+            first.truncate(VOUCHERS + 1);
+        }
+    }
+    first.into_iter().map(|(_, id)| id.clone()).collect()
+}
--- /dev/null
+++ b/crates/core/src/membership/exchange.rs
@@ -0,0 +1,268 @@
+//! What a message and its answer do.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use rand::RngExt;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::board::Board;
+use crate::key::Digest;
+use crate::membership::Membership;
+use crate::membership::message::Key;
+use crate::membership::message::Mark;
+use crate::membership::message::Message;
+use crate::membership::message::Record;
+use crate::membership::message::Subject;
+use crate::membership::message::Summary;
+use crate::membership::message::Version;
+use crate::membership::message::host_key;
+use crate::membership::view::BUCKETS;
+
+/// Most bytes of records in one message.
+pub(super) const MAX_RECORD_BYTES: usize = 24 * 1024;
+
+/// Most withdrawals in one message.
+const MAX_WITHDRAWN: usize = 512;
+
+/// Most buckets that one message compares.
+const MAX_COMPARED: usize = 8;
+
+/// Most versions in one message.
+const MAX_MARKS: usize = 1_024;
+
+impl Membership {
+    /// Returns a message that opens an exchange.
+    pub fn open(&mut self, board: &Board) -> Message {
+        self.refresh(board);
+        let mut message = Message::new(self.own.clone(), board.config().revision());
+        message.summary = Some(self.summary(board));
+        message
+    }
+
+    /// Takes in a message and returns the answer to it.
+    pub fn answer(&mut self, board: &mut Board, message: &Message) -> Message {
+        self.hear(board, message);
+        let mut wants = self.merge(board, message);
+        self.refresh(board);
+        let mut answer = Message::new(self.own.clone(), board.config().revision());
+        answer.renewals = self.take_doubts(board, message);
+        let mut room = MAX_RECORD_BYTES;
+        for key in &message.wants {
+            self.offer(board, *key, &mut answer.records, &mut room);
+        }
+        self.compare(board, message, &mut answer, &mut wants, &mut room);
+        wants.truncate(MAX_MARKS);
+        answer.wants = wants;
+        if let Some(theirs) = message.summary {
+            self.fill_summary(board, theirs, &mut answer);
+        }
+        answer
+    }
+
+    /// Takes in the answer to a message that was sent at `sent` and returns the message that
+    /// continues the exchange, if there is more to say.
+    pub fn take_in(
+        &mut self,
+        board: &mut Board,
+        sent: Instant,
+        answer: &Message,
+    ) -> Option<Message> {
+        self.hear(board, answer);
+        let mut wants = self.merge(board, answer);
+        self.refresh(board);
+        self.take_stamps(board, sent, answer);
+        let mut next = Message::new(self.own.clone(), board.config().revision());
+        let mut room = MAX_RECORD_BYTES;
+        for key in &answer.wants {
+            self.offer(board, *key, &mut next.records, &mut room);
+        }
+        wants.truncate(MAX_MARKS);
+        next.wants = wants;
+        if let Some(theirs) = answer.summary {
+            self.follow_up(board, theirs, answer, &mut next);
+        }
+        (!next.is_empty()).then_some(next)
+    }
+
+    /// Counts the stamps of an answer if this host now knows all that the sender knew.
+    pub fn take_stamps(&mut self, board: &Board, sent: Instant, answer: &Message) {
+        let known = answer.whole && answer.revision <= board.config().revision();
+        if answer.summary.is_none() || !known {
+            return;
+        }
+        self.freshness.hear(host_key(&answer.from.id), sent);
+        self.freshness.take_in(&answer.stamps, sent);
+    }
+
+    fn summary(&self, board: &Board) -> Summary {
+        Summary {
+            view: self.view.root(),
+            withdrawals: hash_withdrawals(board),
+        }
+    }
+
+    /// Notes that the sender is there.
+    fn hear(&mut self, board: &mut Board, message: &Message) {
+        let from = Record {
+            subject: Subject::Host(message.from.clone()),
+            lapsed: false,
+        };
+        let known = board.hosts().get(&message.from.id);
+        let known = known.map(|host| &host.announcement);
+        if known != Some(&message.from) {
+            self.put(board, from);
+        }
+        if message.from.id != self.own.id {
+            board.hear_host(&message.from.id);
+            self.watches.hear(host_key(&message.from.id), board.now());
+        }
+    }
+
+    /// Takes in records, renewals and withdrawals and returns the keys that are not known.
+    fn merge(&mut self, board: &mut Board, message: &Message) -> Vec<Key> {
+        for digest in message.withdrawn.iter().take(MAX_WITHDRAWN) {
+            self.take_withdrawal(board, *digest);
+        }
+        for record in &message.records {
+            self.put(board, record.clone());
+        }
+        self.refresh(board);
+        let mut wants = Vec::new();
+        for mark in &message.renewals {
+            if !self.take_renewal(board, *mark) {
+                wants.push(mark.key);
+            }
+        }
+        wants
+    }
+
+    /// Takes in a renewal and returns whether its subject is known.
+    fn take_renewal(&mut self, board: &mut Board, mark: Mark) -> bool {
+        let Some(mut record) = self.view.record(board, mark.key) else {
+            return false;
+        };
+        if record.lapsed && mark.version > record.version() {
+            renumber(&mut record, mark.version);
+            self.put(board, record);
+            return true;
+        }
+        self.watches.renew(mark, board.now());
+        true
+    }
+
+    fn take_doubts(&mut self, board: &Board, message: &Message) -> Vec<Mark> {
+        let witness = host_key(&message.from.id);
+        let now = board.now();
+        let mut refuted = Vec::new();
+        for doubt in message.doubts.iter().take(MAX_MARKS) {
+            refuted.extend(self.watches.doubt(witness, *doubt, now));
+        }
+        refuted
+    }
+
+    /// Adds a record unless it is unknown or there is no room for it.
+    pub(super) fn offer(
+        &self,
+        board: &Board,
+        key: Key,
+        records: &mut Vec<Record>,
+        room: &mut usize,
+    ) -> bool {
+        let Some(record) = self.view.record(board, key) else {
+            return true;
+        };
+        let Some(left) = room.checked_sub(record.size()) else {
+            return false;
+        };
+        *room = left;
+        records.push(record);
+        true
+    }
+
+    /// Offers what the sender lacks in the buckets it compares, and asks for what this host lacks.
+    fn compare(
+        &self,
+        board: &Board,
+        message: &Message,
+        answer: &mut Message,
+        wants: &mut Vec<Key>,
+        room: &mut usize,
+    ) {
+        let theirs: BTreeMap<Key, Version> = message
+            .marks
+            .iter()
+            .map(|mark| (mark.key, mark.version))
+            .collect();
+        for bucket in message.compared.iter().take(MAX_COMPARED) {
+            for mark in self.view.marks(board, *bucket) {
+                let older = theirs.get(&mark.key).is_none_or(|one| *one < mark.version);
+                if older {
+                    self.offer(board, mark.key, &mut answer.records, room);
+                }
+            }
+        }
+        for (key, version) in &theirs {
+            let own = self.view.version(board, *key);
+            if own.is_none_or(|own| own < *version) {
+                wants.push(*key);
+            }
+        }
+    }
+
+    fn fill_summary(&self, board: &Board, theirs: Summary, answer: &mut Message) {
+        let own = self.summary(board);
+        if own.view != theirs.view {
+            answer.buckets = self.view.buckets().to_vec();
+        }
+        if own.withdrawals != theirs.withdrawals {
+            let withdrawn = board.withdrawn().iter().copied();
+            answer.withdrawn = withdrawn.take(MAX_WITHDRAWN).collect();
+        }
+        answer.whole = board.withdrawn().len() <= MAX_WITHDRAWN;
+        answer.stamps = self.freshness.stamps(board.now());
+        answer.summary = Some(own);
+    }
+
+    fn follow_up(&mut self, board: &Board, theirs: Summary, answer: &Message, next: &mut Message) {
+        if hash_withdrawals(board) != theirs.withdrawals {
+            let withdrawn = board.withdrawn().iter().copied();
+            next.withdrawn = withdrawn.take(MAX_WITHDRAWN).collect();
+        }
+        if answer.buckets.len() != BUCKETS || !self.budget.has(board.now()) {
+            return;
+        }
+        let mut differing = self.view.differing(&answer.buckets);
+        if differing.is_empty() {
+            return;
+        }
+        let first = self.rng.random_range(0..differing.len());
+        differing.rotate_left(first);
+        for bucket in differing.into_iter().take(MAX_COMPARED) {
+            let marks = self.view.marks(board, bucket);
+            if next.marks.len() + marks.len() > MAX_MARKS {
+                break;
+            }
+            next.marks.extend(marks);
+            next.compared.push(bucket);
+        }
+    }
+}
+
+/// Returns a hash that does not depend on the order of the withdrawals.
+fn hash_withdrawals(board: &Board) -> u64 {
+    let hash = |digest: &Digest| xxh3_64(digest.as_bytes());
+    board
+        .withdrawn()
+        .iter()
+        .map(hash)
+        .fold(0, |all, one| all ^ one)
+}
+
+const fn renumber(record: &mut Record, version: Version) {
+    record.lapsed = version.lapsed;
+    match &mut record.subject {
+        Subject::Host(host) => host.sequence = version.sequence,
+        Subject::Upstream(upstream) => upstream.sequence = version.sequence,
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/freshness.rs
@@ -0,0 +1,126 @@
+//! Whether this host still hears the fleet.
+//!
+//! A stamp says how long ago a host was heard, directly or through others. Stamps count only
+//! when they come in an answer to a message of this host, and their age counts from when that
+//! message was sent, so that a stamp stands for a round trip. On a small fleet the panel holds
+//! all hosts; on a large one a fixed sample of them stands for the rest.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::board::Board;
+use crate::membership::message::Key;
+use crate::membership::message::Stamp;
+use crate::membership::message::host_key;
+
+/// Hosts that stand for the whole fleet.
+pub const PANEL: usize = 64;
+
+/// When hosts of the panel were heard.
+#[derive(Debug)]
+pub struct Freshness {
+    own: Key,
+    window: Duration,
+    changes: Option<u64>,
+    panel: Vec<Key>,
+    heard: BTreeMap<Key, Instant>,
+    control: Option<Instant>,
+}
+
+impl Freshness {
+    /// Creates the stamps of a host, which count for `window`.
+    #[must_use]
+    pub const fn new(own: Key, window: Duration) -> Self {
+        Self {
+            own,
+            window,
+            changes: None,
+            panel: Vec::new(),
+            heard: BTreeMap::new(),
+            control: None,
+        }
+    }
+
+    /// Takes in which hosts there are.
+    pub fn refresh(&mut self, board: &Board) {
+        if self.changes == Some(board.host_changes()) {
+            return;
+        }
+        self.changes = Some(board.host_changes());
+        let hosts = board.hosts().values();
+        let staying = hosts.filter(|host| !host.announcement.stopping);
+        let mut keys: Vec<Key> = staying
+            .map(|host| host_key(&host.announcement.id))
+            .collect();
+        keys.sort_unstable_by_key(|key| xxh3_64(&key.to_le_bytes()));
+        keys.truncate(PANEL);
+        self.panel = keys;
+        let panel = &self.panel;
+        self.heard.retain(|key, _| panel.contains(key));
+    }
+
+    /// Notes that a host was heard at `at`.
+    pub fn hear(&mut self, key: Key, at: Instant) {
+        if !self.panel.contains(&key) {
+            return;
+        }
+        let heard = self.heard.entry(key).or_insert(at);
+        *heard = (*heard).max(at);
+    }
+
+    /// Notes that control was heard at `at`.
+    pub fn hear_control(&mut self, at: Instant) {
+        self.control = self.control.max(Some(at));
+    }
+
+    /// Takes in the stamps of an answer to a message that was sent at `sent`.
+    pub fn take_in(&mut self, stamps: &[Stamp], sent: Instant) {
+        for stamp in stamps {
+            if let Some(at) = sent.checked_sub(stamp.age) {
+                self.hear(stamp.key, at);
+            }
+        }
+    }
+
+    /// Returns the stamps that still count.
+    #[must_use]
+    pub fn stamps(&self, now: Instant) -> Vec<Stamp> {
+        let age = |at: &Instant| now.saturating_duration_since(*at);
+        let fresh = self.heard.iter().filter(|(_, at)| age(at) < self.window);
+        fresh
+            .map(|(key, at)| Stamp {
+                key: *key,
+                age: age(at),
+            })
+            .collect()
+    }
+
+    /// Returns how many hosts of the panel were heard lately, this one included, and how many
+    /// there are.
+    #[must_use]
+    pub fn heard(&self, now: Instant) -> (usize, usize) {
+        let fresh = |key: &&Key| {
+            let at = self.heard.get(key);
+            **key == self.own
+                || at.is_some_and(|at| now.saturating_duration_since(*at) < self.window)
+        };
+        (self.panel.iter().filter(fresh).count(), self.panel.len())
+    }
+
+    /// Returns whether more than half of the fleet was heard lately.
+    #[must_use]
+    pub fn hears_fleet(&self, now: Instant) -> bool {
+        let (heard, all) = self.heard(now);
+        heard * 2 > all
+    }
+
+    /// Returns whether control was heard lately.
+    #[must_use]
+    pub fn hears_control(&self, now: Instant) -> bool {
+        self.control
+            .is_some_and(|at| now.saturating_duration_since(at) < self.window)
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/message.rs
@@ -0,0 +1,189 @@
+//! Messages of the gossip among hosts.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::host;
+use crate::id::Incarnation;
+use crate::id::Revision;
+use crate::key::Digest;
+use crate::upstream;
+
+/// Hash of the name of a host or of an upstream.
+pub type Key = u64;
+
+const HOST_SEED: u64 = 1;
+const UPSTREAM_SEED: u64 = 2;
+
+/// Returns the key of a host.
+#[must_use]
+pub fn host_key(id: &str) -> Key {
+    xxh3_64_with_seed(id.as_bytes(), HOST_SEED)
+}
+
+/// Returns the key of an upstream.
+#[must_use]
+pub fn upstream_key(service: &str, id: &str) -> Key {
+    let service = xxh3_64_with_seed(service.as_bytes(), UPSTREAM_SEED);
+    xxh3_64_with_seed(id.as_bytes(), service)
+}
+
+/// Age of a record; the greater version replaces the lesser.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Version {
+    /// Start of the subject that the record is about.
+    pub incarnation: Incarnation,
+    /// Number of the announcement in that incarnation.
+    pub sequence: u64,
+    /// Whether witnesses agreed that no later announcement came.
+    pub lapsed: bool,
+}
+
+/// A record by its key, without its contents.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Mark {
+    /// Key of the host or upstream.
+    pub key: Key,
+    /// Version of the record.
+    pub version: Version,
+}
+
+/// What a record is about.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Subject {
+    /// An entry host.
+    Host(host::Announcement),
+    /// An upstream.
+    Upstream(upstream::Announcement),
+}
+
+/// What the fleet knows of one host or upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Record {
+    /// The latest announcement.
+    pub subject: Subject,
+    /// Whether witnesses agreed that no later announcement came.
+    pub lapsed: bool,
+}
+
+impl Record {
+    /// Returns the key of the subject.
+    #[must_use]
+    pub fn key(&self) -> Key {
+        match &self.subject {
+            Subject::Host(host) => host_key(&host.id),
+            Subject::Upstream(one) => upstream_key(&one.service, &one.id),
+        }
+    }
+
+    /// Returns the version of the record.
+    #[must_use]
+    pub const fn version(&self) -> Version {
+        let (incarnation, sequence) = match &self.subject {
+            Subject::Host(host) => (host.incarnation, host.sequence),
+            Subject::Upstream(upstream) => (upstream.incarnation, upstream.sequence),
+        };
+        Version {
+            incarnation,
+            sequence,
+            lapsed: self.lapsed,
+        }
+    }
+
+    /// Returns an upper estimate of the encoded size in bytes.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        RECORD_BYTES
+            + match &self.subject {
+                Subject::Host(host) => host.id.len() + host.zone.len(),
+                Subject::Upstream(one) => one.id.len() + one.service.len() + one.zone.len(),
+            }
+    }
+}
+
+/// Bytes of an encoded record beside its names.
+const RECORD_BYTES: usize = 72;
+
+/// How long ago a host was heard, by itself or through others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Stamp {
+    /// Key of the host.
+    pub key: Key,
+    /// Time since what the host knew then is known here.
+    pub age: Duration,
+}
+
+/// Hashes that are equal on two hosts that know the same.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Summary {
+    /// Hash of all records.
+    pub view: u64,
+    /// Hash of all withdrawals that the configuration does not hold yet.
+    pub withdrawals: u64,
+}
+
+/// One message, also used as the answer to one.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Message {
+    /// The sender.
+    pub from: host::Announcement,
+    /// Revision that the sender has in force.
+    pub revision: Revision,
+    /// Hashes of what the sender knows, unless no comparison is wanted.
+    pub summary: Option<Summary>,
+    /// Hash of each bucket of the view, sent where the views differ.
+    pub buckets: Vec<u32>,
+    /// Buckets whose records are all listed in `marks`.
+    pub compared: Vec<u16>,
+    /// Versions that the sender holds.
+    pub marks: Vec<Mark>,
+    /// Records that the sender asks for.
+    pub wants: Vec<Key>,
+    /// Records that the receiver may lack.
+    pub records: Vec<Record>,
+    /// Announcements without news that their vouchers need to know of.
+    pub renewals: Vec<Mark>,
+    /// Subjects that the sender vouches for and has not heard for long.
+    pub doubts: Vec<Mark>,
+    /// Withdrawn keys that the receiver may lack.
+    pub withdrawn: Vec<Digest>,
+    /// Whether `withdrawn` holds all that the receiver lacked.
+    pub whole: bool,
+    /// When hosts of the panel were heard.
+    pub stamps: Vec<Stamp>,
+}
+
+impl Message {
+    /// Creates a message without contents.
+    #[must_use]
+    pub const fn new(from: host::Announcement, revision: Revision) -> Self {
+        Self {
+            from,
+            revision,
+            summary: None,
+            buckets: Vec::new(),
+            compared: Vec::new(),
+            marks: Vec::new(),
+            wants: Vec::new(),
+            records: Vec::new(),
+            renewals: Vec::new(),
+            doubts: Vec::new(),
+            withdrawn: Vec::new(),
+            whole: false,
+            stamps: Vec::new(),
+        }
+    }
+
+    /// Returns whether the message carries nothing that the receiver could act on.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.summary.is_none()
+            && self.compared.is_empty()
+            && self.wants.is_empty()
+            && self.records.is_empty()
+            && self.renewals.is_empty()
+            && self.doubts.is_empty()
+            && self.withdrawn.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/pace.rs
@@ -0,0 +1,278 @@
+//! What is sent when.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
+
+use crate::board::Board;
+use crate::id::HostId;
+use crate::membership::Membership;
+use crate::membership::Sending;
+use crate::membership::exchange::MAX_RECORD_BYTES;
+use crate::membership::message::Key;
+use crate::membership::message::Mark;
+use crate::membership::message::Message;
+use crate::membership::message::Record;
+use crate::membership::message::Subject;
+use crate::membership::message::host_key;
+use crate::membership::view::Place;
+
+/// Time between two calls of [`Membership::tick`].
+pub const TICK: Duration = Duration::from_millis(100);
+
+/// Time between two exchanges with random hosts.
+const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time between two exchanges with one of the vouchers of this host.
+const PRESENCE_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Time between two messages of renewals or doubts to one host.
+const VOUCHING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Hosts that a piece of news is pushed to.
+const FAN_OUT: usize = 3;
+
+/// One exchange in this many tries an address that no live host is known at.
+const STRAY_EXCHANGES: u32 = 6;
+
+/// Share of its lifetime after which a host that is vouched for is called.
+const CALL_AT: u32 = 2;
+
+/// When the next message of each kind is due.
+#[derive(Debug)]
+pub struct Pace {
+    exchange: Instant,
+    presence: Instant,
+    vouching: Instant,
+    turn: usize,
+}
+
+impl Pace {
+    /// Creates a pace at which everything is due.
+    #[must_use]
+    pub const fn new(now: Instant) -> Self {
+        Self {
+            exchange: now,
+            presence: now,
+            vouching: now,
+            turn: 0,
+        }
+    }
+}
+
+impl Membership {
+    /// Returns the messages that are due.
+    pub fn tick(&mut self, board: &mut Board) -> Vec<Sending> {
+        let now = board.now();
+        self.refresh(board);
+        let mut sendings = Vec::new();
+        if now >= self.pace.vouching {
+            self.pace.vouching = now + VOUCHING_INTERVAL;
+            self.vouch(board, &mut sendings);
+        }
+        self.push_news(board, &mut sendings);
+        if now >= self.pace.exchange {
+            self.pace.exchange = now + self.jittered(EXCHANGE_INTERVAL);
+            let to = self.pick_peer(board);
+            self.exchange(board, to, &mut sendings);
+        }
+        if now >= self.pace.presence {
+            self.pace.presence = now + self.jittered(PRESENCE_INTERVAL);
+            let to = self.pick_voucher(board);
+            self.exchange(board, to, &mut sendings);
+        }
+        sendings
+    }
+
+    fn jittered(&mut self, interval: Duration) -> Duration {
+        interval.mul_f64(self.rng.random_range(0.8..1.2))
+    }
+
+    fn exchange(&mut self, board: &Board, to: Option<SocketAddr>, sendings: &mut Vec<Sending>) {
+        if let Some(to) = to {
+            let message = self.open(board);
+            sendings.push(Sending { to, message });
+        }
+    }
+
+    /// Picks a live host, or now and then an address where one may have come back.
+    fn pick_peer(&mut self, board: &Board) -> Option<SocketAddr> {
+        let live = self.live_peers(board);
+        let stray = self.rng.random_ratio(1, STRAY_EXCHANGES);
+        if live.is_empty() || stray {
+            let others = self.strays(board, &live);
+            if let Some(to) = others.choose(&mut self.rng) {
+                return Some(*to);
+            }
+        }
+        live.choose(&mut self.rng).copied()
+    }
+
+    fn live_peers(&self, board: &Board) -> Vec<SocketAddr> {
+        let others = board.hosts().values().filter(|host| host.is_live());
+        let others = others.map(|host| &host.announcement);
+        let others = others.filter(|host| host.id != self.own.id);
+        others.map(|host| host.peers).collect()
+    }
+
+    fn strays(&self, board: &Board, live: &[SocketAddr]) -> Vec<SocketAddr> {
+        let suspected = board.hosts().values().filter(|host| host.suspected);
+        let suspected = suspected.map(|host| host.announcement.peers);
+        let all = suspected.chain(self.contacts.iter().copied());
+        let strays = all.filter(|one| *one != self.own.peers && !live.contains(one));
+        strays.collect()
+    }
+
+    /// Picks the next of the vouchers of this host.
+    fn pick_voucher(&mut self, board: &Board) -> Option<SocketAddr> {
+        let vouchers = self.duty.vouchers(host_key(&self.own.id));
+        if vouchers.is_empty() {
+            return None;
+        }
+        self.pace.turn = (self.pace.turn + 1) % vouchers.len();
+        address(board, &vouchers[self.pace.turn])
+    }
+
+    /// Sends waiting renewals and doubts to those that vouch for the same.
+    fn vouch(&mut self, board: &mut Board, sendings: &mut Vec<Sending>) {
+        let mut messages: BTreeMap<HostId, Message> = BTreeMap::new();
+        let blank = Message::new(self.own.clone(), board.config().revision());
+        for (voucher, renewals) in std::mem::take(&mut self.renewals) {
+            let message = messages.entry(voucher).or_insert_with(|| blank.clone());
+            let marks = renewals.into_iter();
+            message.renewals = marks.map(|(key, version)| Mark { key, version }).collect();
+        }
+        for doubt in self.doubts(board) {
+            let vouchers = self.duty.vouchers(doubt.key);
+            self.judge(board, doubt, &vouchers);
+            for voucher in vouchers.into_iter().filter(|id| *id != self.own.id) {
+                let message = messages.entry(voucher).or_insert_with(|| blank.clone());
+                message.doubts.push(doubt);
+            }
+        }
+        for (voucher, message) in messages {
+            if let Some(to) = address(board, &voucher) {
+                sendings.push(Sending { to, message });
+            }
+        }
+        self.call_quiet_hosts(board, sendings);
+    }
+
+    /// Returns what this host misses, unless the fault is likely its own.
+    fn doubts(&mut self, board: &mut Board) -> Vec<Mark> {
+        let now = board.now();
+        let lost_sight = self.watches.lost_sight(now);
+        if lost_sight && !self.lost_sight {
+            let text = "Most upstreams fell silent at once, so the last view is kept.";
+            board.record("members", &self.own.id, text.to_owned());
+        }
+        self.lost_sight = lost_sight;
+        if !self.freshness.hears_fleet(now) {
+            return Vec::new();
+        }
+        let mut silent = self.watches.silent(now);
+        if lost_sight {
+            silent.retain(|mark| matches!(self.view.place(mark.key), Some(Place::Host(_))));
+        }
+        silent
+    }
+
+    /// Lets a subject lapse once more than half of its vouchers miss it.
+    fn judge(&mut self, board: &mut Board, doubt: Mark, vouchers: &[HostId]) {
+        let keys: Vec<Key> = vouchers.iter().map(|id| host_key(id)).collect();
+        let witnesses = 1 + self.watches.witnesses(doubt.key, &keys, board.now());
+        if witnesses * 2 <= vouchers.len() {
+            return;
+        }
+        let Some(mut record) = self.view.record(board, doubt.key) else {
+            return;
+        };
+        if record.lapsed || record.version() > doubt.version {
+            return;
+        }
+        record.lapsed = true;
+        let name = match &mut record.subject {
+            Subject::Host(host) => {
+                host.sequence = doubt.version.sequence;
+                host.id.clone()
+            }
+            Subject::Upstream(upstream) => {
+                upstream.sequence = doubt.version.sequence;
+                upstream.id.clone()
+            }
+        };
+        let text = format!(
+            "It counts as gone: {witnesses} of {} vouchers have not heard it lately.",
+            vouchers.len()
+        );
+        if self.put(board, record) {
+            board.record("members", &name, text);
+        }
+    }
+
+    /// Opens exchanges with hosts that are vouched for here and were quiet for a while.
+    fn call_quiet_hosts(&mut self, board: &Board, sendings: &mut Vec<Sending>) {
+        let now = board.now();
+        let quiet_at = crate::host::LIFETIME / CALL_AT;
+        let hosts: Vec<SocketAddr> = board
+            .hosts()
+            .values()
+            .map(|host| &host.announcement)
+            .filter(|host| {
+                let silence = self.watches.silence(host_key(&host.id), now);
+                silence.is_some_and(|silence| silence >= quiet_at)
+            })
+            .map(|host| host.peers)
+            .collect();
+        for to in hosts {
+            self.exchange(board, Some(to), sendings);
+        }
+    }
+
+    /// Pushes what is new to a few hosts.
+    fn push_news(&mut self, board: &mut Board, sendings: &mut Vec<Sending>) {
+        let revision = board.config().revision();
+        if !self.has_news(board)
+            || (self.news.withdrawn.is_empty() && !self.budget.has(board.now()))
+        {
+            return;
+        }
+        let mut live = self.live_peers(board);
+        if live.is_empty() {
+            return;
+        }
+        let mut message = Message::new(self.own.clone(), revision);
+        message.records = self.take_news(board);
+        message.withdrawn = std::mem::take(&mut self.news.withdrawn)
+            .into_iter()
+            .collect();
+        self.news.told = revision;
+        live.shuffle(&mut self.rng);
+        for to in live.into_iter().take(FAN_OUT) {
+            let message = message.clone();
+            sendings.push(Sending { to, message });
+        }
+    }
+
+    fn take_news(&mut self, board: &Board) -> Vec<Record> {
+        let mut records = Vec::new();
+        let mut room = MAX_RECORD_BYTES;
+        while let Some(key) = self.news.records.pop_first() {
+            if !self.offer(board, key, &mut records, &mut room) {
+                self.news.records.insert(key);
+                break;
+            }
+        }
+        records
+    }
+}
+
+fn address(board: &Board, host: &str) -> Option<SocketAddr> {
+    let host = board.hosts().get(host)?;
+    Some(host.announcement.peers)
+}
--- /dev/null
+++ b/crates/core/src/membership/view.rs
@@ -0,0 +1,226 @@
+//! The records on a board as buckets of hashes, so that two hosts find what differs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::board::Board;
+use crate::id::HostId;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
+use crate::membership::message::Key;
+use crate::membership::message::Mark;
+use crate::membership::message::Record;
+use crate::membership::message::Subject;
+use crate::membership::message::Version;
+use crate::membership::message::host_key;
+use crate::membership::message::upstream_key;
+
+/// Buckets that the keys are spread over.
+pub const BUCKETS: usize = 256;
+
+/// Time for which what is gone stays in the view; shorter than the board remembers it.
+pub const GONE_SHOWN: Duration = Duration::from_secs(30);
+
+/// Time after which a view is built anew even though no record changed.
+const VIEW_LIFETIME: Duration = Duration::from_secs(5);
+
+/// Where a key leads on the board.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Place {
+    /// A host.
+    Host(HostId),
+    /// An upstream of a service.
+    Upstream(ServiceId, UpstreamId),
+}
+
+/// What a board holds, by key.
+#[derive(Debug, Default)]
+pub struct View {
+    state: Option<State>,
+    places: BTreeMap<Key, Place>,
+    buckets: Vec<u32>,
+    root: u64,
+}
+
+/// State of the board that a view was built from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct State {
+    hosts: u64,
+    upstreams: u64,
+    built: Instant,
+}
+
+impl View {
+    /// Returns the hash of the whole view.
+    #[must_use]
+    pub const fn root(&self) -> u64 {
+        self.root
+    }
+
+    /// Returns the hash of each bucket.
+    #[must_use]
+    pub fn buckets(&self) -> &[u32] {
+        &self.buckets
+    }
+
+    /// Returns where a key leads.
+    #[must_use]
+    pub fn place(&self, key: Key) -> Option<&Place> {
+        self.places.get(&key)
+    }
+
+    /// Returns every key with its place.
+    pub fn places(&self) -> impl Iterator<Item = (Key, &Place)> {
+        self.places.iter().map(|(key, place)| (*key, place))
+    }
+
+    /// Brings the view up to date and returns whether it was built anew.
+    pub fn refresh(&mut self, board: &Board) -> bool {
+        let now = board.now();
+        let current = self.state.is_some_and(|state| {
+            state.hosts == board.host_changes()
+                && state.upstreams == board.upstream_changes()
+                && now.saturating_duration_since(state.built) < VIEW_LIFETIME
+        });
+        if current {
+            return false;
+        }
+        self.build(board, now);
+        true
+    }
+
+    /// Returns the records of one bucket by their marks.
+    #[must_use]
+    pub fn marks(&self, board: &Board, bucket: u16) -> Vec<Mark> {
+        let (first, last) = bounds(bucket);
+        let keys = self.places.range(first..=last);
+        keys.filter_map(|(key, place)| {
+            let version = version(board, place)?;
+            Some(Mark { key: *key, version })
+        })
+        .collect()
+    }
+
+    /// Returns the version held under a key.
+    #[must_use]
+    pub fn version(&self, board: &Board, key: Key) -> Option<Version> {
+        version(board, self.places.get(&key)?)
+    }
+
+    /// Returns the record held under a key.
+    #[must_use]
+    pub fn record(&self, board: &Board, key: Key) -> Option<Record> {
+        record(board, self.places.get(&key)?)
+    }
+
+    /// Returns the buckets whose hashes differ from `other`.
+    #[must_use]
+    pub fn differing(&self, other: &[u32]) -> Vec<u16> {
+        let pairs = (0..).zip(self.buckets.iter().zip(other));
+        let differing = pairs.filter(|(_, (own, other))| own != other);
+        differing.map(|(bucket, _)| bucket).collect()
+    }
+
+    fn build(&mut self, board: &Board, now: Instant) {
+        self.places.clear();
+        self.buckets = vec![0; BUCKETS];
+        let shown = |since: Option<Instant>| {
+            since.is_none_or(|since| now.saturating_duration_since(since) < GONE_SHOWN)
+        };
+        for (id, host) in board.hosts() {
+            if shown(host.gone_since) {
+                self.add(board, host_key(id), Place::Host(id.clone()));
+            }
+        }
+        for upstream in board.all_upstreams() {
+            if shown(upstream.gone_since) {
+                let one = &upstream.announcement;
+                let place = Place::Upstream(one.service.clone(), one.id.clone());
+                self.add(board, upstream_key(&one.service, &one.id), place);
+            }
+        }
+        let bytes: Vec<u8> = self
+            .buckets
+            .iter()
+            .flat_map(|one| one.to_le_bytes())
+            .collect();
+        self.root = xxh3_64(&bytes);
+        self.state = Some(State {
+            hosts: board.host_changes(),
+            upstreams: board.upstream_changes(),
+            built: now,
+        });
+    }
+
+    fn add(&mut self, board: &Board, key: Key, place: Place) {
+        if let Some(version) = version(board, &place) {
+            let bucket = usize::from(bucket(key));
+            self.buckets[bucket] ^= hash(key, version);
+            self.places.insert(key, place);
+        }
+    }
+}
+
+/// Returns the bucket of a key.
+#[must_use]
+pub const fn bucket(key: Key) -> u16 {
+    (key >> BUCKET_SHIFT) as u16
+}
+
+const BUCKET_SHIFT: u32 = 56;
+
+const fn bounds(bucket: u16) -> (Key, Key) {
+    let first = (bucket as u64) << BUCKET_SHIFT;
+    (first, first | ((1 << BUCKET_SHIFT) - 1))
+}
+
+fn hash(key: Key, version: Version) -> u32 {
+    let mut bytes = [0; 25];
+    bytes[..8].copy_from_slice(&key.to_le_bytes());
+    bytes[8..16].copy_from_slice(&version.incarnation.to_le_bytes());
+    bytes[16..24].copy_from_slice(&version.sequence.to_le_bytes());
+    bytes[24] = u8::from(version.lapsed);
+    xxh3_64(&bytes) as u32
+}
+
+fn version(board: &Board, place: &Place) -> Option<Version> {
+    let (incarnation, sequence, lapsed) = match place {
+        Place::Host(id) => {
+            let host = board.hosts().get(id)?;
+            let one = &host.announcement;
+            (one.incarnation, one.sequence, host.suspected)
+        }
+        Place::Upstream(service, id) => {
+            let upstream = board.upstream(service, id)?;
+            let one = &upstream.announcement;
+            (one.incarnation, one.sequence, upstream.lapsed)
+        }
+    };
+    Some(Version {
+        incarnation,
+        sequence,
+        lapsed,
+    })
+}
+
+fn record(board: &Board, place: &Place) -> Option<Record> {
+    Some(match place {
+        Place::Host(id) => {
+            let host = board.hosts().get(id)?;
+            Record {
+                subject: Subject::Host(host.announcement.clone()),
+                lapsed: host.suspected,
+            }
+        }
+        Place::Upstream(service, id) => {
+            let upstream = board.upstream(service, id)?;
+            Record {
+                subject: Subject::Upstream(upstream.announcement.clone()),
+                lapsed: upstream.lapsed,
+            }
+        }
+    })
+}
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -70,11 +70,9 @@
 }
 
 fn candidates<'a>(board: &'a Board, service: &'a str, avoid: &[UpstreamId]) -> Vec<&'a Upstream> {
-    let now = board.now();
     board
         .upstreams(service)
-        .filter(|upstream| upstream.is_current(now))
-        .filter(|upstream| upstream.announcement.stage.takes_requests())
+        .filter(|upstream| board.takes_requests(upstream))
         .filter(|upstream| !avoid.contains(&upstream.announcement.id))
         .collect()
 }
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -67,6 +67,16 @@
             || (self.incarnation == other.incarnation && self.sequence > other.sequence)
     }
 
+    /// Returns whether this announcement says the same as `other`, its number aside.
+    #[must_use]
+    pub fn renews(&self, other: &Self) -> bool {
+        let numbered = Self {
+            sequence: other.sequence,
+            ..self.clone()
+        };
+        numbered == *other
+    }
+
     /// Checks what a sender could have got wrong.
     ///
     /// # Errors
@@ -107,6 +117,10 @@
     pub heard: Instant,
     /// When this host first heard of this incarnation.
     pub since: Instant,
+    /// Whether witnesses agreed that its announcement was not renewed.
+    pub lapsed: bool,
+    /// When this host learnt that it is gone, if it is.
+    pub gone_since: Option<Instant>,
     /// Requests of this host that it is running.
     pub in_flight: u32,
 }
@@ -114,7 +128,13 @@
 impl Upstream {
     /// Returns whether the announcement is still in force.
     #[must_use]
-    pub fn is_current(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.heard) < LIFETIME
+    pub const fn is_current(&self) -> bool {
+        !self.lapsed
+    }
+
+    /// Returns whether the upstream has left or its announcement lapsed.
+    #[must_use]
+    pub fn is_gone(&self) -> bool {
+        self.lapsed || self.announcement.stage == Stage::Left
     }
 }
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -1,10 +1,12 @@
 //! Typed calls to a control replica.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use persimmonbend_core::config::Outcome;
 use persimmonbend_core::config::State;
 use persimmonbend_core::config::Submission;
+use persimmonbend_core::host;
 use persimmonbend_core::id::Revision;
 
 use crate::error::Error;
@@ -38,23 +40,32 @@
 
     /// Waits at most `wait` for configuration newer than `since`, which `host` has in force.
     ///
+    /// Returns it with the addresses of some other hosts.
+    ///
     /// # Errors
     ///
     /// Returns the failure of the call.
     pub async fn watch(
         &self,
-        host: &str,
+        host: &host::Announcement,
         since: Revision,
         wait: Duration,
-    ) -> Result<Update, Error> {
+    ) -> Result<(Update, Vec<SocketAddr>), Error> {
         let mut request = self.remote.watch_request();
-        request.get().set_host(host);
+        request.get().set_host(&host.id);
+        request.get().set_zone(&host.zone);
+        request.get().set_peers(host.peers.to_string());
         request.get().set_since(since);
         request
             .get()
             .set_wait_ms(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX));
         let response = call(wait + WATCH_MARGIN, request.send().promise).await?;
-        Update::try_from(response.get()?.get_update()?)
+        let results = response.get()?;
+        let mut book = Vec::new();
+        for address in results.get_book()? {
+            book.extend(address?.to_str()?.parse::<SocketAddr>());
+        }
+        Ok((Update::try_from(results.get_update()?)?, book))
     }
 
     /// Submits a change and waits until it is synced on a quorum.
--- a/crates/wire/src/fleet_capnp.rs
+++ b/crates/wire/src/fleet_capnp.rs
@@ -2907,11 +2907,27 @@
             pub fn get_wait_ms(self) -> u32 {
                 self.reader.get_data_field::<u32>(2)
             }
+            #[inline]
+            pub fn get_peers(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_peers(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+            #[inline]
+            pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_zone(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2993,6 +3009,38 @@
             pub fn set_wait_ms(&mut self, value: u32)  {
                 self.builder.set_data_field::<u32>(2, value);
             }
+            #[inline]
+            pub fn get_peers(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_peers(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_peers(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_peers(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+            #[inline]
+            pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_zone(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_zone(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(2).init_text(size)
+            }
+            #[inline]
+            pub fn has_zone(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3004,17 +3052,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(121, 244, 103, 185, 246, 19, 181, 163),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
@@ -3022,28 +3070,42 @@
                 ::capnp::word(114, 111, 108, 46, 119, 97, 116, 99),
                 ::capnp::word(104, 36, 80, 97, 114, 97, 109, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(141, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3068,12 +3130,30 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 115, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(122, 111, 110, 101, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3087,9 +3167,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,3,1,2,4];
             pub(crate) const TYPE_ID: u64 = 0xa3b5_13f6_b967_f479;
         }
     }
@@ -3163,11 +3243,19 @@
             pub fn has_update(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_book(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_book(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3233,6 +3321,22 @@
             pub fn has_update(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_book(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_book(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_book(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+            }
+            #[inline]
+            pub fn has_book(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3247,17 +3351,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(114, 74, 247, 247, 183, 209, 119, 166),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
@@ -3265,14 +3369,21 @@
                 ::capnp::word(114, 111, 108, 46, 119, 97, 116, 99),
                 ::capnp::word(104, 36, 82, 101, 115, 117, 108, 116),
                 ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(117, 112, 100, 97, 116, 101, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 140, 241, 204, 22, 179, 61, 140),
@@ -3281,10 +3392,23 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 111, 111, 107, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::fleet_capnp::update::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3298,9 +3422,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
             pub(crate) const TYPE_ID: u64 = 0xa677_d1b7_f7f7_4a72;
         }
     }
@@ -10203,3 +10327,2175 @@
         }
     }
 }
+
+pub mod host_record {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_id(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_zone(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_peers(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_peers(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_stopping(self) -> bool {
+            self.reader.get_bool_field(128)
+        }
+        #[inline]
+        pub fn get_lapsed(self) -> bool {
+            self.reader.get_bool_field(129)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_id(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_id(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_id(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_zone(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_zone(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_zone(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_peers(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_peers(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_peers(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(2).init_text(size)
+        }
+        #[inline]
+        pub fn has_peers(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_sequence(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_stopping(self) -> bool {
+            self.builder.get_bool_field(128)
+        }
+        #[inline]
+        pub fn set_stopping(&mut self, value: bool)  {
+            self.builder.set_bool_field(128, value);
+        }
+        #[inline]
+        pub fn get_lapsed(self) -> bool {
+            self.builder.get_bool_field(129)
+        }
+        #[inline]
+        pub fn set_lapsed(&mut self, value: bool)  {
+            self.builder.set_bool_field(129, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 125] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(51, 91, 169, 41, 86, 229, 19, 142),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(111, 82, 228, 155, 195, 167, 240, 209),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 72, 111, 115, 116),
+            ::capnp::word(82, 101, 99, 111, 114, 100, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 129, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(122, 111, 110, 101, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 115, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 111, 112, 112, 105, 110, 103),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 97, 112, 115, 101, 100, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,3,6,2,4,5,1];
+        pub(crate) const TYPE_ID: u64 = 0x8e13_e556_29a9_5b33;
+    }
+}
+
+pub mod upstream_record {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_id(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_zone(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_address(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_address(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_slots(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_stage(self) -> u8 {
+            self.reader.get_data_field::<u8>(4)
+        }
+        #[inline]
+        pub fn get_lapsed(self) -> bool {
+            self.reader.get_bool_field(40)
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_id(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_id(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_id(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_zone(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_zone(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(2).init_text(size)
+        }
+        #[inline]
+        pub fn has_zone(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_address(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_address(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_address(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(3).init_text(size)
+        }
+        #[inline]
+        pub fn has_address(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_slots(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_slots(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_stage(self) -> u8 {
+            self.builder.get_data_field::<u8>(4)
+        }
+        #[inline]
+        pub fn set_stage(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(4, value);
+        }
+        #[inline]
+        pub fn get_lapsed(self) -> bool {
+            self.builder.get_bool_field(40)
+        }
+        #[inline]
+        pub fn set_lapsed(&mut self, value: bool)  {
+            self.builder.set_bool_field(40, value);
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_sequence(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 155] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(207, 70, 240, 249, 94, 76, 90, 181),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(111, 82, 228, 155, 195, 167, 240, 209),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 85, 112, 115, 116),
+            ::capnp::word(114, 101, 97, 109, 82, 101, 99, 111),
+            ::capnp::word(114, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 40, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(122, 111, 110, 101, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 108, 111, 116, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 103, 101, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 97, 112, 115, 101, 100, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,7,6,8,1,4,5,2];
+        pub(crate) const TYPE_ID: u64 = 0xb55a_4c5e_f9f0_46cf;
+    }
+}
+
+pub mod mark {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_key(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_lapsed(self) -> bool {
+            self.reader.get_bool_field(192)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_key(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_key(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_sequence(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_lapsed(self) -> bool {
+            self.builder.get_bool_field(192)
+        }
+        #[inline]
+        pub fn set_lapsed(&mut self, value: bool)  {
+            self.builder.set_bool_field(192, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(5, 28, 56, 33, 11, 132, 14, 165),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(111, 82, 228, 155, 195, 167, 240, 209),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 77, 97, 114, 107),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 192, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 97, 112, 115, 101, 100, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,3,2];
+        pub(crate) const TYPE_ID: u64 = 0xa50e_840b_2138_1c05;
+    }
+}
+
+pub mod stamp {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_key(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_key(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_key(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(27, 23, 115, 65, 67, 162, 149, 255),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(111, 82, 228, 155, 195, 167, 240, 209),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 83, 116, 97, 109),
+            ::capnp::word(112, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xff95_a243_4173_171b;
+    }
+}
+
+pub mod gossip {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_from(self) -> ::capnp::Result<crate::fleet_capnp::host_record::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_from(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_view(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_withdrawals(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_compare(self) -> bool {
+            self.reader.get_bool_field(192)
+        }
+        #[inline]
+        pub fn get_buckets(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u32>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_buckets(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_compared(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u16>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_compared(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_marks(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::mark::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_marks(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_wants(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_wants(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_hosts(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::host_record::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_hosts(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
+        #[inline]
+        pub fn get_upstreams(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::upstream_record::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_upstreams(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
+        #[inline]
+        pub fn get_renewals(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::mark::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_renewals(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
+        #[inline]
+        pub fn get_doubts(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::mark::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_doubts(&self) -> bool {
+            !self.reader.get_pointer_field(8).is_null()
+        }
+        #[inline]
+        pub fn get_withdrawn(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(9), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_withdrawn(&self) -> bool {
+            !self.reader.get_pointer_field(9).is_null()
+        }
+        #[inline]
+        pub fn get_whole(self) -> bool {
+            self.reader.get_bool_field(193)
+        }
+        #[inline]
+        pub fn get_stamps(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::stamp::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(10), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_stamps(&self) -> bool {
+            !self.reader.get_pointer_field(10).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 11 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_from(self) -> ::capnp::Result<crate::fleet_capnp::host_record::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_from(&mut self, value: crate::fleet_capnp::host_record::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_from(self, ) -> crate::fleet_capnp::host_record::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_from(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_revision(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_view(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_view(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_withdrawals(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_withdrawals(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_compare(self) -> bool {
+            self.builder.get_bool_field(192)
+        }
+        #[inline]
+        pub fn set_compare(&mut self, value: bool)  {
+            self.builder.set_bool_field(192, value);
+        }
+        #[inline]
+        pub fn get_buckets(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u32>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_buckets(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_buckets(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u32> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_buckets(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_compared(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u16>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_compared(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u16>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_compared(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u16> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_compared(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_marks(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::mark::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_marks(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::mark::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_marks(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::mark::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_marks(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_wants(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_wants(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+        }
+        #[inline]
+        pub fn init_wants(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+        }
+        #[inline]
+        pub fn has_wants(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+        #[inline]
+        pub fn get_hosts(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::host_record::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_hosts(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::host_record::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
+        }
+        #[inline]
+        pub fn init_hosts(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::host_record::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
+        }
+        #[inline]
+        pub fn has_hosts(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
+        #[inline]
+        pub fn get_upstreams(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::upstream_record::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_upstreams(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::upstream_record::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(6), value, false)
+        }
+        #[inline]
+        pub fn init_upstreams(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::upstream_record::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), size)
+        }
+        #[inline]
+        pub fn has_upstreams(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
+        #[inline]
+        pub fn get_renewals(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::mark::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_renewals(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::mark::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false)
+        }
+        #[inline]
+        pub fn init_renewals(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::mark::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), size)
+        }
+        #[inline]
+        pub fn has_renewals(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
+        #[inline]
+        pub fn get_doubts(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::mark::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_doubts(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::mark::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(8), value, false)
+        }
+        #[inline]
+        pub fn init_doubts(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::mark::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(8), size)
+        }
+        #[inline]
+        pub fn has_doubts(&self) -> bool {
+            !self.builder.is_pointer_field_null(8)
+        }
+        #[inline]
+        pub fn get_withdrawn(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(9), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_withdrawn(&mut self, value: ::capnp::data_list::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(9), value, false)
+        }
+        #[inline]
+        pub fn init_withdrawn(self, size: u32) -> ::capnp::data_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(9), size)
+        }
+        #[inline]
+        pub fn has_withdrawn(&self) -> bool {
+            !self.builder.is_pointer_field_null(9)
+        }
+        #[inline]
+        pub fn get_whole(self) -> bool {
+            self.builder.get_bool_field(193)
+        }
+        #[inline]
+        pub fn set_whole(&mut self, value: bool)  {
+            self.builder.set_bool_field(193, value);
+        }
+        #[inline]
+        pub fn get_stamps(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::stamp::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(10), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_stamps(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::stamp::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(10), value, false)
+        }
+        #[inline]
+        pub fn init_stamps(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::stamp::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(10), size)
+        }
+        #[inline]
+        pub fn has_stamps(&self) -> bool {
+            !self.builder.is_pointer_field_null(10)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_from(&self) -> crate::fleet_capnp::host_record::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 303] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(62, 138, 230, 140, 135, 103, 111, 251),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(111, 82, 228, 155, 195, 167, 240, 209),
+            ::capnp::word(11, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 71, 111, 115, 115),
+            ::capnp::word(105, 112, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 192, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(121, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 193, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(51, 91, 169, 41, 86, 229, 19, 142),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 105, 101, 119, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 105, 116, 104, 100, 114, 97, 119),
+            ::capnp::word(97, 108, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 109, 112, 97, 114, 101, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 117, 99, 107, 101, 116, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 109, 112, 97, 114, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 114, 107, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 28, 56, 33, 11, 132, 14, 165),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 111, 115, 116, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(51, 91, 169, 41, 86, 229, 19, 142),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 112, 115, 116, 114, 101, 97, 109),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(207, 70, 240, 249, 94, 76, 90, 181),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 110, 101, 119, 97, 108, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 28, 56, 33, 11, 132, 14, 165),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 111, 117, 98, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 28, 56, 33, 11, 132, 14, 165),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 105, 116, 104, 100, 114, 97, 119),
+            ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 104, 111, 108, 101, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 109, 112, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(27, 23, 115, 65, 67, 162, 149, 255),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::fleet_capnp::host_record::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::primitive_list::Owned<u16> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::struct_list::Owned<crate::fleet_capnp::mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::struct_list::Owned<crate::fleet_capnp::host_record::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::struct_list::Owned<crate::fleet_capnp::upstream_record::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                11 => <::capnp::struct_list::Owned<crate::fleet_capnp::mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                12 => <::capnp::struct_list::Owned<crate::fleet_capnp::mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                13 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                14 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                15 => <::capnp::struct_list::Owned<crate::fleet_capnp::stamp::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,4,6,12,0,9,7,11,1,15,10,2,8,14,3,13];
+        pub(crate) const TYPE_ID: u64 = 0xfb6f_6787_8ce6_8a3e;
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod control;
 pub mod error;
+pub mod gossip;
 pub mod handshake;
 pub mod link;
 pub mod listener;
--- a/programs/pb-control/src/node.rs
+++ b/programs/pb-control/src/node.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -22,6 +23,7 @@
 use persimmonbend_core::machine::Reply;
 use persimmonbend_replica::journal::Journal;
 use persimmonbend_wire::update::Update;
+use rand::seq::IteratorRandom;
 use serde_json::json;
 
 use crate::settings::Settings;
@@ -29,6 +31,15 @@
 /// Entries kept for hosts that are a little behind.
 const RECENT_ENTRIES: usize = 1_024;
 
+/// Addresses of other hosts that a watch returns at most.
+const BOOK: usize = 8;
+
+/// Time after its last call for which a host's address is handed out.
+const BOOK_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Most hosts whose addresses are kept.
+const MAX_HOSTS: usize = 8_192;
+
 /// Longest time that a watch waits.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 
@@ -39,6 +50,13 @@
     at: Instant,
 }
 
+/// Where a host takes calls of its peers.
+#[derive(Debug, Clone, Copy)]
+struct Contact {
+    peers: SocketAddr,
+    at: Instant,
+}
+
 /// One control replica.
 #[derive(Debug)]
 pub struct Node {
@@ -54,6 +72,7 @@
     machine: Machine,
     recent: VecDeque<Entry>,
     hosts: BTreeMap<HostId, Seen>,
+    contacts: BTreeMap<HostId, Contact>,
 }
 
 impl Node {
@@ -72,6 +91,7 @@
             machine: Machine::default(),
             recent: VecDeque::new(),
             hosts: BTreeMap::new(),
+            contacts: BTreeMap::new(),
         };
         for record in records {
             let command = serde_json::from_slice(&record).context("unreadable journal entry")?;
@@ -127,6 +147,28 @@
         (inner.machine.config().revision(), inner.update(since))
     }
 
+    /// Notes where a host takes calls of its peers.
+    pub fn meet(&self, host: &str, peers: Option<SocketAddr>) {
+        let Some(peers) = peers else {
+            return;
+        };
+        let at = self.clock.now();
+        let contacts = &mut self.inner.borrow_mut().contacts;
+        if contacts.len() < MAX_HOSTS || contacts.contains_key(host) {
+            contacts.insert(host.to_owned(), Contact { peers, at });
+        }
+        contacts.retain(|_, one| at.duration_since(one.at) < BOOK_LIFETIME);
+    }
+
+    /// Returns the addresses of some hosts other than `host` that called lately.
+    #[must_use]
+    pub fn book(&self, host: &str) -> Vec<SocketAddr> {
+        let inner = self.inner.borrow();
+        let others = inner.contacts.iter().filter(|(id, _)| *id != host);
+        let peers = others.map(|(_, contact)| contact.peers);
+        peers.sample(&mut rand::rng(), BOOK)
+    }
+
     /// Returns what operators ask for first.
     #[must_use]
     pub fn status(&self) -> serde_json::Value {
--- a/programs/pb-control/src/server.rs
+++ b/programs/pb-control/src/server.rs
@@ -37,7 +37,15 @@
         let params = params.get()?;
         let host = params.get_host()?.to_str()?;
         let wait = Duration::from_millis(u64::from(params.get_wait_ms()));
+        let peers = params.get_peers()?.to_str()?.parse().ok();
+        self.node.meet(host, peers);
         let (revision, update) = self.node.watch(host, params.get_since(), wait).await;
+        let book = self.node.book(host);
+        let length = u32::try_from(book.len()).unwrap_or(u32::MAX);
+        let mut list = results.get().init_book(length);
+        for (index, address) in (0..length).zip(book) {
+            list.set(index, address.to_string());
+        }
         update.write(revision, results.get().init_update())?;
         Ok(())
     }
--- a/programs/pb-lab/src/demo.rs
+++ b/programs/pb-lab/src/demo.rs
@@ -111,8 +111,13 @@
         let mut proxies = Vec::new();
         let mut addresses = Vec::new();
         for number in 0..PROXIES {
-            let (part, address) =
-                fleet::proxy(&files, &format!("host-{number}"), "a", &[control_address])?;
+            let (part, address) = fleet::proxy(
+                &files,
+                &format!("host-{number}"),
+                "a",
+                &[control_address],
+                &[],
+            )?;
             proxies.push(part);
             addresses.push(address);
         }
--- a/programs/pb-lab/src/fleet.rs
+++ b/programs/pb-lab/src/fleet.rs
@@ -170,6 +170,7 @@
     name: &str,
     zone: &str,
     control: &[SocketAddr],
+    seeds: &[SocketAddr],
 ) -> anyhow::Result<(Part, pb_proxy::Addresses)> {
     let settings = checked::<pb_proxy::settings::File, _>(&json!({
         "host": name,
@@ -178,6 +179,7 @@
         "platform": "127.0.0.1:0",
         "peers": "127.0.0.1:0",
         "control": control,
+        "seeds": seeds,
         "secret_file": files.secret(),
         "stop_notice_ms": 500,
     }))?;
