--- a/programs/pb-lab/tests/path.rs
+++ b/programs/pb-lab/tests/path.rs
@@ -80,7 +80,7 @@
     let ledger = Ledger::new();
     let secret = Secret::generate(&mut rand::rng());
     let (control, control_address) = fleet::control(&files, "control-0").unwrap();
-    let (proxy, addresses) = fleet::proxy(&files, "host-0", "a", &[control_address]).unwrap();
+    let (proxy, addresses) = fleet::proxy(&files, "host-0", "a", &[control_address], &[]).unwrap();
     let setup = Setup {
         id: "upstream-0".to_owned(),
         service: "herd".to_owned(),
--- /dev/null
+++ b/programs/pb-lab/tests/support/mod.rs
@@ -0,0 +1,252 @@
+//! A fleet on loopback with what tests ask of it.
+
+#![allow(dead_code)]
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use compio::runtime::Runtime;
+use pb_lab::fleet;
+use pb_lab::fleet::Files;
+use pb_lab::fleet::Part;
+use pb_lab::upstream::Ledger;
+use pb_lab::upstream::Setup;
+use pb_proxy::Addresses;
+use persimmonbend_core::config::Change;
+use persimmonbend_core::config::File;
+use persimmonbend_core::config::Outcome;
+use persimmonbend_core::config::Rate;
+use persimmonbend_core::config::Service;
+use persimmonbend_core::config::Tenant;
+use persimmonbend_core::key::Digest;
+use persimmonbend_core::key::Secret;
+use persimmonbend_wire::handshake;
+use persimmonbend_wire::link::Link;
+use serde_json::Value;
+use serde_json::json;
+
+/// Time after which a condition that does not come about fails the test.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Time between two looks at a condition.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// One running proxy.
+pub struct Proxy {
+    pub part: Option<Part>,
+    pub addresses: Addresses,
+}
+
+/// A running fleet.
+pub struct Fleet {
+    pub files: Files,
+    pub control: Option<Part>,
+    pub control_address: SocketAddr,
+    pub proxies: Vec<Proxy>,
+    pub ledger: Ledger,
+    runtime: Runtime,
+}
+
+impl Fleet {
+    /// Starts one control replica and some proxies that know only it.
+    pub fn start(files: Files, proxies: usize) -> Self {
+        let (control, control_address) = fleet::control(&files, "control-0").unwrap();
+        let mut fleet = Self {
+            files,
+            control: Some(control),
+            control_address,
+            proxies: Vec::new(),
+            ledger: Ledger::new(),
+            runtime: Runtime::new().unwrap(),
+        };
+        for number in 0..proxies {
+            fleet.add_proxy(&format!("host-{number}"), &[]);
+        }
+        fleet
+    }
+
+    /// Adds a proxy and returns its place.
+    pub fn add_proxy(&mut self, name: &str, seeds: &[SocketAddr]) -> usize {
+        let control = [self.control_address];
+        let (part, addresses) = fleet::proxy(&self.files, name, "a", &control, seeds).unwrap();
+        self.proxies.push(Proxy {
+            part: Some(part),
+            addresses,
+        });
+        self.proxies.len() - 1
+    }
+
+    /// Adds an upstream of the service `herd`.
+    pub fn add_upstream(&self, id: &str, proxies: &[SocketAddr], work: Duration) -> Part {
+        let setup = Setup {
+            id: id.to_owned(),
+            service: "herd".to_owned(),
+            zone: "a".to_owned(),
+            listen: "127.0.0.1:0".parse().unwrap(),
+            slots: 50,
+            work,
+            proxies: proxies.to_vec(),
+            seed: 1,
+        };
+        fleet::upstream(setup, self.ledger.clone()).unwrap().0
+    }
+
+    /// Stops control and waits for its end.
+    pub fn stop_control(&mut self) {
+        self.control.take().unwrap().end().unwrap();
+    }
+
+    /// Stops a proxy and waits for its end.
+    pub fn stop_proxy(&mut self, at: usize) {
+        self.proxies[at].part.take().unwrap().end().unwrap();
+    }
+
+    /// Stops whatever still runs.
+    pub fn end(mut self) {
+        for proxy in &mut self.proxies {
+            if let Some(part) = &mut proxy.part {
+                part.ask_to_stop();
+            }
+        }
+        for proxy in &mut self.proxies {
+            if let Some(part) = proxy.part.take() {
+                part.end().unwrap();
+            }
+        }
+        if let Some(control) = self.control.take() {
+            control.end().unwrap();
+        }
+    }
+
+    /// Publishes a service with an open and a keyed route and issues a key for the latter.
+    pub fn configure(&self, secret: &Secret) {
+        let rate = Rate {
+            per_second: 10_000.0,
+            burst: 10_000,
+        };
+        let id = "farm".to_owned();
+        let tenant = Tenant { id, rate };
+        self.submit(Change::Publish {
+            services: vec![service()],
+        });
+        self.submit(Change::SetTenant { tenant });
+        self.submit(Change::IssueKey {
+            digest: secret.digest(),
+            tenant: "farm".to_owned(),
+            label: String::new(),
+        });
+    }
+
+    /// Submits a change that must be accepted.
+    pub fn submit(&self, change: Change) {
+        let operator = fleet::operator(&self.files, &[self.control_address]).unwrap();
+        let outcome = self
+            .runtime
+            .block_on(operator.submit(change, None))
+            .unwrap();
+        assert!(matches!(outcome, Outcome::Accepted { .. }), "{outcome:?}");
+    }
+
+    /// Hands a withdrawal to one proxy.
+    pub fn withdraw_at(&self, proxy: usize, digest: Digest) {
+        let address = self.proxies[proxy].addresses.peers;
+        self.runtime.block_on(async {
+            let link = Link::connect(address, "test", &self.secret())
+                .await
+                .unwrap();
+            let peer = link.peer().unwrap();
+            peer.withdraw(digest, "test").await.unwrap();
+        });
+    }
+
+    /// Returns the status of a proxy.
+    pub fn status(&self, proxy: &Proxy) -> Value {
+        self.runtime.block_on(async {
+            let secret = self.secret();
+            let link = Link::connect(proxy.addresses.peers, "test", &secret).await;
+            let link = link.unwrap();
+            link.peer().unwrap().status().await.unwrap()
+        })
+    }
+
+    /// Returns the revision that control accepted last.
+    pub fn revision(&self) -> u64 {
+        self.runtime.block_on(async {
+            let link = Link::connect(self.control_address, "test", &self.secret()).await;
+            let link = link.unwrap();
+            let control = link.control().unwrap();
+            control.snapshot().await.unwrap().revision()
+        })
+    }
+
+    /// Waits until the status of every running proxy fulfils a condition.
+    pub fn wait_for<F: Fn(&Value) -> bool>(&self, what: &str, holds: F) {
+        let started = Instant::now();
+        let mut last = Value::Null;
+        while started.elapsed() < PATIENCE {
+            let running = self.proxies.iter().filter(|proxy| proxy.part.is_some());
+            let all = running.map(|proxy| self.status(proxy));
+            match all.into_iter().find(|status| !holds(status)) {
+                None => return,
+                Some(status) => last = status,
+            }
+            thread::sleep(PAUSE);
+        }
+        panic!("no proxy may lack {what}: {last}");
+    }
+
+    fn secret(&self) -> handshake::Secret {
+        let text = std::fs::read_to_string(self.files.secret()).unwrap();
+        handshake::Secret::from(text.trim().to_owned())
+    }
+}
+
+/// Returns a count of a status.
+pub fn count(status: &Value, field: &str) -> u64 {
+    status[field].as_u64().unwrap()
+}
+
+/// Waits until a condition holds.
+pub fn wait_until<F: FnMut() -> bool>(what: &str, mut holds: F) {
+    let started = Instant::now();
+    while !holds() {
+        assert!(started.elapsed() < PATIENCE, "it never came to: {what}");
+        thread::sleep(PAUSE);
+    }
+}
+
+/// Returns the answer to a GET over a new connection, empty if the connection broke.
+pub fn get(address: SocketAddr, path: &str, secret: &Secret) -> String {
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\nauthorization: Bearer {}\r\n\r\n",
+        secret.reveal()
+    );
+    let Ok(mut stream) = TcpStream::connect(address) else {
+        return String::new();
+    };
+    stream
+        .set_read_timeout(Some(Duration::from_secs(20)))
+        .unwrap();
+    let _ = stream.write_all(request.as_bytes());
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    answer
+}
+
+fn service() -> Service {
+    let file: File = serde_json::from_value(json!({
+        "service": "herd",
+        "owner": "registry",
+        "routes": [
+            { "id": "register", "prefix": "/herd", "methods": ["GET", "PUT"] },
+            { "id": "open", "prefix": "/herd/open", "methods": ["GET"], "open": true },
+        ],
+    }))
+    .unwrap();
+    Service::try_from(file).unwrap()
+}
--- a/programs/pb-proxy/src/auth.rs
+++ b/programs/pb-proxy/src/auth.rs
@@ -23,7 +23,7 @@
     let digest = secret.digest();
     let config = board.config();
     let known = config.keys().get(&digest).ok_or(Kind::KeyUnknown)?;
-    if known.withdrawn || board.withdrawn().contains(&digest) {
+    if board.is_withdrawn(&digest) {
         return Err(Kind::KeyWithdrawn);
     }
     Ok(known.tenant.clone())
--- a/programs/pb-proxy/src/callers.rs
+++ b/programs/pb-proxy/src/callers.rs
@@ -70,6 +70,8 @@
         let target = self.target(&head)?;
         let tenant = if target.route.open {
             None
+        } else if self.node.is_isolated() {
+            return Err(Kind::Isolated);
         } else {
             Some(auth::tenant(&self.node.board(), &head.headers)?)
         };
--- /dev/null
+++ b/programs/pb-proxy/src/gossip.rs
@@ -0,0 +1,190 @@
+//! The gossip with other proxies: moves the messages of [`persimmonbend_core::membership`].
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::runtime::spawn;
+use log::debug;
+use log::info;
+use persimmonbend_core::membership::Sending;
+use persimmonbend_core::membership::message::Message;
+use persimmonbend_core::membership::pace::TICK;
+use persimmonbend_wire::error::Error;
+use persimmonbend_wire::gossip;
+use persimmonbend_wire::peer::Client;
+
+use crate::node::Node;
+use crate::subscription;
+
+/// Time in which pieces of news are gathered before they are pushed.
+const NEWS_PAUSE: Duration = Duration::from_millis(10);
+
+/// Exchanges that may be under way at a time.
+const MAX_EXCHANGES: usize = 32;
+
+/// Messages of one exchange at most.
+const MAX_LEGS: usize = 8;
+
+/// Messages at most while a starting proxy fetches the whole view.
+const MAX_JOIN_LEGS: usize = 2_048;
+
+/// Time after its start when a proxy that reaches control and no other proxy gives up waiting.
+const JOIN_PATIENCE: Duration = Duration::from_secs(3);
+
+/// Time between two attempts to fetch the whole view.
+const JOIN_PAUSE: Duration = Duration::from_millis(100);
+
+/// Sends what is due until the future is dropped.
+pub async fn run(node: Rc<Node>) {
+    spawn(join(Rc::clone(&node))).detach();
+    loop {
+        node.wait_for_news(TICK).await;
+        compio::time::sleep(NEWS_PAUSE).await;
+        let due = node.membership().tick(&mut node.board_mut());
+        for sending in due {
+            start(&node, sending);
+        }
+        if node.is_joined() && !node.is_configured() && has_current_config(&node) {
+            node.set_configured();
+        }
+    }
+}
+
+/// Answers a message of another proxy.
+///
+/// # Errors
+///
+/// Returns [`Error::Malformed`] when the bytes are no message.
+pub fn answer(node: &Rc<Node>, bytes: &[u8]) -> Result<Vec<u8>, Error> {
+    let message = gossip::decode(bytes)?;
+    let answer = node.membership().answer(&mut node.board_mut(), &message);
+    let reply = gossip::encode(&answer)?;
+    node.membership().spend(reply.len());
+    node.wake_for_news();
+    if message.revision > node.board().config().revision() {
+        let node = Rc::clone(node);
+        spawn(async move { fetch_from(&node, message.from.peers).await }).detach();
+    }
+    Ok(reply)
+}
+
+fn start(node: &Rc<Node>, sending: Sending) {
+    if node.exchanges().get() >= MAX_EXCHANGES {
+        return;
+    }
+    node.exchanges().set(node.exchanges().get() + 1);
+    let node = Rc::clone(node);
+    spawn(async move {
+        if let Err(error) = exchange(&node, &sending).await {
+            debug!("members: {} did not answer: {error}", sending.to);
+            node.links().forget(sending.to);
+        }
+        node.exchanges().set(node.exchanges().get() - 1);
+    })
+    .detach();
+}
+
+async fn exchange(node: &Rc<Node>, sending: &Sending) -> Result<(), Error> {
+    let link = node.links().link(node, sending.to).await?;
+    let peer = link.peer()?;
+    let mut next = Some(sending.message.clone());
+    for _ in 0..MAX_LEGS {
+        let Some(message) = next else {
+            break;
+        };
+        (next, _) = leg(node, &peer, &message).await?;
+    }
+    node.wake_for_news();
+    Ok(())
+}
+
+/// Sends one message and takes in its answer; returns what continues the exchange, and whether
+/// both sides hold the same view.
+async fn leg(
+    node: &Rc<Node>,
+    peer: &Client,
+    message: &Message,
+) -> Result<(Option<Message>, bool), Error> {
+    let bytes = gossip::encode(message)?;
+    let sent = node.now();
+    let reply = peer.gossip(&bytes).await?;
+    node.membership().spend(bytes.len());
+    let answer = gossip::decode(&reply)?;
+    if answer.revision > node.board().config().revision() {
+        fetch(node, peer).await?;
+    }
+    let agreed = answer.summary.is_some() && answer.buckets.is_empty();
+    let next = node
+        .membership()
+        .take_in(&mut node.board_mut(), sent, &answer);
+    Ok((next, agreed))
+}
+
+async fn fetch(node: &Rc<Node>, peer: &Client) -> Result<(), Error> {
+    let since = node.board().config().revision();
+    let update = peer.update(since).await?;
+    subscription::take_in(node, update);
+    node.wake_for_news();
+    Ok(())
+}
+
+async fn fetch_from(node: &Rc<Node>, address: SocketAddr) {
+    if node.fetching().replace(true) {
+        return;
+    }
+    let fetched = async {
+        let link = node.links().link(node, address).await?;
+        fetch(node, &link.peer()?).await
+    };
+    if let Err(error) = fetched.await {
+        debug!("config: {address} did not hand over its configuration: {error}");
+        node.links().forget(address);
+    }
+    node.fetching().set(false);
+}
+
+/// Returns whether most other hosts were heard and none of them has a newer configuration.
+fn has_current_config(node: &Node) -> bool {
+    let (heard, all) = node.membership().freshness().heard(node.now());
+    let others = heard.saturating_sub(1);
+    node.board().config().revision() > 0 && all > 1 && others * 2 > all - 1
+}
+
+/// Fetches the whole view from another proxy before this one counts as ready.
+async fn join(node: Rc<Node>) {
+    let started = node.now();
+    loop {
+        let contacts = node.membership().contacts();
+        for contact in &contacts {
+            if fetch_view(&node, *contact).await.unwrap_or(false) {
+                info!("members: fetched the view of {contact}");
+                node.set_joined();
+                return;
+            }
+            node.links().forget(*contact);
+        }
+        let waited = node.now().duration_since(started);
+        if node.is_configured() && (contacts.is_empty() || waited >= JOIN_PATIENCE) {
+            info!("members: no other proxy answers");
+            node.set_joined();
+            return;
+        }
+        compio::time::sleep(JOIN_PAUSE).await;
+    }
+}
+
+async fn fetch_view(node: &Rc<Node>, contact: SocketAddr) -> Result<bool, Error> {
+    let link = node.links().link(node, contact).await?;
+    let peer = link.peer()?;
+    let mut next = None;
+    for _ in 0..MAX_JOIN_LEGS {
+        let message = next.unwrap_or_else(|| node.membership().open(&node.board()));
+        let (following, agreed) = leg(node, &peer, &message).await?;
+        if agreed {
+            return Ok(true);
+        }
+        next = following;
+    }
+    Ok(false)
+}
--- a/programs/pb-proxy/src/lib.rs
+++ b/programs/pb-proxy/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod auth;
 pub mod callers;
 pub mod forward;
+pub mod gossip;
+pub mod links;
 pub mod node;
 pub mod peer;
 pub mod platform;
@@ -46,7 +48,7 @@
 /// # Errors
 ///
 /// Returns an error when an address cannot be bound.
-pub async fn run<B>(settings: Settings, stop: Stop, bound: B) -> anyhow::Result<()>
+pub async fn run<B>(mut settings: Settings, stop: Stop, bound: B) -> anyhow::Result<()>
 where
     B: FnOnce(Addresses),
 {
@@ -63,6 +65,7 @@
         "proxy: {} takes requests on {}",
         settings.host, addresses.callers
     );
+    settings.peers = addresses.peers;
     bound(addresses);
 
     let node = Rc::new(Node::new(settings, Rc::new(System), stop.clone()));
@@ -74,6 +77,7 @@
     let background = [
         spawn(listener.roles(roles).serve()),
         spawn(subscription::run(Rc::clone(&node))),
+        spawn(gossip::run(Rc::clone(&node))),
         spawn(node::sweep(Rc::clone(&node))),
         spawn(node::close_after_notice(Rc::clone(&node))),
     ];
--- /dev/null
+++ b/programs/pb-proxy/src/links.rs
@@ -0,0 +1,108 @@
+//! Links to other proxies, made when needed and closed when idle.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use persimmonbend_wire::error::Error;
+use persimmonbend_wire::link::Link;
+
+use crate::node::Node;
+
+/// Time after which an unused link is closed.
+const IDLE_LIFETIME: Duration = Duration::from_secs(30);
+
+/// Most links that are kept.
+const MAX_LINKS: usize = 128;
+
+/// Links by the address of the proxy.
+#[derive(Default)]
+pub struct Links {
+    entries: RefCell<BTreeMap<SocketAddr, Entry>>,
+}
+
+struct Entry {
+    link: Rc<Link>,
+    used: Instant,
+}
+
+impl Links {
+    /// Creates an empty set.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns how many links are open.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.entries.borrow().len()
+    }
+
+    /// Returns a link to a proxy, a new one if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub async fn link(&self, node: &Node, address: SocketAddr) -> Result<Rc<Link>, Error> {
+        if let Some(link) = self.open_link(address, node.now()) {
+            return Ok(link);
+        }
+        let settings = node.settings();
+        let link = Rc::new(Link::connect(address, &settings.host, &settings.secret).await?);
+        let entry = Entry {
+            link: Rc::clone(&link),
+            used: node.now(),
+        };
+        let mut entries = self.entries.borrow_mut();
+        entries.insert(address, entry);
+        if entries.len() > MAX_LINKS {
+            drop_oldest(&mut entries);
+        }
+        Ok(link)
+    }
+
+    /// Closes the link to a proxy.
+    pub fn forget(&self, address: SocketAddr) {
+        self.entries.borrow_mut().remove(&address);
+    }
+
+    /// Closes links that were not used for long.
+    pub fn sweep(&self, now: Instant) {
+        let mut entries = self.entries.borrow_mut();
+        entries.retain(|_, entry| {
+            entry.link.is_open() && now.duration_since(entry.used) < IDLE_LIFETIME
+        });
+    }
+
+    fn open_link(&self, address: SocketAddr, now: Instant) -> Option<Rc<Link>> {
+        let mut entries = self.entries.borrow_mut();
+        let entry = entries.get_mut(&address)?;
+        if !entry.link.is_open() {
+            entries.remove(&address);
+            return None;
+        }
+        entry.used = now;
+        Some(Rc::clone(&entry.link))
+    }
+}
+
+impl fmt::Debug for Links {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("Links")
+            .field("count", &self.count())
+            .finish()
+    }
+}
+
+fn drop_oldest(entries: &mut BTreeMap<SocketAddr, Entry>) {
+    let oldest = entries.iter().min_by_key(|(_, entry)| entry.used);
+    if let Some(address) = oldest.map(|(address, _)| *address) {
+        entries.remove(&address);
+    }
+}
--- a/programs/pb-proxy/src/node.rs
+++ b/programs/pb-proxy/src/node.rs
@@ -4,21 +4,29 @@
 use std::cell::Ref;
 use std::cell::RefCell;
 use std::cell::RefMut;
+use std::collections::VecDeque;
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
+use event_listener::Event;
 use log::info;
 use persimmonbend_app::stop::Stop;
 use persimmonbend_core::board::Board;
 use persimmonbend_core::clock::Clock;
+use persimmonbend_core::config::Entry;
+use persimmonbend_core::host;
 use persimmonbend_core::key;
+use persimmonbend_core::membership::Membership;
 use persimmonbend_core::routing::TwoChoices;
+use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
 
+use crate::links::Links;
 use crate::pool::Pool;
 use crate::settings::Settings;
 use crate::slots::Slots;
@@ -31,6 +39,13 @@
     settings: Settings,
     clock: Rc<dyn Clock>,
     board: RefCell<Board>,
+    membership: RefCell<Membership>,
+    links: Links,
+    news: Event,
+    exchanges: Cell<usize>,
+    fetching: Cell<bool>,
+    recent: RefCell<VecDeque<Entry>>,
+    joined: Cell<bool>,
     rng: RefCell<ChaCha8Rng>,
     pool: Pool,
     slots: Slots,
@@ -43,9 +58,25 @@
     /// Creates a proxy that has no configuration yet.
     #[must_use]
     pub fn new(settings: Settings, clock: Rc<dyn Clock>, stop: Stop) -> Self {
+        let mut board = Board::new(Rc::clone(&clock));
+        let mut rng = ChaCha8Rng::from_rng(&mut rand::rng());
+        let membership = Membership::new(
+            &mut board,
+            announcement(&settings, clock.wall()),
+            &settings.seeds,
+            settings.isolation,
+            rng.random(),
+        );
         Self {
-            board: RefCell::new(Board::new(Rc::clone(&clock))),
-            rng: RefCell::new(ChaCha8Rng::from_rng(&mut rand::rng())),
+            board: RefCell::new(board),
+            membership: RefCell::new(membership),
+            links: Links::new(),
+            news: Event::new(),
+            exchanges: Cell::new(0),
+            fetching: Cell::new(false),
+            recent: RefCell::new(VecDeque::new()),
+            joined: Cell::new(false),
+            rng: RefCell::new(rng),
             pool: Pool::new(settings.idle_connections),
             slots: Slots::new(Box::new(TwoChoices)),
             ready: Cell::new(false),
@@ -80,6 +111,49 @@
         self.board.borrow_mut()
     }
 
+    /// Returns the membership; the borrow must not be held over an await.
+    #[must_use]
+    pub fn membership(&self) -> RefMut<'_, Membership> {
+        self.membership.borrow_mut()
+    }
+
+    /// Returns the links to other proxies.
+    #[must_use]
+    pub const fn links(&self) -> &Links {
+        &self.links
+    }
+
+    /// Returns the number of exchanges under way.
+    #[must_use]
+    pub const fn exchanges(&self) -> &Cell<usize> {
+        &self.exchanges
+    }
+
+    /// Returns whether configuration is being fetched on word of another proxy.
+    #[must_use]
+    pub const fn fetching(&self) -> &Cell<bool> {
+        &self.fetching
+    }
+
+    /// Returns the latest changes of the configuration, oldest first.
+    #[must_use]
+    pub const fn recent(&self) -> &RefCell<VecDeque<Entry>> {
+        &self.recent
+    }
+
+    /// Waits until there is news to push, at most for `limit`.
+    pub async fn wait_for_news(&self, limit: Duration) {
+        let listener = self.news.listen();
+        let _ = compio::time::timeout(limit, listener).await;
+    }
+
+    /// Has news pushed at once, if there is any.
+    pub fn wake_for_news(&self) {
+        if self.membership().has_news(&self.board()) {
+            self.news.notify(1);
+        }
+    }
+
     /// Returns the random generator; the borrow must not be held over an await.
     #[must_use]
     pub fn rng(&self) -> RefMut<'_, ChaCha8Rng> {
@@ -113,7 +187,24 @@
     /// Returns whether the platform's balancer may send requests here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.is_configured() && !self.stop.is_asked()
+        self.is_configured() && self.is_joined() && !self.stop.is_asked() && !self.is_isolated()
+    }
+
+    /// Returns whether this proxy hears neither control nor most of the fleet.
+    #[must_use]
+    pub fn is_isolated(&self) -> bool {
+        self.membership().is_isolated(&self.board())
+    }
+
+    /// Returns whether the view of another proxy was fetched, or there is none to fetch.
+    #[must_use]
+    pub const fn is_joined(&self) -> bool {
+        self.joined.get()
+    }
+
+    /// Notes that the view is known as whole.
+    pub fn set_joined(&self) {
+        self.joined.set(true);
     }
 
     /// Returns whether a configuration known as current was in force since the start.
@@ -132,33 +223,53 @@
     /// Returns what operators ask for first.
     #[must_use]
     pub fn status(&self) -> serde_json::Value {
+        let ready = self.is_ready();
+        let isolated = self.is_isolated();
+        let membership = self.membership();
         let board = self.board();
+        let (heard, all) = membership.freshness().heard(board.now());
         json!({
             "host": self.settings.host,
             "zone": self.settings.zone,
-            "ready": self.is_ready(),
+            "ready": ready,
+            "isolated": isolated,
             "stopping": self.stop.is_asked(),
             "revision": board.config().revision(),
             "upstreams": board.all_upstreams().count(),
+            "hosts": board.hosts().len(),
+            "hosts_live": board.live_hosts().count(),
+            "panel": { "heard": heard, "all": all },
+            "vouched": membership.vouched(),
+            "links": self.links.count(),
         })
     }
 
     /// Returns the whole state without secrets.
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
+        let status = self.status();
         let board = self.board();
         let now = board.now();
         let upstream = |one: &persimmonbend_core::upstream::Upstream| {
             json!({
                 "announcement": one.announcement,
                 "heard_ms_ago": u64::try_from(now.duration_since(one.heard).as_millis()).unwrap_or(u64::MAX),
+                "lapsed": one.lapsed,
                 "in_flight": one.in_flight,
             })
         };
+        let host = |one: &host::Host| {
+            json!({
+                "announcement": one.announcement,
+                "heard_ms_ago": u64::try_from(now.duration_since(one.heard).as_millis()).unwrap_or(u64::MAX),
+                "suspected": one.suspected,
+            })
+        };
         json!({
-            "status": self.status(),
+            "status": status,
             "config": *board.config(),
             "withdrawn": board.withdrawn().iter().map(key::Digest::short).collect::<Vec<_>>(),
+            "hosts": board.hosts().values().map(host).collect::<Vec<_>>(),
             "upstreams": board.all_upstreams().map(upstream).collect::<Vec<_>>(),
             "events": board.events().iter().collect::<Vec<_>>(),
         })
@@ -179,6 +290,8 @@
     loop {
         compio::time::sleep(SWEEP_INTERVAL).await;
         node.board_mut().sweep();
+        node.links().sweep(node.now());
+        node.pool().sweep(node.now());
     }
 }
 
@@ -186,6 +299,22 @@
 pub async fn close_after_notice(node: Rc<Node>) {
     node.stop().asked().await;
     info!("proxy: {} is stopping", node.settings().host);
+    node.membership().stop(&mut node.board_mut());
+    node.wake_for_news();
     compio::time::sleep(node.settings().stop_notice).await;
     node.closing().ask();
 }
+
+/// Returns what a starting proxy says about itself.
+fn announcement(settings: &Settings, wall: SystemTime) -> host::Announcement {
+    let since_epoch = wall.duration_since(SystemTime::UNIX_EPOCH);
+    let millis = since_epoch.unwrap_or_default().as_millis();
+    host::Announcement {
+        id: settings.host.clone(),
+        zone: settings.zone.clone(),
+        peers: settings.advertise_peers.unwrap_or(settings.peers),
+        incarnation: u64::try_from(millis).unwrap_or(u64::MAX),
+        sequence: 0,
+        stopping: false,
+    }
+}
--- a/programs/pb-proxy/src/peer.rs
+++ b/programs/pb-proxy/src/peer.rs
@@ -4,9 +4,13 @@
 
 use capnp::Error;
 use capnp::capability::Rc as Server;
+use log::info;
+use persimmonbend_core::key::Digest;
 use persimmonbend_wire::fleet_capnp::peer;
 
+use crate::gossip;
 use crate::node::Node;
+use crate::subscription;
 
 /// Returns a capability that serves `node`.
 #[must_use]
@@ -27,6 +31,49 @@
         Ok(())
     }
 
+    async fn gossip(
+        self: Server<Self>,
+        params: peer::GossipParams,
+        mut results: peer::GossipResults,
+    ) -> Result<(), Error> {
+        let reply = gossip::answer(&self.node, params.get()?.get_message()?)?;
+        results.get().set_reply(&reply);
+        Ok(())
+    }
+
+    async fn update(
+        self: Server<Self>,
+        params: peer::UpdateParams,
+        mut results: peer::UpdateResults,
+    ) -> Result<(), Error> {
+        let update = subscription::update(&self.node, params.get()?.get_since());
+        let revision = self.node.board().config().revision();
+        update.write(revision, results.get().init_update())?;
+        Ok(())
+    }
+
+    async fn withdraw(
+        self: Server<Self>,
+        params: peer::WithdrawParams,
+        _results: peer::WithdrawResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let bytes = <[u8; 32]>::try_from(params.get_digest()?);
+        let bytes = bytes.map_err(|_| Error::failed("a digest has 32 bytes".to_owned()))?;
+        let digest = Digest::from(bytes);
+        let operator = params.get_operator()?.to_str()?;
+        let taken = self
+            .node
+            .membership()
+            .withdraw(&mut self.node.board_mut(), digest);
+        if !taken {
+            return Err(Error::failed("too many withdrawals wait".to_owned()));
+        }
+        info!("keys: {operator} withdrew key {}", digest.short());
+        self.node.wake_for_news();
+        Ok(())
+    }
+
     async fn status(
         self: Server<Self>,
         _params: peer::StatusParams,
--- a/programs/pb-proxy/src/platform.rs
+++ b/programs/pb-proxy/src/platform.rs
@@ -13,6 +13,7 @@
 use persimmonbend_app::http;
 use persimmonbend_app::http::Body;
 use persimmonbend_app::http::Handler;
+use persimmonbend_core::membership::Taken;
 use persimmonbend_core::upstream::Announcement;
 use serde_json::json;
 
@@ -60,19 +61,15 @@
         let id = announcement.id.clone();
         let stage = announcement.stage;
         let mut board = self.node.board_mut();
-        let before = board
-            .upstreams(&announcement.service)
-            .find(|one| one.announcement.id == id);
-        let before = before.map(|one| one.announcement.stage);
-        let news = board.announce(announcement);
-        if news && before != Some(stage) {
+        let taken = self.node.membership().announce(&mut board, announcement);
+        let news = taken == Taken::News;
+        if news {
             info!("members: upstream {id} is {stage:?}");
-            board.record(
-                "members",
-                &id,
-                format!("The upstream says that it is {stage:?}."),
-            );
+            let text = format!("The upstream says that it is {stage:?}.");
+            board.record("members", &id, text);
         }
+        drop(board);
+        self.node.wake_for_news();
         news
     }
 }
--- a/programs/pb-proxy/src/settings.rs
+++ b/programs/pb-proxy/src/settings.rs
@@ -15,6 +15,8 @@
 const DEFAULT_ANSWER_HOLD_BYTES: usize = 256 * 1024;
 const DEFAULT_STOP_NOTICE_MS: u64 = 5_000;
 const DEFAULT_IDLE_CONNECTIONS: usize = 7;
+const DEFAULT_ISOLATION_MS: u64 = 5_000;
+const MIN_ISOLATION_MS: u64 = 1_000;
 
 /// The settings file as written.
 #[derive(Debug, Deserialize)]
@@ -26,6 +28,10 @@
     platform: String,
     peers: String,
     control: Vec<String>,
+    #[serde(default)]
+    seeds: Vec<String>,
+    #[serde(default)]
+    advertise_peers: Option<String>,
     secret_file: PathBuf,
     #[serde(default)]
     body_max_bytes: Option<usize>,
@@ -35,6 +41,8 @@
     stop_notice_ms: Option<u64>,
     #[serde(default)]
     idle_connections: Option<usize>,
+    #[serde(default)]
+    isolation_ms: Option<u64>,
 }
 
 /// Checked settings.
@@ -52,6 +60,10 @@
     pub peers: SocketAddr,
     /// Addresses of the control replicas.
     pub control: Vec<SocketAddr>,
+    /// Addresses of other proxies to begin with.
+    pub seeds: Vec<SocketAddr>,
+    /// Address for peers as other hosts reach it, where it is not the one bound.
+    pub advertise_peers: Option<SocketAddr>,
     /// Fleet secret.
     pub secret: Secret,
     /// Largest request body in bytes.
@@ -62,6 +74,9 @@
     pub stop_notice: Duration,
     /// Idle connections kept to one upstream.
     pub idle_connections: usize,
+    /// Time without word from control or from most of the fleet after which keyed requests are
+    /// refused.
+    pub isolation: Duration,
 }
 
 impl TryFrom<File> for Settings {
@@ -80,6 +95,16 @@
         let platform = faults.address(&file.platform, "platform");
         let peers = faults.address(&file.peers, "peers");
         let control = faults.addresses(&file.control, "control");
+        let seeds = faults.addresses(&file.seeds, "seeds");
+        let advertise_peers = file.advertise_peers.as_deref();
+        let advertise_peers =
+            advertise_peers.and_then(|text| faults.address(text, "advertise_peers"));
+        let isolation_ms = file.isolation_ms.unwrap_or(DEFAULT_ISOLATION_MS);
+        faults.require(
+            isolation_ms >= MIN_ISOLATION_MS,
+            "isolation_ms",
+            "must be at least 1000",
+        );
         let secret = secret::read(&mut faults, "secret_file", &file.secret_file);
         let stop_notice_ms = file.stop_notice_ms.unwrap_or(DEFAULT_STOP_NOTICE_MS);
         let settings = (|| {
@@ -90,11 +115,14 @@
                 platform: platform?,
                 peers: peers?,
                 control,
+                seeds,
+                advertise_peers,
                 secret: Secret::from(secret?),
                 body_max_bytes: file.body_max_bytes.unwrap_or(DEFAULT_BODY_MAX_BYTES),
                 answer_hold_bytes: file.answer_hold_bytes.unwrap_or(DEFAULT_ANSWER_HOLD_BYTES),
                 stop_notice: Duration::from_millis(stop_notice_ms),
                 idle_connections: file.idle_connections.unwrap_or(DEFAULT_IDLE_CONNECTIONS),
+                isolation: Duration::from_millis(isolation_ms),
             })
         })();
         faults.into_result(settings)
--- a/programs/pb-proxy/src/subscription.rs
+++ b/programs/pb-proxy/src/subscription.rs
@@ -6,7 +6,9 @@
 
 use log::info;
 use log::warn;
+use persimmonbend_core::config::Entry;
 use persimmonbend_core::config::State;
+use persimmonbend_core::id::Revision;
 use persimmonbend_wire::control::Client;
 use persimmonbend_wire::error::Error;
 use persimmonbend_wire::link::Link;
@@ -17,6 +19,12 @@
 /// Time that one watch waits for a change; doubles as the ping of an idle link.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 
+/// Changes kept for other proxies.
+const RECENT_ENTRIES: usize = 64;
+
+/// Share of the isolation time that a watch may wait.
+const ISOLATION_SHARE: u32 = 2;
+
 /// Pause before the next replica is tried.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -38,12 +46,19 @@
 /// Puts an update in force and returns whether it reached a newer revision.
 pub fn take_in(node: &Node, update: Update) -> bool {
     let state = match update {
-        Update::Snapshot(state) => *state,
+        Update::Snapshot(state) => {
+            if state.revision() > node.board().config().revision() {
+                node.recent().borrow_mut().clear();
+            }
+            *state
+        }
         Update::Changes(entries) if entries.is_empty() => return false,
         Update::Changes(entries) => {
             let mut state = State::clone(&node.board().config());
-            for entry in &entries {
-                state.apply(entry);
+            for entry in entries {
+                if state.apply(&entry) {
+                    keep(node, entry);
+                }
             }
             state
         }
@@ -56,6 +71,33 @@
     newer
 }
 
+/// Returns what is newer than `since`.
+#[must_use]
+pub fn update(node: &Node, since: Revision) -> Update {
+    let config = node.board().config();
+    if since >= config.revision() {
+        return Update::Changes(Vec::new());
+    }
+    let recent = node.recent().borrow();
+    let reaches = recent
+        .front()
+        .is_some_and(|first| first.revision <= since + 1);
+    if !reaches {
+        return Update::Snapshot(Box::new(State::clone(&config)));
+    }
+    let newer = recent.iter().filter(|entry| entry.revision > since);
+    Update::Changes(newer.cloned().collect())
+}
+
+/// Keeps a change for proxies that ask for it.
+fn keep(node: &Node, entry: Entry) {
+    let mut recent = node.recent().borrow_mut();
+    recent.push_back(entry);
+    if recent.len() > RECENT_ENTRIES {
+        recent.pop_front();
+    }
+}
+
 async fn follow(node: &Rc<Node>, replica: SocketAddr) -> Error {
     match Link::connect(replica, &node.settings().host, &node.settings().secret).await {
         Ok(link) => match link.control() {
@@ -70,13 +112,18 @@
     loop {
         let since = node.board().config().revision();
         let wait = if node.is_configured() {
-            WATCH_WAIT
+            WATCH_WAIT.min(node.settings().isolation / ISOLATION_SHARE)
         } else {
             Duration::ZERO
         };
-        match control.watch(&node.settings().host, since, wait).await {
-            Ok(update) => {
+        let sent = node.now();
+        let own = node.membership().own().clone();
+        match control.watch(&own, since, wait).await {
+            Ok((update, book)) => {
+                node.membership().hear_control(sent);
+                node.membership().add_contacts(book);
                 take_in(node, update);
+                node.wake_for_news();
                 node.set_configured();
             }
             Err(error) => return error,
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -65,7 +65,9 @@
 # and `dump` fail with the error text "not leader: ADDRESS" on a follower.
 interface Control {
   ping @0 () -> (leader :Bool, hint :Text);
-  watch @1 (host :Text, since :UInt64, waitMs :UInt32) -> (update :Update);
+  # `peers` and `zone` tell where the host takes calls of its peers; `book` names some other
+  # hosts that called lately.
+  watch @1 (host :Text, since :UInt64, waitMs :UInt32, peers :Text, zone :Text) -> (update :Update, book :List(Text));
   submit @2 (submission :Data) -> (outcome :Data);
   grant @3 (asks :List(Ask)) -> (grants :List(Grant));
   claim @4 (claim :Claim) -> (verdict :Verdict);
@@ -88,3 +90,63 @@
   status @6 () -> (report :Data);
   order @7 (order :Data) -> (outcome :Data);
 }
+
+# What a host says about itself.
+struct HostRecord {
+  id @0 :Text;
+  zone @1 :Text;
+  peers @2 :Text;
+  incarnation @3 :UInt64;
+  sequence @4 :UInt64;
+  stopping @5 :Bool;
+  lapsed @6 :Bool;
+}
+
+# What an upstream says about itself.
+struct UpstreamRecord {
+  id @0 :Text;
+  service @1 :Text;
+  zone @2 :Text;
+  address @3 :Text;
+  slots @4 :UInt32;
+  stage @5 :UInt8;
+  lapsed @6 :Bool;
+  incarnation @7 :UInt64;
+  sequence @8 :UInt64;
+}
+
+# Version of one record, which is named by the hash of its id.
+struct Mark {
+  key @0 :UInt64;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  lapsed @3 :Bool;
+}
+
+# How long ago a host was heard, by itself or through others.
+struct Stamp {
+  key @0 :UInt64;
+  ageMs @1 :UInt32;
+}
+
+# One message of gossip, carried packed in `Peer.gossip`.
+struct Gossip {
+  from @0 :HostRecord;
+  revision @1 :UInt64;
+  # Hashes of the view and of the withdrawals; both 0 where no comparison is wanted.
+  view @2 :UInt64;
+  withdrawals @3 :UInt64;
+  compare @4 :Bool;
+  buckets @5 :List(UInt32);
+  compared @6 :List(UInt16);
+  marks @7 :List(Mark);
+  wants @8 :List(UInt64);
+  hosts @9 :List(HostRecord);
+  upstreams @10 :List(UpstreamRecord);
+  renewals @11 :List(Mark);
+  doubts @12 :List(Mark);
+  withdrawn @13 :List(Data);
+  # Whether `withdrawn` holds all that the reader may lack.
+  whole @14 :Bool;
+  stamps @15 :List(Stamp);
+}
