--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,4 +31,5 @@
 pub mod rendezvous;
 pub mod route;
 pub mod routing;
+pub mod steward;
 pub mod upstream;
