feat(core): the judge gives the steward its verdicts

Cause: the steward decides over a border that nothing implemented yet. Change: health::Judge implements steward::Verdicts. Conclusion: the steward can be wired to it.

--- a/crates/core/src/health/judge.rs
+++ b/crates/core/src/health/judge.rs
@@ -17,6 +17,7 @@
 use crate::id::UpstreamId;
 use crate::id::Zone;
 use crate::rendezvous;
+use crate::steward::Verdicts;
 
 /// Multiple of the service's high latency beyond which an answer counts as bad.
 const SLOW_FACTOR: f64 = 2.5;
@@ -426,6 +427,16 @@
     }
 }
 
+impl Verdicts for Judge {
+    fn observe(&mut self, evidence: &Evidence, now: Instant) {
+        Self::observe(self, evidence, now);
+    }
+
+    fn verdict(&self, upstream: &str, zone: &str, now: Instant) -> Verdict {
+        Self::verdict(self, upstream, zone, now)
+    }
+}
+
 /// Returns the logarithm of how much likelier an outcome is at a grey upstream.
 fn likelihood_ratio(bad: bool, expected: f64) -> f64 {
     let grey = (expected * GREY_FACTOR).clamp(MIN_GREY, MAX_GREY);
