--- a/programs/pb-lab/src/lib.rs
+++ b/programs/pb-lab/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod fleet;
 pub mod load;
 pub mod report;
+pub mod scenario;
 pub mod upstream;
