--- a/crates/core/src/steward.rs
+++ b/crates/core/src/steward.rs
@@ -131,20 +131,17 @@
         self.slot_time.mean()
     }
 
-    /// Notes that a host was heard from.
+    /// Notes that a host was heard from, if it has reservations or asks here.
     pub fn hear(&mut self, host: &str, now: Instant) {
-        match self.heard.get_mut(host) {
-            Some(heard) => *heard = now,
-            None => {
-                self.heard.insert(host.to_owned(), now);
-            }
+        if let Some(heard) = self.heard.get_mut(host) {
+            *heard = now;
         }
     }
 
     /// Asks for a slot.
     pub fn reserve(&mut self, board: &Board, verdicts: &dyn Verdicts, ask: Ask) -> Vec<Answer> {
         let now = board.now();
-        self.hear(&ask.ticket.host, now);
+        self.heard.insert(ask.ticket.host.clone(), now);
         if self.held.contains_key(&ask.ticket) {
             return Vec::new();
         }
@@ -173,7 +170,7 @@
 
     /// Takes in a slot that a host uses without a grant of this steward.
     pub fn hold(&mut self, ticket: Ticket, hold: Hold, now: Instant) {
-        self.hear(&ticket.host, now);
+        self.heard.insert(ticket.host.clone(), now);
         self.free(&ticket);
         self.loads.entry(hold.upstream.clone()).or_default().running += 1;
         self.held.insert(ticket, hold);
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -81,6 +81,8 @@
     Release {
         /// Number of the reservation.
         number: u32,
+        /// Service of the upstream.
+        service: ServiceId,
         /// How the attempt ended.
         sign: Sign,
         /// Time from sending to the end of the attempt, in whole microseconds.
--- a/crates/wire/src/slots/channel.rs
+++ b/crates/wire/src/slots/channel.rs
@@ -86,6 +86,12 @@
         !self.shared.closed.get()
     }
 
+    /// Returns whether `other` queues frames for the same connection.
+    #[must_use]
+    pub fn is(&self, other: &Self) -> bool {
+        Rc::ptr_eq(&self.shared, &other.shared)
+    }
+
     /// Returns the bytes written so far.
     #[must_use]
     pub fn written(&self) -> u64 {
--- a/crates/wire/src/slots/codec.rs
+++ b/crates/wire/src/slots/codec.rs
@@ -103,11 +103,13 @@
             }
             Frame::Release {
                 number,
+                service,
                 sign,
                 latency,
                 reused,
             } => {
                 raw.number = *number;
+                raw.second = self.name(service, bytes)?;
                 raw.code = raw::position(&SIGNS, sign);
                 raw.first = u32::try_from(latency.as_micros()).unwrap_or(u32::MAX);
                 raw.flag = *reused;
@@ -237,6 +239,7 @@
             },
             Tag::Release => Frame::Release {
                 number,
+                service: self.name(raw.second)?,
                 sign: raw::item(&SIGNS, raw.code)?,
                 latency: Duration::from_micros(u64::from(raw.first)),
                 reused: raw.flag,
--- a/crates/wire/tests/slots.rs
+++ b/crates/wire/tests/slots.rs
@@ -68,6 +68,7 @@
             },
             6 => Frame::Release {
                 number,
+                service: name(g),
                 sign: *g.choose(&signs).unwrap(),
                 latency: Duration::from_micros(u64::from(u32::arbitrary(g))),
                 reused: bool::arbitrary(g),
@@ -135,6 +136,7 @@
         },
         Frame::Release {
             number,
+            service: "herd".to_owned(),
             sign: Sign::Answered,
             latency: Duration::from_micros(21_337),
             reused: true,
--- a/programs/pb-proxy/src/lib.rs
+++ b/programs/pb-proxy/src/lib.rs
@@ -72,7 +72,13 @@
     };
     let ended = Stop::new();
     let background = [
-        spawn(listener.roles(roles).serve()),
+        spawn(
+            listener
+                .roles(roles)
+                .slots(slots::handler(Rc::clone(&node)))
+                .serve(),
+        ),
+        spawn(slots::run(Rc::clone(&node))),
         spawn(subscription::run(Rc::clone(&node))),
         spawn(node::sweep(Rc::clone(&node))),
         spawn(node::close_after_notice(Rc::clone(&node))),
--- a/programs/pb-proxy/src/node.rs
+++ b/programs/pb-proxy/src/node.rs
@@ -14,7 +14,7 @@
 use persimmonbend_core::board::Board;
 use persimmonbend_core::clock::Clock;
 use persimmonbend_core::key;
-use persimmonbend_core::routing::TwoChoices;
+use persimmonbend_core::steward::Unconditional;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
@@ -46,8 +46,8 @@
         Self {
             board: RefCell::new(Board::new(Rc::clone(&clock))),
             rng: RefCell::new(ChaCha8Rng::from_rng(&mut rand::rng())),
-            pool: Pool::new(settings.idle_connections),
-            slots: Slots::new(Box::new(TwoChoices)),
+            pool: Pool::new(settings.connections_max),
+            slots: Slots::new(settings.routing, Box::new(Unconditional)),
             ready: Cell::new(false),
             closing: Stop::new(),
             settings,
--- a/programs/pb-proxy/src/pool.rs
+++ b/programs/pb-proxy/src/pool.rs
@@ -6,6 +6,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -32,25 +33,67 @@
     /// Whether an earlier request was answered over it.
     pub reused: bool,
     idle_since: Instant,
+    _place: Place,
 }
 
-/// Idle connections by upstream address.
+/// Open connections by upstream address.
+type Open = Rc<RefCell<BTreeMap<SocketAddr, u32>>>;
+
+/// Counts a connection as open until it is dropped.
+#[derive(Debug)]
+struct Place {
+    open: Open,
+    address: SocketAddr,
+}
+
+impl Place {
+    fn new(open: &Open, address: SocketAddr) -> Self {
+        *open.borrow_mut().entry(address).or_default() += 1;
+        Self {
+            open: Rc::clone(open),
+            address,
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut open = self.open.borrow_mut();
+        let Some(count) = open.get_mut(&self.address) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            open.remove(&self.address);
+        }
+    }
+}
+
+/// Idle connections by upstream address, and the count of those in use.
 #[derive(Debug)]
 pub struct Pool {
     idle: RefCell<BTreeMap<SocketAddr, Vec<Connection>>>,
-    max_idle: usize,
+    open: Open,
+    max: u32,
 }
 
 impl Pool {
-    /// Creates a pool that keeps at most `max_idle` idle connections to one upstream.
+    /// Creates a pool that closes idle connections beyond `max` open ones to one upstream.
     #[must_use]
-    pub const fn new(max_idle: usize) -> Self {
+    pub fn new(max: u32) -> Self {
         Self {
             idle: RefCell::new(BTreeMap::new()),
-            max_idle,
+            open: Open::default(),
+            max,
         }
     }
 
+    /// Returns the connections to an upstream, idle ones and those in use.
+    #[must_use]
+    pub fn open(&self, address: SocketAddr) -> u32 {
+        self.open.borrow().get(&address).copied().unwrap_or(0)
+    }
+
     /// Returns an idle connection that was used after `since`, the latest first.
     #[must_use]
     pub fn take(&self, address: SocketAddr, since: Instant) -> Option<Connection> {
@@ -68,12 +111,14 @@
         None
     }
 
-    /// Makes a new connection.
+    /// Makes a new connection, in place of an idle one where there would be too many.
     ///
     /// # Errors
     ///
     /// Returns an error when the upstream does not accept in time.
     pub async fn connect(&self, address: SocketAddr, now: Instant) -> std::io::Result<Connection> {
+        self.make_room(address);
+        let place = Place::new(&self.open, address);
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
@@ -88,6 +133,7 @@
             sender,
             reused: false,
             idle_since: now,
+            _place: place,
         })
     }
 
@@ -97,9 +143,7 @@
         connection.idle_since = now;
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address).or_default();
-        if connections.len() < self.max_idle {
-            connections.push(connection);
-        }
+        connections.push(connection);
     }
 
     /// Closes the idle connections to one upstream.
@@ -115,4 +159,14 @@
         }
         idle.retain(|_, connections| !connections.is_empty());
     }
+
+    fn make_room(&self, address: SocketAddr) {
+        let mut idle = self.idle.borrow_mut();
+        let Some(connections) = idle.get_mut(&address) else {
+            return;
+        };
+        while self.open(address) >= self.max && !connections.is_empty() {
+            connections.remove(0);
+        }
+    }
 }
--- a/programs/pb-proxy/src/settings.rs
+++ b/programs/pb-proxy/src/settings.rs
@@ -14,7 +14,21 @@
 const DEFAULT_BODY_MAX_BYTES: usize = 1024 * 1024;
 const DEFAULT_ANSWER_HOLD_BYTES: usize = 256 * 1024;
 const DEFAULT_STOP_NOTICE_MS: u64 = 5_000;
-const DEFAULT_IDLE_CONNECTIONS: usize = 7;
+const DEFAULT_CONNECTIONS: u32 = 7;
+const DEFAULT_STEWARD_TIMEOUT_MS: u64 = 4;
+
+/// A way to choose upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Routing {
+    /// By the steward of the service, by two choices where it cannot be asked.
+    #[default]
+    Steward,
+    /// The less busy of two random upstreams by this host's own counts.
+    TwoChoices,
+    /// Every upstream with the same chance.
+    Uniform,
+}
 
 /// The settings file as written.
 #[derive(Debug, Deserialize)]
@@ -34,7 +48,11 @@
     #[serde(default)]
     stop_notice_ms: Option<u64>,
     #[serde(default)]
-    idle_connections: Option<usize>,
+    connections: Option<u32>,
+    #[serde(default)]
+    routing: Routing,
+    #[serde(default)]
+    steward_timeout_ms: Option<u64>,
 }
 
 /// Checked settings.
@@ -60,8 +78,12 @@
     pub answer_hold_bytes: usize,
     /// Time between a stop being asked for and the callers' port closing.
     pub stop_notice: Duration,
-    /// Idle connections kept to one upstream.
-    pub idle_connections: usize,
+    /// Connections to one upstream, idle ones and those in use.
+    pub connections_max: u32,
+    /// How upstreams are chosen.
+    pub routing: Routing,
+    /// Time that a steward has for its first answer.
+    pub steward_timeout: Duration,
 }
 
 impl TryFrom<File> for Settings {
@@ -76,12 +98,20 @@
             "control",
             "must name at least one replica",
         );
+        faults.require(
+            file.connections != Some(0),
+            "connections",
+            "must be at least 1",
+        );
         let callers = faults.address(&file.callers, "callers");
         let platform = faults.address(&file.platform, "platform");
         let peers = faults.address(&file.peers, "peers");
         let control = faults.addresses(&file.control, "control");
         let secret = secret::read(&mut faults, "secret_file", &file.secret_file);
         let stop_notice_ms = file.stop_notice_ms.unwrap_or(DEFAULT_STOP_NOTICE_MS);
+        let steward_timeout_ms = file
+            .steward_timeout_ms
+            .unwrap_or(DEFAULT_STEWARD_TIMEOUT_MS);
         let settings = (|| {
             Some(Self {
                 host: file.host,
@@ -94,7 +124,9 @@
                 body_max_bytes: file.body_max_bytes.unwrap_or(DEFAULT_BODY_MAX_BYTES),
                 answer_hold_bytes: file.answer_hold_bytes.unwrap_or(DEFAULT_ANSWER_HOLD_BYTES),
                 stop_notice: Duration::from_millis(stop_notice_ms),
-                idle_connections: file.idle_connections.unwrap_or(DEFAULT_IDLE_CONNECTIONS),
+                connections_max: file.connections.unwrap_or(DEFAULT_CONNECTIONS),
+                routing: file.routing,
+                steward_timeout: Duration::from_millis(steward_timeout_ms),
             })
         })();
         faults.into_result(settings)
--- a/programs/pb-proxy/src/slots.rs
+++ b/programs/pb-proxy/src/slots.rs
@@ -1,141 +1,374 @@
 //! The choice of an upstream for each attempt, with the count of what is running there.
+//!
+//! A host asks the steward of the service, which is the live host that ranks first for it. When
+//! there is no steward, or it does not answer within a few milliseconds, the host chooses by its
+//! own counts and its own evidence and reports the slot to the steward afterwards.
 
-use std::net::SocketAddr;
+mod counts;
+mod links;
+mod pending;
+mod reservation;
+mod running;
+mod server;
+mod stewards;
+
+use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
-use log::debug;
+use compio::time::timeout;
 use persimmonbend_core::error::Kind;
-use persimmonbend_core::health::Evidence;
 use persimmonbend_core::health::Sign;
+use persimmonbend_core::id::HostId;
 use persimmonbend_core::id::ServiceId;
-use persimmonbend_core::id::TenantId;
 use persimmonbend_core::id::UpstreamId;
+use persimmonbend_core::rendezvous;
 use persimmonbend_core::routing::Picker;
+use persimmonbend_core::routing::TwoChoices;
+use persimmonbend_core::routing::Uniform;
+use persimmonbend_core::routing::View;
+use persimmonbend_core::steward;
+use persimmonbend_core::steward::Decision;
+use persimmonbend_core::steward::Release;
+use persimmonbend_core::steward::Ticket;
+use persimmonbend_core::steward::Verdicts;
+use persimmonbend_wire::slots::Frame;
+
+pub use counts::Counts;
+pub use reservation::Ask;
+pub use reservation::Report;
+pub use reservation::Reservation;
+pub use server::handler;
 
 use crate::node::Node;
+use crate::settings::Routing;
+use crate::slots::links::Links;
+use crate::slots::pending::Pending;
+use crate::slots::pending::Waiting;
+use crate::slots::running::Place;
+use crate::slots::running::Running;
+use crate::slots::stewards::Stewards;
+
+/// Time between two ticks of the stewards on this host.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Time between two looks for reservations that a steward has not heard of.
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Chooses upstreams by a [`Picker`].
+/// What a host knows about the slots of upstreams.
 #[derive(Debug)]
 pub struct Slots {
+    routing: Routing,
     picker: Box<dyn Picker>,
+    verdicts: RefCell<Box<dyn Verdicts>>,
+    stewards: Stewards,
+    links: Links,
+    pending: Pending,
+    running: Running,
+    counts: Counts,
+    next: Cell<u32>,
 }
 
 impl Slots {
-    /// Creates a choice by `picker`.
+    /// Creates a choice by `routing` that judges upstreams by `verdicts`.
+    #[must_use]
+    pub fn new(routing: Routing, verdicts: Box<dyn Verdicts>) -> Self {
+        let picker: Box<dyn Picker> = match routing {
+            Routing::Uniform => Box::new(Uniform),
+            Routing::TwoChoices | Routing::Steward => Box::new(TwoChoices),
+        };
+        Self {
+            routing,
+            picker,
+            verdicts: RefCell::new(verdicts),
+            stewards: Stewards::default(),
+            links: Links::default(),
+            pending: Pending::default(),
+            running: Running::default(),
+            counts: Counts::default(),
+            next: Cell::new(0),
+        }
+    }
+
+    /// Returns how reservations ended.
+    #[must_use]
+    pub const fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// Returns the bytes of the slot protocol that this host has written.
+    #[must_use]
+    pub fn bytes_written(&self) -> u64 {
+        self.links.bytes_written() + self.stewards.bytes_written()
+    }
+
+    /// Returns the judge of upstreams.
     #[must_use]
-    pub fn new(picker: Box<dyn Picker>) -> Self {
-        Self { picker }
+    pub const fn verdicts(&self) -> &RefCell<Box<dyn Verdicts>> {
+        &self.verdicts
     }
 
     /// Reserves an upstream for an attempt.
     ///
     /// # Errors
     ///
-    /// Returns [`Kind::NoUpstream`] when there is none.
+    /// Returns [`Kind::NoUpstream`] when there is none and [`Kind::Overloaded`] when no slot
+    /// comes free in time.
     pub async fn reserve(&self, node: &Rc<Node>, ask: &Ask<'_>) -> Result<Reservation, Kind> {
-        let mut board = node.board_mut();
-        let picked = self
-            .picker
-            .pick(&board, ask.service, ask.avoid, &mut *node.rng());
-        let upstream = picked.ok_or(Kind::NoUpstream)?;
-        let id = upstream.announcement.id;
-        if let Some(upstream) = board.upstream_mut(ask.service, &id) {
-            upstream.in_flight += 1;
+        let Some(steward) = self.steward_of(node, ask.service) else {
+            return self.choose(node, ask);
+        };
+        match self.ask(node, &steward, ask).await {
+            Some(Ok((upstream, waiting))) => {
+                let place = Place::new(ask, upstream, &steward);
+                match self.admit(node, waiting.number(), place) {
+                    Some(reservation) => {
+                        waiting.keep();
+                        self.counts.granted.set(self.counts.granted.get() + 1);
+                        Ok(reservation)
+                    }
+                    None => self.choose(node, ask),
+                }
+            }
+            Some(Err(Kind::NoUpstream)) | None => self.choose(node, ask),
+            Some(Err(kind)) => {
+                self.counts.refused.set(self.counts.refused.get() + 1);
+                Err(kind)
+            }
+        }
+    }
+
+    fn steward_of(&self, node: &Node, service: &str) -> Option<HostId> {
+        if self.routing != Routing::Steward {
+            return None;
+        }
+        let board = node.board();
+        rendezvous::first(service, board.live_hosts()).map(str::to_owned)
+    }
+
+    /// Asks a steward; `None` stands for no answer.
+    async fn ask(
+        &self,
+        node: &Rc<Node>,
+        steward: &HostId,
+        ask: &Ask<'_>,
+    ) -> Option<Result<(UpstreamId, Waiting), Kind>> {
+        let number = self.number();
+        if *steward != node.settings().host && !self.links.takes_asks(node, steward) {
+            return None;
+        }
+        let mut waiting = Waiting::new(node, number, steward, ask.service);
+        self.send_ask(node, steward, number, ask);
+        let first = timeout(node.settings().steward_timeout, waiting.next()).await;
+        let Ok(first) = first else {
+            self.counts.late.set(self.counts.late.get() + 1);
+            self.links.note_slow(node, steward);
+            return None;
+        };
+        self.links.note_timely(steward);
+        let mut decision = first?;
+        if decision == Decision::Queued {
+            self.counts.queued.set(self.counts.queued.get() + 1);
+            let left = ask.deadline.saturating_duration_since(node.now());
+            let Ok(second) = timeout(left, waiting.next()).await else {
+                return Some(Err(Kind::Overloaded));
+            };
+            decision = second?;
         }
-        Ok(Reservation {
-            node: Rc::clone(node),
+        match decision {
+            Decision::Granted { upstream } => Some(Ok((upstream, waiting))),
+            Decision::Refused(kind) => Some(Err(kind)),
+            Decision::Queued => None,
+        }
+    }
+
+    fn send_ask(&self, node: &Rc<Node>, steward: &HostId, number: u32, ask: &Ask<'_>) {
+        if *steward == node.settings().host {
+            let ticket = Ticket {
+                host: steward.clone(),
+                number,
+            };
+            let here = steward::Ask {
+                ticket,
+                zone: node.settings().zone.clone(),
+                tenant: ask.tenant.map(str::to_owned),
+                deadline: ask.deadline,
+                avoid: ask.avoid.to_vec(),
+            };
+            self.stewards.reserve(node, &ask.service.to_owned(), here);
+            return;
+        }
+        let frame = Frame::Reserve {
+            number,
             service: ask.service.to_owned(),
             tenant: ask.tenant.map(str::to_owned),
-            upstream: id,
-            address: upstream.announcement.address,
-            started: node.now(),
-            report: Report::default(),
-        })
+            left: ask.deadline.saturating_duration_since(node.now()),
+            avoid: ask.avoid.to_vec(),
+        };
+        self.links.send(steward, frame);
     }
-}
 
-/// What an attempt needs.
-#[derive(Debug, Clone, Copy)]
-pub struct Ask<'a> {
-    /// Service whose upstream is wanted.
-    pub service: &'a str,
-    /// Tenant of the request, if a key came with it.
-    pub tenant: Option<&'a str>,
-    /// When the answer is due.
-    pub deadline: Instant,
-    /// Upstreams that were tried already.
-    pub avoid: &'a [UpstreamId],
-}
+    /// Chooses by what this host knows and reports the slot to the steward.
+    fn choose(&self, node: &Rc<Node>, ask: &Ask<'_>) -> Result<Reservation, Kind> {
+        let picked = {
+            let board = node.board();
+            let verdicts = self.verdicts.borrow();
+            let view = View {
+                board: &board,
+                verdicts: verdicts.as_ref(),
+                service: ask.service,
+                zone: &node.settings().zone,
+                avoid: ask.avoid,
+                in_flight_max: node.settings().connections_max,
+            };
+            self.picker.pick(&view, &mut *node.rng())
+        };
+        let upstream = picked.ok_or(Kind::NoUpstream)?.announcement.id;
+        let number = self.number();
+        let place = Place::untold(ask, upstream);
+        let reservation = self.admit(node, number, place).ok_or(Kind::NoUpstream)?;
+        self.counts.chosen.set(self.counts.chosen.get() + 1);
+        self.report(node, number);
+        Ok(reservation)
+    }
 
-/// How an attempt ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Report {
-    /// What it says about the upstream.
-    pub sign: Sign,
-    /// Whether the connection had been used before.
-    pub reused: bool,
-}
+    /// Counts a reservation as running, if its upstream is on the board and within the bound of
+    /// connections.
+    fn admit(&self, node: &Rc<Node>, number: u32, place: Place) -> Option<Reservation> {
+        let address = {
+            let mut board = node.board_mut();
+            let upstream = board.upstream_mut(&place.service, &place.upstream)?;
+            if upstream.in_flight >= node.settings().connections_max {
+                return None;
+            }
+            upstream.in_flight += 1;
+            upstream.announcement.address
+        };
+        let reservation = Reservation::new(node, number, &place, address);
+        self.running.insert(number, place);
+        Some(reservation)
+    }
 
-impl Default for Report {
-    fn default() -> Self {
-        Self {
-            sign: Sign::Cancelled,
-            reused: false,
+    /// Tells the steward of its service of a reservation that it has not heard of.
+    fn report(&self, node: &Rc<Node>, number: u32) {
+        let Some(place) = self.running.get(number) else {
+            return;
+        };
+        let Some(steward) = self.steward_of(node, &place.service) else {
+            return;
+        };
+        if place.told.contains(&steward) {
+            return;
+        }
+        if steward == node.settings().host {
+            let hold = place.hold(&node.settings().zone);
+            let ticket = Ticket {
+                host: steward.clone(),
+                number,
+            };
+            self.stewards.hold(node, &place.service, ticket, hold);
+        } else if !self.links.send(&steward, place.frame(number)) {
+            self.links.connect(node, &steward);
+            return;
         }
+        self.running.note_told(number, &steward);
     }
-}
 
-/// A request's place at an upstream, given back when dropped.
-///
-/// Unless [`Reservation::report`] was called, the attempt counts as cancelled.
-#[derive(Debug)]
-pub struct Reservation {
-    node: Rc<Node>,
-    service: ServiceId,
-    tenant: Option<TenantId>,
-    upstream: UpstreamId,
-    address: SocketAddr,
-    started: Instant,
-    report: Report,
-}
+    /// Tells stewards of the reservations that they have not heard of.
+    fn report_all(&self, node: &Rc<Node>) {
+        for number in self.running.numbers() {
+            self.report(node, number);
+        }
+    }
 
-impl Reservation {
-    /// Returns the upstream.
-    #[must_use]
-    pub const fn upstream(&self) -> &UpstreamId {
-        &self.upstream
+    /// Ends a reservation.
+    fn release(&self, node: &Rc<Node>, number: u32, report: Report, latency: Duration) {
+        let Some(place) = self.running.remove(number) else {
+            return;
+        };
+        if let Some(upstream) = node
+            .board_mut()
+            .upstream_mut(&place.service, &place.upstream)
+        {
+            upstream.in_flight = upstream.in_flight.saturating_sub(1);
+        }
+        if !place.told.contains(&node.settings().host) {
+            let evidence = place.evidence(&node.settings().zone, report, latency);
+            let now = node.now();
+            self.verdicts.borrow_mut().observe(&evidence, now);
+        }
+        for steward in &place.told {
+            let release = Release {
+                ticket: Ticket {
+                    host: node.settings().host.clone(),
+                    number,
+                },
+                sign: report.sign,
+                latency,
+                reused: report.reused,
+            };
+            self.send_release(node, steward, &place.service, &release);
+        }
     }
 
-    /// Returns the address of the upstream.
-    #[must_use]
-    pub const fn address(&self) -> SocketAddr {
-        self.address
+    fn send_release(
+        &self,
+        node: &Rc<Node>,
+        steward: &HostId,
+        service: &ServiceId,
+        release: &Release,
+    ) {
+        if *steward == node.settings().host {
+            self.stewards.release(node, service, release);
+            return;
+        }
+        let frame = Frame::Release {
+            number: release.ticket.number,
+            service: service.clone(),
+            sign: release.sign,
+            latency: release.latency,
+            reused: release.reused,
+        };
+        self.links.send(steward, frame);
     }
 
-    /// Notes how the attempt ended.
-    pub const fn report(&mut self, report: Report) {
-        self.report = report;
+    /// Withdraws an ask, or gives back its grant unused.
+    fn withdraw(&self, node: &Rc<Node>, steward: &HostId, service: &ServiceId, number: u32) {
+        let release = Release {
+            ticket: Ticket {
+                host: node.settings().host.clone(),
+                number,
+            },
+            sign: Sign::Cancelled,
+            latency: Duration::ZERO,
+            reused: false,
+        };
+        self.send_release(node, steward, service, &release);
     }
 
-    fn evidence(&self) -> Evidence {
-        Evidence {
-            upstream: self.upstream.clone(),
-            zone: self.node.settings().zone.clone(),
-            tenant: self.tenant.clone(),
-            sign: self.report.sign,
-            latency: self.node.now().duration_since(self.started),
-            reused: self.report.reused,
-        }
+    fn number(&self) -> u32 {
+        let number = self.next.get().wrapping_add(1);
+        self.next.set(number);
+        number
     }
 }
 
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        debug!("slots: {:?}", self.evidence());
-        let mut board = self.node.board_mut();
-        if let Some(upstream) = board.upstream_mut(&self.service, &self.upstream) {
-            upstream.in_flight = upstream.in_flight.saturating_sub(1);
+/// Drives the stewards on this host until the future is dropped.
+pub async fn run(node: Rc<Node>) {
+    let mut reported = node.now();
+    loop {
+        compio::time::sleep(TICK).await;
+        let slots = node.slots();
+        slots.stewards.tick(&node);
+        if is_due(reported, node.now()) {
+            reported = node.now();
+            slots.report_all(&node);
         }
     }
 }
+
+fn is_due(last: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(last) >= REPORT_INTERVAL
+}
--- /dev/null
+++ b/programs/pb-proxy/src/slots/links.rs
@@ -0,0 +1,232 @@
+//! Connections to the stewards on other hosts.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use compio::runtime::spawn;
+use futures_util::future::select;
+use futures_util::pin_mut;
+use log::debug;
+use log::info;
+use persimmonbend_core::id::HostId;
+use persimmonbend_core::steward::Decision;
+use persimmonbend_wire::error::Error;
+use persimmonbend_wire::handshake::Purpose;
+use persimmonbend_wire::link;
+use persimmonbend_wire::slots::Frame;
+use persimmonbend_wire::slots::channel;
+use persimmonbend_wire::slots::channel::Receiver;
+use persimmonbend_wire::slots::channel::Sender;
+
+use crate::node::Node;
+
+/// Time between two looks at a link, and the silence after which it is pinged.
+const PING_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Silence after which a link is replaced.
+const SILENCE: Duration = Duration::from_secs(1);
+
+/// Pause after a link failed.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
+
+/// First pause after a steward was slow; doubles with each further time.
+const SLOW_PAUSE: Duration = Duration::from_millis(20);
+
+/// Longest pause after a steward was slow.
+const SLOW_PAUSE_MAX: Duration = Duration::from_secs(1);
+
+/// Most doublings of the pause after a steward was slow.
+const MAX_DOUBLINGS: u32 = 10;
+
+/// Links by host.
+#[derive(Debug, Default)]
+pub struct Links {
+    hosts: RefCell<BTreeMap<HostId, Link>>,
+    bytes_closed: Cell<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Link {
+    sender: Option<Sender>,
+    connecting: bool,
+    retry_at: Option<Instant>,
+    slow_until: Option<Instant>,
+    slow_times: u32,
+}
+
+impl Links {
+    /// Returns the bytes written to stewards.
+    #[must_use]
+    pub fn bytes_written(&self) -> u64 {
+        let hosts = self.hosts.borrow();
+        let senders = hosts.values().filter_map(|link| link.sender.as_ref());
+        senders.map(Sender::written).sum::<u64>() + self.bytes_closed.get()
+    }
+
+    /// Returns whether a steward can be asked now; makes the link where there is none.
+    pub fn takes_asks(&self, node: &Rc<Node>, host: &HostId) -> bool {
+        let now = node.now();
+        let takes = |link: &Link| link.slow_until.is_none_or(|until| now >= until);
+        let hosts = self.hosts.borrow();
+        let link = hosts.get(host).filter(|link| link.is_open());
+        let takes = link.map(takes);
+        drop(hosts);
+        takes.unwrap_or_else(|| {
+            self.connect(node, host);
+            false
+        })
+    }
+
+    /// Makes a link unless there is one or the last one failed just now.
+    pub fn connect(&self, node: &Rc<Node>, host: &HostId) {
+        let now = node.now();
+        let mut hosts = self.hosts.borrow_mut();
+        let link = hosts.entry(host.clone()).or_default();
+        if link.is_open() {
+            return;
+        }
+        if !link.connecting && link.retry_at.is_none_or(|at| now >= at) {
+            link.connecting = true;
+            spawn(run(Rc::clone(node), host.clone())).detach();
+        }
+    }
+
+    /// Queues a frame and returns whether the link is open.
+    pub fn send(&self, host: &str, frame: Frame) -> bool {
+        let hosts = self.hosts.borrow();
+        let sender = hosts.get(host).and_then(|link| link.sender.as_ref());
+        let Some(sender) = sender.filter(|sender| sender.is_open()) else {
+            return false;
+        };
+        sender.send(frame);
+        true
+    }
+
+    /// Notes that a steward did not answer in time; it is not asked for a while.
+    pub fn note_slow(&self, node: &Node, host: &str) {
+        if let Some(link) = self.hosts.borrow_mut().get_mut(host) {
+            let pause = SLOW_PAUSE * 2_u32.saturating_pow(link.slow_times);
+            link.slow_until = Some(node.now() + pause.min(SLOW_PAUSE_MAX));
+            link.slow_times = (link.slow_times + 1).min(MAX_DOUBLINGS);
+        }
+    }
+
+    /// Notes that a steward answered in time.
+    pub fn note_timely(&self, host: &str) {
+        if let Some(link) = self.hosts.borrow_mut().get_mut(host) {
+            link.slow_times = 0;
+        }
+    }
+
+    fn put(&self, host: &HostId, sender: Sender) {
+        let mut hosts = self.hosts.borrow_mut();
+        let link = hosts.entry(host.clone()).or_default();
+        link.connecting = false;
+        link.sender = Some(sender);
+    }
+
+    fn end(&self, host: &HostId, now: Instant) {
+        let mut hosts = self.hosts.borrow_mut();
+        let link = hosts.entry(host.clone()).or_default();
+        link.connecting = false;
+        link.retry_at = Some(now + RECONNECT_PAUSE);
+        if let Some(sender) = link.sender.take() {
+            self.bytes_closed
+                .set(self.bytes_closed.get() + sender.written());
+        }
+    }
+}
+
+impl Link {
+    fn is_open(&self) -> bool {
+        self.sender.as_ref().is_some_and(Sender::is_open)
+    }
+}
+
+/// Makes a link and serves it until it ends.
+async fn run(node: Rc<Node>, host: HostId) {
+    let result = serve(&node, &host).await;
+    if let Err(error) = result {
+        debug!("slots: link to {host} ended: {error}");
+    }
+    let slots = node.slots();
+    slots.links.end(&host, node.now());
+    slots.running.note_untold(&host);
+    slots.pending.give_up(&host);
+}
+
+async fn serve(node: &Rc<Node>, host: &HostId) -> Result<(), Error> {
+    let address = address_of(node, host).ok_or(Error::Role)?;
+    let stream = link::dial(address, &node.settings().secret, Purpose::Slots).await?;
+    let (sender, writer, receiver) = channel::split(stream);
+    sender.send(Frame::Hello {
+        host: node.settings().host.clone(),
+        zone: node.settings().zone.clone(),
+    });
+    let heard = Rc::new(Cell::new(node.now()));
+    let slots = node.slots();
+    slots.links.put(host, sender.clone());
+    slots.running.note_untold(host);
+    slots.report_all(node);
+    info!("slots: linked to {host}");
+    let writing = spawn(writer.run());
+    let watching = spawn(watch(Rc::clone(node), sender.clone(), Rc::clone(&heard)));
+    let reading = read(node, host, receiver, &heard);
+    let closed = sender.closed();
+    pin_mut!(reading, closed);
+    select(reading, closed).await;
+    sender.close();
+    drop((writing, watching));
+    Ok(())
+}
+
+async fn read(
+    node: &Rc<Node>,
+    host: &HostId,
+    mut receiver: Receiver,
+    heard: &Cell<Instant>,
+) -> Result<(), Error> {
+    let pending = &node.slots().pending;
+    loop {
+        let frames = receiver.next().await?;
+        heard.set(node.now());
+        for frame in frames {
+            match frame {
+                Frame::Granted { number, upstream } => {
+                    pending.decide(host, number, Decision::Granted { upstream });
+                }
+                Frame::Queued { number } => pending.decide(host, number, Decision::Queued),
+                Frame::Refused { number, kind } => {
+                    pending.decide(host, number, Decision::Refused(kind));
+                }
+                Frame::Pong { .. } => {}
+                other => return Err(Error::Malformed(format!("unexpected {other:?}"))),
+            }
+        }
+    }
+}
+
+/// Pings a quiet link and closes a silent one.
+async fn watch(node: Rc<Node>, sender: Sender, heard: Rc<Cell<Instant>>) {
+    let mut number = 0;
+    while sender.is_open() {
+        compio::time::sleep(PING_INTERVAL).await;
+        let silence = node.now().saturating_duration_since(heard.get());
+        if silence >= SILENCE {
+            sender.close();
+        } else if silence >= PING_INTERVAL {
+            number += 1;
+            sender.send(Frame::Ping { number });
+        }
+    }
+}
+
+fn address_of(node: &Node, host: &str) -> Option<SocketAddr> {
+    let board = node.board();
+    board.hosts().get(host).map(|one| one.announcement.peers)
+}
--- /dev/null
+++ b/programs/pb-proxy/src/slots/pending.rs
@@ -0,0 +1,103 @@
+//! Asks of this host that a steward has not decided yet.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use futures_channel::mpsc;
+use futures_channel::mpsc::UnboundedReceiver;
+use futures_channel::mpsc::UnboundedSender;
+use futures_util::StreamExt;
+use persimmonbend_core::id::HostId;
+use persimmonbend_core::id::ServiceId;
+use persimmonbend_core::steward::Decision;
+
+use crate::node::Node;
+
+/// Asks by their number.
+#[derive(Debug, Default)]
+pub struct Pending {
+    asks: RefCell<BTreeMap<u32, Entry>>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    steward: HostId,
+    decisions: UnboundedSender<Decision>,
+}
+
+impl Pending {
+    /// Hands a decision to its ask, if that still waits.
+    pub fn decide(&self, steward: &str, number: u32, decision: Decision) {
+        let asks = self.asks.borrow();
+        let entry = asks.get(&number).filter(|entry| entry.steward == steward);
+        if let Some(entry) = entry {
+            let _ = entry.decisions.unbounded_send(decision);
+        }
+    }
+
+    /// Ends the wait of every ask at a steward.
+    pub fn give_up(&self, steward: &HostId) {
+        let mut asks = self.asks.borrow_mut();
+        asks.retain(|_, entry| entry.steward != *steward);
+    }
+}
+
+/// An ask that waits; withdrawn when dropped unless its grant is kept.
+#[derive(Debug)]
+pub struct Waiting {
+    node: Rc<Node>,
+    number: u32,
+    steward: HostId,
+    service: ServiceId,
+    decisions: UnboundedReceiver<Decision>,
+    kept: bool,
+}
+
+impl Waiting {
+    /// Adds an ask to the pending ones of `node`.
+    #[must_use]
+    pub fn new(node: &Rc<Node>, number: u32, steward: &HostId, service: &str) -> Self {
+        let (sender, decisions) = mpsc::unbounded();
+        let entry = Entry {
+            steward: steward.clone(),
+            decisions: sender,
+        };
+        let pending = &node.slots().pending;
+        pending.asks.borrow_mut().insert(number, entry);
+        Self {
+            node: Rc::clone(node),
+            number,
+            steward: steward.clone(),
+            service: service.to_owned(),
+            decisions,
+            kept: false,
+        }
+    }
+
+    /// Returns the number of the ask.
+    #[must_use]
+    pub const fn number(&self) -> u32 {
+        self.number
+    }
+
+    /// Waits for the next decision; `None` when the steward is lost.
+    pub async fn next(&mut self) -> Option<Decision> {
+        self.decisions.next().await
+    }
+
+    /// Keeps the grant.
+    pub fn keep(mut self) {
+        self.kept = true;
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let slots = self.node.slots();
+        slots.pending.asks.borrow_mut().remove(&self.number);
+        if !self.kept {
+            slots.withdraw(&self.node, &self.steward, &self.service, self.number);
+        }
+    }
+}
--- /dev/null
+++ b/programs/pb-proxy/src/slots/reservation.rs
@@ -0,0 +1,93 @@
+//! A request's place at an upstream.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use persimmonbend_core::health::Sign;
+use persimmonbend_core::id::UpstreamId;
+
+use crate::node::Node;
+use crate::slots::running::Place;
+
+/// What an attempt needs.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// Service whose upstream is wanted.
+    pub service: &'a str,
+    /// Tenant of the request, if a key came with it.
+    pub tenant: Option<&'a str>,
+    /// When the answer is due.
+    pub deadline: Instant,
+    /// Upstreams that were tried already.
+    pub avoid: &'a [UpstreamId],
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Report {
+    /// What it says about the upstream.
+    pub sign: Sign,
+    /// Whether the connection had been used before.
+    pub reused: bool,
+}
+
+impl Default for Report {
+    fn default() -> Self {
+        Self {
+            sign: Sign::Cancelled,
+            reused: false,
+        }
+    }
+}
+
+/// A request's place at an upstream, given back when dropped.
+///
+/// Unless [`Reservation::report`] was called, the attempt counts as cancelled.
+#[derive(Debug)]
+pub struct Reservation {
+    node: Rc<Node>,
+    number: u32,
+    upstream: UpstreamId,
+    address: SocketAddr,
+    started: Instant,
+    report: Report,
+}
+
+impl Reservation {
+    pub(super) fn new(node: &Rc<Node>, number: u32, place: &Place, address: SocketAddr) -> Self {
+        Self {
+            node: Rc::clone(node),
+            number,
+            upstream: place.upstream.clone(),
+            address,
+            started: node.now(),
+            report: Report::default(),
+        }
+    }
+
+    /// Returns the upstream.
+    #[must_use]
+    pub const fn upstream(&self) -> &UpstreamId {
+        &self.upstream
+    }
+
+    /// Returns the address of the upstream.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Notes how the attempt ended.
+    pub const fn report(&mut self, report: Report) {
+        self.report = report;
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        let latency = self.node.now().duration_since(self.started);
+        let slots = self.node.slots();
+        slots.release(&self.node, self.number, self.report, latency);
+    }
+}
--- /dev/null
+++ b/programs/pb-proxy/src/slots/running.rs
@@ -0,0 +1,130 @@
+//! The reservations of this host that are in use.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use persimmonbend_core::health::Evidence;
+use persimmonbend_core::id::HostId;
+use persimmonbend_core::id::ServiceId;
+use persimmonbend_core::id::TenantId;
+use persimmonbend_core::id::UpstreamId;
+use persimmonbend_core::id::Zone;
+use persimmonbend_core::steward::Hold;
+use persimmonbend_wire::slots::Frame;
+
+use crate::slots::Ask;
+use crate::slots::Report;
+
+/// Where a reservation is.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// Service of the upstream.
+    pub service: ServiceId,
+    /// Tenant of the request, if a key came with it.
+    pub tenant: Option<TenantId>,
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Stewards that count the reservation.
+    pub told: Vec<HostId>,
+}
+
+impl Place {
+    /// Creates a place that a steward granted.
+    #[must_use]
+    pub fn new(ask: &Ask<'_>, upstream: UpstreamId, steward: &HostId) -> Self {
+        Self {
+            told: vec![steward.clone()],
+            ..Self::untold(ask, upstream)
+        }
+    }
+
+    /// Creates a place that no steward knows of.
+    #[must_use]
+    pub fn untold(ask: &Ask<'_>, upstream: UpstreamId) -> Self {
+        Self {
+            service: ask.service.to_owned(),
+            tenant: ask.tenant.map(str::to_owned),
+            upstream,
+            told: Vec::new(),
+        }
+    }
+
+    /// Returns the frame that reports the place to a steward.
+    #[must_use]
+    pub fn frame(&self, number: u32) -> Frame {
+        Frame::Hold {
+            number,
+            service: self.service.clone(),
+            tenant: self.tenant.clone(),
+            upstream: self.upstream.clone(),
+        }
+    }
+
+    /// Returns the slot as a steward on this host counts it.
+    #[must_use]
+    pub fn hold(&self, zone: &Zone) -> Hold {
+        Hold {
+            zone: zone.clone(),
+            tenant: self.tenant.clone(),
+            upstream: self.upstream.clone(),
+        }
+    }
+
+    /// Returns what the attempt showed.
+    #[must_use]
+    pub fn evidence(&self, zone: &Zone, report: Report, latency: Duration) -> Evidence {
+        Evidence {
+            upstream: self.upstream.clone(),
+            zone: zone.clone(),
+            tenant: self.tenant.clone(),
+            sign: report.sign,
+            latency,
+            reused: report.reused,
+        }
+    }
+}
+
+/// Reservations by their number.
+#[derive(Debug, Default)]
+pub struct Running {
+    places: RefCell<BTreeMap<u32, Place>>,
+}
+
+impl Running {
+    /// Returns a reservation.
+    #[must_use]
+    pub fn get(&self, number: u32) -> Option<Place> {
+        self.places.borrow().get(&number).cloned()
+    }
+
+    /// Returns the numbers of all reservations.
+    #[must_use]
+    pub fn numbers(&self) -> Vec<u32> {
+        self.places.borrow().keys().copied().collect()
+    }
+
+    /// Adds a reservation.
+    pub fn insert(&self, number: u32, place: Place) {
+        self.places.borrow_mut().insert(number, place);
+    }
+
+    /// Removes a reservation.
+    pub fn remove(&self, number: u32) -> Option<Place> {
+        self.places.borrow_mut().remove(&number)
+    }
+
+    /// Notes that a steward counts a reservation.
+    pub fn note_told(&self, number: u32, steward: &HostId) {
+        if let Some(place) = self.places.borrow_mut().get_mut(&number) {
+            place.told.push(steward.clone());
+        }
+    }
+
+    /// Notes that a steward counts none of the reservations any more.
+    pub fn note_untold(&self, steward: &HostId) {
+        for place in self.places.borrow_mut().values_mut() {
+            place.told.retain(|told| told != steward);
+        }
+    }
+}
--- /dev/null
+++ b/programs/pb-proxy/src/slots/server.rs
@@ -0,0 +1,176 @@
+//! Slot connections of other hosts that ask the stewards here.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use compio::net::TcpStream;
+use compio::runtime::spawn;
+use compio::time::timeout;
+use futures_util::future::select;
+use futures_util::pin_mut;
+use log::info;
+use persimmonbend_core::id::HostId;
+use persimmonbend_core::id::Zone;
+use persimmonbend_core::steward::Ask;
+use persimmonbend_core::steward::Hold;
+use persimmonbend_core::steward::Release;
+use persimmonbend_core::steward::Ticket;
+use persimmonbend_wire::error::Error;
+use persimmonbend_wire::listener::SlotsHandler;
+use persimmonbend_wire::slots::Frame;
+use persimmonbend_wire::slots::channel;
+use persimmonbend_wire::slots::channel::Receiver;
+use persimmonbend_wire::slots::channel::Sender;
+
+use crate::node::Node;
+
+/// Time for the first frame.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time between two notes that a host was heard from.
+const HEAR_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Longest time that a host may say is left for an answer.
+const MAX_LEFT: Duration = Duration::from_secs(600);
+
+/// Returns the handler of slot connections.
+#[must_use]
+pub fn handler(node: Rc<Node>) -> SlotsHandler {
+    Rc::new(move |stream, from| {
+        spawn(serve(Rc::clone(&node), stream, from)).detach();
+    })
+}
+
+/// A connection of one host.
+struct Session {
+    node: Rc<Node>,
+    host: HostId,
+    zone: Zone,
+    sender: Sender,
+    heard: Instant,
+}
+
+async fn serve(node: Rc<Node>, stream: TcpStream, from: SocketAddr) {
+    let (sender, writer, receiver) = channel::split(stream);
+    let writing = spawn(writer.run());
+    let reading = read(node, receiver, sender.clone());
+    let closed = sender.closed();
+    pin_mut!(reading, closed);
+    if let futures_util::future::Either::Left((Err(error), _)) = select(reading, closed).await {
+        info!("slots: the connection from {from} ended: {error}");
+    }
+    sender.close();
+    drop(writing);
+}
+
+async fn read(node: Rc<Node>, mut receiver: Receiver, sender: Sender) -> Result<(), Error> {
+    let first = timeout(HELLO_TIMEOUT, receiver.next()).await;
+    let mut frames = first.map_err(|_| Error::Timeout)??.into_iter();
+    let Some(Frame::Hello { host, zone }) = frames.next() else {
+        return Err(Error::Malformed("the first frame is no hello".to_owned()));
+    };
+    let mut session = Session {
+        heard: node.now(),
+        node,
+        host,
+        zone,
+        sender,
+    };
+    let stewards = &session.node.slots().stewards;
+    stewards.open(&session.host, session.sender.clone());
+    let mut frames: Vec<Frame> = frames.collect();
+    let error = loop {
+        if let Err(error) = session.take_in(frames) {
+            break error;
+        }
+        match receiver.next().await {
+            Ok(next) => frames = next,
+            Err(error) => break error,
+        }
+    };
+    Err(error)
+}
+
+impl Session {
+    fn take_in(&mut self, frames: Vec<Frame>) -> Result<(), Error> {
+        let now = self.node.now();
+        let stewards = &self.node.slots().stewards;
+        if now.saturating_duration_since(self.heard) >= HEAR_INTERVAL {
+            self.heard = now;
+            stewards.hear(&self.node, &self.host);
+        }
+        for frame in frames {
+            self.handle(frame, now)?;
+        }
+        Ok(())
+    }
+
+    fn handle(&self, frame: Frame, now: Instant) -> Result<(), Error> {
+        let stewards = &self.node.slots().stewards;
+        match frame {
+            Frame::Reserve {
+                number,
+                service,
+                tenant,
+                left,
+                avoid,
+            } => {
+                let ask = Ask {
+                    ticket: self.ticket(number),
+                    zone: self.zone.clone(),
+                    tenant,
+                    deadline: now + left.min(MAX_LEFT),
+                    avoid,
+                };
+                stewards.reserve(&self.node, &service, ask);
+            }
+            Frame::Hold {
+                number,
+                service,
+                tenant,
+                upstream,
+            } => {
+                let hold = Hold {
+                    zone: self.zone.clone(),
+                    tenant,
+                    upstream,
+                };
+                stewards.hold(&self.node, &service, self.ticket(number), hold);
+            }
+            Frame::Release {
+                number,
+                service,
+                sign,
+                latency,
+                reused,
+            } => {
+                let release = Release {
+                    ticket: self.ticket(number),
+                    sign,
+                    latency,
+                    reused,
+                };
+                stewards.release(&self.node, &service, &release);
+            }
+            Frame::Ping { number } => self.sender.send(Frame::Pong { number }),
+            other => return Err(Error::Malformed(format!("unexpected {other:?}"))),
+        }
+        Ok(())
+    }
+
+    fn ticket(&self, number: u32) -> Ticket {
+        Ticket {
+            host: self.host.clone(),
+            number,
+        }
+    }
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        let stewards = &self.node.slots().stewards;
+        stewards.close(&self.host, &self.sender);
+    }
+}
--- /dev/null
+++ b/programs/pb-proxy/src/slots/stewards.rs
@@ -0,0 +1,196 @@
+//! The stewards that run on this host, and the hosts that ask them.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use persimmonbend_core::health::Sign;
+use persimmonbend_core::id::HostId;
+use persimmonbend_core::id::ServiceId;
+use persimmonbend_core::steward::Answer;
+use persimmonbend_core::steward::Ask;
+use persimmonbend_core::steward::Decision;
+use persimmonbend_core::steward::Hold;
+use persimmonbend_core::steward::Release;
+use persimmonbend_core::steward::Steward;
+use persimmonbend_core::steward::Ticket;
+use persimmonbend_wire::slots::Frame;
+use persimmonbend_wire::slots::channel::Sender;
+
+use crate::node::Node;
+
+/// Most services that this host is the steward of.
+const MAX_SERVICES: usize = 4_096;
+
+/// Stewards by service.
+#[derive(Debug, Default)]
+pub struct Stewards {
+    services: RefCell<BTreeMap<ServiceId, Steward>>,
+    sessions: RefCell<BTreeMap<HostId, Sender>>,
+    bytes_closed: Cell<u64>,
+}
+
+impl Stewards {
+    /// Returns the bytes written to the hosts that ask.
+    #[must_use]
+    pub fn bytes_written(&self) -> u64 {
+        let sessions = self.sessions.borrow();
+        let open: u64 = sessions.values().map(Sender::written).sum();
+        open + self.bytes_closed.get()
+    }
+
+    /// Starts a session of a host, whose earlier reservations are void.
+    pub fn open(&self, host: &HostId, sender: Sender) {
+        self.forget(host);
+        let mut sessions = self.sessions.borrow_mut();
+        if let Some(earlier) = sessions.insert(host.clone(), sender) {
+            self.count_closed(&earlier);
+        }
+    }
+
+    /// Ends a session, unless the host has started another.
+    pub fn close(&self, host: &HostId, sender: &Sender) {
+        let mut sessions = self.sessions.borrow_mut();
+        if sessions.get(host).is_some_and(|known| known.is(sender)) {
+            sessions.remove(host);
+            self.count_closed(sender);
+        }
+    }
+
+    /// Notes that a host was heard from.
+    pub fn hear(&self, node: &Node, host: &str) {
+        let now = node.now();
+        for steward in self.services.borrow_mut().values_mut() {
+            steward.hear(host, now);
+        }
+    }
+
+    /// Asks for a slot of `service`; the answer goes to the host of the ticket.
+    pub fn reserve(&self, node: &Rc<Node>, service: &ServiceId, ask: Ask) {
+        let answers = {
+            let mut services = self.services.borrow_mut();
+            let Some(steward) = steward(&mut services, service) else {
+                return;
+            };
+            let verdicts = node.slots().verdicts().borrow();
+            steward.reserve(&node.board(), verdicts.as_ref(), ask)
+        };
+        self.deliver(node, service, answers);
+    }
+
+    /// Counts a slot that a host uses without a grant from here.
+    pub fn hold(&self, node: &Rc<Node>, service: &ServiceId, ticket: Ticket, hold: Hold) {
+        let mut services = self.services.borrow_mut();
+        if let Some(steward) = steward(&mut services, service) {
+            steward.hold(ticket, hold, node.now());
+        }
+    }
+
+    /// Ends a reservation, whose slot may go to others.
+    pub fn release(&self, node: &Rc<Node>, service: &ServiceId, release: &Release) {
+        let answers = self.take_back(node, service, release);
+        self.deliver(node, service, answers);
+    }
+
+    /// Lets reservations lapse and answers asks whose time has come.
+    pub fn tick(&self, node: &Rc<Node>) {
+        self.hear(node, &node.settings().host);
+        let services: Vec<ServiceId> = self.services.borrow().keys().cloned().collect();
+        for service in services {
+            let answers = self.tick_one(node, &service);
+            self.deliver(node, &service, answers);
+        }
+    }
+
+    fn tick_one(&self, node: &Rc<Node>, service: &ServiceId) -> Vec<Answer> {
+        let mut services = self.services.borrow_mut();
+        let Some(steward) = services.get_mut(service) else {
+            return Vec::new();
+        };
+        let verdicts = node.slots().verdicts().borrow();
+        steward.tick(&node.board(), verdicts.as_ref())
+    }
+
+    fn take_back(&self, node: &Rc<Node>, service: &ServiceId, release: &Release) -> Vec<Answer> {
+        let mut services = self.services.borrow_mut();
+        let Some(steward) = services.get_mut(service) else {
+            return Vec::new();
+        };
+        let mut verdicts = node.slots().verdicts().borrow_mut();
+        steward.release(&node.board(), verdicts.as_mut(), release)
+    }
+
+    fn forget(&self, host: &HostId) {
+        for steward in self.services.borrow_mut().values_mut() {
+            steward.forget(host);
+        }
+    }
+
+    /// Sends answers; a grant that cannot be sent is taken back.
+    fn deliver(&self, node: &Rc<Node>, service: &ServiceId, answers: Vec<Answer>) {
+        let mut answers = VecDeque::from(answers);
+        while let Some(answer) = answers.pop_front() {
+            if self.send(node, &answer) {
+                continue;
+            }
+            let release = Release {
+                ticket: answer.ticket,
+                sign: Sign::Cancelled,
+                latency: Duration::ZERO,
+                reused: false,
+            };
+            answers.extend(self.take_back(node, service, &release));
+        }
+    }
+
+    fn send(&self, node: &Rc<Node>, answer: &Answer) -> bool {
+        let Ticket { host, number } = &answer.ticket;
+        if *host == node.settings().host {
+            let pending = &node.slots().pending;
+            pending.decide(host, *number, answer.decision.clone());
+            return true;
+        }
+        let sessions = self.sessions.borrow();
+        let Some(sender) = sessions.get(host).filter(|sender| sender.is_open()) else {
+            return false;
+        };
+        sender.send(frame(*number, &answer.decision));
+        true
+    }
+
+    fn count_closed(&self, sender: &Sender) {
+        self.bytes_closed
+            .set(self.bytes_closed.get() + sender.written());
+    }
+}
+
+fn frame(number: u32, decision: &Decision) -> Frame {
+    match decision {
+        Decision::Granted { upstream } => Frame::Granted {
+            number,
+            upstream: upstream.clone(),
+        },
+        Decision::Queued => Frame::Queued { number },
+        Decision::Refused(kind) => Frame::Refused {
+            number,
+            kind: *kind,
+        },
+    }
+}
+
+/// Returns the steward of a service, a new one unless there are too many.
+fn steward<'a>(
+    services: &'a mut BTreeMap<ServiceId, Steward>,
+    service: &ServiceId,
+) -> Option<&'a mut Steward> {
+    if services.len() >= MAX_SERVICES && !services.contains_key(service) {
+        return None;
+    }
+    let steward = services
+        .entry(service.clone())
+        .or_insert_with(|| Steward::new(service.clone()));
+    Some(steward)
+}
--- /dev/null
+++ b/programs/pb-proxy/tests/slots.rs
@@ -0,0 +1,385 @@
+//! Stewards that answer, that are gone, silent, slow, doubled, or lost while an ask waits.
+
+#![allow(clippy::unwrap_used)]
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::TcpStream;
+use compio::runtime::JoinHandle;
+use compio::runtime::spawn;
+use futures_util::future::join_all;
+use pb_proxy::node::Node;
+use pb_proxy::settings::Routing;
+use pb_proxy::settings::Settings;
+use pb_proxy::slots;
+use pb_proxy::slots::Ask;
+use pb_proxy::slots::Report;
+use pb_proxy::slots::Reservation;
+use persimmonbend_app::stop::Stop;
+use persimmonbend_core::clock::System;
+use persimmonbend_core::error::Kind;
+use persimmonbend_core::health::Sign;
+use persimmonbend_core::host;
+use persimmonbend_core::rendezvous;
+use persimmonbend_core::upstream::Announcement;
+use persimmonbend_core::upstream::Stage;
+use persimmonbend_wire::handshake::Secret;
+use persimmonbend_wire::listener::Listener;
+use persimmonbend_wire::slots::Frame;
+use persimmonbend_wire::slots::channel;
+
+const SERVICE: &str = "herd";
+const SLOTS: u32 = 3;
+
+/// Longest wait for something that a test brings about.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Time for a steward to answer where the test is not about late answers.
+const LONG: Duration = Duration::from_secs(10);
+
+/// Time for a steward to answer where the test is about late answers.
+const SHORT: Duration = Duration::from_millis(20);
+
+fn loopback() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+fn secret() -> Secret {
+    Secret::from("the secret of the tests".to_owned())
+}
+
+fn node(host: &str, steward_timeout: Duration) -> Rc<Node> {
+    let settings = Settings {
+        host: host.to_owned(),
+        zone: "a".to_owned(),
+        callers: loopback(),
+        platform: loopback(),
+        peers: loopback(),
+        control: Vec::new(),
+        secret: secret(),
+        body_max_bytes: 1024,
+        answer_hold_bytes: 1024,
+        stop_notice: Duration::ZERO,
+        connections_max: 7,
+        routing: Routing::Steward,
+        steward_timeout,
+    };
+    let node = Rc::new(Node::new(settings, Rc::new(System), Stop::new()));
+    spawn(slots::run(Rc::clone(&node))).detach();
+    node
+}
+
+fn announce_upstreams(node: &Node, count: usize) {
+    for number in 0..count {
+        node.board_mut().announce(Announcement {
+            id: format!("u{number}"),
+            service: SERVICE.to_owned(),
+            address: "127.0.0.1:9".parse().unwrap(),
+            zone: "a".to_owned(),
+            slots: SLOTS,
+            incarnation: 1,
+            sequence: 1,
+            stage: Stage::Ready,
+        });
+    }
+}
+
+fn announce_host(node: &Node, id: &str, peers: SocketAddr) {
+    node.board_mut().announce_host(host::Announcement {
+        id: id.to_owned(),
+        zone: "a".to_owned(),
+        peers,
+        incarnation: 1,
+        sequence: 1,
+        stopping: false,
+    });
+}
+
+async fn listen(node: &Rc<Node>) -> SocketAddr {
+    let listener = Listener::bind(loopback(), secret()).await.unwrap();
+    let address = listener.address().unwrap();
+    let handler = slots::handler(Rc::clone(node));
+    spawn(listener.slots(handler).serve()).detach();
+    address
+}
+
+/// Starts hosts that know each other.
+async fn fleet(count: usize, upstreams: usize) -> Vec<Rc<Node>> {
+    let mut nodes = Vec::new();
+    let mut addresses = Vec::new();
+    for number in 0..count {
+        let node = node(&format!("host-{number}"), LONG);
+        addresses.push(listen(&node).await);
+        announce_upstreams(&node, upstreams);
+        nodes.push(node);
+    }
+    for node in &nodes {
+        for (number, address) in addresses.iter().enumerate() {
+            announce_host(node, &format!("host-{number}"), *address);
+        }
+    }
+    nodes
+}
+
+/// Starts a fake steward and a host that knows only this steward.
+async fn with_fake<F>(steward_timeout: Duration, fake: F) -> Rc<Node>
+where
+    F: Fn(TcpStream) -> JoinHandle<()> + 'static,
+{
+    let listener = Listener::bind(loopback(), secret()).await.unwrap();
+    let address = listener.address().unwrap();
+    let handler = Rc::new(move |stream, _| fake(stream).detach());
+    spawn(listener.slots(handler).serve()).detach();
+    let node = node("host", steward_timeout);
+    announce_upstreams(&node, 1);
+    announce_host(&node, "fake", address);
+    node
+}
+
+async fn reserve(node: &Rc<Node>) -> Result<Reservation, Kind> {
+    let ask = Ask {
+        service: SERVICE,
+        tenant: Some("farm"),
+        deadline: node.now() + PATIENCE,
+        avoid: &[],
+    };
+    node.slots().reserve(node, &ask).await
+}
+
+/// Reserves and releases until a steward grants, so that the links are up.
+async fn warm(nodes: &[Rc<Node>]) {
+    for node in nodes {
+        until(|| async {
+            drop(reserve(node).await);
+            node.slots().counts().granted.get() > 0
+        })
+        .await;
+    }
+}
+
+async fn until<F, T>(mut holds: F)
+where
+    F: FnMut() -> T,
+    T: Future<Output = bool>,
+{
+    let looking = async {
+        while !holds().await {
+            compio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    compio::time::timeout(PATIENCE, looking).await.unwrap();
+}
+
+fn run<F: Future<Output = ()>>(test: F) {
+    compio::runtime::Runtime::new().unwrap().block_on(test);
+}
+
+#[test]
+fn hosts_never_over_book_and_every_ask_is_served() {
+    run(async {
+        let nodes = fleet(3, 1).await;
+        warm(&nodes).await;
+        let running = Cell::new(0_u32);
+        let most = Cell::new(0_u32);
+        let work = |node: Rc<Node>| {
+            let (running, most) = (&running, &most);
+            async move {
+                let mut reservation = reserve(&node).await.unwrap();
+                running.set(running.get() + 1);
+                most.set(most.get().max(running.get()));
+                compio::time::sleep(Duration::from_millis(2)).await;
+                running.set(running.get() - 1);
+                reservation.report(Report {
+                    sign: Sign::Answered,
+                    reused: false,
+                });
+            }
+        };
+        let asks = (0..60).map(|number| work(Rc::clone(&nodes[number % 3])));
+        join_all(asks).await;
+        assert!(most.get() <= SLOTS, "{} ran at a time", most.get());
+        let queued = nodes.iter().map(|node| node.slots().counts().queued.get());
+        assert!(queued.sum::<u64>() > 0);
+    });
+}
+
+#[test]
+fn a_dropped_ask_leaves_no_slot_taken() {
+    run(async {
+        let nodes = fleet(2, 1).await;
+        warm(&nodes).await;
+        let held = join_all((0..SLOTS).map(|_| reserve(&nodes[0]))).await;
+        for node in &nodes {
+            let waiting = reserve(node);
+            let given_up = compio::time::timeout(Duration::from_millis(30), waiting).await;
+            assert!(given_up.is_err(), "there was no slot");
+        }
+        drop(held);
+        let again = join_all((0..SLOTS).map(|_| reserve(&nodes[1]))).await;
+        assert!(again.iter().all(Result::is_ok));
+    });
+}
+
+#[test]
+fn a_steward_that_is_gone_costs_nothing_but_the_coordination() {
+    run(async {
+        let socket = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = socket.local_addr().unwrap();
+        drop(socket);
+        let node = node("host", LONG);
+        announce_upstreams(&node, 1);
+        announce_host(&node, "gone", address);
+        for _ in 0..5 {
+            assert!(reserve(&node).await.is_ok());
+        }
+        assert_eq!(node.slots().counts().chosen.get(), 5);
+        assert_eq!(node.slots().counts().late.get(), 0);
+    });
+}
+
+#[test]
+fn a_steward_cut_off_one_way_is_left_aside_after_one_late_answer() {
+    run(async {
+        let fake = |stream| {
+            let (sender, writer, mut receiver) = channel::split(stream);
+            spawn(async move {
+                let _open = (sender, writer);
+                while receiver.next().await.is_ok() {}
+            })
+        };
+        let node = with_fake(SHORT, fake).await;
+        let counts = node.slots().counts();
+        until(|| async {
+            assert!(reserve(&node).await.is_ok());
+            counts.late.get() > 0
+        })
+        .await;
+        assert!(reserve(&node).await.is_ok());
+        assert_eq!(counts.granted.get(), 0);
+    });
+}
+
+#[test]
+fn a_grant_that_comes_too_late_is_given_back() {
+    run(async {
+        let released = Rc::new(RefCell::new(Vec::new()));
+        let seen = Rc::clone(&released);
+        let fake = move |stream| {
+            let (sender, writer, mut receiver) = channel::split(stream);
+            spawn(writer.run()).detach();
+            let seen = Rc::clone(&seen);
+            spawn(async move {
+                while let Ok(frames) = receiver.next().await {
+                    for frame in frames {
+                        match frame {
+                            Frame::Reserve { number, .. } => {
+                                compio::time::sleep(SHORT * 3).await;
+                                let upstream = "u0".to_owned();
+                                sender.send(Frame::Granted { number, upstream });
+                            }
+                            Frame::Release { number, sign, .. } => {
+                                seen.borrow_mut().push((number, sign));
+                            }
+                            _ => {}
+                        }
+                    }
+                }
+            })
+        };
+        let node = with_fake(SHORT, fake).await;
+        until(|| async {
+            drop(reserve(&node).await);
+            node.slots().counts().late.get() > 0
+        })
+        .await;
+        until(|| async {
+            let released = released.borrow();
+            released.iter().any(|(_, sign)| *sign == Sign::Cancelled)
+        })
+        .await;
+        assert_eq!(node.slots().counts().granted.get(), 0);
+    });
+}
+
+#[test]
+fn an_ask_that_waits_moves_on_when_its_steward_is_lost() {
+    run(async {
+        let fake = |stream| {
+            let (sender, writer, mut receiver) = channel::split(stream);
+            spawn(writer.run()).detach();
+            spawn(async move {
+                while let Ok(frames) = receiver.next().await {
+                    for frame in frames {
+                        if let Frame::Reserve { number, .. } = frame {
+                            sender.send(Frame::Queued { number });
+                            compio::time::sleep(SHORT).await;
+                            sender.close();
+                            return;
+                        }
+                    }
+                }
+            })
+        };
+        let node = with_fake(LONG, fake).await;
+        let counts = node.slots().counts();
+        until(|| async {
+            assert!(reserve(&node).await.is_ok());
+            counts.queued.get() > 0
+        })
+        .await;
+        assert_eq!(counts.granted.get(), 0);
+    });
+}
+
+#[test]
+fn a_steward_learns_of_slots_that_were_taken_without_it() {
+    run(async {
+        let holds = Rc::new(Cell::new(0));
+        let seen = Rc::clone(&holds);
+        let fake = move |stream| {
+            let (sender, writer, mut receiver) = channel::split(stream);
+            spawn(writer.run()).detach();
+            let seen = Rc::clone(&seen);
+            spawn(async move {
+                let _open = sender;
+                while let Ok(frames) = receiver.next().await {
+                    let held = |frame: &&Frame| matches!(frame, Frame::Hold { .. });
+                    seen.set(seen.get() + frames.iter().filter(held).count());
+                }
+            })
+        };
+        let node = with_fake(SHORT, fake).await;
+        let first = reserve(&node).await.unwrap();
+        let second = reserve(&node).await.unwrap();
+        until(|| async { holds.get() == 2 }).await;
+        drop((first, second));
+    });
+}
+
+#[test]
+fn two_stewards_at_once_over_book_at_worst() {
+    run(async {
+        let nodes = fleet(2, 1).await;
+        let live = ["host-0", "host-1"];
+        let first = rendezvous::first(SERVICE, live).unwrap();
+        let other = usize::from(first == "host-0");
+        nodes[other].board_mut().suspect(first, true);
+        let steward = &nodes[1 - other];
+        let own = join_all((0..SLOTS).map(|_| reserve(steward))).await;
+        let others = join_all((0..SLOTS).map(|_| reserve(&nodes[other]))).await;
+        assert!(own.iter().chain(&others).all(Result::is_ok));
+        nodes[other].board_mut().suspect(first, false);
+        drop(own);
+        until(|| async {
+            let more = compio::time::timeout(Duration::from_millis(30), reserve(steward)).await;
+            more.is_err()
+        })
+        .await;
+        drop(others);
+        assert!(reserve(steward).await.is_ok());
+    });
+}
