--- a/programs/pb-proxy/src/node.rs
+++ b/programs/pb-proxy/src/node.rs
@@ -20,7 +20,7 @@
 use persimmonbend_core::host;
 use persimmonbend_core::key;
 use persimmonbend_core::membership::Membership;
-use persimmonbend_core::routing::TwoChoices;
+use persimmonbend_core::steward::Unconditional;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -77,8 +77,8 @@
             recent: RefCell::new(VecDeque::new()),
             joined: Cell::new(false),
             rng: RefCell::new(rng),
-            pool: Pool::new(settings.idle_connections),
-            slots: Slots::new(Box::new(TwoChoices)),
+            pool: Pool::new(settings.connections_max),
+            slots: Slots::new(settings.routing, Box::new(Unconditional)),
             ready: Cell::new(false),
             closing: Stop::new(),
             settings,
