feat(keys): withdrawals without control are passed on, and keys checked again before sending

Cause: a withdrawal handed to a proxy while control is away stayed among proxies, and a request that waited for a slot was sent with a key that had been withdrawn meanwhile.

Change: the proxy that an operator told, or else the first by rank, submits the withdrawal once control answers. The key and the isolation rule are checked again before the first byte is sent; after an attempt that may have run, the earlier failure stays the answer.

Conclusion: no test yet; the socket tests follow.

--- a/programs/pb-proxy/src/auth.rs
+++ b/programs/pb-proxy/src/auth.rs
@@ -7,20 +7,30 @@
 use persimmonbend_core::error::Kind;
 use persimmonbend_core::id::TenantId;
 use persimmonbend_core::key;
+use persimmonbend_core::key::Digest;
 use persimmonbend_core::key::Secret;
 
 /// Header that may carry a key besides `Authorization: Bearer`.
 pub const KEY_HEADER: HeaderName = HeaderName::from_static("x-api-key");
 
+/// Returns the digest of the presented key.
+///
+/// # Errors
+///
+/// Returns [`Kind::KeyMissing`] or [`Kind::KeyUnknown`].
+pub fn digest(headers: &HeaderMap) -> Result<Digest, Kind> {
+    let presented = presented(headers).ok_or(Kind::KeyMissing)?;
+    let secret = Secret::try_from(presented).map_err(|_| Kind::KeyUnknown)?;
+    Ok(secret.digest())
+}
+
 /// Returns the tenant that the presented key belongs to.
 ///
 /// # Errors
 ///
 /// Returns [`Kind::KeyMissing`], [`Kind::KeyUnknown`] or [`Kind::KeyWithdrawn`].
 pub fn tenant(board: &Board, headers: &HeaderMap) -> Result<TenantId, Kind> {
-    let presented = presented(headers).ok_or(Kind::KeyMissing)?;
-    let secret = Secret::try_from(presented).map_err(|_| Kind::KeyUnknown)?;
-    let digest = secret.digest();
+    let digest = digest(headers)?;
     let config = board.config();
     let known = config.keys().get(&digest).ok_or(Kind::KeyUnknown)?;
     if board.is_withdrawn(&digest) {
--- a/programs/pb-proxy/src/callers.rs
+++ b/programs/pb-proxy/src/callers.rs
@@ -78,11 +78,16 @@
         if target.route.non_idempotent {
             return Err(Kind::ClaimUnavailable);
         }
+        let key = match tenant {
+            Some(_) => Some(auth::digest(&head.headers)?),
+            None => None,
+        };
         let body = read(body, self.node.settings().body_max_bytes).await?;
         let plan = Plan {
             deadline: deadline(started, &target, &head.headers),
             target,
             tenant,
+            key,
             head: Rc::new(forwarded(head)),
             body,
         };
--- a/programs/pb-proxy/src/forward.rs
+++ b/programs/pb-proxy/src/forward.rs
@@ -25,6 +25,7 @@
 use persimmonbend_core::health::Sign;
 use persimmonbend_core::id::TenantId;
 use persimmonbend_core::id::UpstreamId;
+use persimmonbend_core::key::Digest;
 use persimmonbend_core::route::Target;
 
 use crate::node::Node;
@@ -52,6 +53,8 @@
     pub target: Target,
     /// Whom it is for, if a key came with it.
     pub tenant: Option<TenantId>,
+    /// Digest of that key.
+    pub key: Option<Digest>,
     /// Method, target and headers, without key and hop-by-hop headers.
     pub head: Rc<hyper::http::request::Parts>,
     /// The whole body.
@@ -61,6 +64,21 @@
 }
 
 impl Plan {
+    /// Returns whether the key that came with the request may still be used; the request may have
+    /// waited for a slot since it was checked.
+    fn still_allowed(&self, node: &Node) -> Result<(), Kind> {
+        let Some(key) = &self.key else {
+            return Ok(());
+        };
+        if node.board().is_withdrawn(key) {
+            return Err(Kind::KeyWithdrawn);
+        }
+        if node.is_isolated() {
+            return Err(Kind::Isolated);
+        }
+        Ok(())
+    }
+
     fn request(&self, left: Duration) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.head.method.clone();
@@ -124,6 +142,9 @@
             (Err(_), Some(earlier)) => return Err(earlier),
             (Err(kind), None) => return Err(kind),
         };
+        if let Err(kind) = plan.still_allowed(node) {
+            return Err(last.unwrap_or(kind));
+        }
         let connection = match open(node, plan, &reservation).await {
             Ok(connection) => connection,
             Err(failure) => {
--- a/programs/pb-proxy/src/lib.rs
+++ b/programs/pb-proxy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod settings;
 pub mod slots;
 pub mod subscription;
+pub mod withdrawals;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/programs/pb-proxy/src/node.rs
+++ b/programs/pb-proxy/src/node.rs
@@ -30,6 +30,7 @@
 use crate::pool::Pool;
 use crate::settings::Settings;
 use crate::slots::Slots;
+use crate::withdrawals::Withdrawals;
 
 /// Time between two sweeps of the board.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -45,6 +46,7 @@
     exchanges: Cell<usize>,
     fetching: Cell<bool>,
     recent: RefCell<VecDeque<Entry>>,
+    withdrawals: Withdrawals,
     joined: Cell<bool>,
     rng: RefCell<ChaCha8Rng>,
     pool: Pool,
@@ -75,6 +77,7 @@
             exchanges: Cell::new(0),
             fetching: Cell::new(false),
             recent: RefCell::new(VecDeque::new()),
+            withdrawals: Withdrawals::new(),
             joined: Cell::new(false),
             rng: RefCell::new(rng),
             pool: Pool::new(settings.idle_connections),
@@ -141,6 +144,12 @@
         &self.recent
     }
 
+    /// Returns the withdrawals that control has not confirmed.
+    #[must_use]
+    pub const fn withdrawals(&self) -> &Withdrawals {
+        &self.withdrawals
+    }
+
     /// Waits until there is news to push, at most for `limit`.
     pub async fn wait_for_news(&self, limit: Duration) {
         let listener = self.news.listen();
--- a/programs/pb-proxy/src/peer.rs
+++ b/programs/pb-proxy/src/peer.rs
@@ -69,6 +69,8 @@
         if !taken {
             return Err(Error::failed("too many withdrawals wait".to_owned()));
         }
+        let now = self.node.now();
+        self.node.withdrawals().note(digest, operator, now);
         info!("keys: {operator} withdrew key {}", digest.short());
         self.node.wake_for_news();
         Ok(())
--- a/programs/pb-proxy/src/subscription.rs
+++ b/programs/pb-proxy/src/subscription.rs
@@ -15,6 +15,7 @@
 use persimmonbend_wire::update::Update;
 
 use crate::node::Node;
+use crate::withdrawals;
 
 /// Time that one watch waits for a change; doubles as the ping of an idle link.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
@@ -125,6 +126,9 @@
                 take_in(node, update);
                 node.wake_for_news();
                 node.set_configured();
+                if let Err(error) = withdrawals::pass_on(node, control).await {
+                    return error;
+                }
             }
             Err(error) => return error,
         }
