--- a/crates/core/src/board.rs
+++ b/crates/core/src/board.rs
@@ -19,6 +19,7 @@
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 use crate::key::Digest;
+use crate::retry::Account;
 use crate::route::Table;
 use crate::upstream::Announcement;
 use crate::upstream::Stage;
@@ -48,6 +49,7 @@
     withdrawn: BTreeSet<Digest>,
     services: BTreeMap<ServiceId, BTreeMap<UpstreamId, Upstream>>,
     hosts: BTreeMap<HostId, Host>,
+    retries: BTreeMap<ServiceId, Account>,
     host_changes: u64,
     upstream_changes: u64,
     upstream_count: usize,
@@ -65,6 +67,7 @@
             withdrawn: BTreeSet::new(),
             services: BTreeMap::new(),
             hosts: BTreeMap::new(),
+            retries: BTreeMap::new(),
             host_changes: 0,
             upstream_changes: 0,
             upstream_count: 0,
@@ -163,6 +166,11 @@
         live.map(|(id, _)| id.as_str())
     }
 
+    /// Returns what this host knows of a service when it comes to retries.
+    pub fn retries_mut(&mut self, service: &str) -> &mut Account {
+        self.retries.entry(service.to_owned()).or_default()
+    }
+
     /// Returns the events of this process.
     #[must_use]
     pub const fn events(&self) -> &Ring {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod machine;
 pub mod membership;
 pub mod rendezvous;
+pub mod retry;
 pub mod route;
 pub mod routing;
 pub mod steward;
