feat(proxy): drains, stops and isolation on real sockets

Cause: a connection that reached a closing port, or a request on an idle connection right at the close, was lost; and nothing showed that proxies carry on without control.

Change: while a proxy stops, each answer says that it is the last one of its connection; after the notice the port takes what still reaches it for half a second. pb-lab starts proxies with further settings and control on a given address.

--- a/crates/app/src/http.rs
+++ b/crates/app/src/http.rs
@@ -12,6 +12,7 @@
 use compio::net::TcpListener;
 use compio::net::TcpStream;
 use compio::runtime::spawn;
+use compio::time::timeout;
 use cyper_core::CompioTimer;
 use cyper_core::HyperStream;
 use event_listener::Event;
@@ -40,6 +41,9 @@
     pub head_timeout: Duration,
     /// Connections open at a time.
     pub connections: usize,
+    /// Time after a stop in which connections that were made before it are still accepted and
+    /// idle ones still take a request.
+    pub linger: Duration,
 }
 
 impl Default for Limits {
@@ -48,6 +52,7 @@
             head_buffer_bytes: 64 * 1024,
             head_timeout: Duration::from_secs(30),
             connections: 10_000,
+            linger: Duration::from_millis(500),
         }
     }
 }
@@ -96,30 +101,48 @@
 
     /// Serves until `stop` is asked for, then lets every running request end.
     ///
-    /// After the stop no connection is accepted and an idle one is closed; the future ends with
-    /// the last request.
+    /// After the stop the port still takes what reaches it within [`Limits::linger`], so that
+    /// nothing is lost that was sent before the stop was known; the future ends with the last
+    /// request.
     pub async fn serve<H: Handler + 'static>(self, handler: Rc<H>, stop: Stop) {
         let open = Rc::new(Open::default());
         while let Some(accepted) = stop.until(self.socket.accept()).await {
-            let Ok((stream, _)) = accepted else {
-                compio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            };
-            if open.count.get() >= self.limits.connections {
-                continue;
-            }
-            let guard = Guard::new(&open);
-            let handler = Rc::clone(&handler);
-            let stop = stop.clone();
-            let limits = self.limits;
-            spawn(async move {
-                serve_connection(stream, limits, handler, stop).await;
-                drop(guard);
-            })
-            .detach();
+            self.take(accepted, &open, &handler, &stop).await;
         }
+        let lingering = async {
+            loop {
+                let accepted = self.socket.accept().await;
+                self.take(accepted, &open, &handler, &stop).await;
+            }
+        };
+        let _ = timeout(self.limits.linger, lingering).await;
         open.wait_until_none().await;
     }
+
+    async fn take<H: Handler + 'static>(
+        &self,
+        accepted: io::Result<(TcpStream, SocketAddr)>,
+        open: &Rc<Open>,
+        handler: &Rc<H>,
+        stop: &Stop,
+    ) {
+        let Ok((stream, _)) = accepted else {
+            compio::time::sleep(ACCEPT_PAUSE).await;
+            return;
+        };
+        if open.count.get() >= self.limits.connections {
+            return;
+        }
+        let guard = Guard::new(open);
+        let handler = Rc::clone(handler);
+        let stop = stop.clone();
+        let limits = self.limits;
+        spawn(async move {
+            serve_connection(stream, limits, handler, stop).await;
+            drop(guard);
+        })
+        .detach();
+    }
 }
 
 /// Returns an answer with a whole body.
@@ -154,23 +177,42 @@
     stop: Stop,
 ) {
     let _ = stream.set_nodelay(true);
+    let closing = stop.clone();
     let service = service_fn(move |request| {
         let handler = Rc::clone(&handler);
-        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+        let stop = closing.clone();
+        async move {
+            let mut response = handler.handle(request).await;
+            if stop.is_asked() {
+                say_last(&mut response);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.head_buffer_bytes)
         .serve_connection(HyperStream::new_plain(stream), service);
-    let asked = stop.asked();
-    pin_mut!(connection, asked);
-    if let Either::Right(_) = select(connection.as_mut(), asked).await {
+    let lingered = async {
+        stop.asked().await;
+        compio::time::sleep(limits.linger).await;
+    };
+    pin_mut!(connection, lingered);
+    if let Either::Right(_) = select(connection.as_mut(), lingered).await {
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
     }
 }
 
+/// Marks an answer as the last one of its connection.
+pub fn say_last(response: &mut Response<Body>) {
+    let value = hyper::header::HeaderValue::from_static("close");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONNECTION, value);
+}
+
 #[derive(Debug, Default)]
 struct Open {
     count: Cell<usize>,
--- a/programs/pb-lab/src/fleet.rs
+++ b/programs/pb-lab/src/fleet.rs
@@ -149,9 +149,22 @@
 ///
 /// Returns an error when it does not start.
 pub fn control(files: &Files, name: &str) -> anyhow::Result<(Part, SocketAddr)> {
+    control_at(files, name, SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+/// Starts a control replica on a given address.
+///
+/// # Errors
+///
+/// Returns an error when it does not start.
+pub fn control_at(
+    files: &Files,
+    name: &str,
+    listen: SocketAddr,
+) -> anyhow::Result<(Part, SocketAddr)> {
     let settings = checked::<pb_control::settings::File, _>(&json!({
         "host": name,
-        "listen": "127.0.0.1:0",
+        "listen": listen,
         "data": files.folder().join(name),
         "secret_file": files.secret(),
     }))?;
@@ -172,17 +185,35 @@
     control: &[SocketAddr],
     seeds: &[SocketAddr],
 ) -> anyhow::Result<(Part, pb_proxy::Addresses)> {
-    let settings = checked::<pb_proxy::settings::File, _>(&json!({
+    proxy_with(files, name, zone, control, &json!({ "seeds": seeds }))
+}
+
+/// Starts a proxy with further fields of its settings file.
+///
+/// # Errors
+///
+/// Returns an error when it does not start.
+pub fn proxy_with(
+    files: &Files,
+    name: &str,
+    zone: &str,
+    control: &[SocketAddr],
+    further: &Value,
+) -> anyhow::Result<(Part, pb_proxy::Addresses)> {
+    let mut document = json!({
         "host": name,
         "zone": zone,
         "callers": "127.0.0.1:0",
         "platform": "127.0.0.1:0",
         "peers": "127.0.0.1:0",
         "control": control,
-        "seeds": seeds,
         "secret_file": files.secret(),
         "stop_notice_ms": 500,
-    }))?;
+    });
+    if let (Some(fields), Some(further)) = (document.as_object_mut(), further.as_object()) {
+        fields.extend(further.clone());
+    }
+    let settings = checked::<pb_proxy::settings::File, _>(&document)?;
     Part::start(name, move |stop, bound| {
         pb_proxy::run(settings, stop, bound)
     })
--- a/programs/pb-lab/tests/support/mod.rs
+++ b/programs/pb-lab/tests/support/mod.rs
@@ -2,10 +2,10 @@
 
 #![allow(dead_code)]
 
-use std::io::Read;
-use std::io::Write;
+pub mod caller;
+pub mod relay;
+
 use std::net::SocketAddr;
-use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -73,7 +73,13 @@
     /// Adds a proxy and returns its place.
     pub fn add_proxy(&mut self, name: &str, seeds: &[SocketAddr]) -> usize {
         let control = [self.control_address];
-        let (part, addresses) = fleet::proxy(&self.files, name, "a", &control, seeds).unwrap();
+        self.add_proxy_with(name, &control, &json!({ "seeds": seeds }))
+    }
+
+    /// Adds a proxy with further settings and returns its place.
+    pub fn add_proxy_with(&mut self, name: &str, control: &[SocketAddr], further: &Value) -> usize {
+        let started = fleet::proxy_with(&self.files, name, "a", control, further);
+        let (part, addresses) = started.unwrap();
         self.proxies.push(Proxy {
             part: Some(part),
             addresses,
@@ -101,6 +107,12 @@
         self.control.take().unwrap().end().unwrap();
     }
 
+    /// Starts control again on the address that it had.
+    pub fn restart_control(&mut self) {
+        let started = fleet::control_at(&self.files, "control-0", self.control_address);
+        self.control = Some(started.unwrap().0);
+    }
+
     /// Stops a proxy and waits for its end.
     pub fn stop_proxy(&mut self, at: usize) {
         self.proxies[at].part.take().unwrap().end().unwrap();
@@ -220,24 +232,6 @@
     }
 }
 
-/// Returns the answer to a GET over a new connection, empty if the connection broke.
-pub fn get(address: SocketAddr, path: &str, secret: &Secret) -> String {
-    let request = format!(
-        "GET {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\nauthorization: Bearer {}\r\n\r\n",
-        secret.reveal()
-    );
-    let Ok(mut stream) = TcpStream::connect(address) else {
-        return String::new();
-    };
-    stream
-        .set_read_timeout(Some(Duration::from_secs(20)))
-        .unwrap();
-    let _ = stream.write_all(request.as_bytes());
-    let mut answer = String::new();
-    let _ = stream.read_to_string(&mut answer);
-    answer
-}
-
 fn service() -> Service {
     let file: File = serde_json::from_value(json!({
         "service": "herd",
--- a/programs/pb-proxy/src/callers.rs
+++ b/programs/pb-proxy/src/callers.rs
@@ -17,6 +17,7 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
+use persimmonbend_app::http;
 use persimmonbend_app::http::Body;
 use persimmonbend_app::http::Handler;
 use persimmonbend_core::error::Kind;
@@ -117,6 +118,9 @@
         let name = self.name();
         let outcome = self.run(request).await;
         let mut response = outcome.unwrap_or_else(|kind| refusal::response(kind, &name));
+        if self.node.stop().is_asked() {
+            http::say_last(&mut response);
+        }
         if let Ok(value) = HeaderValue::from_str(&name) {
             response
                 .headers_mut()
