--- a/programs/pb-proxy/src/callers.rs
+++ b/programs/pb-proxy/src/callers.rs
@@ -17,6 +17,7 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
+use persimmonbend_app::http;
 use persimmonbend_app::http::Body;
 use persimmonbend_app::http::Handler;
 use persimmonbend_core::error::Kind;
@@ -78,11 +79,16 @@
         if target.route.non_idempotent {
             return Err(Kind::ClaimUnavailable);
         }
+        let key = match tenant {
+            Some(_) => Some(auth::digest(&head.headers)?),
+            None => None,
+        };
         let body = read(body, self.node.settings().body_max_bytes).await?;
         let plan = Plan {
             deadline: deadline(started, &target, &head.headers),
             target,
             tenant,
+            key,
             head: Rc::new(forwarded(head)),
             body,
         };
@@ -112,6 +118,9 @@
         let name = self.name();
         let outcome = self.run(request).await;
         let mut response = outcome.unwrap_or_else(|kind| refusal::response(kind, &name));
+        if self.node.stop().is_asked() {
+            http::say_last(&mut response);
+        }
         if let Ok(value) = HeaderValue::from_str(&name) {
             response
                 .headers_mut()
