feat(core): grants of rates and records of non-idempotent requests

Cause: a rate must hold over all hosts through losses, cut-offs, leader changes and restarts, and a non-idempotent request must run at most once.

Change: quota::Issuer and quota::Holder with seats, stamps and shares; record::Table as part of the replicated machine. Outstanding tokens are settled by what a host says it still holds.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -26,3 +26,12 @@
 
 /// Number an upstream raises at each of its starts.
 pub type Incarnation = u64;
+
+/// Number of a period with one leader; rises with each leader.
+pub type Term = u64;
+
+/// Number of a message in an exchange; rises by one.
+pub type Sequence = u64;
+
+/// Randomly chosen name of one execution of a request.
+pub type Attempt = u64;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,8 @@
 pub mod id;
 pub mod key;
 pub mod machine;
+pub mod quota;
+pub mod record;
 pub mod rendezvous;
 pub mod route;
 pub mod routing;
--- /dev/null
+++ b/crates/core/src/quota/issuer.rs
@@ -0,0 +1,333 @@
+//! The leader's side: who may be granted how many tokens.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::config::Rate;
+use crate::config::State;
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::id::Sequence;
+use crate::id::Term;
+use crate::quota::Account;
+use crate::quota::Ask;
+use crate::quota::Batch;
+use crate::quota::DRIFT;
+use crate::quota::Grant;
+use crate::quota::LIFETIME;
+use crate::quota::Reply;
+use crate::quota::SILENCE;
+use crate::quota::Seats;
+use crate::quota::Share;
+use crate::quota::Stamp;
+use crate::quota::bucket::MAX_WAIT;
+use crate::quota::pool::Pool;
+
+/// Most accounts with tokens outstanding or a level below the burst.
+const MAX_POOLS: usize = 200_000;
+
+/// Pools that one batch looks at to drop the idle ones.
+const SWEPT_PER_BATCH: usize = 8;
+
+/// The answer to an ask that cannot be served.
+const REFUSED: Grant = Grant {
+    tokens: 0,
+    retry_after: MAX_WAIT,
+};
+
+/// What is known of one host.
+#[derive(Debug)]
+struct Contact {
+    incarnation: Incarnation,
+    sequence: Sequence,
+    reply: Reply,
+    /// When the last reply that is known to have arrived was sent.
+    heard: Option<Instant>,
+    /// Since when the share of the host is not withheld.
+    joined: Option<Instant>,
+}
+
+/// Grants the tokens of all accounts for one term.
+#[derive(Debug)]
+pub struct Issuer {
+    term: Term,
+    started: Instant,
+    opens: Instant,
+    seats: Seats,
+    seats_since: Instant,
+    unreported: BTreeSet<HostId>,
+    contacts: BTreeMap<HostId, Contact>,
+    pools: BTreeMap<Account, Pool>,
+    swept: Option<Account>,
+}
+
+impl Issuer {
+    /// Creates the issuer of a term, whose lease began no earlier than `now`.
+    ///
+    /// It grants nothing until every grant of an earlier issuer has lapsed, or all of the hosts
+    /// with a seat have told what they hold.
+    #[must_use]
+    pub fn new(term: Term, seats: Seats, now: Instant) -> Self {
+        let opens = now + LIFETIME + DRIFT;
+        Self {
+            term,
+            started: now,
+            opens,
+            unreported: seats.hosts().keys().cloned().collect(),
+            seats,
+            seats_since: opens,
+            contacts: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            swept: None,
+        }
+    }
+
+    /// Returns the term.
+    #[must_use]
+    pub const fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Returns the number of accounts with tokens outstanding or a level below the burst.
+    #[must_use]
+    pub fn active(&self) -> usize {
+        self.pools.len()
+    }
+
+    /// Returns the free and the outstanding tokens of an account that is active.
+    #[must_use]
+    pub fn tokens(&self, account: &Account) -> Option<(f64, u32)> {
+        let pool = self.pools.get(account)?;
+        Some((pool.level(), pool.outstanding()))
+    }
+
+    /// Returns the hosts whose share is withheld.
+    pub fn withheld(&self, now: Instant) -> impl Iterator<Item = &str> {
+        let hosts = self.seats.hosts().keys().map(String::as_str);
+        hosts.filter(move |host| self.is_withheld(host, now))
+    }
+
+    /// Puts changed seats in force.
+    pub fn seat(&mut self, seats: &Seats, config: &State, now: Instant) {
+        if *seats == self.seats {
+            return;
+        }
+        self.refill_all(config, now);
+        let before = std::mem::replace(&mut self.seats, seats.clone());
+        self.seats_since = self.seats_since.max(now);
+        let hosts = self.seats.hosts();
+        self.unreported.retain(|host| hosts.contains_key(host));
+        self.contacts
+            .retain(|host, _| hosts.contains_key(host) || !before.hosts().contains_key(host));
+    }
+
+    /// Answers a batch.
+    pub fn answer(&mut self, batch: &Batch, config: &State, now: Instant) -> Reply {
+        self.listen(batch, config, now);
+        if let Some(known) = self.contacts.get(&batch.host) {
+            let this = (batch.incarnation, batch.sequence);
+            let last = (known.incarnation, known.sequence);
+            if this == last {
+                return known.reply.clone();
+            }
+            if this < last {
+                return self.reply(batch, Vec::new(), now);
+            }
+        }
+        self.take_report(batch, config, now);
+        let asks = batch.asks.iter();
+        let grants = asks.map(|ask| self.grant(&batch.host, ask, config, now));
+        let grants = grants.collect();
+        self.sweep(config, now);
+        let reply = self.reply(batch, grants, now);
+        self.remember(batch, reply.clone());
+        reply
+    }
+
+    fn is_open(&self, now: Instant) -> bool {
+        now >= self.opens
+    }
+
+    /// Returns whether every host that was ever granted a token has a seat.
+    fn has_free_seats(&self) -> bool {
+        u64::from(self.seats.size()) > self.seats.hosts().len() as u64
+    }
+
+    /// Returns whether tokens may go to a host.
+    fn serves(&self, host: &str) -> bool {
+        self.seats.get(host).is_some() || !self.has_free_seats()
+    }
+
+    fn is_withheld(&self, host: &str, now: Instant) -> bool {
+        let contact = self.contacts.get(host);
+        let heard = contact.and_then(|contact| contact.heard);
+        heard.is_none_or(|heard| now >= heard + SILENCE)
+    }
+
+    /// Takes in the stamp that the batch gives back.
+    fn listen(&mut self, batch: &Batch, config: &State, now: Instant) {
+        let echo = batch.echo.filter(|stamp| stamp.term == self.term);
+        let Some(heard) = echo.map(|stamp| self.started + stamp.since_start) else {
+            return;
+        };
+        let returns = self.is_withheld(&batch.host, now) && now < heard + SILENCE;
+        if returns {
+            self.refill_all(config, now);
+        }
+        if let Some(contact) = self.contacts.get_mut(&batch.host) {
+            contact.heard = contact.heard.max(Some(heard));
+            if returns {
+                contact.joined = Some(now);
+            }
+        }
+    }
+
+    /// Takes in what a host holds from an earlier issuer.
+    fn take_report(&mut self, batch: &Batch, config: &State, now: Instant) {
+        if batch.whole != Some(self.term) || !self.unreported.remove(&batch.host) {
+            return;
+        }
+        for ask in batch.asks.iter().filter(|ask| ask.held + ask.returned > 0) {
+            if let Some(rate) = ask.account.rate(config) {
+                let pool = self.pool(&ask.account, rate, now);
+                pool.adopt(&batch.host, ask.held + ask.returned, now);
+            }
+        }
+        if self.unreported.is_empty() && self.has_free_seats() {
+            self.opens = self.opens.min(now);
+        }
+    }
+
+    fn grant(&mut self, host: &str, ask: &Ask, config: &State, now: Instant) -> Grant {
+        let Some(rate) = ask.account.rate(config) else {
+            return REFUSED;
+        };
+        let is_full = self.pools.len() >= MAX_POOLS && !self.pools.contains_key(&ask.account);
+        if is_full || !self.serves(host) {
+            return REFUSED;
+        }
+        let withheld = self.withheld_share(&ask.account, rate, now);
+        let open = self.is_open(now);
+        let pool = self.pool(&ask.account, rate, now);
+        pool.refill(rate, withheld, now);
+        pool.settle(host, ask);
+        pool.refill(rate, withheld, now);
+        if !open {
+            return Grant::default();
+        }
+        pool.grant(host, ask, rate.per_second - withheld.per_second, now)
+    }
+
+    fn pool(&mut self, account: &Account, rate: Rate, now: Instant) -> &mut Pool {
+        let level = self.level_of_idle(account, rate, now);
+        self.pools
+            .entry(account.clone())
+            .or_insert_with(|| Pool::new(level, now))
+    }
+
+    /// Returns the level of an account that has no pool.
+    ///
+    /// The part of each seat counts as empty at the time at which the seat was last withheld,
+    /// and the part of the seats that are not taken as empty when the seats last changed.
+    fn level_of_idle(&self, account: &Account, rate: Rate, now: Instant) -> f64 {
+        if self.pools.contains_key(account) {
+            return 0.0;
+        }
+        let mut rest = Share {
+            burst: rate.burst,
+            per_second: rate.per_second,
+        };
+        let mut level = 0.0;
+        for host in self.seats.hosts().keys() {
+            let Some(seat) = self.seats.get(host) else {
+                continue;
+            };
+            let share = seat.share(account, rate);
+            rest.burst -= share.burst;
+            rest.per_second -= share.per_second;
+            let joined = self.contacts.get(host).and_then(|contact| contact.joined);
+            if let Some(joined) = joined.filter(|_| !self.is_withheld(host, now)) {
+                level += filled(share, joined.max(self.opens), now);
+            }
+        }
+        level + filled(rest, self.seats_since.max(self.opens), now)
+    }
+
+    fn withheld_share(&self, account: &Account, rate: Rate, now: Instant) -> Share {
+        let mut sum = Share::default();
+        for host in self.withheld(now) {
+            if let Some(seat) = self.seats.get(host) {
+                let share = seat.share(account, rate);
+                sum.burst += share.burst;
+                sum.per_second += share.per_second;
+            }
+        }
+        sum
+    }
+
+    fn refill_all(&mut self, config: &State, now: Instant) {
+        let mut pools = std::mem::take(&mut self.pools);
+        for (account, pool) in &mut pools {
+            if let Some(rate) = account.rate(config) {
+                pool.refill(rate, self.withheld_share(account, rate, now), now);
+            }
+        }
+        self.pools = pools;
+    }
+
+    /// Drops some pools that are idle, or whose account is gone.
+    fn sweep(&mut self, config: &State, now: Instant) {
+        let from = self.swept.take();
+        let start = from.map_or(std::ops::Bound::Unbounded, std::ops::Bound::Excluded);
+        let range = self.pools.range((start, std::ops::Bound::Unbounded));
+        let seen: Vec<Account> = range
+            .take(SWEPT_PER_BATCH)
+            .map(|(account, _)| account.clone())
+            .collect();
+        for account in &seen {
+            let rate = account.rate(config);
+            let idle = rate.is_none_or(|rate| {
+                let withheld = self.withheld_share(account, rate, now);
+                self.pools.get_mut(account).is_some_and(|pool| {
+                    pool.refill(rate, withheld, now);
+                    pool.is_idle(rate, withheld)
+                })
+            });
+            if idle {
+                self.pools.remove(account);
+            }
+        }
+        self.swept = seen.into_iter().next_back();
+    }
+
+    fn reply(&self, batch: &Batch, grants: Vec<Grant>, now: Instant) -> Reply {
+        Reply {
+            stamp: Stamp {
+                term: self.term,
+                since_start: now.saturating_duration_since(self.started),
+            },
+            seat: self.seats.get(&batch.host),
+            opens_in: self.opens.saturating_duration_since(now),
+            grants,
+        }
+    }
+
+    fn remember(&mut self, batch: &Batch, reply: Reply) {
+        let known = self.contacts.get(&batch.host);
+        let contact = Contact {
+            incarnation: batch.incarnation,
+            sequence: batch.sequence,
+            reply,
+            heard: known.and_then(|known| known.heard),
+            joined: known.and_then(|known| known.joined),
+        };
+        self.contacts.insert(batch.host.clone(), contact);
+    }
+}
+
+fn filled(share: Share, since: Instant, now: Instant) -> f64 {
+    let elapsed: Duration = now.saturating_duration_since(since);
+    (elapsed.as_secs_f64() * share.per_second).min(f64::from(share.burst))
+}
--- /dev/null
+++ b/crates/core/src/quota/seat.rs
@@ -0,0 +1,103 @@
+//! Seats of hosts and the share of each account that a seat stands for.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::config::Rate;
+use crate::id::HostId;
+use crate::quota::Account;
+use crate::rendezvous;
+
+/// One seat of a fixed number of seats.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Seat {
+    /// Number of the seat, counted from 0.
+    pub number: u32,
+    /// Number of all seats, taken or not.
+    pub of: u32,
+}
+
+impl Seat {
+    /// Returns the share of an account that this seat stands for.
+    ///
+    /// The shares of all seats add up to the rate and the burst. Whole tokens that cannot be
+    /// split evenly go to seats that differ from account to account.
+    #[must_use]
+    pub fn share(self, account: &Account, rate: Rate) -> Share {
+        if self.of == 0 || rate.burst == 0 {
+            return Share::default();
+        }
+        let service = account.service.as_deref().unwrap_or_default();
+        let first = rendezvous::weight(&account.tenant, service) % u64::from(self.of);
+        let place = (u64::from(self.number) + u64::from(self.of) - first) % u64::from(self.of);
+        let extra = place < u64::from(rate.burst % self.of);
+        let burst = rate.burst / self.of + u32::from(extra);
+        Share {
+            burst,
+            per_second: rate.per_second * f64::from(burst) / f64::from(rate.burst),
+        }
+    }
+}
+
+/// The part of a rate and burst that belongs to a seat.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Share {
+    /// Whole tokens of the burst.
+    pub burst: u32,
+    /// Tokens per second.
+    pub per_second: f64,
+}
+
+/// The seats of a fleet, kept in the replicated log.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Seats {
+    size: u32,
+    hosts: BTreeMap<HostId, u32>,
+}
+
+impl Seats {
+    /// Returns the number of all seats, taken or not; 0 before the first one is taken.
+    #[must_use]
+    pub const fn size(&self) -> u32 {
+        self.size
+    }
+
+    /// Returns the hosts with the numbers of their seats.
+    #[must_use]
+    pub const fn hosts(&self) -> &BTreeMap<HostId, u32> {
+        &self.hosts
+    }
+
+    /// Returns the seat of a host.
+    #[must_use]
+    pub fn get(&self, host: &str) -> Option<Seat> {
+        let number = *self.hosts.get(host)?;
+        Some(Seat {
+            number,
+            of: self.size,
+        })
+    }
+
+    /// Gives a host the first free seat unless it has one; the first call fixes the size.
+    ///
+    /// Returns `None` when all seats are taken.
+    pub fn take(&mut self, host: &str, size: u32) -> Option<Seat> {
+        if self.size == 0 {
+            self.size = size;
+        }
+        if !self.hosts.contains_key(host) {
+            let taken: BTreeSet<u32> = self.hosts.values().copied().collect();
+            let free = (0..self.size).find(|number| !taken.contains(number))?;
+            self.hosts.insert(host.to_owned(), free);
+        }
+        self.get(host)
+    }
+
+    /// Frees the seat of a host that has stopped.
+    pub fn vacate(&mut self, host: &str) {
+        self.hosts.remove(host);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/quota/main.rs
@@ -0,0 +1,141 @@
+//! Rates over the fleet against one naive token bucket, under losses, cut-offs, leader changes
+//! and restarts.
+
+#![allow(clippy::unwrap_used)]
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::Fault;
+use fleet::Fleet;
+use fleet::Plan;
+use quickcheck::QuickCheck;
+use quickcheck::TestResult;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Any schedule of faults keeps what is admitted within burst and rate.
+#[allow(clippy::needless_pass_by_value)] // a property takes its arguments by value
+fn admits_no_more_than_the_rate(seed: u64, hosts: u8, load: u8, faults: Vec<Fault>) -> TestResult {
+    let plan = Plan {
+        seed,
+        hosts: 1 + usize::from(hosts % 6),
+        seats: 8,
+        per_second: 20.0,
+        burst: 1 + u32::from(load % 40),
+        demand: 5.0 + f64::from(load),
+        loss: f64::from(load % 4) * 0.1,
+    };
+    let mut fleet = Fleet::new(plan);
+    for fault in faults.iter().take(12) {
+        fleet.strike(*fault);
+        if let Err(excess) = fleet.run(SECOND) {
+            return TestResult::error(format!("{plan:?} {faults:?}: {excess}"));
+        }
+    }
+    match fleet.run(4 * SECOND) {
+        Ok(()) => TestResult::passed(),
+        Err(excess) => TestResult::error(format!("{plan:?} {faults:?}: {excess}")),
+    }
+}
+
+#[test]
+fn rate_holds_under_any_schedule() {
+    let property: fn(u64, u8, u8, Vec<Fault>) -> TestResult = admits_no_more_than_the_rate;
+    QuickCheck::new().tests(120).quickcheck(property);
+}
+
+/// Spent tokens of a lapsed grant once settled a later one, so that its tokens came twice.
+#[test]
+fn spent_tokens_settle_their_own_grant() {
+    for seed in 0..20 {
+        let faults = vec![Fault::None, Fault::None, Fault::Skew(1)];
+        let result = admits_no_more_than_the_rate(seed, 91, 94, faults);
+        assert!(!result.is_failure(), "seed {seed}: {result:?}");
+    }
+}
+
+/// A tenant at two thirds of its rate in each state of the fleet.
+#[test]
+fn wrongful_refusals_by_state() {
+    let states: [(&str, &[Fault]); 5] = [
+        ("steady", &[]),
+        ("one host cut off", &[Fault::Cut(0)]),
+        ("all hosts cut off", &[Fault::CutAll]),
+        ("leader change", &[Fault::NewLeader]),
+        ("restart of a host", &[Fault::Restart(1)]),
+    ];
+    for (state, faults) in states {
+        let mut refused = 0;
+        let mut asked = 0;
+        for seed in 0..5 {
+            let mut fleet = Fleet::new(Plan {
+                seed,
+                hosts: 3,
+                seats: 4,
+                per_second: 60.0,
+                burst: 60,
+                demand: 40.0,
+                loss: 0.0,
+            });
+            fleet.run(8 * SECOND).unwrap();
+            fleet.reset_counts();
+            for fault in faults {
+                fleet.strike(*fault);
+            }
+            fleet.run(10 * SECOND).unwrap();
+            refused += fleet.wrongly_refused();
+            asked += fleet.asked();
+        }
+        println!("{state}: {refused} of {asked} requests refused wrongly in 5 seeds");
+        if state == "steady" || state == "leader change" {
+            assert_eq!(refused, 0, "{state}");
+        }
+    }
+}
+
+/// An idle tenant leaves nothing behind, and its burst is whole again.
+#[test]
+fn idle_accounts_cost_nothing() {
+    let mut fleet = Fleet::new(Plan {
+        seed: 1,
+        hosts: 3,
+        seats: 4,
+        per_second: 50.0,
+        burst: 20,
+        demand: 30.0,
+        loss: 0.0,
+    });
+    fleet.run(6 * SECOND).unwrap();
+    fleet.set_demand(0.0);
+    fleet.run(5 * SECOND).unwrap();
+    assert_eq!(fleet.active_accounts(), 0);
+    fleet.set_demand(2_000.0);
+    let before = fleet.admitted();
+    fleet.run(Duration::from_millis(100)).unwrap();
+    let burst = fleet.admitted() - before;
+    assert!(burst >= 15, "{burst} of a burst of 20 admitted at once");
+}
+
+/// Tenants over their rate get what the rate gives.
+#[test]
+fn overload_gets_the_whole_rate() {
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(Plan {
+            seed,
+            hosts: 3,
+            seats: 4,
+            per_second: 50.0,
+            burst: 20,
+            demand: 400.0,
+            loss: 0.0,
+        });
+        fleet.run(4 * SECOND).unwrap();
+        let before = fleet.admitted();
+        fleet.run(10 * SECOND).unwrap();
+        let admitted = fleet.admitted() - before;
+        println!("seed {seed}: {admitted} of 500 tokens used at 8 times the rate");
+        assert!(admitted >= 475, "seed {seed}: {admitted}");
+    }
+}
--- /dev/null
+++ b/crates/core/tests/record.rs
@@ -0,0 +1,287 @@
+//! Records of non-idempotent requests: one execution a key, and no false "not run", whatever is
+//! lost, repeated, reordered or crashes.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use persimmonbend_core::key::Digest;
+use persimmonbend_core::machine::Command;
+use persimmonbend_core::machine::Machine;
+use persimmonbend_core::machine::Reply;
+use persimmonbend_core::record::Answer;
+use persimmonbend_core::record::Claim;
+use persimmonbend_core::record::MAX_ANSWER_BYTES;
+use persimmonbend_core::record::Name;
+use persimmonbend_core::record::Outcome;
+use persimmonbend_core::record::Owner;
+use persimmonbend_core::record::Table;
+use persimmonbend_core::record::Verdict;
+use quickcheck::QuickCheck;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const PATIENCE: Duration = Duration::from_millis(50);
+const DAY_MS: u64 = 24 * 60 * 60 * 1_000;
+
+fn name(key: u64) -> Name {
+    Name {
+        tenant: "farm".to_owned(),
+        route: "herd/lodge".to_owned(),
+        key: key.to_string(),
+    }
+}
+
+fn claim(key: u64, attempt: u64, body: u8) -> Claim {
+    Claim {
+        name: name(key),
+        request: Digest::from([body; 32]),
+        owner: Owner {
+            host: format!("host-{}", attempt % 3),
+            attempt,
+        },
+        patience: PATIENCE,
+    }
+}
+
+fn answer(body: &[u8]) -> Answer {
+    Answer {
+        status: 200,
+        headers: Vec::new(),
+        body: body.to_vec(),
+    }
+}
+
+fn complete(table: &mut Table, claim: &Claim, outcome: &Outcome, at: u64) {
+    table.complete(&claim.name, &claim.owner, outcome, at);
+}
+
+#[test]
+fn life_of_a_record() {
+    let mut table = Table::default();
+    let first = claim(1, 1, 0);
+    let other = claim(1, 2, 0);
+    assert_eq!(table.claim(&first, 0), Verdict::Fresh);
+    assert_eq!(table.claim(&first, 1), Verdict::Fresh, "a resend");
+    assert_eq!(table.claim(&other, 2), Verdict::Running);
+    assert_eq!(table.claim(&claim(1, 3, 9), 2), Verdict::Mismatch);
+    complete(&mut table, &other, &Outcome::NotRun, 3);
+    assert_eq!(table.claim(&other, 3), Verdict::Running, "not its owner");
+    let late = 3 + 60;
+    assert_eq!(table.claim(&other, late), Verdict::Unknown, "owner gone");
+    let whole = answer(&[0, 10, 200, 255]);
+    let outcome = Outcome::Answered {
+        answer: whole.clone(),
+    };
+    complete(&mut table, &first, &outcome, late);
+    assert_eq!(table.claim(&other, late), Verdict::Done(whole));
+    let copy: Table = serde_json::from_slice(&serde_json::to_vec(&table).unwrap()).unwrap();
+    assert_eq!(copy, table);
+    assert_eq!(table.claim(&other, late + DAY_MS), Verdict::Fresh);
+}
+
+#[test]
+fn outcomes_of_an_execution() {
+    let large = answer(&vec![b'x'; MAX_ANSWER_BYTES + 1]);
+    let cases = [
+        (Outcome::Ran, Verdict::Gone),
+        (Outcome::Answered { answer: large }, Verdict::Gone),
+        (Outcome::Unknown, Verdict::Unknown),
+        (Outcome::NotRun, Verdict::Fresh),
+    ];
+    for (outcome, verdict) in cases {
+        let mut table = Table::default();
+        let first = claim(1, 1, 0);
+        table.claim(&first, 0);
+        complete(&mut table, &first, &outcome, 1);
+        assert_eq!(table.claim(&claim(1, 2, 0), 2), verdict, "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_claim_that_arrives_after_its_release_is_refused() {
+    let mut table = Table::default();
+    let first = claim(1, 1, 0);
+    complete(&mut table, &first, &Outcome::NotRun, 0);
+    assert_eq!(table.claim(&first, 1), Verdict::Lapsed);
+    assert_eq!(table.claim(&claim(1, 2, 0), 2), Verdict::Fresh);
+}
+
+#[test]
+fn a_tenant_with_too_many_records_is_refused_until_they_expire() {
+    let mut table = Table::default();
+    for key in 0..100_000 {
+        assert_eq!(table.claim(&claim(key, key, 0), 0), Verdict::Fresh);
+    }
+    let next = claim(100_000, 100_000, 0);
+    assert_eq!(table.claim(&next, 1), Verdict::Full);
+    assert_eq!(table.look(&next, 1), Some(Verdict::Full));
+    assert_eq!(table.claim(&next, DAY_MS + 1), Verdict::Fresh);
+}
+
+/// One press of a caller at one host.
+#[derive(Debug)]
+struct Press {
+    claim: Claim,
+    step: Step,
+}
+
+#[derive(Debug, PartialEq)]
+enum Step {
+    Claiming,
+    Owning,
+    Telling(Outcome),
+    Over,
+}
+
+/// Replicated control behind a network that loses, repeats and reorders commands.
+#[derive(Debug)]
+struct Control {
+    machine: Machine,
+    stale: Vec<Command>,
+    at: u64,
+}
+
+impl Control {
+    /// Sends a command and returns the reply unless the command or the reply is lost.
+    fn call(&mut self, command: Command, rng: &mut ChaCha8Rng) -> Option<Reply> {
+        match rng.random_range(0..10) {
+            0 => None,
+            1 | 2 => {
+                self.machine.apply(&command);
+                None
+            }
+            3 => {
+                self.stale.push(command);
+                None
+            }
+            4 => {
+                self.stale.push(command.clone());
+                Some(self.machine.apply(&command))
+            }
+            _ => Some(self.machine.apply(&command)),
+        }
+    }
+
+    fn disturb(&mut self, rng: &mut ChaCha8Rng) {
+        self.at += rng.random_range(0..30);
+        if !self.stale.is_empty() && rng.random_range(0..4) == 0 {
+            let late = self
+                .stale
+                .swap_remove(rng.random_range(0..self.stale.len()));
+            self.machine.apply(&late);
+        }
+        if rng.random_range(0..20) == 0 {
+            let document = serde_json::to_vec(&self.machine).unwrap();
+            self.machine = serde_json::from_slice(&document).unwrap();
+        }
+    }
+}
+
+/// Runs many presses of a few keys and checks executions and answers.
+fn runs_at_most_once(seed: u64) -> bool {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut control = Control {
+        machine: Machine::default(),
+        stale: Vec::new(),
+        at: 1_000,
+    };
+    let mut executions: BTreeMap<Name, u32> = BTreeMap::new();
+    let mut ran: BTreeSet<u64> = BTreeSet::new();
+    let mut told_not_run: BTreeSet<u64> = BTreeSet::new();
+    let mut presses: Vec<Press> = Vec::new();
+    for turn in 0..400 {
+        control.disturb(&mut rng);
+        if turn < 40 {
+            presses.push(Press {
+                claim: claim(rng.random_range(0..4), turn, 0),
+                step: Step::Claiming,
+            });
+        }
+        let chosen = rng.random_range(0..presses.len());
+        let press = &mut presses[chosen];
+        let attempt = press.claim.owner.attempt;
+        if rng.random_range(0..30) == 0 {
+            press.step = Step::Over;
+        }
+        let not_run = advance(press, &mut control, &mut rng, |name| {
+            *executions.entry(name.clone()).or_default() += 1;
+            ran.insert(attempt);
+        });
+        if not_run {
+            told_not_run.insert(attempt);
+        }
+    }
+    executions.values().all(|count| *count <= 1) && ran.is_disjoint(&told_not_run)
+}
+
+/// Takes one step and returns whether the caller was told that the request did not run.
+fn advance<F>(press: &mut Press, control: &mut Control, rng: &mut ChaCha8Rng, execute: F) -> bool
+where
+    F: FnOnce(&Name),
+{
+    let at = control.at;
+    match &press.step {
+        Step::Over => false,
+        Step::Claiming => {
+            let command = Command::Claim {
+                claim: press.claim.clone(),
+                at,
+            };
+            match control.call(command, rng) {
+                Some(Reply::Claim {
+                    verdict: Verdict::Fresh,
+                }) => {
+                    press.step = Step::Owning;
+                    false
+                }
+                Some(Reply::Claim { verdict }) => {
+                    press.step = Step::Over;
+                    matches!(verdict, Verdict::Full | Verdict::Lapsed)
+                }
+                _ if rng.random_range(0..2) == 0 => {
+                    press.step = Step::Telling(Outcome::NotRun);
+                    true
+                }
+                _ => false,
+            }
+        }
+        Step::Owning if rng.random_range(0..4) == 0 => {
+            press.step = Step::Telling(Outcome::NotRun);
+            true
+        }
+        Step::Owning => {
+            execute(&press.claim.name);
+            let outcome = match rng.random_range(0..4) {
+                0 => Outcome::Unknown,
+                1 => Outcome::Ran,
+                _ => Outcome::Answered {
+                    answer: answer(b"lodged"),
+                },
+            };
+            press.step = Step::Telling(outcome);
+            false
+        }
+        Step::Telling(outcome) => {
+            let command = Command::Complete {
+                name: press.claim.name.clone(),
+                owner: press.claim.owner.clone(),
+                outcome: outcome.clone(),
+                at,
+            };
+            if control.call(command, rng).is_some() {
+                press.step = Step::Over;
+            }
+            false
+        }
+    }
+}
+
+#[test]
+fn requests_run_at_most_once_and_not_run_is_true() {
+    let property: fn(u64) -> bool = runs_at_most_once;
+    QuickCheck::new().tests(2_000).quickcheck(property);
+}
--- a/programs/pb-control/src/node.rs
+++ b/programs/pb-control/src/node.rs
@@ -106,8 +106,11 @@
         let command = Command::Change { submission };
         let mut inner = self.inner.borrow_mut();
         inner.journal.append(&serde_json::to_vec(&command)?)?;
-        let Reply::Change { outcome, entry } = inner.apply(&command);
+        let reply = inner.apply(&command);
         drop(inner);
+        let Reply::Change { outcome, entry } = reply else {
+            anyhow::bail!("a change got the reply to another command");
+        };
         if let Some(entry) = entry {
             let text = entry.submission.change.describe();
             info!("control: revision {}: {text}", entry.revision);
