--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,8 @@
 pub mod key;
 pub mod machine;
 pub mod membership;
+pub mod quota;
+pub mod record;
 pub mod rendezvous;
 pub mod retry;
 pub mod route;
