feat(app): every misspelt field of a file is reported at once

Cause: deserializing stops at the first unknown field, so a file with three misspelt fields took three runs to mend. Change: an unknown field is noted, left out, and the file read again; a field that is missing only because it was misspelt is not reported twice. `line` gives the line of a field. Conclusion: the new test finds three misspelt fields in one run.

--- a/crates/app/src/settings.rs
+++ b/crates/app/src/settings.rs
@@ -91,22 +91,102 @@
         jsonc_parser::parse_to_serde_value::<serde_json::Value>(text, &ParseOptions::default());
     let value =
         value.map_err(|error| vec![located(error.line_display(), "file", &error.to_string())])?;
-    let raw: R = serde_path_to_error::deserialize(value).map_err(|error| {
+    let (raw, mut found) = deserialize::<R>(text, &tree, value);
+    found.sort_by_key(|one| one.line);
+    let Some(raw) = raw else {
+        return Err(found);
+    };
+    let place = |fault: &Fault| Located {
+        line: line_of_field(text, &tree, &fault.field),
+        fault: fault.clone(),
+    };
+    match C::try_from(raw) {
+        Ok(checked) if found.is_empty() => Ok(checked),
+        Ok(_) => Err(found),
+        Err(faults) => {
+            found.extend(faults.list().iter().map(place));
+            Err(found)
+        }
+    }
+}
+
+/// Returns the line of a field in a text, from 1, or that of the innermost part that exists.
+#[must_use]
+pub fn line(text: &str, field: &str) -> usize {
+    let parsed =
+        jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default());
+    let tree = parsed.ok().and_then(|parsed| parsed.value);
+    tree.map_or(1, |tree| line_of_field(text, &tree, field))
+}
+
+/// Reads the raw type; unknown fields are noted and left out, so that all faults are found.
+fn deserialize<R: DeserializeOwned>(
+    text: &str,
+    tree: &Value<'_>,
+    mut value: serde_json::Value,
+) -> (Option<R>, Vec<Located>) {
+    let mut found: Vec<Located> = Vec::new();
+    loop {
+        let error = match serde_path_to_error::deserialize::<_, R>(&value) {
+            Ok(raw) => return (Some(raw), found),
+            Err(error) => error,
+        };
         let path = error.path().to_string();
-        vec![locate_serde(text, &tree, &path, &error.inner().to_string())]
-    })?;
-    C::try_from(raw).map_err(|faults| {
-        let place = |fault: &Fault| Located {
-            line: line_of_field(text, &tree, &fault.field),
-            fault: fault.clone(),
+        let message = error.inner().to_string();
+        let fault = locate_serde(text, tree, &path, &message);
+        let unknown = message.starts_with(UNKNOWN_FIELD);
+        let removed = unknown && remove(&mut value, &fault.fault.field);
+        if !is_follow_up(&found, &message) {
+            found.push(fault);
+        }
+        if !removed {
+            return (None, found);
+        }
+    }
+}
+
+/// Returns whether a field is missing only because it was misspelt.
+fn is_follow_up(found: &[Located], message: &str) -> bool {
+    let Some(rest) = message.strip_prefix("missing field `") else {
+        return false;
+    };
+    let name = rest.split('`').next().unwrap_or_default();
+    let hint = format!("did you mean {name}?");
+    found.iter().any(|one| one.fault.reason.ends_with(&hint))
+}
+
+fn remove(value: &mut serde_json::Value, field: &str) -> bool {
+    let steps: Vec<&str> = steps(field).collect();
+    let Some((last, parents)) = steps.split_last() else {
+        return false;
+    };
+    let mut node = value;
+    for step in parents {
+        let child = match node {
+            serde_json::Value::Object(object) => object.get_mut(*step),
+            serde_json::Value::Array(array) => {
+                let index = step.parse::<usize>().ok();
+                index.and_then(|index| array.get_mut(index))
+            }
+            _ => None,
         };
-        faults.list().iter().map(place).collect()
-    })
+        let Some(child) = child else { return false };
+        node = child;
+    }
+    let removed = node.as_object_mut().and_then(|object| object.remove(*last));
+    removed.is_some()
 }
 
+fn steps(field: &str) -> impl Iterator<Item = &str> {
+    let steps = field.split(['.', '[', ']']);
+    steps.filter(|step| !step.is_empty())
+}
+
+const UNKNOWN_FIELD: &str = "unknown field `";
+
 fn locate_serde(text: &str, tree: &Value<'_>, path: &str, message: &str) -> Located {
     let parent = if path == "." { "" } else { path };
-    let Some(rest) = message.strip_prefix("unknown field `") else {
+    let Some(rest) = message.strip_prefix(UNKNOWN_FIELD) else {
         let field = if parent.is_empty() { "file" } else { parent };
         return located(line_of_field(text, tree, parent), field, message);
     };
@@ -162,8 +242,7 @@
 fn line_of_field(text: &str, tree: &Value<'_>, field: &str) -> usize {
     let mut node = tree;
     let mut start = tree.start();
-    let steps = field.split(['.', '[', ']']).filter(|step| !step.is_empty());
-    for step in steps {
+    for step in steps(field) {
         match node {
             Value::Object(object) => {
                 let found = object
--- a/crates/app/tests/settings.rs
+++ b/crates/app/tests/settings.rs
@@ -55,6 +55,16 @@
     }
 }
 
+#[test]
+fn every_misspelt_field_is_reported_at_once() {
+    let text = "{\"service\": \"a\", \"ownr\": \"o\",\n\"flor\": 1,\n\"routes\": [{\"id\": \"r\", \"prefx\": \"/\"}]}";
+    let faults = parse(text).unwrap_err();
+    let fields: Vec<&str> = faults.iter().map(|one| one.fault.field.as_str()).collect();
+    assert_eq!(fields, ["ownr", "flor", "routes[0].prefx"], "{faults:?}");
+    let text = "{\"service\": \"a\", \"owner\": \"o\", \"flor\": 1, \"floor\": 2,\n\"routes\": [{\"id\": \"r\", \"prefix\": \"/\"}]}";
+    assert_eq!(parse(text).unwrap_err().len(), 2);
+}
+
 #[test]
 fn every_fault_is_reported_at_once() {
     let text = "{\"service\": \"\", \"owner\": \"\", \"floor\": 2, \"routes\": []}";
