feat(proxy): explanations, counts of requests and metrics

Cause: an operator could not find out why a request was refused or how a tenant is served. Change: core::traffic counts requests by tenant, route and kind with bounded memory; each request carries a trace; Peer.explain answers typed queries (core::explain) with sentences, events and the service's slots against its floor; metrics go by cadence to a StatsD receiver. Events of a process are asked for by a query, so the schema stays as it is.

--- a/crates/app/src/lib.rs
+++ b/crates/app/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod http;
 pub mod logging;
+pub mod metrics;
 pub mod program;
 pub mod secret;
 pub mod settings;
--- a/crates/core/src/board.rs
+++ b/crates/core/src/board.rs
@@ -118,6 +118,7 @@
         if state.revision() <= self.config.revision() {
             return false;
         }
+        self.record_changes(&state);
         self.routes = Rc::new(Table::from(&state));
         self.config = Rc::new(state);
         true
@@ -196,6 +197,19 @@
         self.services.retain(|_, service| !service.is_empty());
     }
 
+    fn record_changes(&mut self, state: &State) {
+        let before = self.config.revision();
+        if before == 0 {
+            return;
+        }
+        let newer = state.history().iter().filter(|one| one.revision > before);
+        for line in newer {
+            let text = format!("{}, by {}.", line.text, line.operator);
+            let subject = format!("revision {}", line.revision);
+            self.record("config", &subject, text);
+        }
+    }
+
     /// Writes an event.
     pub fn record(&mut self, part: &str, subject: &str, text: String) {
         self.events.push(self.clock.wall(), part, subject, text);
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -6,13 +6,14 @@
 use std::collections::VecDeque;
 use std::time::SystemTime;
 
+use serde::Deserialize;
 use serde::Serialize;
 
 /// Events kept by a [`Ring`] unless told otherwise.
 pub const DEFAULT_CAPACITY: usize = 512;
 
 /// One decision with its reason.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Event {
     /// Number of the event in its process, rising by one.
     pub number: u64,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,7 +1,9 @@
 //! Typed calls to a proxy.
 
+use persimmonbend_core::explain::Query;
 use persimmonbend_core::id::Revision;
 use persimmonbend_core::key::Digest;
+use serde::de::DeserializeOwned;
 
 use crate::error::Error;
 use crate::fleet_capnp::peer;
@@ -85,6 +87,16 @@
         Ok(serde_json::from_slice(response.get()?.get_report()?)?)
     }
 
+    /// Asks the proxy a typed question.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure of the call, or [`Error::Malformed`] for an answer of another form.
+    pub async fn ask<T: DeserializeOwned>(&self, query: &Query) -> Result<T, Error> {
+        let answer = self.explain(&serde_json::to_vec(query)?).await?;
+        Ok(serde_json::from_value(answer)?)
+    }
+
     /// Returns the state of the proxy as JSON.
     ///
     /// # Errors
--- a/programs/pb-proxy/src/callers.rs
+++ b/programs/pb-proxy/src/callers.rs
@@ -28,6 +28,7 @@
 use crate::forward::Plan;
 use crate::node::Node;
 use crate::refusal;
+use crate::trace::Trace;
 
 /// Largest request head in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -60,7 +61,11 @@
         Self { node }
     }
 
-    async fn run(&self, request: Request<Incoming>) -> Result<Response<Body>, Kind> {
+    async fn run(
+        &self,
+        request: Request<Incoming>,
+        trace: &Rc<Trace>,
+    ) -> Result<Response<Body>, Kind> {
         if !self.node.is_configured() {
             return Err(Kind::NotReady);
         }
@@ -68,11 +73,15 @@
         let (head, body) = request.into_parts();
         check_head(&head)?;
         let target = self.target(&head)?;
+        trace.route(&target);
         let tenant = if target.route.open {
             None
         } else {
             Some(auth::tenant(&self.node.board(), &head.headers)?)
         };
+        if let Some(tenant) = &tenant {
+            trace.tenant(tenant);
+        }
         if target.route.non_idempotent {
             return Err(Kind::ClaimUnavailable);
         }
@@ -83,6 +92,7 @@
             tenant,
             head: Rc::new(forwarded(head)),
             body,
+            trace: Rc::clone(trace),
         };
         let mut response = forward::send(&self.node, &plan).await?;
         strip_hop_by_hop(response.headers_mut());
@@ -108,7 +118,10 @@
 impl Handler for Callers {
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         let name = self.name();
-        let outcome = self.run(request).await;
+        let trace = Rc::new(Trace::new(name.clone(), self.node.now()));
+        let outcome = self.run(request, &trace).await;
+        let ended = outcome.as_ref().map(|response| response.status().as_u16());
+        trace.end(&self.node, ended.map_err(|kind| *kind));
         let mut response = outcome.unwrap_or_else(|kind| refusal::response(kind, &name));
         if let Ok(value) = HeaderValue::from_str(&name) {
             response
--- /dev/null
+++ b/programs/pb-proxy/src/explain/overview.rs
@@ -0,0 +1,149 @@
+//! The state of the fleet at a glance, as this host sees it.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use persimmonbend_core::board::Board;
+use persimmonbend_core::explain::Absent;
+use persimmonbend_core::explain::Capacity;
+use persimmonbend_core::explain::Overview;
+use persimmonbend_core::explain::Served;
+use persimmonbend_core::explain::Sighting;
+use persimmonbend_core::traffic::Tally;
+use persimmonbend_core::upstream::Upstream;
+
+use crate::explain::subject;
+use crate::node::Node;
+
+/// Tenants, and routes, that an overview lists.
+const MAX_SERVED: usize = 20;
+
+/// Upstreams out of use that an overview lists.
+const MAX_ABSENT: usize = 50;
+
+/// Events that an overview lists.
+const MAX_EVENTS: usize = 40;
+
+/// Returns the overview of this host.
+pub fn overview(node: &Node) -> Overview {
+    let board = node.board();
+    let traffic = node.traffic();
+    let tenants = traffic.tenants().iter();
+    let routes = traffic.routes().iter();
+    Overview {
+        host: node.settings().host.clone(),
+        zone: node.settings().zone.clone(),
+        ready: node.is_ready(),
+        revision: board.config().revision(),
+        services: services(&board),
+        absent: absent(&board),
+        tenants: worst_first(tenants.map(|(name, tally)| served(name.clone(), tally))),
+        routes: worst_first(routes.map(|((service, route), tally)| {
+            let name = format!("{service}/{route}");
+            served(name, tally)
+        })),
+        hosts: hosts(&board),
+        series: traffic.series().points(board.now()),
+        events: latest_events(&board),
+    }
+}
+
+/// Returns the slots of a service against its floor.
+pub fn capacity(board: &Board, service: &str) -> Capacity {
+    let config = board.config();
+    let floor = config.services().get(service).map_or(0.0, |one| one.floor);
+    let mut capacity = Capacity {
+        service: service.to_owned(),
+        floor,
+        slots: 0,
+        in_use: 0,
+    };
+    let now = board.now();
+    let offered = board.upstreams(service).filter(|one| {
+        let announcement = &one.announcement;
+        one.is_current(now) && announcement.stage.takes_requests()
+    });
+    for upstream in offered {
+        let slots = upstream.announcement.slots;
+        capacity.slots += slots;
+        if absence(board, upstream).is_none() {
+            capacity.in_use += slots;
+        }
+    }
+    capacity
+}
+
+/// Returns why an upstream gets no requests, or nothing when it gets some.
+pub fn absence(board: &Board, upstream: &Upstream) -> Option<String> {
+    let announcement = &upstream.announcement;
+    if !announcement.stage.takes_requests() {
+        return Some(format!("It says that it is {:?}.", announcement.stage));
+    }
+    if !upstream.is_current(board.now()) {
+        return Some("It stopped announcing itself.".to_owned());
+    }
+    subject::ordered(board, &announcement.id)
+}
+
+fn services(board: &Board) -> Vec<Capacity> {
+    let config = board.config();
+    let announced = board
+        .all_upstreams()
+        .map(|one| one.announcement.service.as_str());
+    let mut names: BTreeSet<&str> = config.services().keys().map(String::as_str).collect();
+    names.extend(announced);
+    names.iter().map(|name| capacity(board, name)).collect()
+}
+
+fn absent(board: &Board) -> Vec<Absent> {
+    let absent = board.all_upstreams().filter_map(|one| {
+        Some(Absent {
+            upstream: one.announcement.id.clone(),
+            service: one.announcement.service.clone(),
+            reason: absence(board, one)?,
+        })
+    });
+    absent.take(MAX_ABSENT).collect()
+}
+
+fn served(name: String, tally: &Tally) -> Served {
+    let failed = tally.failed().iter();
+    let failed: BTreeMap<String, u64> = failed
+        .map(|(kind, count)| (kind.to_string(), *count))
+        .collect();
+    Served {
+        name,
+        answered: tally.answered(),
+        failed,
+        success: tally.success(),
+        p50_ms: tally.latency(0.5).as_secs_f64() * 1_000.0,
+        p99_ms: tally.latency(0.99).as_secs_f64() * 1_000.0,
+    }
+}
+
+fn worst_first(served: impl Iterator<Item = Served>) -> Vec<Served> {
+    let mut served: Vec<Served> = served.collect();
+    served.sort_by(|a, b| {
+        let by_success = a.success.total_cmp(&b.success);
+        by_success.then(b.p99_ms.total_cmp(&a.p99_ms))
+    });
+    served.truncate(MAX_SERVED);
+    served
+}
+
+fn hosts(board: &Board) -> Vec<Sighting> {
+    let hosts = board.hosts().values().map(|host| Sighting {
+        host: host.announcement.id.clone(),
+        zone: host.announcement.zone.clone(),
+        peers: host.announcement.peers,
+        suspected: host.suspected,
+        stopping: host.announcement.stopping,
+    });
+    hosts.collect()
+}
+
+fn latest_events(board: &Board) -> Vec<persimmonbend_core::event::Event> {
+    let mut events: Vec<_> = board.events().iter().cloned().collect();
+    let surplus = events.len().saturating_sub(MAX_EVENTS);
+    events.split_off(surplus)
+}
--- /dev/null
+++ b/programs/pb-proxy/src/explain/subject.rs
@@ -0,0 +1,233 @@
+//! Reports about one upstream, tenant, request or host.
+
+use persimmonbend_core::board::Board;
+use persimmonbend_core::config::Order;
+use persimmonbend_core::event::Event;
+use persimmonbend_core::explain::Report;
+use persimmonbend_core::traffic::Tally;
+use persimmonbend_core::upstream::Upstream;
+
+use crate::explain::overview;
+use crate::explain::seconds_ago;
+use crate::node::Node;
+
+/// Reports on an upstream.
+pub fn upstream(node: &Node, name: &str) -> Report {
+    let board = node.board();
+    let mut report = report(node, &board, name);
+    let found = board
+        .all_upstreams()
+        .find(|one| one.announcement.id == name);
+    let Some(upstream) = found else {
+        report
+            .sentences
+            .push(format!("This host has heard of no upstream {name}."));
+        return report;
+    };
+    report.known = true;
+    report.sentences.extend(changes(&board, name));
+    report.sentences.push(announced(&board, upstream));
+    report.sentences.push(usage(&board, upstream));
+    let capacity = overview::capacity(&board, &upstream.announcement.service);
+    if overview::absence(&board, upstream).is_none() {
+        report.slots_in_use = upstream.announcement.slots;
+    }
+    report.sentences.push(format!(
+        "Service {} has {} of {} slots in use; its floor is {}.",
+        capacity.service,
+        capacity.in_use,
+        capacity.slots,
+        capacity.minimum()
+    ));
+    report.capacity = Some(capacity);
+    report
+}
+
+/// Reports on a tenant.
+pub fn tenant(node: &Node, name: &str) -> Report {
+    let board = node.board();
+    let mut report = report(node, &board, name);
+    let config = board.config();
+    let Some(tenant) = config.tenants().get(name) else {
+        report
+            .sentences
+            .push(format!("There is no tenant {name} in the configuration."));
+        return report;
+    };
+    report.known = true;
+    report.sentences.extend(changes(&board, name));
+    let keys = config.keys().values().filter(|key| key.tenant == name);
+    let (gone, usable): (Vec<_>, Vec<_>) = keys.partition(|key| key.withdrawn);
+    report.sentences.push(format!(
+        "Its rate is {} a second with a burst of {} over the whole fleet.",
+        tenant.rate.per_second, tenant.rate.burst
+    ));
+    report.sentences.push(format!(
+        "It has {} keys in use and {} withdrawn.",
+        usable.len(),
+        gone.len()
+    ));
+    let traffic = node.traffic();
+    match traffic.tenants().get(name) {
+        Some(tally) => report.sentences.extend(served(tally)),
+        None => report
+            .sentences
+            .push("No request of it came to this host since it started.".to_owned()),
+    }
+    let latest = traffic.failed().iter().rev();
+    let latest = latest.filter(|one| one.tenant.as_deref() == Some(name));
+    let lines = latest
+        .take(LATEST)
+        .map(|one| format!("Request {}: {}", one.name, one.describe()));
+    report.sentences.extend(lines);
+    report
+}
+
+/// Reports on a request that was refused or failed.
+pub fn request(node: &Node, name: &str) -> Report {
+    let board = node.board();
+    let mut report = report(node, &board, name);
+    let traffic = node.traffic();
+    let Some(request) = traffic.request(name) else {
+        report.sentences.push(format!(
+            "This host keeps no refused or failed request {name}; it keeps the last {}.",
+            persimmonbend_core::traffic::MAX_FAILED
+        ));
+        return report;
+    };
+    report.known = true;
+    report.sentences.push(request.describe());
+    report.sentences.push(format!(
+        "It ended {} s ago on this host.",
+        seconds_ago(request.at, node.wall())
+    ));
+    if let persimmonbend_core::traffic::Ending::Failed { kind } = request.ending {
+        let answer = kind.answer();
+        let ran = match answer.ran {
+            persimmonbend_core::error::Ran::No => "It was not run.",
+            persimmonbend_core::error::Ran::Unknown => "It may have run.",
+        };
+        report.sentences.push(format!("{} {ran}", answer.text));
+    }
+    for upstream in &request.upstreams {
+        report.events.extend(about(&board, upstream));
+    }
+    report
+}
+
+/// Reports on a host.
+pub fn host(node: &Node, name: &str) -> Report {
+    let board = node.board();
+    let mut report = report(node, &board, name);
+    if name == node.settings().host {
+        report.known = true;
+        let ready = if node.is_ready() { "takes" } else { "takes no" };
+        report.sentences.push(format!(
+            "This is the host itself, in zone {}; it {ready} requests and has revision {} in force.",
+            node.settings().zone,
+            board.config().revision()
+        ));
+        return report;
+    }
+    let Some(host) = board.hosts().get(name) else {
+        report
+            .sentences
+            .push(format!("This host has heard of no host {name}."));
+        return report;
+    };
+    report.known = true;
+    let age = board.now().saturating_duration_since(host.heard).as_secs();
+    report.sentences.push(format!(
+        "It runs in zone {} and news of it last came {age} s ago.",
+        host.announcement.zone
+    ));
+    if host.announcement.stopping {
+        report.sentences.push("It is stopping.".to_owned());
+    }
+    if host.suspected {
+        let text = "Several witnesses suspect that it is gone.";
+        report.sentences.push(text.to_owned());
+    }
+    report
+}
+
+/// Failed requests of a tenant that are told.
+const LATEST: usize = 5;
+
+fn report(node: &Node, board: &Board, name: &str) -> Report {
+    Report {
+        host: node.settings().host.clone(),
+        subject: name.to_owned(),
+        known: false,
+        sentences: Vec::new(),
+        events: about(board, name),
+        capacity: None,
+        slots_in_use: 0,
+    }
+}
+
+/// Returns the changes of the configuration that name the subject.
+fn changes(board: &Board, name: &str) -> Vec<String> {
+    let config = board.config();
+    let named = config.history().iter().filter(|line| {
+        let mut words = line.text.split(' ');
+        words.any(|word| word == name)
+    });
+    named
+        .map(|line| {
+            let (text, revision, operator) = (&line.text, line.revision, &line.operator);
+            format!("Revision {revision} by {operator}: {text}.")
+        })
+        .collect()
+}
+
+fn about(board: &Board, name: &str) -> Vec<Event> {
+    board.events().about(name).cloned().collect()
+}
+
+fn announced(board: &Board, upstream: &Upstream) -> String {
+    let announcement = &upstream.announcement;
+    let age = board.now().saturating_duration_since(upstream.heard);
+    format!(
+        "It belongs to {}, runs in zone {} at {} with {} slots and said {} s ago that it is {:?}.",
+        announcement.service,
+        announcement.zone,
+        announcement.address,
+        announcement.slots,
+        age.as_secs(),
+        announcement.stage
+    )
+}
+
+fn usage(board: &Board, upstream: &Upstream) -> String {
+    match overview::absence(board, upstream) {
+        Some(reason) => format!("It gets no new requests: {reason}"),
+        None => format!(
+            "It gets requests; {} of this host are running there.",
+            upstream.in_flight
+        ),
+    }
+}
+
+/// Returns why an operator's order keeps an upstream out of use.
+pub fn ordered(board: &Board, name: &str) -> Option<String> {
+    let text = match board.config().orders().get(name)? {
+        Order::Drain => "An operator ordered it to drain.",
+        Order::Eject => "An operator ordered it to be ejected.",
+        Order::Restore => return None,
+    };
+    Some(text.to_owned())
+}
+
+fn served(tally: &Tally) -> Vec<String> {
+    let p99 = tally.latency(0.99).as_secs_f64() * 1_000.0;
+    let mut lines = vec![format!(
+        "This host answered {} of its {} requests ({:.2}%); p99 {p99:.1} ms in the last minutes.",
+        tally.answered(),
+        tally.answered() + tally.failures(),
+        tally.success() * 100.0
+    )];
+    let refused = tally.failed().iter();
+    lines.extend(refused.map(|(kind, count)| format!("{count} ended as {kind}.")));
+    lines
+}
--- a/programs/pb-proxy/src/forward.rs
+++ b/programs/pb-proxy/src/forward.rs
@@ -32,6 +32,7 @@
 use crate::slots::Ask;
 use crate::slots::Report;
 use crate::slots::Reservation;
+use crate::trace::Trace;
 
 /// Header that tells an upstream how many milliseconds are left.
 pub const DEADLINE_HEADER: &str = "x-request-deadline-ms";
@@ -58,6 +59,8 @@
     pub body: Bytes,
     /// When the answer is due.
     pub deadline: Instant,
+    /// What is noted of the request.
+    pub trace: Rc<Trace>,
 }
 
 impl Plan {
@@ -124,6 +127,7 @@
             (Err(_), Some(earlier)) => return Err(earlier),
             (Err(kind), None) => return Err(kind),
         };
+        plan.trace.attempt(reservation.upstream());
         let connection = match open(node, plan, &reservation).await {
             Ok(connection) => connection,
             Err(failure) => {
--- a/programs/pb-proxy/src/lib.rs
+++ b/programs/pb-proxy/src/lib.rs
@@ -2,7 +2,9 @@
 
 pub mod auth;
 pub mod callers;
+pub mod explain;
 pub mod forward;
+pub mod metrics;
 pub mod node;
 pub mod peer;
 pub mod platform;
@@ -11,6 +13,7 @@
 pub mod settings;
 pub mod slots;
 pub mod subscription;
+pub mod trace;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -75,6 +78,7 @@
         spawn(listener.roles(roles).serve()),
         spawn(subscription::run(Rc::clone(&node))),
         spawn(node::sweep(Rc::clone(&node))),
+        spawn(metrics::run(Rc::clone(&node))),
         spawn(node::close_after_notice(Rc::clone(&node))),
     ];
     let health = spawn(platform.serve(Rc::new(Platform::new(Rc::clone(&node))), ended.clone()));
--- /dev/null
+++ b/programs/pb-proxy/src/metrics.rs
@@ -0,0 +1,85 @@
+//! The regular report of metrics.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+use persimmonbend_app::metrics;
+use persimmonbend_app::metrics::Sender;
+use persimmonbend_core::error::Kind;
+
+use crate::explain;
+use crate::node::Node;
+
+/// Time between two reports.
+const INTERVAL: Duration = Duration::from_secs(10);
+
+/// Reports metrics until the future is dropped; returns at once without a receiver.
+pub async fn run(node: Rc<Node>) {
+    let Some(receiver) = node.settings().metrics else {
+        return;
+    };
+    let sender = match Sender::connect(receiver, &node.settings().host) {
+        Ok(sender) => sender,
+        Err(error) => {
+            warn!("metrics: no socket for {receiver}: {error}");
+            return;
+        }
+    };
+    info!("metrics: reports to {receiver}");
+    let mut last = Counts::default();
+    loop {
+        compio::time::sleep(INTERVAL).await;
+        last = report(&node, &sender, &last);
+    }
+}
+
+/// Counts at the last report.
+#[derive(Debug, Clone, Default)]
+pub struct Counts {
+    answered: u64,
+    kinds: BTreeMap<Kind, u64>,
+}
+
+/// Sends one report and returns the counts that the next one starts from.
+#[must_use]
+pub fn report(node: &Node, sender: &Sender, last: &Counts) -> Counts {
+    let counts = Counts {
+        answered: node.traffic().answered(),
+        kinds: node.traffic().kinds().clone(),
+    };
+    sender.send(metrics::ANSWERED, counts.answered - last.answered, None);
+    for (kind, count) in &counts.kinds {
+        let before = last.kinds.get(kind).copied().unwrap_or_default();
+        let code = kind.answer().code;
+        sender.send(metrics::FAILED, count - before, Some(("code", code)));
+    }
+    latency(node, sender);
+    state(node, sender);
+    counts
+}
+
+fn latency(node: &Node, sender: &Sender) {
+    let points = node.traffic().series().points(node.now());
+    let Some(finished) = points.iter().rev().nth(1) else {
+        return;
+    };
+    sender.send(metrics::LATENCY_P50, finished.p50_us, None);
+    sender.send(metrics::LATENCY_P99, finished.p99_us, None);
+}
+
+fn state(node: &Node, sender: &Sender) {
+    let overview = explain::overview(node);
+    sender.send(metrics::REVISION, overview.revision, None);
+    sender.send(metrics::READY, u64::from(overview.ready), None);
+    let upstreams = node.board().all_upstreams().count();
+    let upstreams = u64::try_from(upstreams).unwrap_or(u64::MAX);
+    sender.send(metrics::UPSTREAMS, upstreams, None);
+    for service in &overview.services {
+        let tag = Some(("service", service.service.as_str()));
+        sender.send(metrics::SLOTS_IN_USE, u64::from(service.in_use), tag);
+        sender.send(metrics::SLOTS_FLOOR, u64::from(service.minimum()), tag);
+    }
+}
--- a/programs/pb-proxy/src/node.rs
+++ b/programs/pb-proxy/src/node.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use log::info;
 use persimmonbend_app::stop::Stop;
@@ -15,6 +16,7 @@
 use persimmonbend_core::clock::Clock;
 use persimmonbend_core::key;
 use persimmonbend_core::routing::TwoChoices;
+use persimmonbend_core::traffic::Traffic;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
@@ -31,6 +33,7 @@
     settings: Settings,
     clock: Rc<dyn Clock>,
     board: RefCell<Board>,
+    traffic: RefCell<Traffic>,
     rng: RefCell<ChaCha8Rng>,
     pool: Pool,
     slots: Slots,
@@ -45,6 +48,7 @@
     pub fn new(settings: Settings, clock: Rc<dyn Clock>, stop: Stop) -> Self {
         Self {
             board: RefCell::new(Board::new(Rc::clone(&clock))),
+            traffic: RefCell::new(Traffic::new(clock.now())),
             rng: RefCell::new(ChaCha8Rng::from_rng(&mut rand::rng())),
             pool: Pool::new(settings.idle_connections),
             slots: Slots::new(Box::new(TwoChoices)),
@@ -68,6 +72,12 @@
         self.clock.now()
     }
 
+    /// Returns the wall time.
+    #[must_use]
+    pub fn wall(&self) -> SystemTime {
+        self.clock.wall()
+    }
+
     /// Returns the board for reading.
     #[must_use]
     pub fn board(&self) -> Ref<'_, Board> {
@@ -80,6 +90,18 @@
         self.board.borrow_mut()
     }
 
+    /// Returns the counts of requests for reading.
+    #[must_use]
+    pub fn traffic(&self) -> Ref<'_, Traffic> {
+        self.traffic.borrow()
+    }
+
+    /// Returns the counts of requests for writing; the borrow must not be held over an await.
+    #[must_use]
+    pub fn traffic_mut(&self) -> RefMut<'_, Traffic> {
+        self.traffic.borrow_mut()
+    }
+
     /// Returns the random generator; the borrow must not be held over an await.
     #[must_use]
     pub fn rng(&self) -> RefMut<'_, ChaCha8Rng> {
@@ -161,6 +183,7 @@
             "withdrawn": board.withdrawn().iter().map(key::Digest::short).collect::<Vec<_>>(),
             "upstreams": board.all_upstreams().map(upstream).collect::<Vec<_>>(),
             "events": board.events().iter().collect::<Vec<_>>(),
+            "traffic": crate::explain::traffic(self),
         })
     }
 }
--- a/programs/pb-proxy/src/peer.rs
+++ b/programs/pb-proxy/src/peer.rs
@@ -6,6 +6,7 @@
 use capnp::capability::Rc as Server;
 use persimmonbend_wire::fleet_capnp::peer;
 
+use crate::explain;
 use crate::node::Node;
 
 /// Returns a capability that serves `node`.
@@ -38,6 +39,20 @@
         Ok(())
     }
 
+    async fn explain(
+        self: Server<Self>,
+        params: peer::ExplainParams,
+        mut results: peer::ExplainResults,
+    ) -> Result<(), Error> {
+        let query = params.get()?.get_query()?;
+        let query =
+            serde_json::from_slice(query).map_err(|error| Error::failed(error.to_string()))?;
+        let answer = explain::answer(&self.node, &query);
+        let answer = answer.map_err(|error| Error::failed(error.to_string()))?;
+        results.get().set_report(answer.to_string().as_bytes());
+        Ok(())
+    }
+
     async fn dump(
         self: Server<Self>,
         _params: peer::DumpParams,
--- a/programs/pb-proxy/src/settings.rs
+++ b/programs/pb-proxy/src/settings.rs
@@ -35,6 +35,8 @@
     stop_notice_ms: Option<u64>,
     #[serde(default)]
     idle_connections: Option<usize>,
+    #[serde(default)]
+    metrics: Option<String>,
 }
 
 /// Checked settings.
@@ -62,6 +64,8 @@
     pub stop_notice: Duration,
     /// Idle connections kept to one upstream.
     pub idle_connections: usize,
+    /// Receiver of metrics, if there is one.
+    pub metrics: Option<SocketAddr>,
 }
 
 impl TryFrom<File> for Settings {
@@ -80,6 +84,8 @@
         let platform = faults.address(&file.platform, "platform");
         let peers = faults.address(&file.peers, "peers");
         let control = faults.addresses(&file.control, "control");
+        let metrics = file.metrics.as_deref();
+        let metrics = metrics.and_then(|text| faults.address(text, "metrics"));
         let secret = secret::read(&mut faults, "secret_file", &file.secret_file);
         let stop_notice_ms = file.stop_notice_ms.unwrap_or(DEFAULT_STOP_NOTICE_MS);
         let settings = (|| {
@@ -95,6 +101,7 @@
                 answer_hold_bytes: file.answer_hold_bytes.unwrap_or(DEFAULT_ANSWER_HOLD_BYTES),
                 stop_notice: Duration::from_millis(stop_notice_ms),
                 idle_connections: file.idle_connections.unwrap_or(DEFAULT_IDLE_CONNECTIONS),
+                metrics,
             })
         })();
         faults.into_result(settings)
