feat(ctl): publish with difference and progress, steer, explain, events

Cause: the command line could only send; a lost answer or a host left behind stayed unseen. Change: subcommands for keys, tenants and upstreams; a difference before each publication; waiting for a revision with the names of hosts that are behind; lost answers are sent again once and then reported with the command that finds out; the floor is checked through a proxy before an upstream is taken out of use; exit codes 0 to 5. Clashing routes are reported with file, line and field of both places.

--- a/programs/pb-ctl/src/command.rs
+++ b/programs/pb-ctl/src/command.rs
@@ -1,30 +1,37 @@
 //! The command line.
 
-use std::net::SocketAddr;
+mod change;
+mod history;
+mod key;
+mod publish;
+mod service;
+mod tenant;
+mod upstream;
+mod view;
+
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use anyhow::bail;
 use bpaf::Bpaf;
-use persimmonbend_app::program;
-use persimmonbend_app::program::EXIT_FAILURE;
-use persimmonbend_app::program::EXIT_USAGE;
 use persimmonbend_app::settings;
-use persimmonbend_core::config::Change;
-use persimmonbend_core::config::Outcome;
-use persimmonbend_core::config::Rate;
-use persimmonbend_core::config::Tenant;
-use persimmonbend_core::key::Secret;
-use persimmonbend_wire::link::Link;
 
-use crate::files;
+use crate::exit::Answer;
+use crate::exit::Exit;
 use crate::fleet::Fleet;
 use crate::settings::File;
 use crate::settings::Settings;
 
 /// Steers a persimmonbend fleet
 #[derive(Debug, Clone, Bpaf)]
-#[bpaf(options, version)]
+#[bpaf(
+    options,
+    version,
+    footer(
+        "Exit codes: 0 done, 1 failed, 2 usage, 3 conflict or not accepted, 4 outcome unknown, \
+     5 accepted and not in force everywhere yet."
+    )
+)]
 pub struct Arguments {
     /// Settings file, JSON with comments
     #[bpaf(long, short, argument("FILE"), fallback(PathBuf::from("pb-ctl.jsonc")))]
@@ -33,12 +40,22 @@
     command: Command,
 }
 
+/// How the answer is printed.
+#[derive(Debug, Clone, Copy, Bpaf)]
+struct Output {
+    /// Print JSON
+    #[bpaf(long)]
+    json: bool,
+}
+
 /// What to do.
 #[derive(Debug, Clone, Bpaf)]
 enum Command {
     /// Check service files and report every fault
     #[bpaf(command)]
     Check {
+        #[bpaf(external)]
+        output: Output,
         /// Service files
         #[bpaf(positional("FILE"), some("name at least one service file"))]
         files: Vec<PathBuf>,
@@ -46,185 +63,181 @@
     /// Find and merge the service files below a folder and print them
     #[bpaf(command)]
     Collect {
+        #[bpaf(external)]
+        output: Output,
         /// Folder to search
         #[bpaf(positional("DIR"))]
         folder: PathBuf,
     },
-    /// Publish the service files below a folder
+    /// Show the difference to what is in force and publish the service files below a folder
     #[bpaf(command)]
     Publish {
+        #[bpaf(external)]
+        output: Output,
+        #[bpaf(external(change::options))]
+        options: change::Options,
+        /// Only show the difference
+        #[bpaf(long)]
+        dry_run: bool,
         /// Folder to search
         #[bpaf(positional("DIR"))]
         folder: PathBuf,
     },
-    /// Add or change a tenant
-    #[bpaf(command("tenant-set"))]
-    TenantSet {
-        /// Requests per second in the long run
-        #[bpaf(long, argument("RATE"))]
-        per_second: f64,
-        /// Requests that may come at once
-        #[bpaf(long, argument("COUNT"))]
-        burst: u32,
-        /// Name of the tenant
-        #[bpaf(positional("TENANT"))]
-        tenant: String,
+    /// List the latest changes, or find out what became of one
+    #[bpaf(command)]
+    History {
+        #[bpaf(external)]
+        output: Output,
+        /// Changes listed
+        #[bpaf(long, argument("COUNT"), fallback(20))]
+        last: usize,
+        /// Name of one change
+        #[bpaf(long, argument("ID"), optional)]
+        change_id: Option<String>,
+    },
+    /// Put the services of an earlier revision in force again
+    #[bpaf(command)]
+    Rollback {
+        #[bpaf(external)]
+        output: Output,
+        #[bpaf(external(change::options))]
+        options: change::Options,
+        /// The earlier revision
+        #[bpaf(positional("REV"))]
+        revision: u64,
     },
-    /// Issue a key and show it, once
-    #[bpaf(command("key-issue"))]
-    KeyIssue {
-        /// What to call the key
-        #[bpaf(long, argument("LABEL"), fallback(String::new()))]
-        label: String,
-        /// Tenant that will present it
-        #[bpaf(positional("TENANT"))]
-        tenant: String,
+    /// Issue, list and withdraw callers' keys
+    #[bpaf(command)]
+    Key {
+        #[bpaf(external(key::command))]
+        command: key::Command,
+    },
+    /// Set, remove and list tenants
+    #[bpaf(command)]
+    Tenant {
+        #[bpaf(external(tenant::command))]
+        command: tenant::Command,
+    },
+    /// Drain, eject and restore upstreams
+    #[bpaf(command)]
+    Upstream {
+        #[bpaf(external(upstream::command))]
+        command: upstream::Command,
     },
-    /// Show what control knows of the fleet
+    /// Show what control and a proxy know of the fleet
     #[bpaf(command)]
-    Status,
+    Status {
+        #[bpaf(external)]
+        output: Output,
+    },
+    /// Explain an upstream, a tenant, a request or a host
+    #[bpaf(command)]
+    Explain {
+        #[bpaf(external)]
+        output: Output,
+        #[bpaf(external(view::subject))]
+        subject: view::Subject,
+    },
     /// Print the whole state of one process
     #[bpaf(command)]
     Dump {
-        /// Control or peer address of the process
-        #[bpaf(positional("ADDRESS"))]
-        address: SocketAddr,
+        /// Control or peer address of the process, or the name of an entry host
+        #[bpaf(positional("ADDRESS|HOST"))]
+        process: String,
+    },
+    /// Show the events of the proxies
+    #[bpaf(command)]
+    Events {
+        #[bpaf(external)]
+        output: Output,
+        /// Keep showing new events until interrupted
+        #[bpaf(long)]
+        follow: bool,
     },
 }
 
 /// Runs a command and returns its exit code.
 #[must_use]
 pub fn run(arguments: &Arguments) -> ExitCode {
-    match &arguments.command {
-        Command::Check { files } => offline(files),
-        Command::Collect { folder } => collect(folder),
-        command => online(&arguments.settings, command),
-    }
-}
-
-fn offline(files: &[PathBuf]) -> ExitCode {
-    match files::read(files) {
-        Ok(services) => {
-            println!("{} services can be published", services.len());
-            ExitCode::SUCCESS
-        }
-        Err(error) => usage(&error),
-    }
-}
-
-fn collect(folder: &std::path::Path) -> ExitCode {
-    let services = files::find(folder).and_then(|found| files::read(&found));
-    match services {
-        Ok(services) => {
-            println!(
-                "{}",
-                serde_json::to_string_pretty(&services).unwrap_or_default()
-            );
-            ExitCode::SUCCESS
-        }
-        Err(error) => usage(&error),
+    let command = &arguments.command;
+    match command {
+        Command::Check { output, files } => service::check(files).print(output.json),
+        Command::Collect { output, folder } => service::collect(folder).print(output.json),
+        _ => online(&arguments.settings, command),
     }
 }
 
-fn usage(error: &dyn std::error::Error) -> ExitCode {
-    eprintln!("{error}");
-    ExitCode::from(EXIT_USAGE)
+/// Runs a command on a given fleet, without the settings file, and returns its answer.
+pub async fn answer(fleet: &Fleet, arguments: &Arguments) -> Answer {
+    perform(fleet, &arguments.command).await
 }
 
-fn online(file: &std::path::Path, command: &Command) -> ExitCode {
+fn online(file: &Path, command: &Command) -> ExitCode {
+    let json = command.json();
     let settings = match settings::load::<File, Settings>(file) {
         Ok(settings) => settings,
-        Err(error) => return usage(&error),
+        Err(error) => return Answer::plain(Exit::Usage, error.to_string()).print(json),
     };
     let fleet = Fleet::new(settings);
-    let code = program::run(perform(&fleet, command));
-    if code == ExitCode::SUCCESS {
-        return code;
-    }
-    ExitCode::from(EXIT_FAILURE)
-}
-
-async fn perform(fleet: &Fleet, command: &Command) -> anyhow::Result<()> {
-    match command {
-        Command::Check { .. } | Command::Collect { .. } => Ok(()),
-        Command::Publish { folder } => publish(fleet, folder).await,
-        Command::TenantSet {
-            tenant,
-            per_second,
-            burst,
-        } => {
-            let tenant = Tenant {
-                id: tenant.clone(),
-                rate: Rate {
-                    per_second: *per_second,
-                    burst: *burst,
-                },
-            };
-            report(&fleet.submit(Change::SetTenant { tenant }, None).await?)
-        }
-        Command::KeyIssue { tenant, label } => issue(fleet, tenant, label).await,
-        Command::Status => {
-            let (_link, control) = fleet.leader().await?;
-            print(&control.status().await?)
+    let runtime = match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            let text = format!("cannot start the runtime: {error}");
+            return Answer::plain(Exit::Failed, text).print(json);
         }
-        Command::Dump { address } => dump(fleet, *address).await,
-    }
-}
-
-async fn publish(fleet: &Fleet, folder: &std::path::Path) -> anyhow::Result<()> {
-    let services = files::read(&files::find(folder)?)?;
-    let base = fleet.config().await?.revision();
-    report(
-        &fleet
-            .submit(Change::Publish { services }, Some(base))
-            .await?,
-    )
-}
-
-async fn issue(fleet: &Fleet, tenant: &str, label: &str) -> anyhow::Result<()> {
-    let secret = Secret::generate(&mut rand::rng());
-    let change = Change::IssueKey {
-        digest: secret.digest(),
-        tenant: tenant.to_owned(),
-        label: label.to_owned(),
     };
-    report(&fleet.submit(change, None).await?)?;
-    println!("{}", secret.reveal());
-    Ok(())
+    runtime.block_on(perform(&fleet, command)).print(json)
 }
 
-async fn dump(fleet: &Fleet, address: SocketAddr) -> anyhow::Result<()> {
-    let settings = fleet.settings();
-    let link = Link::connect(address, &settings.operator, &settings.secret).await?;
-    let state = match (link.control(), link.peer()) {
-        (Ok(control), _) => control.dump().await?,
-        (_, Ok(peer)) => peer.dump().await?,
-        _ => bail!("the process at {address} serves no role"),
-    };
-    print(&state)
+async fn perform(fleet: &Fleet, command: &Command) -> Answer {
+    let answer = try_perform(fleet, command).await;
+    answer.unwrap_or_else(Answer::from)
 }
 
-fn report(outcome: &Outcome) -> anyhow::Result<()> {
-    match outcome {
-        Outcome::Accepted { revision } => {
-            eprintln!("accepted as revision {revision}");
-            Ok(())
-        }
-        Outcome::Conflict { revision, since } => {
-            let lines: Vec<String> = since
-                .iter()
-                .map(|line| format!("  {} by {}: {}", line.revision, line.operator, line.text))
-                .collect();
-            bail!(
-                "conflict: revision {revision} is in force\n{}",
-                lines.join("\n")
-            )
-        }
-        Outcome::Invalid { reason } => bail!("not accepted: {reason}"),
+async fn try_perform(fleet: &Fleet, command: &Command) -> anyhow::Result<Answer> {
+    match command {
+        Command::Check { files, .. } => Ok(service::check(files)),
+        Command::Collect { folder, .. } => Ok(service::collect(folder)),
+        Command::Publish {
+            options,
+            dry_run,
+            folder,
+            ..
+        } => publish::publish(fleet, folder, options, *dry_run).await,
+        Command::History {
+            last, change_id, ..
+        } => match change_id {
+            Some(id) => history::find(fleet, id).await,
+            None => history::list(fleet, *last).await,
+        },
+        Command::Rollback {
+            options, revision, ..
+        } => publish::rollback(fleet, *revision, options).await,
+        Command::Key { command } => key::run(fleet, command).await,
+        Command::Tenant { command } => tenant::run(fleet, command).await,
+        Command::Upstream { command } => upstream::run(fleet, command).await,
+        Command::Status { .. } => view::status(fleet).await,
+        Command::Explain { subject, .. } => view::explain(fleet, subject).await,
+        Command::Dump { process } => view::dump(fleet, process).await,
+        Command::Events { output, follow } => view::events(fleet, *follow, output.json).await,
     }
 }
 
-fn print(value: &serde_json::Value) -> anyhow::Result<()> {
-    println!("{}", serde_json::to_string_pretty(value)?);
-    Ok(())
+impl Command {
+    const fn json(&self) -> bool {
+        match self {
+            Self::Check { output, .. }
+            | Self::Collect { output, .. }
+            | Self::Publish { output, .. }
+            | Self::History { output, .. }
+            | Self::Rollback { output, .. }
+            | Self::Status { output }
+            | Self::Explain { output, .. }
+            | Self::Events { output, .. } => output.json,
+            Self::Key { command } => command.json(),
+            Self::Tenant { command } => command.json(),
+            Self::Upstream { command } => command.json(),
+            Self::Dump { .. } => false,
+        }
+    }
 }
--- /dev/null
+++ b/programs/pb-ctl/src/command/change.rs
@@ -0,0 +1,106 @@
+//! The way of a change from the command line to the fleet.
+
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use persimmonbend_core::config::Change;
+use persimmonbend_core::config::Outcome;
+use persimmonbend_core::id::Revision;
+use serde_json::json;
+
+use crate::exit::Answer;
+use crate::exit::Exit;
+use crate::fleet;
+use crate::fleet::Fleet;
+
+/// Time that a change may take to be in force everywhere when nobody asked to wait.
+const SHORT_WAIT: Duration = Duration::from_secs(3);
+
+/// Options of every change.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(generate(options))]
+pub struct Options {
+    /// Wait until the change is in force on every host
+    #[bpaf(long)]
+    pub wait: bool,
+    /// Longest time to wait, in seconds
+    #[bpaf(long, argument("SECONDS"), fallback(60))]
+    pub wait_seconds: u64,
+    /// Name of the change; a resend with the same name is harmless
+    #[bpaf(long, argument("ID"), optional)]
+    pub change_id: Option<String>,
+}
+
+impl Options {
+    fn limit(&self) -> Duration {
+        if self.wait {
+            return Duration::from_secs(self.wait_seconds);
+        }
+        SHORT_WAIT
+    }
+}
+
+/// Submits a change, waits and says how far it came; `done` follows in the text when it was
+/// accepted.
+///
+/// # Errors
+///
+/// Returns an error when no leader answers or the answer is lost.
+pub async fn submit(
+    fleet: &Fleet,
+    change: Change,
+    base: Option<Revision>,
+    options: &Options,
+) -> anyhow::Result<Answer> {
+    let id = options.change_id.clone();
+    let id = id.unwrap_or_else(fleet::change_id);
+    let outcome = fleet.resubmit(id.clone(), change, base).await?;
+    match &outcome {
+        Outcome::Accepted { revision } => Ok(follow(fleet, *revision, &id, options).await),
+        Outcome::Conflict { revision, since } => {
+            let mut lines = vec![format!(
+                "conflict: revision {revision} came first; nothing was changed"
+            )];
+            lines.extend(since.iter().map(|line| {
+                let (revision, operator, text) = (line.revision, &line.operator, &line.text);
+                format!("  {revision} by {operator}: {text}")
+            }));
+            let value = json!({ "outcome": outcome });
+            Ok(Answer::new(Exit::Rejected, lines.join("\n"), value))
+        }
+        Outcome::Invalid { reason } => {
+            let value = json!({ "outcome": outcome });
+            let text = format!("not accepted: {reason}");
+            Ok(Answer::new(Exit::Rejected, text, value))
+        }
+    }
+}
+
+async fn follow(fleet: &Fleet, revision: Revision, id: &str, options: &Options) -> Answer {
+    let progress = fleet
+        .wait_in_force(revision, options.limit(), |progress| {
+            if options.wait {
+                eprintln!("{}", progress.describe());
+            }
+        })
+        .await;
+    match progress {
+        Ok(progress) => {
+            let exit = if progress.is_complete() {
+                Exit::Done
+            } else {
+                Exit::Pending
+            };
+            let text = format!("accepted; {}", progress.describe());
+            let value = json!({ "change_id": id, "revision": revision, "progress": progress });
+            Answer::new(exit, text, value)
+        }
+        Err(error) => {
+            let text = format!(
+                "accepted as revision {revision}; where it is in force is not known: {error:#}"
+            );
+            let value = json!({ "change_id": id, "revision": revision, "progress": null });
+            Answer::new(Exit::Pending, text, value)
+        }
+    }
+}
--- /dev/null
+++ b/programs/pb-ctl/src/command/history.rs
@@ -0,0 +1,48 @@
+//! The latest changes, and what became of one.
+
+use persimmonbend_core::config::Summary;
+use serde_json::json;
+
+use crate::exit::Answer;
+use crate::exit::Exit;
+use crate::fleet::Fleet;
+
+/// Lists the latest changes, oldest first.
+pub async fn list(fleet: &Fleet, last: usize) -> anyhow::Result<Answer> {
+    let (state, from_control) = fleet.config_anywhere().await?;
+    let surplus = state.history().len().saturating_sub(last);
+    let shown: Vec<&Summary> = state.history().iter().skip(surplus).collect();
+    let mut lines: Vec<String> = shown.iter().map(|line| described(line)).collect();
+    if !from_control {
+        lines.push("control is away; this is what a proxy has in force".to_owned());
+    }
+    let value = json!({ "from_control": from_control, "changes": shown });
+    Ok(Answer::new(Exit::Done, lines.join("\n"), value))
+}
+
+/// Finds out what became of a change.
+pub async fn find(fleet: &Fleet, id: &str) -> anyhow::Result<Answer> {
+    let (state, from_control) = fleet.config_anywhere().await?;
+    if let Some(line) = state.history().iter().find(|line| line.id == id) {
+        let text = format!("accepted: {}", described(line));
+        return Ok(Answer::new(Exit::Done, text, json!({ "change": line })));
+    }
+    let value = json!({ "change": null, "from_control": from_control });
+    if from_control {
+        let text = format!(
+            "change {id} is not among the last {} changes; send it again with the same \
+             --change-id, which is harmless",
+            state.history().len()
+        );
+        return Ok(Answer::new(Exit::Rejected, text, value));
+    }
+    let text = format!("control is away and no proxy has seen change {id}: still unknown");
+    Ok(Answer::new(Exit::Unknown, text, value))
+}
+
+fn described(line: &Summary) -> String {
+    format!(
+        "{} by {}: {} [{}]",
+        line.revision, line.operator, line.text, line.id
+    )
+}
--- /dev/null
+++ b/programs/pb-ctl/src/command/view.rs
@@ -0,0 +1,218 @@
+//! What the fleet knows: status, explanations, dumps and events.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use anyhow::bail;
+use bpaf::Bpaf;
+use persimmonbend_core::event::Event;
+use persimmonbend_core::explain::Overview;
+use persimmonbend_core::explain::Query;
+use persimmonbend_core::explain::Report;
+use persimmonbend_wire::link::Link;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::exit::Answer;
+use crate::exit::Exit;
+use crate::fleet::Fleet;
+use crate::fleet::Progress;
+use crate::fleet::Status;
+
+/// Pause between two looks for new events.
+const FOLLOW_PAUSE: Duration = Duration::from_secs(1);
+
+/// What to explain.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(generate(subject))]
+pub enum Subject {
+    /// Why an upstream gets requests or not
+    #[bpaf(command)]
+    Upstream {
+        /// Name of the upstream
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+    /// How a tenant is served
+    #[bpaf(command)]
+    Tenant {
+        /// Name of the tenant
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+    /// Why a request was refused or failed
+    #[bpaf(command)]
+    Request {
+        /// Value of x-request-id in its answer
+        #[bpaf(positional("ID"))]
+        name: String,
+    },
+    /// What is known of a host
+    #[bpaf(command)]
+    Host {
+        /// Name of the host
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+}
+
+impl Subject {
+    fn query(&self) -> Query {
+        match self {
+            Self::Upstream { name } => Query::Upstream(name.clone()),
+            Self::Tenant { name } => Query::Tenant(name.clone()),
+            Self::Request { name } => Query::Request(name.clone()),
+            Self::Host { name } => Query::Host(name.clone()),
+        }
+    }
+}
+
+/// Explains a subject.
+pub async fn explain(fleet: &Fleet, subject: &Subject) -> anyhow::Result<Answer> {
+    let reports = fleet.reports(&subject.query()).await?;
+    let known = reports.iter().any(|report| report.known);
+    let exit = if known { Exit::Done } else { Exit::Failed };
+    let texts: Vec<String> = reports.iter().map(described).collect();
+    let value = json!({ "reports": reports });
+    Ok(Answer::new(exit, texts.join("\n\n"), value))
+}
+
+/// Shows what control and a proxy know.
+pub async fn status(fleet: &Fleet) -> anyhow::Result<Answer> {
+    let control = fleet.status().await;
+    let overview = fleet.overview().await;
+    if let (Err(error), Err(other)) = (&control, &overview) {
+        bail!("{error:#}; {other:#}");
+    }
+    let mut lines = vec![match &control {
+        Ok(status) => Progress::new(status.revision, status).describe(),
+        Err(error) => format!("control is away: {error:#}"),
+    }];
+    match &overview {
+        Ok(overview) => lines.extend(seen(overview)),
+        Err(error) => lines.push(format!("{error:#}")),
+    }
+    let progress = control.as_ref().ok();
+    let progress = progress.map(|status: &Status| Progress::new(status.revision, status));
+    let value = json!({ "control": progress, "proxy": overview.ok() });
+    Ok(Answer::new(Exit::Done, lines.join("\n"), value))
+}
+
+/// Returns the whole state of one process.
+pub async fn dump(fleet: &Fleet, process: &str) -> anyhow::Result<Answer> {
+    let address: SocketAddr = match process.parse() {
+        Ok(address) => address,
+        Err(_) => fleet.address_of(process).await?,
+    };
+    let settings = fleet.settings();
+    let link = Link::connect(address, &settings.operator, &settings.secret).await?;
+    let state: Value = match (link.control(), link.peer()) {
+        (Ok(control), _) => control.dump().await?,
+        (_, Ok(peer)) => peer.dump().await?,
+        _ => bail!("the process at {address} serves no role"),
+    };
+    Ok(Answer::new(Exit::Done, format!("{state:#}"), state))
+}
+
+/// Shows the events of all proxies, and new ones until interrupted with `follow`.
+pub async fn events(fleet: &Fleet, follow: bool, json: bool) -> anyhow::Result<Answer> {
+    let addresses = fleet.addresses().await;
+    let mut last: BTreeMap<SocketAddr, u64> = BTreeMap::new();
+    let mut reached = false;
+    loop {
+        let mut found: Vec<(SocketAddr, Event)> = Vec::new();
+        for address in &addresses {
+            let after = last.get(address).copied().unwrap_or_default();
+            let query = Query::Events(after);
+            let Ok(events) = fleet.ask::<Vec<Event>>(*address, &query).await else {
+                continue;
+            };
+            reached = true;
+            if let Some(newest) = events.last() {
+                last.insert(*address, newest.number);
+            }
+            found.extend(events.into_iter().map(|event| (*address, event)));
+        }
+        found.sort_by_key(|(_, event)| event.at);
+        if !follow {
+            return finished(&found, reached);
+        }
+        for (address, event) in &found {
+            if json {
+                println!("{}", json!({ "host": address, "event": event }));
+            } else {
+                println!("{}", line(*address, event));
+            }
+        }
+        compio::time::sleep(FOLLOW_PAUSE).await;
+    }
+}
+
+fn finished(found: &[(SocketAddr, Event)], reached: bool) -> anyhow::Result<Answer> {
+    if !reached {
+        bail!("no proxy answers");
+    }
+    let lines: Vec<String> = found
+        .iter()
+        .map(|(from, event)| line(*from, event))
+        .collect();
+    let events = found.iter();
+    let events: Vec<Value> = events
+        .map(|(from, event)| json!({ "host": from, "event": event }))
+        .collect();
+    Ok(Answer::new(Exit::Done, lines.join("\n"), json!(events)))
+}
+
+fn described(report: &Report) -> String {
+    let mut lines = vec![format!("{}, as {} sees it:", report.subject, report.host)];
+    lines.extend(report.sentences.iter().map(|one| format!("  {one}")));
+    let events = report.events.iter();
+    lines.extend(events.map(|event| {
+        let (age, text) = (age(event.at), &event.text);
+        format!("  {age} s ago, {}: {text}", event.part)
+    }));
+    lines.join("\n")
+}
+
+fn seen(overview: &Overview) -> Vec<String> {
+    let mut lines = vec![format!(
+        "{} in zone {} has revision {} in force and {} requests",
+        overview.host,
+        overview.zone,
+        overview.revision,
+        if overview.ready { "takes" } else { "takes no" }
+    )];
+    lines.extend(overview.services.iter().map(|one| {
+        let (service, in_use, slots) = (&one.service, one.in_use, one.slots);
+        format!(
+            "service {service}: {in_use} of {slots} slots in use, floor {}",
+            one.minimum()
+        )
+    }));
+    let absent = overview.absent.iter();
+    lines.extend(absent.map(|one| format!("{} is out of use: {}", one.upstream, one.reason)));
+    let worst = overview.tenants.first();
+    lines.extend(worst.map(|one| {
+        format!(
+            "worst served tenant on this host: {} with {:.2}% answered, p99 {:.1} ms",
+            one.name,
+            one.success * 100.0,
+            one.p99_ms
+        )
+    }));
+    lines
+}
+
+fn line(from: SocketAddr, event: &Event) -> String {
+    let (part, subject, text) = (&event.part, &event.subject, &event.text);
+    format!("{} s ago {from} {part}: {subject}: {text}", age(event.at))
+}
+
+fn age(at: SystemTime) -> u64 {
+    SystemTime::now()
+        .duration_since(at)
+        .unwrap_or_default()
+        .as_secs()
+}
--- a/programs/pb-ctl/src/files.rs
+++ b/programs/pb-ctl/src/files.rs
@@ -8,6 +8,7 @@
 
 use persimmonbend_app::settings;
 use persimmonbend_core::config::File;
+use persimmonbend_core::config::Route;
 use persimmonbend_core::config::Service;
 
 /// Ending of a service file's name.
@@ -102,33 +103,52 @@
 
 fn clashes(services: &[(&PathBuf, Service)]) -> Vec<String> {
     let mut names: BTreeMap<&str, &PathBuf> = BTreeMap::new();
-    let mut routes: Vec<(&str, &[String], &PathBuf)> = Vec::new();
+    let mut routes: Vec<Claim<'_>> = Vec::new();
     let mut clashes = Vec::new();
     for (file, service) in services {
         if let Some(other) = names.insert(&service.name, file) {
-            let (here, there) = (file.display(), other.display());
-            clashes.push(format!(
-                "{here}: service: {} is also in {there}",
-                service.name
-            ));
+            let (here, there) = (place(file, "service"), place(other, "service"));
+            clashes.push(format!("{here}: {} is also at {there}", service.name));
         }
-        for route in &service.routes {
-            let overlap = |(prefix, methods, _): &&(&str, &[String], &PathBuf)| {
-                *prefix == route.prefix && share_a_method(methods, &route.methods)
-            };
-            if let Some((_, _, other)) = routes.iter().find(overlap) {
-                let (here, there) = (file.display(), other.display());
-                clashes.push(format!(
-                    "{here}: routes: {} is also in {there}",
-                    route.prefix
-                ));
+        for (index, route) in service.routes.iter().enumerate() {
+            let claim = Claim { file, index, route };
+            if let Some(other) = routes.iter().find(|other| other.clashes_with(&claim)) {
+                let (here, there) = (claim.place(), other.place());
+                clashes.push(format!("{here}: {} is also at {there}", route.prefix));
             }
-            routes.push((&route.prefix, &route.methods, file));
+            routes.push(claim);
         }
     }
     clashes
 }
 
+/// A route with the place that claims it.
+struct Claim<'a> {
+    file: &'a Path,
+    index: usize,
+    route: &'a Route,
+}
+
+impl Claim<'_> {
+    fn clashes_with(&self, other: &Self) -> bool {
+        self.route.prefix == other.route.prefix
+            && share_a_method(&self.route.methods, &other.route.methods)
+    }
+
+    fn place(&self) -> String {
+        place(self.file, &format!("routes[{}].prefix", self.index))
+    }
+}
+
+fn place(file: &Path, field: &str) -> String {
+    let text = std::fs::read_to_string(file).unwrap_or_default();
+    format!(
+        "{}:{}: {field}",
+        file.display(),
+        settings::line(&text, field)
+    )
+}
+
 fn share_a_method(left: &[String], right: &[String]) -> bool {
     left.is_empty() || right.is_empty() || left.iter().any(|method| right.contains(method))
 }
--- a/programs/pb-ctl/src/fleet.rs
+++ b/programs/pb-ctl/src/fleet.rs
@@ -1,5 +1,9 @@
 //! Calls to control and to proxies on behalf of an operator.
 
+mod progress;
+mod proxies;
+
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use anyhow::anyhow;
@@ -14,14 +18,25 @@
 use persimmonbend_wire::link::Link;
 use rand::RngExt;
 
+use crate::exit::Lost;
 use crate::settings::Settings;
 
+pub use progress::Host;
+pub use progress::Progress;
+pub use progress::Status;
+
 /// Time to look for a leader.
 const LEADER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Pause between two rounds over the replicas.
 const LEADER_PAUSE: Duration = Duration::from_millis(200);
 
+/// Pause between two looks at the progress of a revision.
+const PROGRESS_PAUSE: Duration = Duration::from_millis(200);
+
+/// Times that a change is sent while its answers are lost.
+const SUBMISSIONS: usize = 2;
+
 /// A fleet as an operator reaches it.
 #[derive(Debug, Clone)]
 pub struct Fleet {
@@ -76,18 +91,35 @@
         Ok(control.snapshot().await?)
     }
 
+    /// Returns the configuration of control, or that of a proxy when control is away, and whether
+    /// control gave it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when neither answers.
+    pub async fn config_anywhere(&self) -> anyhow::Result<(State, bool)> {
+        match self.config().await {
+            Ok(state) => Ok((state, true)),
+            Err(error) => match self.config_of_a_proxy().await {
+                Ok(state) => Ok((state, false)),
+                Err(other) => Err(error.context(other)),
+            },
+        }
+    }
+
     /// Submits a change under a new name.
     ///
     /// # Errors
     ///
-    /// Returns an error when no leader answers or the answer is lost; in the second case the
-    /// outcome is unknown and a resend with the same name finds it out.
+    /// Returns an error when no leader answers, and [`Lost`] when the answer is lost.
     pub async fn submit(&self, change: Change, base: Option<Revision>) -> anyhow::Result<Outcome> {
         self.resubmit(change_id(), change, base).await
     }
 
     /// Submits a change under a given name, which makes a resend harmless.
     ///
+    /// A change whose answer is lost is sent again before the outcome is called unknown.
+    ///
     /// # Errors
     ///
     /// Returns an error as [`Fleet::submit`] does.
@@ -97,22 +129,91 @@
         change: Change,
         base: Option<Revision>,
     ) -> anyhow::Result<Outcome> {
-        let (_link, control) = self.leader().await?;
         let submission = Submission {
             id,
             base,
             operator: self.settings.operator.clone(),
             change,
         };
-        control.submit(&submission).await.map_err(|error| {
-            anyhow!(
-                "the outcome is unknown ({error}); send it again with --change-id {}",
-                submission.id
-            )
-        })
+        let mut lost = None;
+        for _ in 0..SUBMISSIONS {
+            match self.try_submit(&submission).await {
+                Ok(outcome) => return Ok(outcome),
+                Err(Attempt::Unsent(reason)) if lost.is_none() => return Err(reason),
+                Err(Attempt::Unsent(_)) => {}
+                Err(Attempt::Lost(reason)) => lost = Some(reason),
+            }
+        }
+        Err(anyhow::Error::new(Lost {
+            change: submission.id,
+            reason: lost.unwrap_or_default(),
+        }))
+    }
+
+    /// Returns how far a revision has come.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no leader answers.
+    pub async fn progress(&self, revision: Revision) -> anyhow::Result<Progress> {
+        Ok(Progress::new(revision, &self.status().await?))
+    }
+
+    /// Returns what control knows of the hosts.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no leader answers.
+    pub async fn status(&self) -> anyhow::Result<Status> {
+        let (_link, control) = self.leader().await?;
+        Ok(serde_json::from_value(control.status().await?)?)
+    }
+
+    /// Waits at most `limit` until a revision is in force on every host; tells `seen` each time
+    /// that more hosts have it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no leader answers at the end.
+    pub async fn wait_in_force<S>(
+        &self,
+        revision: Revision,
+        limit: Duration,
+        mut seen: S,
+    ) -> anyhow::Result<Progress>
+    where
+        S: FnMut(&Progress),
+    {
+        let waiting = async {
+            let mut last = None;
+            loop {
+                if let Ok(progress) = self.progress(revision).await {
+                    if progress.is_complete() {
+                        return progress;
+                    }
+                    if last.replace(progress.in_force) != Some(progress.in_force) {
+                        seen(&progress);
+                    }
+                }
+                compio::time::sleep(PROGRESS_PAUSE).await;
+            }
+        };
+        match compio::time::timeout(limit, waiting).await {
+            Ok(progress) => Ok(progress),
+            Err(_) => self.progress(revision).await,
+        }
+    }
+
+    async fn try_submit(&self, submission: &Submission) -> Result<Outcome, Attempt> {
+        let (_link, control) = self.leader().await.map_err(Attempt::Unsent)?;
+        match control.submit(submission).await {
+            Ok(outcome) => Ok(outcome),
+            Err(Error::NotLeader(hint)) => Err(Attempt::Unsent(Error::NotLeader(hint).into())),
+            Err(error) => Err(Attempt::Lost(error.to_string())),
+        }
     }
 
-    async fn try_leader(&self, address: std::net::SocketAddr) -> Result<(Link, Client), Error> {
+    async fn try_leader(&self, address: SocketAddr) -> Result<(Link, Client), Error> {
         let link = Link::connect(address, &self.settings.operator, &self.settings.secret).await?;
         let control = link.control()?;
         if control.ping().await? {
@@ -127,3 +228,11 @@
 pub fn change_id() -> ChangeId {
     format!("{:032x}", rand::rng().random::<u128>())
 }
+
+/// Why an attempt to submit a change gave no outcome.
+enum Attempt {
+    /// The change did not reach the log.
+    Unsent(anyhow::Error),
+    /// The change may have reached the log.
+    Lost(String),
+}
--- /dev/null
+++ b/programs/pb-ctl/src/fleet/proxies.rs
@@ -0,0 +1,179 @@
+//! Questions to proxies, one or all.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use anyhow::Context;
+use anyhow::bail;
+use futures_util::StreamExt;
+use futures_util::stream;
+use persimmonbend_core::config::State;
+use persimmonbend_core::explain::Overview;
+use persimmonbend_core::explain::Query;
+use persimmonbend_core::explain::Report;
+use persimmonbend_core::key::Digest;
+use persimmonbend_wire::error::Error;
+use persimmonbend_wire::link::Link;
+use persimmonbend_wire::peer::Client;
+use persimmonbend_wire::update::Update;
+use serde::de::DeserializeOwned;
+
+use crate::fleet::Fleet;
+
+/// Proxies that are asked at a time.
+const CONCURRENCY: usize = 32;
+
+impl Fleet {
+    /// Returns a link to the proxy at an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure of the link.
+    pub async fn proxy(&self, address: SocketAddr) -> Result<(Link, Client), Error> {
+        let settings = self.settings();
+        let link = Link::connect(address, &settings.operator, &settings.secret).await?;
+        let peer = link.peer()?;
+        Ok((link, peer))
+    }
+
+    /// Asks the proxy at an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure of the link or of the call.
+    pub async fn ask<T>(&self, address: SocketAddr, query: &Query) -> Result<T, Error>
+    where
+        T: DeserializeOwned,
+    {
+        let (_link, peer) = self.proxy(address).await?;
+        peer.ask(query).await
+    }
+
+    /// Asks the proxies of the settings, in order, until one answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when none answers.
+    pub async fn ask_any<T: DeserializeOwned>(&self, query: &Query) -> anyhow::Result<T> {
+        for address in &self.settings().proxies {
+            if let Ok(answer) = self.ask(*address, query).await {
+                return Ok(answer);
+            }
+        }
+        bail!(
+            "none of the {} proxies in the settings answers",
+            self.settings().proxies.len()
+        )
+    }
+
+    /// Returns the first overview that a proxy of the settings gives.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when none answers.
+    pub async fn overview(&self) -> anyhow::Result<Overview> {
+        self.ask_any(&Query::Overview).await
+    }
+
+    /// Returns the addresses of all proxies: those of the settings and those that they know.
+    pub async fn addresses(&self) -> BTreeSet<SocketAddr> {
+        let mut addresses: BTreeSet<SocketAddr> = self.settings().proxies.iter().copied().collect();
+        if let Ok(overview) = self.overview().await {
+            addresses.extend(overview.hosts.iter().map(|host| host.peers));
+        }
+        addresses
+    }
+
+    /// Asks every proxy and returns the answers that came, by address.
+    pub async fn ask_all<T: DeserializeOwned>(&self, query: &Query) -> BTreeMap<SocketAddr, T> {
+        let addresses = self.addresses().await;
+        let asked = stream::iter(addresses).map(|address| async move {
+            let answer: Result<T, Error> = self.ask(address, query).await;
+            answer.ok().map(|answer| (address, answer))
+        });
+        let answers = asked.buffer_unordered(CONCURRENCY);
+        answers.filter_map(std::future::ready).collect().await
+    }
+
+    /// Returns the reports of all proxies that know the subject, or one that does not.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no proxy answers.
+    pub async fn reports(&self, query: &Query) -> anyhow::Result<Vec<Report>> {
+        let answers = self.ask_all::<Report>(query).await;
+        let (mut known, unknown): (Vec<Report>, Vec<Report>) =
+            answers.into_values().partition(|report| report.known);
+        if known.is_empty() {
+            let first = unknown.into_iter().next();
+            known.push(first.context("no proxy answers")?);
+        }
+        Ok(known)
+    }
+
+    /// Returns the configuration that a reachable proxy has in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no proxy gives one.
+    pub async fn config_of_a_proxy(&self) -> anyhow::Result<State> {
+        for address in &self.settings().proxies {
+            if let Ok(state) = self.config_at(*address).await {
+                return Ok(state);
+            }
+        }
+        bail!("no proxy gives its configuration")
+    }
+
+    /// Hands a withdrawal to the first proxy that takes it and returns its address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no proxy takes it.
+    pub async fn withdraw_at_a_proxy(&self, digest: Digest) -> anyhow::Result<SocketAddr> {
+        let mut reasons = Vec::new();
+        for address in self.addresses().await {
+            match self.withdraw_at(address, digest).await {
+                Ok(()) => return Ok(address),
+                Err(error) => reasons.push(format!("{address}: {error}")),
+            }
+        }
+        bail!("no proxy takes the withdrawal: {}", reasons.join("; "))
+    }
+
+    /// Returns the peer address of a host by its name.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no reachable proxy has that name or knows a host of that name.
+    pub async fn address_of(&self, host: &str) -> anyhow::Result<SocketAddr> {
+        let overviews = self.ask_all::<Overview>(&Query::Overview).await;
+        let named = overviews.iter().find(|(_, one)| one.host == host);
+        if let Some((address, _)) = named {
+            return Ok(*address);
+        }
+        let mut seen = overviews.values().flat_map(|one| &one.hosts);
+        let seen = seen.find(|one| one.host == host).map(|one| one.peers);
+        seen.with_context(|| format!("no proxy that answers knows a host {host}"))
+    }
+
+    async fn withdraw_at(&self, address: SocketAddr, digest: Digest) -> Result<(), Error> {
+        let (_link, peer) = self.proxy(address).await?;
+        peer.withdraw(digest, &self.settings().operator).await
+    }
+
+    async fn config_at(&self, address: SocketAddr) -> Result<State, Error> {
+        let (_link, peer) = self.proxy(address).await?;
+        match peer.update(0).await? {
+            Update::Snapshot(state) => Ok(*state),
+            Update::Changes(entries) => {
+                let mut state = State::default();
+                for entry in &entries {
+                    state.apply(entry);
+                }
+                Ok(state)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/programs/pb-ctl/src/steering.rs
@@ -0,0 +1,54 @@
+//! The check of the floor before an upstream is taken out of use.
+
+use persimmonbend_core::config::Order;
+use persimmonbend_core::explain::Query;
+use persimmonbend_core::explain::Report;
+
+use crate::fleet::Fleet;
+
+/// What an order would do to a service's floor.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Check {
+    /// The floor holds; the sentence gives the figures.
+    Holds(String),
+    /// The floor would break; the sentence gives the figures.
+    Breaks(String),
+    /// No proxy could be asked, or none knows the upstream.
+    Unknown(String),
+}
+
+/// Checks an order about an upstream against the floor, as a proxy sees it.
+pub async fn check(fleet: &Fleet, upstream: &str, order: Order) -> Check {
+    let query = Query::Upstream(upstream.to_owned());
+    match fleet.ask_any::<Report>(&query).await {
+        Ok(report) => judge(&report, order),
+        Err(error) => Check::Unknown(format!("The floor cannot be checked: {error}.")),
+    }
+}
+
+/// Judges an order by a report on the upstream.
+#[must_use]
+pub fn judge(report: &Report, order: Order) -> Check {
+    let Some(capacity) = &report.capacity else {
+        return Check::Unknown(format!(
+            "Host {} knows no upstream {}.",
+            report.host, report.subject
+        ));
+    };
+    let left = match order {
+        Order::Restore => capacity.in_use,
+        Order::Drain | Order::Eject => capacity.in_use.saturating_sub(report.slots_in_use),
+    };
+    let text = format!(
+        "Service {} would have {left} of {} slots in use; its floor is {}.",
+        capacity.service,
+        capacity.slots,
+        capacity.minimum()
+    );
+    let breaks = order != Order::Restore && capacity.breaks_without(report.slots_in_use);
+    if breaks {
+        Check::Breaks(text)
+    } else {
+        Check::Holds(text)
+    }
+}
--- a/programs/pb-lab/src/fleet.rs
+++ b/programs/pb-lab/src/fleet.rs
@@ -204,9 +204,23 @@
 ///
 /// Returns an error when the settings cannot be used.
 pub fn operator(files: &Files, control: &[SocketAddr]) -> anyhow::Result<pb_ctl::fleet::Fleet> {
+    operator_with(files, control, &[])
+}
+
+/// Returns an operator's view of the fleet that can ask proxies at their peer addresses too.
+///
+/// # Errors
+///
+/// Returns an error when the settings cannot be used.
+pub fn operator_with(
+    files: &Files,
+    control: &[SocketAddr],
+    proxies: &[SocketAddr],
+) -> anyhow::Result<pb_ctl::fleet::Fleet> {
     let settings = checked::<pb_ctl::settings::File, _>(&json!({
         "operator": "lab",
         "control": control,
+        "proxies": proxies,
         "secret_file": files.secret(),
     }))?;
     Ok(pb_ctl::fleet::Fleet::new(settings))
