--- a/programs/pb-proxy/src/node.rs
+++ b/programs/pb-proxy/src/node.rs
@@ -21,6 +21,7 @@
 use persimmonbend_core::key;
 use persimmonbend_core::membership::Membership;
 use persimmonbend_core::steward::Unconditional;
+use persimmonbend_core::traffic::Traffic;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -48,6 +49,7 @@
     recent: RefCell<VecDeque<Entry>>,
     withdrawals: Withdrawals,
     joined: Cell<bool>,
+    traffic: RefCell<Traffic>,
     rng: RefCell<ChaCha8Rng>,
     pool: Pool,
     slots: Slots,
@@ -82,6 +84,7 @@
             rng: RefCell::new(rng),
             pool: Pool::new(settings.connections_max),
             slots: Slots::new(settings.routing, Box::new(Unconditional)),
+            traffic: RefCell::new(Traffic::new(clock.now())),
             ready: Cell::new(false),
             closing: Stop::new(),
             settings,
@@ -102,6 +105,12 @@
         self.clock.now()
     }
 
+    /// Returns the wall time.
+    #[must_use]
+    pub fn wall(&self) -> SystemTime {
+        self.clock.wall()
+    }
+
     /// Returns the board for reading.
     #[must_use]
     pub fn board(&self) -> Ref<'_, Board> {
@@ -163,6 +172,18 @@
         }
     }
 
+    /// Returns the counts of requests for reading.
+    #[must_use]
+    pub fn traffic(&self) -> Ref<'_, Traffic> {
+        self.traffic.borrow()
+    }
+
+    /// Returns the counts of requests for writing; the borrow must not be held over an await.
+    #[must_use]
+    pub fn traffic_mut(&self) -> RefMut<'_, Traffic> {
+        self.traffic.borrow_mut()
+    }
+
     /// Returns the random generator; the borrow must not be held over an await.
     #[must_use]
     pub fn rng(&self) -> RefMut<'_, ChaCha8Rng> {
@@ -281,6 +302,7 @@
             "hosts": board.hosts().values().map(host).collect::<Vec<_>>(),
             "upstreams": board.all_upstreams().map(upstream).collect::<Vec<_>>(),
             "events": board.events().iter().collect::<Vec<_>>(),
+            "traffic": crate::explain::traffic(self),
         })
     }
 }
--- a/programs/pb-proxy/src/peer.rs
+++ b/programs/pb-proxy/src/peer.rs
@@ -8,6 +8,7 @@
 use persimmonbend_core::key::Digest;
 use persimmonbend_wire::fleet_capnp::peer;
 
+use crate::explain;
 use crate::gossip;
 use crate::node::Node;
 use crate::subscription;
@@ -87,6 +88,20 @@
         Ok(())
     }
 
+    async fn explain(
+        self: Server<Self>,
+        params: peer::ExplainParams,
+        mut results: peer::ExplainResults,
+    ) -> Result<(), Error> {
+        let query = params.get()?.get_query()?;
+        let query =
+            serde_json::from_slice(query).map_err(|error| Error::failed(error.to_string()))?;
+        let answer = explain::answer(&self.node, &query);
+        let answer = answer.map_err(|error| Error::failed(error.to_string()))?;
+        results.get().set_report(answer.to_string().as_bytes());
+        Ok(())
+    }
+
     async fn dump(
         self: Server<Self>,
         _params: peer::DumpParams,
