--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -7,12 +7,20 @@
 use persimmonbend_core::config::State;
 use persimmonbend_core::config::Submission;
 use persimmonbend_core::host;
+use persimmonbend_core::id::Incarnation;
 use persimmonbend_core::id::Revision;
+use persimmonbend_core::quota::Batch;
+use persimmonbend_core::quota::Reply;
+use persimmonbend_core::record::Claim;
+use persimmonbend_core::record::Outcome as Execution;
+use persimmonbend_core::record::Verdict;
 
 use crate::error::Error;
 use crate::fleet_capnp::control;
 use crate::link::CALL_TIMEOUT;
 use crate::link::call;
+use crate::quota;
+use crate::record;
 use crate::update::Update;
 
 /// Time beyond its wait that a watch may take.
@@ -21,6 +29,9 @@
 /// Time that a submission may take until it is synced on a quorum.
 const SUBMIT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time beyond its wait that a claim may take.
+const CLAIM_MARGIN: Duration = Duration::from_millis(800);
+
 /// A control replica on the other side of a link.
 #[derive(Clone)]
 pub struct Client {
@@ -83,6 +94,62 @@
         Ok(serde_json::from_slice(response.get()?.get_outcome()?)?)
     }
 
+    /// Asks for grants and gives back what is not needed, within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotLeader`] from a follower. After any error the same batch is to be sent
+    /// again.
+    pub async fn grant(&self, batch: &Batch, limit: Duration) -> Result<Reply, Error> {
+        let mut request = self.remote.grant_request();
+        quota::write_batch(batch, request.get().init_batch());
+        let response = call(limit, request.send().promise).await?;
+        quota::read_reply(response.get()?.get_grants()?)
+    }
+
+    /// Claims a record and waits at most `wait` while another owner runs the request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotLeader`] from a follower. After any other error the claim may have
+    /// been made: it is to be made again under the same attempt, or given up by
+    /// [`Client::complete`] with [`Execution::NotRun`].
+    pub async fn claim(&self, claim: &Claim, wait: Duration) -> Result<Verdict, Error> {
+        let mut request = self.remote.claim_request();
+        record::write_claim(claim, request.get().init_claim());
+        let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+        request.get().set_wait_ms(wait_ms);
+        let response = call(wait + CLAIM_MARGIN, request.send().promise).await?;
+        record::read_verdict(response.get()?.get_verdict()?)
+    }
+
+    /// Tells what became of a claimed execution.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotLeader`] from a follower. After any error the outcome is to be told
+    /// again.
+    pub async fn complete(&self, claim: &Claim, outcome: &Execution) -> Result<(), Error> {
+        let mut request = self.remote.complete_request();
+        record::write_claim(claim, request.get().init_claim());
+        request.get().set_outcome(&serde_json::to_vec(outcome)?);
+        call(CALL_TIMEOUT, request.send().promise).await?;
+        Ok(())
+    }
+
+    /// Frees the seat of a host that is stopping and has given back its grants.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure of the call.
+    pub async fn vacate(&self, host: &str, incarnation: Incarnation) -> Result<(), Error> {
+        let mut request = self.remote.vacate_request();
+        request.get().set_host(host);
+        request.get().set_incarnation(incarnation);
+        call(CALL_TIMEOUT, request.send().promise).await?;
+        Ok(())
+    }
+
     /// Returns the whole configuration.
     ///
     /// # Errors
--- a/crates/wire/src/fleet_capnp.rs
+++ b/crates/wire/src/fleet_capnp.rs
@@ -931,27 +931,27 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_tenant(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_host(&self) -> bool {
+        pub fn has_tenant(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_tenant(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_tenant(&self) -> bool {
+        pub fn has_service(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_want(self) -> u32 {
+        pub fn get_waiting(self) -> u32 {
             self.reader.get_data_field::<u32>(0)
         }
         #[inline]
-        pub fn get_spent(self) -> u32 {
+        pub fn get_ahead(self) -> u32 {
             self.reader.get_data_field::<u32>(1)
         }
         #[inline]
@@ -959,14 +959,14 @@
             self.reader.get_data_field::<u32>(2)
         }
         #[inline]
-        pub fn get_sequence(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
+        pub fn get_held(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1017,51 +1017,51 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_tenant(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_host(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        pub fn set_tenant(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn init_host(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_tenant(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_host(&self) -> bool {
+        pub fn has_tenant(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_tenant(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_tenant(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
         }
         #[inline]
-        pub fn init_tenant(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(1).init_text(size)
         }
         #[inline]
-        pub fn has_tenant(&self) -> bool {
+        pub fn has_service(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_want(self) -> u32 {
+        pub fn get_waiting(self) -> u32 {
             self.builder.get_data_field::<u32>(0)
         }
         #[inline]
-        pub fn set_want(&mut self, value: u32)  {
+        pub fn set_waiting(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(0, value);
         }
         #[inline]
-        pub fn get_spent(self) -> u32 {
+        pub fn get_ahead(self) -> u32 {
             self.builder.get_data_field::<u32>(1)
         }
         #[inline]
-        pub fn set_spent(&mut self, value: u32)  {
+        pub fn set_ahead(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(1, value);
         }
         #[inline]
@@ -1073,12 +1073,12 @@
             self.builder.set_data_field::<u32>(2, value);
         }
         #[inline]
-        pub fn get_sequence(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
+        pub fn get_held(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
         }
         #[inline]
-        pub fn set_sequence(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
+        pub fn set_held(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
         }
     }
 
@@ -1091,10 +1091,10 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 107] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(166, 68, 238, 170, 56, 41, 207, 218),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(111, 82, 228, 155, 195, 167, 240, 209),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1111,21 +1111,21 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
@@ -1143,14 +1143,14 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 101, 110, 97, 110, 116, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1158,7 +1158,7 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 101, 110, 97, 110, 116, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1166,7 +1166,7 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(119, 97, 110, 116, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 105, 116, 105, 110, 103, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1174,7 +1174,7 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 112, 101, 110, 116, 0, 0, 0),
+            ::capnp::word(97, 104, 101, 97, 100, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1191,13 +1191,12 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 108, 100, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
@@ -1208,7 +1207,7 @@
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1224,12 +1223,12 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,5,3,1,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,5,4,1,0,2];
         pub(crate) const TYPE_ID: u64 = 0xdacf_2938_aaee_44a6;
     }
 }
 
-pub mod grant {
+pub mod issue_stamp {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -1291,26 +1290,18 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_tokens(self) -> u32 {
-            self.reader.get_data_field::<u32>(0)
-        }
-        #[inline]
-        pub fn get_lifetime_ms(self) -> u32 {
-            self.reader.get_data_field::<u32>(1)
-        }
-        #[inline]
-        pub fn get_retry_after_ms(self) -> u32 {
-            self.reader.get_data_field::<u32>(2)
+        pub fn get_term(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_term(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
+        pub fn get_since_start_us(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1361,36 +1352,20 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_tokens(self) -> u32 {
-            self.builder.get_data_field::<u32>(0)
-        }
-        #[inline]
-        pub fn set_tokens(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(0, value);
-        }
-        #[inline]
-        pub fn get_lifetime_ms(self) -> u32 {
-            self.builder.get_data_field::<u32>(1)
-        }
-        #[inline]
-        pub fn set_lifetime_ms(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(1, value);
-        }
-        #[inline]
-        pub fn get_retry_after_ms(self) -> u32 {
-            self.builder.get_data_field::<u32>(2)
+        pub fn get_term(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_retry_after_ms(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(2, value);
+        pub fn set_term(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_term(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
+        pub fn get_since_start_us(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn set_term(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
+        pub fn set_since_start_us(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
         }
     }
 
@@ -1403,79 +1378,48 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(162, 148, 162, 126, 186, 63, 122, 191),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(19, 48, 21, 13, 218, 205, 79, 176),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(111, 82, 228, 155, 195, 167, 240, 209),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 71, 114, 97, 110),
-            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 110, 112, 58, 73, 115, 115, 117),
+            ::capnp::word(101, 83, 116, 97, 109, 112, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 90, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 106, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 0, 0, 0, 42, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 105, 102, 101, 116, 105, 109, 101),
-            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 116, 114, 121, 65, 102, 116),
-            ::capnp::word(101, 114, 77, 115, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 101, 114, 109, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 101, 114, 109, 0, 0, 0, 0),
+            ::capnp::word(115, 105, 110, 99, 101, 83, 116, 97),
+            ::capnp::word(114, 116, 85, 115, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1486,10 +1430,8 @@
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1503,14 +1445,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,3,0];
-        pub(crate) const TYPE_ID: u64 = 0xbf7a_3fba_7ea2_94a2;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xb04f_cdda_0d15_3013;
     }
 }
 
-pub mod claim {
+pub mod batch {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -1572,54 +1514,54 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_tenant(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        pub fn get_group(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
         }
         #[inline]
-        pub fn has_tenant(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
+        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn get_route(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        pub fn has_host(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn has_route(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        pub fn get_sequence(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn has_key(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
+        pub fn get_echo(self) -> ::capnp::Result<crate::fleet_capnp::issue_stamp::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        pub fn has_echo(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn has_body(&self) -> bool {
-            !self.reader.get_pointer_field(3).is_null()
+        pub fn get_whole(self) -> bool {
+            self.reader.get_bool_field(32)
         }
         #[inline]
-        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        pub fn get_whole_term(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn has_host(&self) -> bool {
-            !self.reader.get_pointer_field(4).is_null()
+        pub fn get_asks(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::ask::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn get_attempt(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
+        pub fn has_asks(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1670,92 +1612,1144 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_tenant(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_group(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_group(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_tenant(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        pub fn set_host(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn init_tenant(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_host(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_tenant(&self) -> bool {
+        pub fn has_host(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_route(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_route(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn init_route(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(1).init_text(size)
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn has_route(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
+        pub fn get_sequence(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        pub fn set_sequence(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
-        pub fn set_key(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+        pub fn get_echo(self) -> ::capnp::Result<crate::fleet_capnp::issue_stamp::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn init_key(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(2).init_text(size)
+        pub fn set_echo(&mut self, value: crate::fleet_capnp::issue_stamp::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
         }
         #[inline]
-        pub fn has_key(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
+        pub fn init_echo(self, ) -> crate::fleet_capnp::issue_stamp::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
         }
         #[inline]
-        pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        pub fn has_echo(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>)  {
-            self.builder.reborrow().get_pointer_field(3).set_data(value);
+        pub fn get_whole(self) -> bool {
+            self.builder.get_bool_field(32)
         }
         #[inline]
-        pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.get_pointer_field(3).init_data(size)
+        pub fn set_whole(&mut self, value: bool)  {
+            self.builder.set_bool_field(32, value);
         }
         #[inline]
-        pub fn has_body(&self) -> bool {
-            !self.builder.is_pointer_field_null(3)
+        pub fn get_whole_term(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        pub fn set_whole_term(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
         }
         #[inline]
-        pub fn set_host(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false).unwrap()
+        pub fn get_asks(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::ask::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn init_host(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(4).init_text(size)
+        pub fn set_asks(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::ask::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
         }
         #[inline]
-        pub fn has_host(&self) -> bool {
-            !self.builder.is_pointer_field_null(4)
+        pub fn init_asks(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::ask::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
         }
         #[inline]
-        pub fn get_attempt(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+        pub fn has_asks(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
         }
-        #[inline]
-        pub fn set_attempt(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_echo(&self) -> crate::fleet_capnp::issue_stamp::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 144] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(24, 10, 37, 160, 174, 146, 159, 192),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(111, 82, 228, 155, 195, 167, 240, 209),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 66, 97, 116, 99),
+            ::capnp::word(104, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 32, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(103, 114, 111, 117, 112, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 99, 104, 111, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(19, 48, 21, 13, 218, 205, 79, 176),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 104, 111, 108, 101, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 104, 111, 108, 101, 84, 101, 114),
+            ::capnp::word(109, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 115, 107, 115, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(166, 68, 238, 170, 56, 41, 207, 218),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <crate::fleet_capnp::issue_stamp::Owned as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::struct_list::Owned<crate::fleet_capnp::ask::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,4,0,1,2,3,5,6];
+        pub(crate) const TYPE_ID: u64 = 0xc09f_92ae_a025_0a18;
+    }
+}
+
+pub mod grant {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_tokens(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_retry_after_us(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_tokens(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_tokens(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_retry_after_us(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_retry_after_us(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(162, 148, 162, 126, 186, 63, 122, 191),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(111, 82, 228, 155, 195, 167, 240, 209),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 71, 114, 97, 110),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 116, 114, 121, 65, 102, 116),
+            ::capnp::word(101, 114, 85, 115, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xbf7a_3fba_7ea2_94a2;
+    }
+}
+
+pub mod grants {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_stamp(self) -> ::capnp::Result<crate::fleet_capnp::issue_stamp::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_stamp(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_seated(self) -> bool {
+            self.reader.get_bool_field(0)
+        }
+        #[inline]
+        pub fn get_seat(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn get_seats(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn get_opens_in_us(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn get_grants(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::grant::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_grants(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_stamp(self) -> ::capnp::Result<crate::fleet_capnp::issue_stamp::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_stamp(&mut self, value: crate::fleet_capnp::issue_stamp::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_stamp(self, ) -> crate::fleet_capnp::issue_stamp::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_stamp(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_seated(self) -> bool {
+            self.builder.get_bool_field(0)
+        }
+        #[inline]
+        pub fn set_seated(&mut self, value: bool)  {
+            self.builder.set_bool_field(0, value);
+        }
+        #[inline]
+        pub fn get_seat(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_seat(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
+        pub fn get_seats(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_seats(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn get_opens_in_us(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_opens_in_us(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
+        pub fn get_grants(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::grant::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_grants(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::grant::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_grants(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::grant::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_grants(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_stamp(&self) -> crate::fleet_capnp::issue_stamp::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 112] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(45, 82, 68, 5, 73, 89, 141, 239),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(111, 82, 228, 155, 195, 167, 240, 209),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 71, 114, 97, 110),
+            ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 116, 97, 109, 112, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(19, 48, 21, 13, 218, 205, 79, 176),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 97, 116, 101, 100, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 97, 116, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 97, 116, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 112, 101, 110, 115, 73, 110, 85),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 114, 97, 110, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(162, 148, 162, 126, 186, 63, 122, 191),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::fleet_capnp::issue_stamp::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::fleet_capnp::grant::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,4,2,1,3,0];
+        pub(crate) const TYPE_ID: u64 = 0xef8d_5949_0544_522d;
+    }
+}
+
+pub mod claim {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_group(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_tenant(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_tenant(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_route(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_route(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_key(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_request(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_request(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_host(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_attempt(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_patience_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 5 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_group(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_group(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_tenant(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_tenant(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_tenant(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_tenant(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_route(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_route(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_route(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_route(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_key(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_key(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(2).init_text(size)
+        }
+        #[inline]
+        pub fn has_key(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_request(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_request(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(3).set_data(value);
+        }
+        #[inline]
+        pub fn init_request(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(3).init_data(size)
+        }
+        #[inline]
+        pub fn has_request(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_host(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_host(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(4).init_text(size)
+        }
+        #[inline]
+        pub fn has_host(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+        #[inline]
+        pub fn get_attempt(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_attempt(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_patience_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_patience_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
         }
     }
 
@@ -1768,66 +2762,88 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 107] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 138] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(124, 139, 178, 130, 1, 46, 103, 178),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(111, 82, 228, 155, 195, 167, 240, 209),
             ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 67, 108, 97, 105),
             ::capnp::word(109, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(103, 114, 111, 117, 112, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(116, 101, 110, 97, 110, 116, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1852,7 +2868,7 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1876,15 +2892,26 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 116, 105, 101, 110, 99, 101),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1898,15 +2925,15 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,3,4,2,1,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,0,5,3,7,4,2,1];
         pub(crate) const TYPE_ID: u64 = 0xb267_2e01_82b2_8b7c;
     }
 }
 
 pub mod verdict {
-    pub use self::Which::{Fresh,Done,Running,Mismatch,Unknown};
+    pub use self::Which::{Fresh,Done,Running,Mismatch,Unknown,Gone,Full,Lapsed};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -2001,6 +3028,21 @@
                         ()
                     ))
                 }
+                5 => {
+                    ::core::result::Result::Ok(Gone(
+                        ()
+                    ))
+                }
+                6 => {
+                    ::core::result::Result::Ok(Full(
+                        ()
+                    ))
+                }
+                7 => {
+                    ::core::result::Result::Ok(Lapsed(
+                        ()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -2090,6 +3132,18 @@
             self.builder.set_data_field::<u16>(0, 4);
         }
         #[inline]
+        pub fn set_gone(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(0, 5);
+        }
+        #[inline]
+        pub fn set_full(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(0, 6);
+        }
+        #[inline]
+        pub fn set_lapsed(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(0, 7);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -2117,6 +3171,21 @@
                         ()
                     ))
                 }
+                5 => {
+                    ::core::result::Result::Ok(Gone(
+                        ()
+                    ))
+                }
+                6 => {
+                    ::core::result::Result::Ok(Full(
+                        ()
+                    ))
+                }
+                7 => {
+                    ::core::result::Result::Ok(Lapsed(
+                        ()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -2131,59 +3200,80 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 138] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(62, 22, 235, 71, 13, 72, 196, 172),
             ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(111, 82, 228, 155, 195, 167, 240, 209),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 5, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 8, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 86, 101, 114, 100),
             ::capnp::word(105, 99, 116, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 101, 115, 104, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2225,6 +3315,30 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 111, 110, 101, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 117, 108, 108, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 97, 112, 115, 101, 100, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2233,6 +3347,9 @@
                 2 => <() as ::capnp::introspect::Introspect>::introspect(),
                 3 => <() as ::capnp::introspect::Introspect>::introspect(),
                 4 => <() as ::capnp::introspect::Introspect>::introspect(),
+                5 => <() as ::capnp::introspect::Introspect>::introspect(),
+                6 => <() as ::capnp::introspect::Introspect>::introspect(),
+                7 => <() as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2247,8 +3364,8 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,3,2,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,6,5,7,3,2,4];
         pub(crate) const TYPE_ID: u64 = 0xacc4_480d_47eb_163e;
     }
     pub enum Which<A0> {
@@ -2257,6 +3374,9 @@
         Running(()),
         Mismatch(()),
         Unknown(()),
+        Gone(()),
+        Full(()),
+        Lapsed(()),
     }
     pub type WhichReader<'a,> = Which<::capnp::Result<::capnp::data::Reader<'a>>>;
     pub type WhichBuilder<'a,> = Which<::capnp::Result<::capnp::data::Builder<'a>>>;
@@ -2277,8 +3397,8 @@
     pub type ClaimResults<> = ::capnp::capability::Results<crate::fleet_capnp::control::claim_results::Owned>;
     pub type CompleteParams<> = ::capnp::capability::Params<crate::fleet_capnp::control::complete_params::Owned>;
     pub type CompleteResults<> = ::capnp::capability::Results<crate::fleet_capnp::control::complete_results::Owned>;
-    pub type ReleaseParams<> = ::capnp::capability::Params<crate::fleet_capnp::control::release_params::Owned>;
-    pub type ReleaseResults<> = ::capnp::capability::Results<crate::fleet_capnp::control::release_results::Owned>;
+    pub type VacateParams<> = ::capnp::capability::Params<crate::fleet_capnp::control::vacate_params::Owned>;
+    pub type VacateResults<> = ::capnp::capability::Results<crate::fleet_capnp::control::vacate_results::Owned>;
     pub type ReplicateParams<> = ::capnp::capability::Params<crate::fleet_capnp::control::replicate_params::Owned>;
     pub type ReplicateResults<> = ::capnp::capability::Results<crate::fleet_capnp::control::replicate_results::Owned>;
     pub type StatusParams<> = ::capnp::capability::Params<crate::fleet_capnp::control::status_params::Owned>;
@@ -2354,7 +3474,7 @@
         pub fn complete_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::control::complete_params::Owned,crate::fleet_capnp::control::complete_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
         }
-        pub fn release_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::control::release_params::Owned,crate::fleet_capnp::control::release_results::Owned> {
+        pub fn vacate_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::control::vacate_params::Owned,crate::fleet_capnp::control::vacate_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
         }
         pub fn replicate_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::control::replicate_params::Owned,crate::fleet_capnp::control::replicate_results::Owned> {
@@ -2377,7 +3497,7 @@
         fn grant(self: ::capnp::capability::Rc<Self>, _: GrantParams<>, _: GrantResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::grant not implemented".to_string()))) }
         fn claim(self: ::capnp::capability::Rc<Self>, _: ClaimParams<>, _: ClaimResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::claim not implemented".to_string()))) }
         fn complete(self: ::capnp::capability::Rc<Self>, _: CompleteParams<>, _: CompleteResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::complete not implemented".to_string()))) }
-        fn release(self: ::capnp::capability::Rc<Self>, _: ReleaseParams<>, _: ReleaseResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::release not implemented".to_string()))) }
+        fn vacate(self: ::capnp::capability::Rc<Self>, _: VacateParams<>, _: VacateResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::vacate not implemented".to_string()))) }
         fn replicate(self: ::capnp::capability::Rc<Self>, _: ReplicateParams<>, _: ReplicateResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::replicate not implemented".to_string()))) }
         fn status(self: ::capnp::capability::Rc<Self>, _: StatusParams<>, _: StatusResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::status not implemented".to_string()))) }
         fn dump(self: ::capnp::capability::Rc<Self>, _: DumpParams<>, _: DumpResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::dump not implemented".to_string()))) }
@@ -2417,7 +3537,7 @@
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::grant(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::claim(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::complete(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::release(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::vacate(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::replicate(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 8 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::status(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 9 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::dump(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
@@ -3908,11 +5028,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_asks(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::ask::Owned>> {
+            pub fn get_batch(self) -> ::capnp::Result<crate::fleet_capnp::batch::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_asks(&self) -> bool {
+            pub fn has_batch(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -3970,19 +5090,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_asks(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::ask::Owned>> {
+            pub fn get_batch(self) -> ::capnp::Result<crate::fleet_capnp::batch::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_asks(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::ask::Owned>) -> ::capnp::Result<()> {
+            pub fn set_batch(&mut self, value: crate::fleet_capnp::batch::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_asks(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::ask::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            pub fn init_batch(self, ) -> crate::fleet_capnp::batch::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_asks(&self) -> bool {
+            pub fn has_batch(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -3994,9 +5114,12 @@
             }
         }
         impl Pipeline  {
+            pub fn get_batch(&self) -> crate::fleet_capnp::batch::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(233, 18, 22, 3, 41, 212, 206, 203),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
@@ -4018,26 +5141,22 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(97, 115, 107, 115, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(98, 97, 116, 99, 104, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(166, 68, 238, 170, 56, 41, 207, 218),
+                ::capnp::word(24, 10, 37, 160, 174, 146, 159, 192),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::struct_list::Owned<crate::fleet_capnp::ask::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::fleet_capnp::batch::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4120,7 +5239,7 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_grants(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::grant::Owned>> {
+            pub fn get_grants(self) -> ::capnp::Result<crate::fleet_capnp::grants::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
@@ -4182,16 +5301,16 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_grants(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::grant::Owned>> {
+            pub fn get_grants(self) -> ::capnp::Result<crate::fleet_capnp::grants::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_grants(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::grant::Owned>) -> ::capnp::Result<()> {
+            pub fn set_grants(&mut self, value: crate::fleet_capnp::grants::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_grants(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::grant::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            pub fn init_grants(self, ) -> crate::fleet_capnp::grants::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
             pub fn has_grants(&self) -> bool {
@@ -4206,9 +5325,12 @@
             }
         }
         impl Pipeline  {
+            pub fn get_grants(&self) -> crate::fleet_capnp::grants::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(47, 139, 230, 139, 216, 253, 129, 231),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
@@ -4233,23 +5355,19 @@
                 ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(103, 114, 97, 110, 116, 115, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(162, 148, 162, 126, 186, 63, 122, 191),
+                ::capnp::word(45, 82, 68, 5, 73, 89, 141, 239),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::struct_list::Owned<crate::fleet_capnp::grant::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::fleet_capnp::grants::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4339,11 +5457,15 @@
             pub fn has_claim(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_wait_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4409,6 +5531,14 @@
             pub fn has_claim(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_wait_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn set_wait_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4423,17 +5553,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(108, 229, 96, 217, 167, 2, 114, 210),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
@@ -4441,14 +5571,21 @@
                 ::capnp::word(114, 111, 108, 46, 99, 108, 97, 105),
                 ::capnp::word(109, 36, 80, 97, 114, 97, 109, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(99, 108, 97, 105, 109, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(124, 139, 178, 130, 1, 46, 103, 178),
@@ -4457,10 +5594,19 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 105, 116, 77, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::fleet_capnp::claim::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4474,9 +5620,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0xd272_02a7_d960_e56c;
         }
     }
@@ -4762,11 +5908,11 @@
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_answer(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            pub fn get_outcome(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_answer(&self) -> bool {
+            pub fn has_outcome(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
         }
@@ -4840,19 +5986,19 @@
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_answer(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            pub fn get_outcome(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_answer(&mut self, value: ::capnp::data::Reader<'_>)  {
+            pub fn set_outcome(&mut self, value: ::capnp::data::Reader<'_>)  {
                 self.builder.reborrow().get_pointer_field(1).set_data(value);
             }
             #[inline]
-            pub fn init_answer(self, size: u32) -> ::capnp::data::Builder<'a> {
+            pub fn init_outcome(self, size: u32) -> ::capnp::data::Builder<'a> {
                 self.builder.get_pointer_field(1).init_data(size)
             }
             #[inline]
-            pub fn has_answer(&self) -> bool {
+            pub fn has_outcome(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
         }
@@ -4898,7 +6044,7 @@
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
@@ -4910,7 +6056,7 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 110, 115, 119, 101, 114, 0, 0),
+                ::capnp::word(111, 117, 116, 99, 111, 109, 101, 0),
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4938,7 +6084,7 @@
             );
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0xbb61_43fd_f86d_c9d9;
         }
     }
@@ -5108,7 +6254,7 @@
         }
     }
 
-    pub mod release_params {
+    pub mod vacate_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -5170,18 +6316,22 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_claim(self) -> ::capnp::Result<crate::fleet_capnp::claim::Reader<'a>> {
+            pub fn get_host(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_claim(&self) -> bool {
+            pub fn has_host(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_incarnation(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5232,21 +6382,29 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_claim(self) -> ::capnp::Result<crate::fleet_capnp::claim::Builder<'a>> {
+            pub fn get_host(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_claim(&mut self, value: crate::fleet_capnp::claim::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn set_host(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
             }
             #[inline]
-            pub fn init_claim(self, ) -> crate::fleet_capnp::claim::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn init_host(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
             }
             #[inline]
-            pub fn has_claim(&self) -> bool {
+            pub fn has_host(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_incarnation(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_incarnation(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5256,49 +6414,63 @@
             }
         }
         impl Pipeline  {
-            pub fn get_claim(&self) -> crate::fleet_capnp::claim::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(96, 121, 196, 51, 215, 252, 208, 212),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 67, 111, 110, 116),
-                ::capnp::word(114, 111, 108, 46, 114, 101, 108, 101),
-                ::capnp::word(97, 115, 101, 36, 80, 97, 114, 97),
-                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(114, 111, 108, 46, 118, 97, 99, 97),
+                ::capnp::word(116, 101, 36, 80, 97, 114, 97, 109),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(99, 108, 97, 105, 109, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(124, 139, 178, 130, 1, 46, 103, 178),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+                ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::fleet_capnp::claim::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5312,14 +6484,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0xd4d0_fcd7_33c4_7960;
         }
     }
 
-    pub mod release_results {
+    pub mod vacate_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -5452,7 +6624,7 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5460,9 +6632,9 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 67, 111, 110, 116),
-                ::capnp::word(114, 111, 108, 46, 114, 101, 108, 101),
-                ::capnp::word(97, 115, 101, 36, 82, 101, 115, 117),
-                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 111, 108, 46, 118, 97, 99, 97),
+                ::capnp::word(116, 101, 36, 82, 101, 115, 117, 108),
+                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_field_index(index)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -23,6 +23,8 @@
 pub mod link;
 pub mod listener;
 pub mod peer;
+pub mod quota;
+pub mod record;
 pub mod slots;
 pub mod update;
 
--- /dev/null
+++ b/crates/wire/src/quota.rs
@@ -0,0 +1,144 @@
+//! Batches and replies of rates on the wire.
+
+use std::time::Duration;
+
+use persimmonbend_core::quota::Account;
+use persimmonbend_core::quota::Ask;
+use persimmonbend_core::quota::Batch;
+use persimmonbend_core::quota::Grant;
+use persimmonbend_core::quota::MAX_ASKS;
+use persimmonbend_core::quota::Reply;
+use persimmonbend_core::quota::Seat;
+use persimmonbend_core::quota::Stamp;
+
+use crate::error::Error;
+use crate::fleet_capnp::ask;
+use crate::fleet_capnp::batch;
+use crate::fleet_capnp::grants;
+use crate::fleet_capnp::issue_stamp;
+
+/// Writes a batch.
+pub fn write_batch(batch: &Batch, mut to: batch::Builder<'_>) {
+    to.set_host(&batch.host);
+    to.set_incarnation(batch.incarnation);
+    to.set_sequence(batch.sequence);
+    if let Some(echo) = batch.echo {
+        write_stamp(echo, to.reborrow().init_echo());
+    }
+    if let Some(term) = batch.whole {
+        to.set_whole(true);
+        to.set_whole_term(term);
+    }
+    let length = u32::try_from(batch.asks.len()).unwrap_or(u32::MAX);
+    let mut list = to.init_asks(length);
+    for (index, ask) in (0..length).zip(&batch.asks) {
+        write_ask(ask, list.reborrow().get(index));
+    }
+}
+
+/// Reads a batch.
+///
+/// # Errors
+///
+/// Returns [`Error::Malformed`] for a batch that cannot be.
+pub fn read_batch(from: batch::Reader<'_>) -> Result<Batch, Error> {
+    let list = from.get_asks()?;
+    if list.len() as usize > MAX_ASKS {
+        return Err(Error::Malformed("too many asks in a batch".to_owned()));
+    }
+    let asks: Result<Vec<Ask>, Error> = list.iter().map(read_ask).collect();
+    let echo = from.has_echo().then(|| from.get_echo()).transpose()?;
+    Ok(Batch {
+        host: from.get_host()?.to_str()?.to_owned(),
+        incarnation: from.get_incarnation(),
+        sequence: from.get_sequence(),
+        echo: echo.map(read_stamp),
+        whole: from.get_whole().then(|| from.get_whole_term()),
+        asks: asks?,
+    })
+}
+
+/// Writes a reply.
+pub fn write_reply(reply: &Reply, mut to: grants::Builder<'_>) {
+    write_stamp(reply.stamp, to.reborrow().init_stamp());
+    if let Some(seat) = reply.seat {
+        to.set_seated(true);
+        to.set_seat(seat.number);
+        to.set_seats(seat.of);
+    }
+    to.set_opens_in_us(micros(reply.opens_in));
+    let length = u32::try_from(reply.grants.len()).unwrap_or(u32::MAX);
+    let mut list = to.init_grants(length);
+    for (index, grant) in (0..length).zip(&reply.grants) {
+        let mut to = list.reborrow().get(index);
+        to.set_tokens(grant.tokens);
+        to.set_retry_after_us(micros(grant.retry_after));
+    }
+}
+
+/// Reads a reply.
+///
+/// # Errors
+///
+/// Returns [`Error::Malformed`] or [`Error::Remote`] for a reply that cannot be read.
+pub fn read_reply(from: grants::Reader<'_>) -> Result<Reply, Error> {
+    let seat = Seat {
+        number: from.get_seat(),
+        of: from.get_seats(),
+    };
+    let list = from.get_grants()?;
+    let grants = list.iter().map(|grant| Grant {
+        tokens: grant.get_tokens(),
+        retry_after: duration(grant.get_retry_after_us()),
+    });
+    Ok(Reply {
+        stamp: read_stamp(from.get_stamp()?),
+        seat: from.get_seated().then_some(seat),
+        opens_in: duration(from.get_opens_in_us()),
+        grants: grants.collect(),
+    })
+}
+
+fn write_ask(ask: &Ask, mut to: ask::Builder<'_>) {
+    to.set_tenant(&ask.account.tenant);
+    to.set_service(ask.account.service.as_deref().unwrap_or_default());
+    to.set_waiting(ask.waiting);
+    to.set_ahead(ask.ahead);
+    to.set_returned(ask.returned);
+    to.set_held(ask.held);
+}
+
+fn read_ask(from: ask::Reader<'_>) -> Result<Ask, Error> {
+    let service = from.get_service()?.to_str()?;
+    Ok(Ask {
+        account: Account {
+            tenant: from.get_tenant()?.to_str()?.to_owned(),
+            service: (!service.is_empty()).then(|| service.to_owned()),
+        },
+        waiting: from.get_waiting(),
+        ahead: from.get_ahead(),
+        returned: from.get_returned(),
+        held: from.get_held(),
+    })
+}
+
+fn write_stamp(stamp: Stamp, mut to: issue_stamp::Builder<'_>) {
+    to.set_term(stamp.term);
+    let micros = u64::try_from(stamp.since_start.as_micros()).unwrap_or(u64::MAX);
+    to.set_since_start_us(micros);
+}
+
+fn read_stamp(from: issue_stamp::Reader<'_>) -> Stamp {
+    Stamp {
+        term: from.get_term(),
+        since_start: Duration::from_micros(from.get_since_start_us()),
+    }
+}
+
+fn micros(duration: Duration) -> u32 {
+    u32::try_from(duration.as_micros()).unwrap_or(u32::MAX)
+}
+
+fn duration(micros: u32) -> Duration {
+    Duration::from_micros(u64::from(micros))
+}
--- /dev/null
+++ b/crates/wire/src/record.rs
@@ -0,0 +1,100 @@
+//! Claims and verdicts of records on the wire.
+
+use std::time::Duration;
+
+use persimmonbend_core::key::Digest;
+use persimmonbend_core::record::Claim;
+use persimmonbend_core::record::GROUPS;
+use persimmonbend_core::record::MAX_KEY_BYTES;
+use persimmonbend_core::record::Name;
+use persimmonbend_core::record::Owner;
+use persimmonbend_core::record::Verdict;
+
+use crate::error::Error;
+use crate::fleet_capnp::claim;
+use crate::fleet_capnp::verdict;
+
+/// Longest name of a tenant, route or host in bytes.
+const MAX_NAME_BYTES: usize = 512;
+
+/// Writes a claim.
+pub fn write_claim(claim: &Claim, mut to: claim::Builder<'_>) {
+    to.set_group(claim.name.group(GROUPS));
+    to.set_tenant(&claim.name.tenant);
+    to.set_route(&claim.name.route);
+    to.set_key(&claim.name.key);
+    to.set_request(claim.request.as_bytes());
+    to.set_host(&claim.owner.host);
+    to.set_attempt(claim.owner.attempt);
+    let patience = u32::try_from(claim.patience.as_millis()).unwrap_or(u32::MAX);
+    to.set_patience_ms(patience);
+}
+
+/// Reads a claim.
+///
+/// # Errors
+///
+/// Returns [`Error::Malformed`] for a claim that cannot be.
+pub fn read_claim(from: claim::Reader<'_>) -> Result<Claim, Error> {
+    let request: Result<[u8; 32], _> = from.get_request()?.try_into();
+    let request = request.map_err(|_| Error::Malformed("not a digest".to_owned()))?;
+    Ok(Claim {
+        name: Name {
+            tenant: bounded(from.get_tenant()?, MAX_NAME_BYTES)?,
+            route: bounded(from.get_route()?, MAX_NAME_BYTES)?,
+            key: bounded(from.get_key()?, MAX_KEY_BYTES)?,
+        },
+        request: Digest::from(request),
+        owner: Owner {
+            host: bounded(from.get_host()?, MAX_NAME_BYTES)?,
+            attempt: from.get_attempt(),
+        },
+        patience: Duration::from_millis(u64::from(from.get_patience_ms())),
+    })
+}
+
+/// Writes a verdict.
+///
+/// # Errors
+///
+/// Returns [`Error::Malformed`] for an answer that cannot be written.
+pub fn write_verdict(verdict: &Verdict, mut to: verdict::Builder<'_>) -> Result<(), Error> {
+    match verdict {
+        Verdict::Fresh => to.set_fresh(()),
+        Verdict::Running => to.set_running(()),
+        Verdict::Done(answer) => to.set_done(&serde_json::to_vec(answer)?),
+        Verdict::Gone => to.set_gone(()),
+        Verdict::Mismatch => to.set_mismatch(()),
+        Verdict::Unknown => to.set_unknown(()),
+        Verdict::Full => to.set_full(()),
+        Verdict::Lapsed => to.set_lapsed(()),
+    }
+    Ok(())
+}
+
+/// Reads a verdict.
+///
+/// # Errors
+///
+/// Returns [`Error::Malformed`] or [`Error::Remote`] for a verdict that cannot be read.
+pub fn read_verdict(from: verdict::Reader<'_>) -> Result<Verdict, Error> {
+    let verdict = match from.which().map_err(capnp::Error::from)? {
+        verdict::Which::Fresh(()) => Verdict::Fresh,
+        verdict::Which::Running(()) => Verdict::Running,
+        verdict::Which::Done(answer) => Verdict::Done(serde_json::from_slice(answer?)?),
+        verdict::Which::Gone(()) => Verdict::Gone,
+        verdict::Which::Mismatch(()) => Verdict::Mismatch,
+        verdict::Which::Unknown(()) => Verdict::Unknown,
+        verdict::Which::Full(()) => Verdict::Full,
+        verdict::Which::Lapsed(()) => Verdict::Lapsed,
+    };
+    Ok(verdict)
+}
+
+fn bounded(text: capnp::text::Reader<'_>, limit: usize) -> Result<String, Error> {
+    let text = text.to_str()?;
+    if text.len() > limit {
+        return Err(Error::Malformed("a name is too long".to_owned()));
+    }
+    Ok(text.to_owned())
+}
--- /dev/null
+++ b/programs/pb-control/src/issuer.rs
@@ -0,0 +1,100 @@
+//! Grants of rates, given by the replica that leads.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use log::info;
+use persimmonbend_core::clock::Clock;
+use persimmonbend_core::id::Incarnation;
+use persimmonbend_core::machine::Command;
+use persimmonbend_core::quota;
+use persimmonbend_core::quota::Batch;
+use persimmonbend_core::quota::Reply;
+
+use crate::error::Error;
+use crate::leadership::Leadership;
+use crate::node::Node;
+
+/// Answers the batches of holders.
+#[derive(Debug)]
+pub struct Issuer {
+    node: Rc<Node>,
+    clock: Rc<dyn Clock>,
+    seats: u32,
+    current: RefCell<Option<quota::Issuer>>,
+}
+
+impl Issuer {
+    /// Creates an issuer for a fleet of at most `seats` hosts.
+    #[must_use]
+    pub const fn new(node: Rc<Node>, clock: Rc<dyn Clock>, seats: u32) -> Self {
+        Self {
+            node,
+            clock,
+            seats,
+            current: RefCell::new(None),
+        }
+    }
+
+    /// Answers a batch.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when this replica does not lead or cannot give the host a seat.
+    pub async fn answer(&self, batch: &Batch) -> Result<Reply, Error> {
+        self.seat(&batch.host).await?;
+        let Leadership::Leader { term, .. } = self.node.leadership() else {
+            return Err(Error::NotLeader(String::new()));
+        };
+        let now = self.clock.now();
+        let mut current = self.current.borrow_mut();
+        let reply = self.node.read(|machine| {
+            let seats = machine.seats();
+            if current.as_ref().is_none_or(|issuer| issuer.term() != term) {
+                info!("rates: grants of term {term} begin");
+                *current = Some(quota::Issuer::new(term, seats.clone(), now));
+            }
+            let issuer = current.as_mut()?;
+            issuer.seat(seats, machine.config(), now);
+            Some(issuer.answer(batch, machine.config(), now))
+        });
+        reply.ok_or(Error::Unknown)
+    }
+
+    /// Frees the seat of a host, unless a later start of it has called.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when this replica does not lead or cannot commit it.
+    pub async fn vacate(&self, host: &str, incarnation: Incarnation) -> Result<(), Error> {
+        if !self.node.is_leader() {
+            return Err(Error::NotLeader(String::new()));
+        }
+        if self.incarnation(host) != Some(incarnation) {
+            return Ok(());
+        }
+        let host = host.to_owned();
+        self.node.propose(Command::Vacate { host }).await?;
+        Ok(())
+    }
+
+    fn incarnation(&self, host: &str) -> Option<Incarnation> {
+        let current = self.current.borrow();
+        current.as_ref()?.incarnation(host)
+    }
+
+    /// Sees to it that a host has a seat if there is a free one.
+    async fn seat(&self, host: &str) -> Result<(), Error> {
+        let wants = self.node.read(|machine| {
+            let seats = machine.seats();
+            let is_full = seats.size() > 0 && seats.hosts().len() >= seats.size() as usize;
+            !is_full && seats.get(host).is_none()
+        });
+        if wants {
+            let host = host.to_owned();
+            let of = self.seats;
+            self.node.propose(Command::Seat { host, of }).await?;
+        }
+        Ok(())
+    }
+}
--- a/programs/pb-control/src/lib.rs
+++ b/programs/pb-control/src/lib.rs
@@ -1,8 +1,10 @@
 //! The control replica: accepts changes, syncs them and hands them to the fleet.
 
 pub mod error;
+pub mod issuer;
 pub mod leadership;
 pub mod node;
+pub mod records;
 pub mod server;
 pub mod settings;
 
@@ -16,7 +18,9 @@
 use persimmonbend_wire::listener::Listener;
 use persimmonbend_wire::listener::Roles;
 
+use crate::issuer::Issuer;
 use crate::node::Node;
+use crate::records::Records;
 use crate::settings::Settings;
 
 /// Runs a replica until `stop` is asked for; tells `bound` the address it listens on.
@@ -29,6 +33,8 @@
     B: FnOnce(SocketAddr),
 {
     let node = Rc::new(Node::open(&settings, Rc::new(System))?);
+    let issuer = Issuer::new(Rc::clone(&node), Rc::new(System), settings.seats);
+    let records = Records::new(Rc::clone(&node), Rc::new(System));
     let listener = Listener::bind(settings.listen, settings.secret.clone()).await;
     let listener = listener.with_context(|| format!("cannot listen on {}", settings.listen))?;
     let address = listener.address()?;
@@ -39,7 +45,7 @@
     );
     bound(address);
     let roles = Roles {
-        control: Some(server::client(node)),
+        control: Some(server::client(node, issuer, records)),
         peer: None,
     };
     stop.until(listener.roles(roles).serve()).await;
--- /dev/null
+++ b/programs/pb-control/src/records.rs
@@ -0,0 +1,106 @@
+//! Claims of records, decided by the log of the replica that leads.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::UNIX_EPOCH;
+
+use compio::time::timeout;
+use event_listener::Event;
+use persimmonbend_core::clock::Clock;
+use persimmonbend_core::machine::Command;
+use persimmonbend_core::machine::Reply;
+use persimmonbend_core::record::Claim;
+use persimmonbend_core::record::Millis;
+use persimmonbend_core::record::Outcome;
+use persimmonbend_core::record::Verdict;
+
+use crate::error::Error;
+use crate::node::Node;
+
+/// Longest time that a claim waits for another owner.
+const MAX_WAIT: Duration = Duration::from_secs(2);
+
+/// Answers claims and takes in outcomes.
+#[derive(Debug)]
+pub struct Records {
+    node: Rc<Node>,
+    clock: Rc<dyn Clock>,
+    told: Event,
+}
+
+impl Records {
+    /// Creates the records of a replica.
+    #[must_use]
+    pub const fn new(node: Rc<Node>, clock: Rc<dyn Clock>) -> Self {
+        Self {
+            node,
+            clock,
+            told: Event::new(),
+        }
+    }
+
+    /// Decides a claim and waits at most `wait` while another owner runs the request.
+    ///
+    /// Only a claim that changes a record goes through the log; all other verdicts are read from
+    /// what was committed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when this replica does not lead or cannot commit the claim.
+    pub async fn claim(&self, claim: &Claim, wait: Duration) -> Result<Verdict, Error> {
+        let until = self.clock.now() + wait.min(MAX_WAIT);
+        loop {
+            if !self.node.is_leader() {
+                return Err(Error::NotLeader(String::new()));
+            }
+            let told = self.told.listen();
+            let verdict = match self.look(claim) {
+                Some(verdict) => verdict,
+                None => self.propose(claim).await?,
+            };
+            let left = until.saturating_duration_since(self.clock.now());
+            if verdict != Verdict::Running || left.is_zero() {
+                return Ok(verdict);
+            }
+            let _ = timeout(left, told).await;
+        }
+    }
+
+    /// Takes in what became of an execution.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when this replica does not lead or cannot commit the outcome.
+    pub async fn complete(&self, claim: Claim, outcome: Outcome) -> Result<(), Error> {
+        let command = Command::Complete {
+            name: claim.name,
+            owner: claim.owner,
+            outcome,
+            at: self.wall(),
+        };
+        self.node.propose(command).await?;
+        self.told.notify(usize::MAX);
+        Ok(())
+    }
+
+    fn look(&self, claim: &Claim) -> Option<Verdict> {
+        let at = self.wall();
+        self.node.read(|machine| machine.records().look(claim, at))
+    }
+
+    async fn propose(&self, claim: &Claim) -> Result<Verdict, Error> {
+        let command = Command::Claim {
+            claim: claim.clone(),
+            at: self.wall(),
+        };
+        match self.node.propose(command).await? {
+            Reply::Claim { verdict } => Ok(verdict),
+            _ => Err(Error::Unknown),
+        }
+    }
+
+    fn wall(&self) -> Millis {
+        let since = self.clock.wall().duration_since(UNIX_EPOCH);
+        Millis::try_from(since.unwrap_or_default().as_millis()).unwrap_or(Millis::MAX)
+    }
+}
--- a/programs/pb-control/src/server.rs
+++ b/programs/pb-control/src/server.rs
@@ -6,17 +6,27 @@
 use capnp::Error;
 use capnp::capability::Rc as Server;
 use persimmonbend_wire::fleet_capnp::control;
+use persimmonbend_wire::quota;
+use persimmonbend_wire::record;
 
+use crate::issuer::Issuer;
 use crate::node::Node;
+use crate::records::Records;
 
-/// Returns a capability that serves `node`.
+/// Returns a capability that serves a replica.
 #[must_use]
-pub fn client(node: Rc<Node>) -> control::Client {
-    capnp_rpc::new_client(Control { node })
+pub fn client(node: Rc<Node>, issuer: Issuer, records: Records) -> control::Client {
+    capnp_rpc::new_client(Control {
+        node,
+        issuer,
+        records,
+    })
 }
 
 struct Control {
     node: Rc<Node>,
+    issuer: Issuer,
+    records: Records,
 }
 
 impl control::Server for Control {
@@ -62,6 +72,53 @@
         Ok(())
     }
 
+    async fn grant(
+        self: Server<Self>,
+        params: control::GrantParams,
+        mut results: control::GrantResults,
+    ) -> Result<(), Error> {
+        let batch = quota::read_batch(params.get()?.get_batch()?)?;
+        let reply = self.issuer.answer(&batch).await?;
+        quota::write_reply(&reply, results.get().init_grants());
+        Ok(())
+    }
+
+    async fn vacate(
+        self: Server<Self>,
+        params: control::VacateParams,
+        _results: control::VacateResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let host = params.get_host()?.to_str()?;
+        self.issuer.vacate(host, params.get_incarnation()).await?;
+        Ok(())
+    }
+
+    async fn claim(
+        self: Server<Self>,
+        params: control::ClaimParams,
+        mut results: control::ClaimResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let claim = record::read_claim(params.get_claim()?)?;
+        let wait = Duration::from_millis(u64::from(params.get_wait_ms()));
+        let verdict = self.records.claim(&claim, wait).await?;
+        record::write_verdict(&verdict, results.get().init_verdict())?;
+        Ok(())
+    }
+
+    async fn complete(
+        self: Server<Self>,
+        params: control::CompleteParams,
+        _results: control::CompleteResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let claim = record::read_claim(params.get_claim()?)?;
+        let outcome = serde_json::from_slice(params.get_outcome()?).map_err(failed)?;
+        self.records.complete(claim, outcome).await?;
+        Ok(())
+    }
+
     async fn snapshot(
         self: Server<Self>,
         _params: control::SnapshotParams,
--- a/programs/pb-control/src/settings.rs
+++ b/programs/pb-control/src/settings.rs
@@ -9,6 +9,8 @@
 use persimmonbend_wire::handshake::Secret;
 use serde::Deserialize;
 
+const DEFAULT_SEATS: u32 = 64;
+
 /// The settings file as written.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -17,6 +19,8 @@
     listen: String,
     data: PathBuf,
     secret_file: PathBuf,
+    #[serde(default)]
+    seats: Option<u32>,
 }
 
 /// Checked settings.
@@ -30,6 +34,8 @@
     pub data: PathBuf,
     /// Fleet secret.
     pub secret: Secret,
+    /// Entry hosts that have a share of each rate when they are cut off; fixed by the first one.
+    pub seats: u32,
 }
 
 impl TryFrom<File> for Settings {
@@ -38,6 +44,7 @@
     fn try_from(file: File) -> Result<Self, Self::Error> {
         let mut faults = Faults::new();
         faults.require(!file.host.is_empty(), "host", "must not be empty");
+        faults.require(file.seats != Some(0), "seats", "must be at least 1");
         let listen = faults.address(&file.listen, "listen");
         let secret = secret::read(&mut faults, "secret_file", &file.secret_file);
         let settings = listen.zip(secret).map(|(listen, secret)| Self {
@@ -45,6 +52,7 @@
             listen,
             data: file.data,
             secret: Secret::from(secret),
+            seats: file.seats.unwrap_or(DEFAULT_SEATS),
         });
         faults.into_result(settings)
     }
--- a/programs/pb-proxy/src/callers.rs
+++ b/programs/pb-proxy/src/callers.rs
@@ -27,6 +27,8 @@
 use crate::forward;
 use crate::forward::Plan;
 use crate::node::Node;
+use crate::rates;
+use crate::records;
 use crate::refusal;
 
 /// Largest request head in bytes.
@@ -75,18 +77,23 @@
         } else {
             Some(auth::tenant(&self.node.board(), &head.headers)?)
         };
-        if target.route.non_idempotent {
-            return Err(Kind::ClaimUnavailable);
+        let key = records::key(&target.route, &head.headers)?;
+        let deadline = deadline(started, &target, &head.headers);
+        if let Some(tenant) = &tenant {
+            rates::admit(&self.node, tenant, &target.service, deadline).await?;
         }
         let body = read(body, self.node.settings().body_max_bytes).await?;
         let plan = Plan {
-            deadline: deadline(started, &target, &head.headers),
+            deadline,
             target,
             tenant,
             head: Rc::new(forwarded(head)),
             body,
         };
-        let mut response = forward::send(&self.node, &plan).await?;
+        let mut response = match key {
+            Some(key) => records::run(&self.node, plan, key).await?,
+            None => forward::send(&self.node, &plan).await?,
+        };
         strip_hop_by_hop(response.headers_mut());
         Ok(response)
     }
--- a/programs/pb-proxy/src/lib.rs
+++ b/programs/pb-proxy/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod auth;
 pub mod callers;
+pub mod control;
 pub mod forward;
 pub mod gossip;
 pub mod links;
@@ -9,6 +10,8 @@
 pub mod peer;
 pub mod platform;
 pub mod pool;
+pub mod rates;
+pub mod records;
 pub mod refusal;
 pub mod settings;
 pub mod slots;
@@ -81,6 +84,7 @@
         spawn(node::sweep(Rc::clone(&node))),
         spawn(node::close_after_notice(Rc::clone(&node))),
     ];
+    let rates = spawn(rates::run(Rc::clone(&node)));
     let health = spawn(platform.serve(Rc::new(Platform::new(Rc::clone(&node))), ended.clone()));
     callers
         .serve(
@@ -88,6 +92,9 @@
             node.closing().clone(),
         )
         .await;
+    node.records().wait_until_idle().await;
+    drop(rates);
+    rates::stop(&node).await;
     ended.ask();
     let _ = health.await;
     drop(background);
--- a/programs/pb-proxy/src/node.rs
+++ b/programs/pb-proxy/src/node.rs
@@ -26,8 +26,11 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
 
+use crate::control::Control;
 use crate::links::Links;
 use crate::pool::Pool;
+use crate::rates::Rates;
+use crate::records::Records;
 use crate::settings::Settings;
 use crate::slots::Slots;
 
@@ -41,6 +44,9 @@
     board: RefCell<Board>,
     membership: RefCell<Membership>,
     links: Links,
+    control: Control,
+    rates: Rates,
+    records: Records,
     news: Event,
     exchanges: Cell<usize>,
     fetching: Cell<bool>,
@@ -71,6 +77,9 @@
             board: RefCell::new(board),
             membership: RefCell::new(membership),
             links: Links::new(),
+            control: Control::new(&settings),
+            rates: Rates::new(&settings, &*clock),
+            records: Records::new(),
             news: Event::new(),
             exchanges: Cell::new(0),
             fetching: Cell::new(false),
@@ -123,6 +132,24 @@
         &self.links
     }
 
+    /// Returns the link to the replica of control that leads.
+    #[must_use]
+    pub const fn control(&self) -> &Control {
+        &self.control
+    }
+
+    /// Returns the rates of tenants.
+    #[must_use]
+    pub const fn rates(&self) -> &Rates {
+        &self.rates
+    }
+
+    /// Returns the executions of non-idempotent requests.
+    #[must_use]
+    pub const fn records(&self) -> &Records {
+        &self.records
+    }
+
     /// Returns the number of exchanges under way.
     #[must_use]
     pub const fn exchanges(&self) -> &Cell<usize> {
--- /dev/null
+++ b/programs/pb-proxy/src/rates.rs
@@ -0,0 +1,227 @@
+//! Rates of tenants: tokens in hand, and batches to the issuer.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::UNIX_EPOCH;
+
+use compio::time::sleep;
+use compio::time::timeout;
+use event_listener::Event;
+use persimmonbend_core::clock::Clock;
+use persimmonbend_core::config::Rate;
+use persimmonbend_core::error::Kind;
+use persimmonbend_core::id::Incarnation;
+use persimmonbend_core::quota::Account;
+use persimmonbend_core::quota::Admission;
+use persimmonbend_core::quota::Holder;
+use persimmonbend_wire::control::Client;
+use persimmonbend_wire::error::Error;
+
+use crate::node::Node;
+use crate::settings::Settings;
+
+/// Longest time that a request waits for a token.
+const MAX_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Time for the answer to a batch.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Pause before the next replica is tried.
+const RETRY_PAUSE: Duration = Duration::from_millis(30);
+
+/// The rates of all tenants on this host.
+#[derive(Debug)]
+pub struct Rates {
+    incarnation: Incarnation,
+    holder: RefCell<Holder>,
+    wanted: Event,
+    answered: Event,
+}
+
+impl Rates {
+    /// Creates rates without tokens.
+    #[must_use]
+    pub fn new(settings: &Settings, clock: &dyn Clock) -> Self {
+        let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let incarnation = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
+        let holder = Holder::new(settings.host.clone(), incarnation, clock.now());
+        Self {
+            incarnation,
+            holder: RefCell::new(holder),
+            wanted: Event::new(),
+            answered: Event::new(),
+        }
+    }
+
+    /// Returns whether this host lives on its share of each rate.
+    #[must_use]
+    pub fn is_cut_off(&self, now: Instant) -> bool {
+        self.holder.borrow().is_cut_off(now)
+    }
+
+    /// Returns the tokens in hand by account.
+    #[must_use]
+    pub fn held(&self) -> Vec<(Account, u32)> {
+        let holder = self.holder.borrow();
+        let held = holder.held();
+        held.map(|(account, tokens)| (account.clone(), tokens))
+            .collect()
+    }
+}
+
+/// Spends a token of a tenant, and waits shortly for one if the issuer is being asked.
+///
+/// # Errors
+///
+/// Returns [`Kind::RateExceeded`] when the tenant has used up its rate, and
+/// [`Kind::RateUnavailable`] when that cannot be told in time.
+pub async fn admit(
+    node: &Rc<Node>,
+    tenant: &str,
+    service: &str,
+    deadline: Instant,
+) -> Result<(), Kind> {
+    let config = node.board().config();
+    let account = Account::of(&config, tenant, service);
+    let rate = account.rate(&config).ok_or(Kind::RateUnavailable)?;
+    let now = node.now();
+    let rates = node.rates();
+    let admission = rates.holder.borrow_mut().admit(&account, rate, now);
+    if let Some(result) = result(admission) {
+        return result;
+    }
+    let time = deadline.saturating_duration_since(now) / 2;
+    let waiter = Waiter {
+        node,
+        account,
+        rate,
+        until: now + time.min(MAX_WAIT),
+    };
+    waiter.wait().await
+}
+
+/// Exchanges batches with the leader until the future is dropped.
+pub async fn run(node: Rc<Node>) {
+    loop {
+        let error = match node.control().connect().await {
+            Ok(client) => exchange(&node, &client).await,
+            Err(error) => error,
+        };
+        node.rates().holder.borrow_mut().fail();
+        node.control().lose(&error, node.now());
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Gives back all tokens and the seat of this host.
+pub async fn stop(node: &Rc<Node>) {
+    let Some(client) = node.control().client() else {
+        return;
+    };
+    let rates = node.rates();
+    rates.holder.borrow_mut().fail();
+    for _ in 0..2 {
+        if !give_back(node, &client).await {
+            return;
+        }
+    }
+    let host = &node.settings().host;
+    let _ = client.vacate(host, rates.incarnation).await;
+}
+
+/// A request that waits for a token.
+struct Waiter<'a> {
+    node: &'a Rc<Node>,
+    account: Account,
+    rate: Rate,
+    until: Instant,
+}
+
+impl Waiter<'_> {
+    async fn wait(&self) -> Result<(), Kind> {
+        let rates = self.node.rates();
+        rates.wanted.notify(usize::MAX);
+        loop {
+            let answered = rates.answered.listen();
+            let now = self.node.now();
+            let admission = rates
+                .holder
+                .borrow_mut()
+                .retry(&self.account, self.rate, now);
+            if let Some(result) = result(admission) {
+                return result;
+            }
+            let left = self.until.saturating_duration_since(now);
+            if left.is_zero() {
+                return Err(Kind::RateUnavailable);
+            }
+            let _ = timeout(left.min(TICK), answered).await;
+        }
+    }
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        let rates = self.node.rates();
+        rates.holder.borrow_mut().leave(&self.account);
+    }
+}
+
+const fn result(admission: Admission) -> Option<Result<(), Kind>> {
+    match admission {
+        Admission::Admitted => Some(Ok(())),
+        Admission::Wait => None,
+        Admission::Exceeded(_) => Some(Err(Kind::RateExceeded)),
+        Admission::Unavailable(_) => Some(Err(Kind::RateUnavailable)),
+    }
+}
+
+/// Sends batches over one link until a call fails.
+async fn exchange(node: &Rc<Node>, client: &Client) -> Error {
+    let rates = node.rates();
+    loop {
+        let wanted = rates.wanted.listen();
+        let batch = rates.holder.borrow_mut().batch(node.now());
+        let Some(batch) = batch else {
+            let _ = timeout(TICK, wanted).await;
+            continue;
+        };
+        match client.grant(&batch, GRANT_TIMEOUT).await {
+            Ok(reply) => {
+                let now = node.now();
+                rates
+                    .holder
+                    .borrow_mut()
+                    .settle(batch.sequence, &reply, now);
+                node.control().confirm();
+                rates.answered.notify(usize::MAX);
+            }
+            Err(error) => return error,
+        }
+    }
+}
+
+/// Sends the batch on its way again, or else one that gives back all; returns whether it arrived.
+async fn give_back(node: &Rc<Node>, client: &Client) -> bool {
+    let rates = node.rates();
+    let now = node.now();
+    let again = rates.holder.borrow_mut().batch(now);
+    let batch = again.or_else(|| rates.holder.borrow_mut().give_back(now));
+    let Some(batch) = batch else {
+        return false;
+    };
+    let Ok(reply) = client.grant(&batch, GRANT_TIMEOUT).await else {
+        return false;
+    };
+    let now = node.now();
+    rates
+        .holder
+        .borrow_mut()
+        .settle(batch.sequence, &reply, now);
+    true
+}
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -16,48 +16,89 @@
   }
 }
 
+# What a holder says about one account.
 struct Ask {
-  host @0 :Text;
-  tenant @1 :Text;
-  # Tokens wanted now.
-  want @2 :UInt32;
-  # Tokens of earlier grants spent since the last report.
-  spent @3 :UInt32;
-  # Tokens of earlier grants given back unspent.
+  tenant @0 :Text;
+  # Service whose default rate applies; empty when the tenant has a rate of its own.
+  service @1 :Text;
+  # Requests that wait for a token.
+  waiting @2 :UInt32;
+  # Tokens wanted for requests to come.
+  ahead @3 :UInt32;
+  # Unspent tokens of the latest grant that are given back.
   returned @4 :UInt32;
-  # Number of this ask, rising by one per host and tenant.
-  sequence @5 :UInt64;
+  # Tokens that the host still has; all other grants are settled.
+  held @5 :UInt32;
+}
+
+# When a reply was sent, on the clock of the issuer of a term.
+struct IssueStamp {
+  term @0 :UInt64;
+  sinceStartUs @1 :UInt64;
+}
+
+# All that a holder has to say at a time; sent again unchanged until it is answered.
+struct Batch {
+  group @0 :UInt32;
+  host @1 :Text;
+  incarnation @2 :UInt64;
+  sequence @3 :UInt64;
+  # Stamp of the last reply that arrived; null before the first one.
+  echo @4 :IssueStamp;
+  # Whether the asks list all that is held, for the issuer of the term.
+  whole @5 :Bool;
+  wholeTerm @6 :UInt64;
+  asks @7 :List(Ask);
 }
 
 struct Grant {
   tokens @0 :UInt32;
-  lifetimeMs @1 :UInt32;
-  retryAfterMs @2 :UInt32;
-  term @3 :UInt64;
+  retryAfterUs @1 :UInt32;
+}
+
+# One grant for each ask of the batch, in the same order.
+struct Grants {
+  stamp @0 :IssueStamp;
+  seated @1 :Bool;
+  seat @2 :UInt32;
+  seats @3 :UInt32;
+  opensInUs @4 :UInt32;
+  grants @5 :List(Grant);
 }
 
 struct Claim {
-  tenant @0 :Text;
-  route @1 :Text;
-  key @2 :Text;
-  body @3 :Data;
-  host @4 :Text;
-  # Distinguishes claims of one host from those before its restart.
-  attempt @5 :UInt64;
+  group @0 :UInt32;
+  tenant @1 :Text;
+  # Service and route, joined by a slash.
+  route @2 :Text;
+  key @3 :Text;
+  # Digest of method, target and body.
+  request @4 :Data;
+  host @5 :Text;
+  # Randomly chosen and never used again.
+  attempt @6 :UInt64;
+  # Time after which an owner that told no outcome counts as gone.
+  patienceMs @7 :UInt32;
 }
 
 struct Verdict {
   union {
     # The caller of `claim` owns the execution.
     fresh @0 :Void;
-    # The stored answer of the one execution.
+    # The stored answer of the one execution, as JSON.
     done @1 :Data;
     # Another host runs it now.
     running @2 :Void;
-    # The key was used with another body.
+    # The key was used for another request.
     mismatch @3 :Void;
-    # The owner vanished after the claim: it may have run.
+    # It may have run before.
     unknown @4 :Void;
+    # It ran before and the answer is not kept.
+    gone @5 :Void;
+    # There is no room for another record.
+    full @6 :Void;
+    # The attempt was given up before.
+    lapsed @7 :Void;
   }
 }
 
@@ -69,10 +110,13 @@
   # hosts that called lately.
   watch @1 (host :Text, since :UInt64, waitMs :UInt32, peers :Text, zone :Text) -> (update :Update, book :List(Text));
   submit @2 (submission :Data) -> (outcome :Data);
-  grant @3 (asks :List(Ask)) -> (grants :List(Grant));
-  claim @4 (claim :Claim) -> (verdict :Verdict);
-  complete @5 (claim :Claim, answer :Data) -> ();
-  release @6 (claim :Claim) -> ();
+  grant @3 (batch :Batch) -> (grants :Grants);
+  # Waits at most `waitMs` while another owner runs the request.
+  claim @4 (claim :Claim, waitMs :UInt32) -> (verdict :Verdict);
+  # The outcome is JSON.
+  complete @5 (claim :Claim, outcome :Data) -> ();
+  # Frees the seat of a host that is stopping.
+  vacate @6 (host :Text, incarnation :UInt64) -> ();
   replicate @7 (message :Data) -> (reply :Data);
   status @8 () -> (report :Data);
   dump @9 () -> (state :Data);
