feat(wire): bounds on connections and handshakes, counts of control bytes

Cause: a flood of connections that never prove the secret was bounded by time only, each dropped connection wrote a log line, and nobody knew how many bytes control takes.

Lines about dropped connections, gossip and announcements are throttled. Links, handshakes and slot connections count their bytes; the status of a proxy shows the counts.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,4 +33,5 @@
 pub mod route;
 pub mod routing;
 pub mod steward;
+pub mod throttle;
 pub mod upstream;
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -18,6 +18,7 @@
 use sha2::Sha256;
 
 use crate::error::Error;
+use crate::traffic;
 
 /// Time that a handshake may take.
 pub const TIMEOUT: Duration = Duration::from_secs(2);
@@ -152,6 +153,7 @@
 }
 
 async fn write(stream: &mut TcpStream, bytes: Vec<u8>) -> Result<(), Error> {
+    traffic::add_sent(bytes.len());
     let BufResult(result, _) = stream.write_all(bytes).await;
     result.map_err(Error::Io)
 }
@@ -159,5 +161,6 @@
 async fn read(stream: &mut TcpStream, length: usize) -> Result<Vec<u8>, Error> {
     let BufResult(result, bytes) = stream.read_exact(Vec::with_capacity(length)).await;
     result.map_err(Error::Io)?;
+    traffic::add_received(length);
     Ok(bytes)
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,6 +16,7 @@
 //! # }
 //! ```
 
+pub mod admission;
 pub mod control;
 pub mod error;
 pub mod gossip;
@@ -24,6 +25,7 @@
 pub mod listener;
 pub mod peer;
 pub mod slots;
+pub mod traffic;
 pub mod update;
 
 #[allow(clippy::all, clippy::pedantic, clippy::restriction, missing_docs)]
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -26,6 +26,7 @@
 use crate::handshake::Purpose;
 use crate::handshake::Secret;
 use crate::peer;
+use crate::traffic::Metered;
 
 /// Time that making a TCP connection may take.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -149,8 +150,8 @@
 pub(crate) fn network(
     stream: TcpStream,
     side: Side,
-) -> VatNetwork<ReadHalf<HyperStream<TcpStream>>> {
-    let (reader, writer) = HyperStream::new_plain(stream).split();
+) -> VatNetwork<ReadHalf<Metered<HyperStream<TcpStream>>>> {
+    let (reader, writer) = Metered::new(HyperStream::new_plain(stream)).split();
     let mut options = ReaderOptions::new();
     options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
     VatNetwork::new(reader, writer, side, options)
--- a/crates/wire/src/listener.rs
+++ b/crates/wire/src/listener.rs
@@ -1,5 +1,6 @@
 //! The server side of links.
 
+use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,7 +12,12 @@
 use compio::runtime::spawn;
 use log::info;
 use log::warn;
+use persimmonbend_core::clock::Clock;
+use persimmonbend_core::clock::System;
+use persimmonbend_core::throttle::Throttle;
 
+use crate::admission::Admission;
+use crate::admission::Place;
 use crate::error::Error;
 use crate::fleet_capnp::control;
 use crate::fleet_capnp::gate;
@@ -39,6 +45,8 @@
     secret: Secret,
     roles: Roles,
     slots: Option<SlotsHandler>,
+    admission: Rc<Admission>,
+    throttle: RefCell<Throttle>,
 }
 
 impl Listener {
@@ -53,6 +61,8 @@
             secret,
             roles: Roles::default(),
             slots: None,
+            admission: Rc::default(),
+            throttle: RefCell::new(Throttle::new()),
         })
     }
 
@@ -85,8 +95,12 @@
         loop {
             match shared.socket.accept().await {
                 Ok((stream, from)) => {
+                    let Some(place) = shared.admission.admit(from.ip()) else {
+                        shared.complain(from, "the port is full");
+                        continue;
+                    };
                     let shared = Rc::clone(&shared);
-                    spawn(async move { shared.admit(stream, from).await }).detach();
+                    spawn(async move { shared.admit(stream, from, &place).await }).detach();
                 }
                 Err(error) => {
                     warn!("wire: accept failed: {error}");
@@ -96,15 +110,27 @@
         }
     }
 
-    async fn admit(&self, mut stream: TcpStream, from: SocketAddr) {
+    async fn admit(&self, mut stream: TcpStream, from: SocketAddr, place: &Place) {
         let _ = stream.set_nodelay(true);
-        match handshake::accept(&mut stream, &self.secret).await {
+        let shaken = handshake::accept(&mut stream, &self.secret).await;
+        place.end_handshake();
+        match shaken {
             Ok(Purpose::Rpc) => serve_rpc(stream, self.roles.clone()).await,
             Ok(Purpose::Slots) => match &self.slots {
                 Some(handler) => handler(stream, from),
-                None => warn!("wire: dropped a slot connection from {from}: not served here"),
+                None => self.complain(from, "slots are not served here"),
             },
-            Err(error) => warn!("wire: dropped a connection from {from}: {error}"),
+            Err(error) => self.complain(from, &error.to_string()),
+        }
+    }
+
+    fn complain(&self, from: SocketAddr, reason: &str) {
+        match self.throttle.borrow_mut().admit(System.now()) {
+            Some(0) => warn!("wire: dropped a connection from {from}: {reason}"),
+            Some(held) => {
+                warn!("wire: dropped a connection from {from}: {reason}; {held} more before");
+            }
+            None => {}
         }
     }
 }
--- a/crates/wire/src/slots/channel.rs
+++ b/crates/wire/src/slots/channel.rs
@@ -17,6 +17,7 @@
 use crate::slots::Decoder;
 use crate::slots::Encoder;
 use crate::slots::Frame;
+use crate::traffic;
 
 /// Frames that wait to be written.
 const MAX_WAITING: usize = 8_192;
@@ -153,12 +154,15 @@
                     warn!("slots: dropped a frame: {error}");
                 }
             }
-            let length = bytes.len() as u64;
+            let length = bytes.len();
             let writing = timeout(WRITE_TIMEOUT, self.stream.write_all(bytes));
             let BufResult(result, buffer) = writing.await.map_err(|_| Error::Timeout)?;
             result?;
             bytes = buffer;
-            self.shared.written.set(self.shared.written.get() + length);
+            self.shared
+                .written
+                .set(self.shared.written.get() + length as u64);
+            traffic::add_sent(length);
         }
         Ok(())
     }
@@ -191,6 +195,7 @@
             buffer.clear();
             let BufResult(result, buffer) = self.stream.read(buffer).await;
             let length = result?;
+            traffic::add_received(length);
             let frames = self.decoder.feed(&buffer[..length])?;
             self.buffer = buffer;
             if length == 0 {
--- /dev/null
+++ b/crates/wire/src/traffic.rs
@@ -0,0 +1,106 @@
+//! Counts of the bytes that links and slot connections carry.
+//!
+//! All links of a process run on one thread, so the counts belong to the thread. They hold what is
+//! handed to and taken from TCP, without its headers.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use futures_util::AsyncRead;
+use futures_util::AsyncWrite;
+use serde::Serialize;
+
+thread_local! {
+    static COUNTS: Cell<Counts> = const { Cell::new(Counts::new()) };
+}
+
+/// Bytes carried since the start of the process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// Bytes received.
+    pub received: u64,
+    /// Bytes sent.
+    pub sent: u64,
+}
+
+impl Counts {
+    const fn new() -> Self {
+        Self {
+            received: 0,
+            sent: 0,
+        }
+    }
+}
+
+/// Returns the counts of this process.
+#[must_use]
+pub fn counts() -> Counts {
+    COUNTS.get()
+}
+
+/// Counts bytes received.
+pub fn add_received(bytes: usize) {
+    let mut counts = COUNTS.get();
+    counts.received += bytes as u64;
+    COUNTS.set(counts);
+}
+
+/// Counts bytes sent.
+pub fn add_sent(bytes: usize) {
+    let mut counts = COUNTS.get();
+    counts.sent += bytes as u64;
+    COUNTS.set(counts);
+}
+
+/// A stream whose bytes are counted.
+#[derive(Debug)]
+pub struct Metered<S> {
+    inner: S,
+}
+
+impl<S> Metered<S> {
+    /// Creates a counted stream.
+    #[must_use]
+    pub const fn new(inner: S) -> Self {
+        Self { inner }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Metered<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
+        if let Poll::Ready(Ok(bytes)) = &polled {
+            add_received(*bytes);
+        }
+        polled
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Metered<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.inner).poll_write(context, buffer);
+        if let Poll::Ready(Ok(bytes)) = &polled {
+            add_sent(*bytes);
+        }
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_close(context)
+    }
+}
--- a/programs/pb-lab/tests/support/mod.rs
+++ b/programs/pb-lab/tests/support/mod.rs
@@ -212,7 +212,8 @@
         panic!("no proxy may lack {what}: {last}");
     }
 
-    fn secret(&self) -> handshake::Secret {
+    /// Returns the fleet secret.
+    pub fn secret(&self) -> handshake::Secret {
         let text = std::fs::read_to_string(self.files.secret()).unwrap();
         handshake::Secret::from(text.trim().to_owned())
     }
--- /dev/null
+++ b/programs/pb-lab/tests/trust.rs
@@ -0,0 +1,116 @@
+//! Strangers and garbage on every port of a proxy and of control.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use compio::runtime::Runtime;
+use pb_lab::fleet::Files;
+use persimmonbend_core::key::Secret;
+use persimmonbend_wire::error::Error;
+use persimmonbend_wire::handshake;
+use persimmonbend_wire::link::Link;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::support::Fleet;
+use crate::support::caller;
+use crate::support::count;
+use crate::support::wait_until;
+
+const SEED: u64 = 7;
+
+/// Connections that open a handshake and say no more.
+const FLOOD: usize = 200;
+
+/// Sends bytes and waits until the other side has closed the connection or has answered.
+fn send(address: SocketAddr, bytes: &[u8]) {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(1)))
+        .unwrap();
+    let _ = stream.write_all(bytes);
+    let mut answer = [0; 1_024];
+    let _ = stream.read(&mut answer);
+}
+
+fn garbage() -> Vec<Vec<u8>> {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let mut all = vec![
+        b"GET / HTTP/1.1\r\n\r\n".to_vec(),
+        b"pbend/1".to_vec(),
+        b"POST /announce HTTP/1.1\r\nhost: t\r\ncontent-length: 9\r\n\r\n{\"id\":1}}".to_vec(),
+        b"POST /announce HTTP/1.1\r\nhost: t\r\ncontent-length: 999999999\r\n\r\n".to_vec(),
+        [b"pbend/1".to_vec(), vec![0; 500]].concat(),
+        [b"pbend/1".to_vec(), vec![255; 500]].concat(),
+    ];
+    for length in [1, 40, 300, 70_000] {
+        all.push((0..length).map(|_| rng.random()).collect());
+    }
+    all
+}
+
+#[test]
+fn garbage_is_dropped_on_every_port() {
+    let secret = Secret::generate(&mut rand::rng());
+    let fleet = Fleet::start(Files::create().unwrap(), 1);
+    fleet.configure(&secret);
+    let addresses = fleet.proxies[0].addresses;
+    let upstream = fleet.add_upstream("upstream-0", &[addresses.platform], Duration::ZERO);
+    fleet.wait_for("the upstream", |status| count(status, "upstreams") == 1);
+    let ports = [
+        addresses.callers,
+        addresses.platform,
+        addresses.peers,
+        fleet.control_address,
+    ];
+    for port in ports {
+        for bytes in garbage() {
+            send(port, &bytes);
+        }
+    }
+    Runtime::new().unwrap().block_on(async {
+        let own = fleet.secret();
+        let wrong = handshake::Secret::from("another secret of a fleet".to_owned());
+        for port in [addresses.peers, fleet.control_address] {
+            let refused = Link::connect(port, "stranger", &wrong).await;
+            assert!(matches!(refused.err(), Some(Error::Stranger)));
+        }
+        let link = Link::connect(addresses.peers, "test", &own).await.unwrap();
+        let peer = link.peer().unwrap();
+        for bytes in garbage() {
+            assert!(peer.gossip(&bytes).await.is_err());
+        }
+    });
+    wait_until("an answer", || {
+        let answer = caller::get(addresses.callers, "/herd/1", &secret);
+        answer.is_ok_and(|answer| answer.status == 200)
+    });
+    assert!(fleet.revision() > 0);
+    upstream.end().unwrap();
+    fleet.end();
+}
+
+#[test]
+fn a_flood_of_handshakes_ends_by_itself() {
+    let fleet = Fleet::start(Files::create().unwrap(), 1);
+    let peers = fleet.proxies[0].addresses.peers;
+    let flood: Vec<TcpStream> = (0..FLOOD)
+        .map(|_| TcpStream::connect(peers).unwrap())
+        .collect();
+    let runtime = Runtime::new().unwrap();
+    let secret = fleet.secret();
+    wait_until("a link", || {
+        let link = runtime.block_on(Link::connect(peers, "test", &secret));
+        link.is_ok()
+    });
+    drop(flood);
+    fleet.end();
+}
--- a/programs/pb-proxy/src/node.rs
+++ b/programs/pb-proxy/src/node.rs
@@ -21,6 +21,7 @@
 use persimmonbend_core::key;
 use persimmonbend_core::membership::Membership;
 use persimmonbend_core::steward::Unconditional;
+use persimmonbend_wire::traffic;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -250,6 +251,7 @@
             "panel": { "heard": heard, "all": all },
             "vouched": membership.vouched(),
             "links": self.links.count(),
+            "traffic": traffic::counts(),
         })
     }
 
--- a/programs/pb-proxy/src/peer.rs
+++ b/programs/pb-proxy/src/peer.rs
@@ -1,11 +1,14 @@
 //! The peer interface as a remote procedure call server.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use capnp::Error;
 use capnp::capability::Rc as Server;
 use log::info;
+use log::warn;
 use persimmonbend_core::key::Digest;
+use persimmonbend_core::throttle::Throttle;
 use persimmonbend_wire::fleet_capnp::peer;
 
 use crate::gossip;
@@ -15,11 +18,13 @@
 /// Returns a capability that serves `node`.
 #[must_use]
 pub fn client(node: Rc<Node>) -> peer::Client {
-    capnp_rpc::new_client(Peer { node })
+    let throttle = RefCell::default();
+    capnp_rpc::new_client(Peer { node, throttle })
 }
 
 struct Peer {
     node: Rc<Node>,
+    throttle: RefCell<Throttle>,
 }
 
 impl peer::Server for Peer {
@@ -36,7 +41,13 @@
         params: peer::GossipParams,
         mut results: peer::GossipResults,
     ) -> Result<(), Error> {
-        let reply = gossip::answer(&self.node, params.get()?.get_message()?)?;
+        let message = params.get()?.get_message()?;
+        let reply = gossip::answer(&self.node, message);
+        let reply = reply.inspect_err(|error| {
+            if let Some(held) = self.throttle.borrow_mut().admit(self.node.now()) {
+                warn!("members: dropped gossip: {error}; {held} more before");
+            }
+        })?;
         results.get().set_reply(&reply);
         Ok(())
     }
--- a/programs/pb-proxy/src/platform.rs
+++ b/programs/pb-proxy/src/platform.rs
@@ -1,5 +1,6 @@
 //! The port for the platform: announcements of upstreams, readiness and liveness.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,10 +11,12 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use log::info;
+use log::warn;
 use persimmonbend_app::http;
 use persimmonbend_app::http::Body;
 use persimmonbend_app::http::Handler;
 use persimmonbend_core::membership::Taken;
+use persimmonbend_core::throttle::Throttle;
 use persimmonbend_core::upstream::Announcement;
 use serde_json::json;
 
@@ -29,13 +32,15 @@
 #[derive(Debug)]
 pub struct Platform {
     node: Rc<Node>,
+    throttle: RefCell<Throttle>,
 }
 
 impl Platform {
     /// Creates the handler of a proxy.
     #[must_use]
     pub const fn new(node: Rc<Node>) -> Self {
-        Self { node }
+        let throttle = RefCell::new(Throttle::new());
+        Self { node, throttle }
     }
 
     fn ready(&self) -> Response<Body> {
@@ -43,6 +48,12 @@
         http::json(status, &self.node.status())
     }
 
+    fn complain(&self, reason: &str) {
+        if let Some(held) = self.throttle.borrow_mut().admit(self.node.now()) {
+            warn!("members: dropped an announcement: {reason}; {held} more before");
+        }
+    }
+
     async fn announce(&self, request: Request<Incoming>) -> Response<Body> {
         let reading = Limited::new(request.into_body(), MAX_ANNOUNCEMENT_BYTES).collect();
         let Ok(Ok(body)) = compio::time::timeout(ANNOUNCEMENT_TIMEOUT, reading).await else {
@@ -53,7 +64,10 @@
                 let news = self.take_in(announcement);
                 http::json(200, &json!({ "news": news }))
             }
-            Err(reason) => http::json(400, &json!({ "error": reason })),
+            Err(reason) => {
+                self.complain(&reason);
+                http::json(400, &json!({ "error": reason }))
+            }
         }
     }
 
