--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,6 +16,7 @@
 //! # }
 //! ```
 
+pub mod admission;
 pub mod control;
 pub mod error;
 pub mod gossip;
@@ -26,6 +27,7 @@
 pub mod quota;
 pub mod record;
 pub mod slots;
+pub mod traffic;
 pub mod update;
 
 #[allow(clippy::all, clippy::pedantic, clippy::restriction, missing_docs)]
--- a/programs/pb-proxy/src/node.rs
+++ b/programs/pb-proxy/src/node.rs
@@ -22,6 +22,7 @@
 use persimmonbend_core::membership::Membership;
 use persimmonbend_core::steward::Unconditional;
 use persimmonbend_core::traffic::Traffic;
+use persimmonbend_wire::traffic;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -298,6 +299,7 @@
             "panel": { "heard": heard, "all": all },
             "vouched": membership.vouched(),
             "links": self.links.count(),
+            "traffic": traffic::counts(),
         })
     }
 
