--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -93,11 +93,9 @@
     }
 
     fn not_ejected(&self) -> Vec<Candidate<'_>> {
-        let now = self.board.now();
         self.board
             .upstreams(self.service)
-            .filter(|upstream| upstream.is_current(now))
-            .filter(|upstream| upstream.announcement.stage.takes_requests())
+            .filter(|upstream| self.board.takes_requests(upstream))
             .filter(|upstream| upstream.in_flight < self.in_flight_max)
             .filter(|upstream| !self.avoid.contains(&upstream.announcement.id))
             .filter_map(|upstream| self.candidate(upstream))
--- a/crates/core/src/steward.rs
+++ b/crates/core/src/steward.rs
@@ -352,11 +352,9 @@
         board: &'a Board,
         ask: &'a Ask,
     ) -> impl Iterator<Item = &'a Upstream> {
-        let now = board.now();
         board
             .upstreams(&self.service)
-            .filter(move |upstream| upstream.is_current(now))
-            .filter(|upstream| upstream.announcement.stage.takes_requests())
+            .filter(|upstream| board.takes_requests(upstream))
             .filter(|upstream| !ask.avoid.contains(&upstream.announcement.id))
     }
 }
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -102,6 +102,8 @@
     },
     /// Tells the verdict on an upstream, for hosts that have to choose on their own.
     Advice {
+        /// Service of the upstream.
+        service: ServiceId,
         /// The upstream.
         upstream: UpstreamId,
         /// The verdict, its weight in thousandths.
--- a/crates/wire/tests/slots.rs
+++ b/crates/wire/tests/slots.rs
@@ -76,6 +76,7 @@
             7 => Frame::Ping { number },
             8 => Frame::Pong { number },
             _ => Frame::Advice {
+                service: name(g),
                 upstream: name(g),
                 verdict: *g.choose(&verdicts).unwrap(),
             },
--- a/programs/pb-proxy/src/settings.rs
+++ b/programs/pb-proxy/src/settings.rs
@@ -16,6 +16,8 @@
 const DEFAULT_STOP_NOTICE_MS: u64 = 5_000;
 const DEFAULT_CONNECTIONS: u32 = 7;
 const DEFAULT_STEWARD_TIMEOUT_MS: u64 = 4;
+const DEFAULT_ISOLATION_MS: u64 = 5_000;
+const MIN_ISOLATION_MS: u64 = 1_000;
 
 /// A way to choose upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
@@ -40,6 +42,10 @@
     platform: String,
     peers: String,
     control: Vec<String>,
+    #[serde(default)]
+    seeds: Vec<String>,
+    #[serde(default)]
+    advertise_peers: Option<String>,
     secret_file: PathBuf,
     #[serde(default)]
     body_max_bytes: Option<usize>,
@@ -53,6 +59,8 @@
     routing: Routing,
     #[serde(default)]
     steward_timeout_ms: Option<u64>,
+    #[serde(default)]
+    isolation_ms: Option<u64>,
 }
 
 /// Checked settings.
@@ -70,6 +78,10 @@
     pub peers: SocketAddr,
     /// Addresses of the control replicas.
     pub control: Vec<SocketAddr>,
+    /// Addresses of other proxies to begin with.
+    pub seeds: Vec<SocketAddr>,
+    /// Address for peers as other hosts reach it, where it is not the one bound.
+    pub advertise_peers: Option<SocketAddr>,
     /// Fleet secret.
     pub secret: Secret,
     /// Largest request body in bytes.
@@ -84,6 +96,9 @@
     pub routing: Routing,
     /// Time that a steward has for its first answer.
     pub steward_timeout: Duration,
+    /// Time without word from control or from most of the fleet after which keyed requests are
+    /// refused.
+    pub isolation: Duration,
 }
 
 impl TryFrom<File> for Settings {
@@ -107,6 +122,16 @@
         let platform = faults.address(&file.platform, "platform");
         let peers = faults.address(&file.peers, "peers");
         let control = faults.addresses(&file.control, "control");
+        let seeds = faults.addresses(&file.seeds, "seeds");
+        let advertise_peers = file.advertise_peers.as_deref();
+        let advertise_peers =
+            advertise_peers.and_then(|text| faults.address(text, "advertise_peers"));
+        let isolation_ms = file.isolation_ms.unwrap_or(DEFAULT_ISOLATION_MS);
+        faults.require(
+            isolation_ms >= MIN_ISOLATION_MS,
+            "isolation_ms",
+            "must be at least 1000",
+        );
         let secret = secret::read(&mut faults, "secret_file", &file.secret_file);
         let stop_notice_ms = file.stop_notice_ms.unwrap_or(DEFAULT_STOP_NOTICE_MS);
         let steward_timeout_ms = file
@@ -120,6 +145,8 @@
                 platform: platform?,
                 peers: peers?,
                 control,
+                seeds,
+                advertise_peers,
                 secret: Secret::from(secret?),
                 body_max_bytes: file.body_max_bytes.unwrap_or(DEFAULT_BODY_MAX_BYTES),
                 answer_hold_bytes: file.answer_hold_bytes.unwrap_or(DEFAULT_ANSWER_HOLD_BYTES),
@@ -127,6 +154,7 @@
                 connections_max: file.connections.unwrap_or(DEFAULT_CONNECTIONS),
                 routing: file.routing,
                 steward_timeout: Duration::from_millis(steward_timeout_ms),
+                isolation: Duration::from_millis(isolation_ms),
             })
         })();
         faults.into_result(settings)
--- a/programs/pb-proxy/src/slots/links.rs
+++ b/programs/pb-proxy/src/slots/links.rs
@@ -204,6 +204,14 @@
                 Frame::Refused { number, kind } => {
                     pending.decide(host, number, Decision::Refused(kind));
                 }
+                Frame::Advice {
+                    service,
+                    upstream,
+                    verdict,
+                } => {
+                    let judges = node.slots().judges();
+                    judges.advise(&node.board(), &service, &upstream, verdict);
+                }
                 Frame::Pong { .. } => {}
                 other => return Err(Error::Malformed(format!("unexpected {other:?}"))),
             }
--- a/programs/pb-proxy/src/slots/reservation.rs
+++ b/programs/pb-proxy/src/slots/reservation.rs
@@ -82,6 +82,11 @@
     pub const fn report(&mut self, report: Report) {
         self.report = report;
     }
+
+    /// Starts the clock of the attempt anew, for a second one at the same upstream.
+    pub fn restart(&mut self) {
+        self.started = self.node.now();
+    }
 }
 
 impl Drop for Reservation {
--- a/programs/pb-proxy/src/slots/server.rs
+++ b/programs/pb-proxy/src/slots/server.rs
@@ -79,7 +79,7 @@
         sender,
     };
     let stewards = &session.node.slots().stewards;
-    stewards.open(&session.host, session.sender.clone());
+    stewards.open(&session.node, &session.host, session.sender.clone());
     let mut frames: Vec<Frame> = frames.collect();
     let error = loop {
         if let Err(error) = session.take_in(frames) {
