--- a/programs/pb-control/src/node.rs
+++ b/programs/pb-control/src/node.rs
@@ -178,6 +178,9 @@
     pub async fn submit(&self, submission: Submission) -> Result<Outcome, Error> {
         match self.propose(Command::Change { submission }).await? {
             Reply::Change { outcome, .. } => Ok(outcome),
+            _ => Err(Error::Invalid(
+                "a change got the reply to another command".to_owned(),
+            )),
         }
     }
 
--- a/programs/pb-proxy/src/settings.rs
+++ b/programs/pb-proxy/src/settings.rs
@@ -14,10 +14,10 @@
 const DEFAULT_BODY_MAX_BYTES: usize = 1024 * 1024;
 const DEFAULT_ANSWER_HOLD_BYTES: usize = 256 * 1024;
 const DEFAULT_STOP_NOTICE_MS: u64 = 5_000;
-const DEFAULT_CONNECTIONS: u32 = 7;
-const DEFAULT_STEWARD_TIMEOUT_MS: u64 = 4;
 const DEFAULT_ISOLATION_MS: u64 = 5_000;
 const MIN_ISOLATION_MS: u64 = 1_000;
+const DEFAULT_CONNECTIONS: u32 = 7;
+const DEFAULT_STEWARD_TIMEOUT_MS: u64 = 4;
 
 /// A way to choose upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
@@ -54,13 +54,13 @@
     #[serde(default)]
     stop_notice_ms: Option<u64>,
     #[serde(default)]
+    isolation_ms: Option<u64>,
+    #[serde(default)]
     connections: Option<u32>,
     #[serde(default)]
     routing: Routing,
     #[serde(default)]
     steward_timeout_ms: Option<u64>,
-    #[serde(default)]
-    isolation_ms: Option<u64>,
 }
 
 /// Checked settings.
@@ -90,15 +90,15 @@
     pub answer_hold_bytes: usize,
     /// Time between a stop being asked for and the callers' port closing.
     pub stop_notice: Duration,
+    /// Time without word from control or from most of the fleet after which keyed requests are
+    /// refused.
+    pub isolation: Duration,
     /// Connections to one upstream, idle ones and those in use.
     pub connections_max: u32,
     /// How upstreams are chosen.
     pub routing: Routing,
     /// Time that a steward has for its first answer.
     pub steward_timeout: Duration,
-    /// Time without word from control or from most of the fleet after which keyed requests are
-    /// refused.
-    pub isolation: Duration,
 }
 
 impl TryFrom<File> for Settings {
@@ -151,10 +151,10 @@
                 body_max_bytes: file.body_max_bytes.unwrap_or(DEFAULT_BODY_MAX_BYTES),
                 answer_hold_bytes: file.answer_hold_bytes.unwrap_or(DEFAULT_ANSWER_HOLD_BYTES),
                 stop_notice: Duration::from_millis(stop_notice_ms),
+                isolation: Duration::from_millis(isolation_ms),
                 connections_max: file.connections.unwrap_or(DEFAULT_CONNECTIONS),
                 routing: file.routing,
                 steward_timeout: Duration::from_millis(steward_timeout_ms),
-                isolation: Duration::from_millis(isolation_ms),
             })
         })();
         faults.into_result(settings)
--- a/programs/pb-proxy/src/slots.rs
+++ b/programs/pb-proxy/src/slots.rs
@@ -34,6 +34,7 @@
 use persimmonbend_core::steward::Release;
 use persimmonbend_core::steward::Ticket;
 use persimmonbend_wire::slots::Frame;
+use serde_json::json;
 
 pub use counts::Counts;
 pub use judges::Judges;
@@ -104,6 +105,20 @@
         self.links.bytes_written() + self.stewards.bytes_written()
     }
 
+    /// Returns how reservations ended and what the slot protocol cost.
+    #[must_use]
+    pub fn status(&self) -> serde_json::Value {
+        let counts = &self.counts;
+        json!({
+            "granted": counts.granted.get(),
+            "queued": counts.queued.get(),
+            "refused": counts.refused.get(),
+            "late": counts.late.get(),
+            "chosen": counts.chosen.get(),
+            "bytes_written": self.bytes_written(),
+        })
+    }
+
     /// Returns the judges of upstreams.
     #[must_use]
     pub const fn judges(&self) -> &Judges {
--- a/programs/pb-proxy/src/slots/reservation.rs
+++ b/programs/pb-proxy/src/slots/reservation.rs
@@ -78,15 +78,15 @@
         self.address
     }
 
-    /// Notes how the attempt ended.
-    pub const fn report(&mut self, report: Report) {
-        self.report = report;
-    }
-
     /// Starts the clock of the attempt anew, for a second one at the same upstream.
     pub fn restart(&mut self) {
         self.started = self.node.now();
     }
+
+    /// Notes how the attempt ended.
+    pub const fn report(&mut self, report: Report) {
+        self.report = report;
+    }
 }
 
 impl Drop for Reservation {
