--- a/programs/pb-proxy/src/node.rs
+++ b/programs/pb-proxy/src/node.rs
@@ -20,7 +20,6 @@
 use persimmonbend_core::host;
 use persimmonbend_core::key;
 use persimmonbend_core::membership::Membership;
-use persimmonbend_core::steward::Unconditional;
 use persimmonbend_core::traffic::Traffic;
 use persimmonbend_wire::traffic;
 use rand::RngExt;
@@ -93,7 +92,7 @@
             joined: Cell::new(false),
             rng: RefCell::new(rng),
             pool: Pool::new(settings.connections_max),
-            slots: Slots::new(settings.routing, Box::new(Unconditional)),
+            slots: Slots::new(settings.routing),
             traffic: RefCell::new(Traffic::new(clock.now())),
             ready: Cell::new(false),
             closing: Stop::new(),
@@ -300,6 +299,7 @@
             "vouched": membership.vouched(),
             "links": self.links.count(),
             "traffic": traffic::counts(),
+            "slots": self.slots.status(),
         })
     }
 
