--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,10 +18,12 @@
 
 pub mod control;
 pub mod error;
+pub mod gossip;
 pub mod handshake;
 pub mod link;
 pub mod listener;
 pub mod peer;
+pub mod slots;
 pub mod update;
 
 #[allow(clippy::all, clippy::pedantic, clippy::restriction, missing_docs)]
--- a/programs/pb-proxy/src/lib.rs
+++ b/programs/pb-proxy/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod auth;
 pub mod callers;
 pub mod forward;
+pub mod gossip;
+pub mod links;
 pub mod node;
 pub mod peer;
 pub mod platform;
@@ -11,6 +13,7 @@
 pub mod settings;
 pub mod slots;
 pub mod subscription;
+pub mod withdrawals;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -46,7 +49,7 @@
 /// # Errors
 ///
 /// Returns an error when an address cannot be bound.
-pub async fn run<B>(settings: Settings, stop: Stop, bound: B) -> anyhow::Result<()>
+pub async fn run<B>(mut settings: Settings, stop: Stop, bound: B) -> anyhow::Result<()>
 where
     B: FnOnce(Addresses),
 {
@@ -63,6 +66,7 @@
         "proxy: {} takes requests on {}",
         settings.host, addresses.callers
     );
+    settings.peers = addresses.peers;
     bound(addresses);
 
     let node = Rc::new(Node::new(settings, Rc::new(System), stop.clone()));
@@ -72,8 +76,15 @@
     };
     let ended = Stop::new();
     let background = [
-        spawn(listener.roles(roles).serve()),
+        spawn(
+            listener
+                .roles(roles)
+                .slots(slots::handler(Rc::clone(&node)))
+                .serve(),
+        ),
+        spawn(slots::run(Rc::clone(&node))),
         spawn(subscription::run(Rc::clone(&node))),
+        spawn(gossip::run(Rc::clone(&node))),
         spawn(node::sweep(Rc::clone(&node))),
         spawn(node::close_after_notice(Rc::clone(&node))),
     ];
