feat(console): pages for the person on call

Cause: the console showed one line and had neither sign-in nor actions. Change: an overview (what is wrong now, services against floors, upstreams out of use, worst served tenants, latency and failures as inline SVG, changes, events), explanations, keys and changes; actions with a confirming step, a change id in the form against a double press, a token of the session against forged forms; sign-in by a token whose digest stands in the settings, five failed tries a minute and network. The pages work from the proxies when control is away. pb-ctl token makes a token. The HTTP server tells handlers the address that a request came from. Conclusion: the fullest overview and report stay below 30 KB with hostile names; a test signs in and steers a fleet over plain HTTP, with control and without.

--- a/crates/app/src/http.rs
+++ b/crates/app/src/http.rs
@@ -52,6 +52,10 @@
     }
 }
 
+/// Address that a request came from, among its extensions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Origin(pub SocketAddr);
+
 /// Answers requests.
 pub trait Handler {
     /// Answers one request.
@@ -101,7 +105,7 @@
     pub async fn serve<H: Handler + 'static>(self, handler: Rc<H>, stop: Stop) {
         let open = Rc::new(Open::default());
         while let Some(accepted) = stop.until(self.socket.accept()).await {
-            let Ok((stream, _)) = accepted else {
+            let Ok((stream, from)) = accepted else {
                 compio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             };
@@ -113,7 +117,7 @@
             let stop = stop.clone();
             let limits = self.limits;
             spawn(async move {
-                serve_connection(stream, limits, handler, stop).await;
+                serve_connection(stream, from, limits, handler, stop).await;
                 drop(guard);
             })
             .detach();
@@ -149,13 +153,15 @@
 
 async fn serve_connection<H: Handler + 'static>(
     stream: TcpStream,
+    from: SocketAddr,
     limits: Limits,
     handler: Rc<H>,
     stop: Stop,
 ) {
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let handler = Rc::clone(&handler);
+        request.extensions_mut().insert(Origin(from));
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
     let connection = http1::Builder::new()
--- a/crates/app/src/lib.rs
+++ b/crates/app/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod secret;
 pub mod settings;
 pub mod stop;
+pub mod token;
--- a/crates/core/src/config/state.rs
+++ b/crates/core/src/config/state.rs
@@ -28,6 +28,9 @@
 /// Earlier sets of services kept for a roll-back.
 const PUBLICATIONS: usize = 16;
 
+/// Longest name of a tenant in bytes.
+const MAX_NAME_BYTES: usize = 128;
+
 /// A key by its digest.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Key {
@@ -268,6 +271,11 @@
     if tenant.id.is_empty() {
         return Err("the tenant needs a name".to_owned());
     }
+    if tenant.id.len() > MAX_NAME_BYTES {
+        return Err(format!(
+            "the name of a tenant has at most {MAX_NAME_BYTES} bytes"
+        ));
+    }
     if !tenant.rate.per_second.is_finite() || tenant.rate.per_second <= 0.0 {
         return Err(format!("tenant {}: per_second must be above 0", tenant.id));
     }
--- /dev/null
+++ b/programs/pb-console/src/page/home.rs
@@ -0,0 +1,176 @@
+//! The overview: what is wrong now comes first.
+
+use std::time::SystemTime;
+
+use persimmonbend_core::config::Summary;
+use persimmonbend_core::event::Event;
+use persimmonbend_core::explain::Absent;
+use persimmonbend_core::explain::Capacity;
+use persimmonbend_core::explain::Served;
+
+use crate::html::Html;
+use crate::page;
+use crate::picture;
+use crate::session::Session;
+use crate::view::View;
+
+/// Lines of a list on the overview.
+const MAX_LINES: usize = 8;
+
+/// Services on the overview.
+const MAX_SERVICES: usize = 20;
+
+/// Returns the overview.
+#[must_use]
+pub fn home(view: &View, session: &Session, now: SystemTime) -> Html {
+    let series = view.series();
+    let events = view.events();
+    let absent = view.absent();
+    let content = problems(Html::new(), view)
+        .raw("<h2>Services against their floor</h2><ul>")
+        .each(&worst_services(view), service)
+        .raw("</ul><h2>Upstreams out of use</h2>")
+        .piece(&list(&absent, absent_upstream))
+        .raw("<h2>Worst served tenants</h2>")
+        .piece(&list(&view.tenants(), tenant))
+        .raw("<h2>Latency</h2>")
+        .piece(&picture::latency(&series))
+        .raw("<h2>Failures and detection</h2>")
+        .piece(&picture::failures(&series, &events, now))
+        .raw("<h2>Recent changes</h2>")
+        .piece(&list(&recent_changes(view), |html, line| {
+            change(html, line)
+        }))
+        .raw("<h2>Recent events</h2>")
+        .piece(&list(&events, |html, one| event(html, one, now)))
+        .raw("<h2>Find out</h2>")
+        .piece(&question());
+    page::frame("Overview", Some(session), &content)
+}
+
+fn problems(html: Html, view: &View) -> Html {
+    let problems = view.problems();
+    if problems.is_empty() {
+        let progress = view.progress.as_ref();
+        let text = progress.map_or_else(String::new, pb_ctl::fleet::Progress::describe);
+        return html
+            .raw("<p class=\"g\">Nothing is wrong: ")
+            .text(text)
+            .raw(".</p>");
+    }
+    let shown = problems.iter().take(MAX_LINES);
+    let html = html.raw("<ul>").each(shown, |html, one| {
+        html.raw("<li class=\"w\">").text(one).raw("</li>")
+    });
+    more(html, problems.len()).raw("</ul>")
+}
+
+fn worst_services(view: &View) -> Vec<Capacity> {
+    let mut services = view.services();
+    services.sort_by_key(|one| i64::from(one.in_use) - i64::from(one.minimum()));
+    services.truncate(MAX_SERVICES);
+    services
+}
+
+fn service(html: Html, one: &Capacity) -> Html {
+    let below = one.in_use < one.minimum() || one.slots == 0;
+    html.raw(if below {
+        "<li class=\"w\"><b>"
+    } else {
+        "<li><b>"
+    })
+    .text(&one.service)
+    .raw("</b> ")
+    .text(format_args!(
+        "{} of {} slots in use, floor {}",
+        one.in_use,
+        one.slots,
+        one.minimum()
+    ))
+    .raw("</li>")
+}
+
+fn absent_upstream(html: Html, one: &Absent) -> Html {
+    link(html.raw("<li>"), "upstream", &one.upstream)
+        .raw(" of ")
+        .text(&one.service)
+        .raw(": ")
+        .text(&one.reason)
+        .raw("</li>")
+}
+
+fn tenant(html: Html, one: &Served) -> Html {
+    let failed = one.failed.iter().max_by_key(|(_, count)| **count);
+    let failed = failed.map_or_else(String::new, |(code, count)| {
+        format!(", most often {code} ({count})")
+    });
+    link(html.raw("<li>"), "tenant", &one.name)
+        .text(format_args!(
+            " {:.2}% answered, p99 {:.1} ms{failed}",
+            one.success * 100.0,
+            one.p99_ms
+        ))
+        .raw("</li>")
+}
+
+fn recent_changes(view: &View) -> Vec<Summary> {
+    let config = view.config.as_ref();
+    let history = config.map(|state| state.history().iter().rev().take(MAX_LINES).cloned());
+    history.into_iter().flatten().collect()
+}
+
+fn change(html: Html, line: &Summary) -> Html {
+    html.raw("<li>")
+        .text(line.revision)
+        .raw(" ")
+        .text(&line.text)
+        .raw(", by ")
+        .text(&line.operator)
+        .raw("</li>")
+}
+
+fn event(html: Html, (host, event): &(String, Event), now: SystemTime) -> Html {
+    let age = now.duration_since(event.at).unwrap_or_default().as_secs();
+    html.raw("<li>")
+        .text(&event.subject)
+        .raw(": ")
+        .text(&event.text)
+        .raw("<p class=\"n\">")
+        .text(format_args!("{age} s ago on {host}"))
+        .raw("</p></li>")
+}
+
+fn question() -> Html {
+    Html::new()
+        .raw("<form action=\"/explain\"><select name=\"about\"><option>upstream</option>")
+        .raw("<option>tenant</option><option>request</option><option>host</option></select> ")
+        .raw("<input name=\"name\" required aria-label=\"Name\"> <button>Explain</button></form>")
+}
+
+fn link(html: Html, about: &'static str, name: &str) -> Html {
+    html.raw("<a href=\"/explain?about=")
+        .raw(about)
+        .raw("&amp;name=")
+        .query(name)
+        .raw("\">")
+        .text(name)
+        .raw("</a>")
+}
+
+fn list<T>(items: &[T], piece: impl Fn(Html, &T) -> Html) -> Html {
+    if items.is_empty() {
+        return Html::new().raw("<p class=\"n\">None.</p>");
+    }
+    let html = Html::new().raw("<ul>");
+    let html = html.each(items.iter().take(MAX_LINES), piece);
+    more(html, items.len()).raw("</ul>")
+}
+
+fn more(html: Html, count: usize) -> Html {
+    if count <= MAX_LINES {
+        return html;
+    }
+    html.raw("<li class=\"n\">")
+        .text(format_args!("and {} more", count - MAX_LINES))
+        .raw("</li>")
+}
--- /dev/null
+++ b/programs/pb-console/src/picture.rs
@@ -0,0 +1,134 @@
+//! Pictures of latency and of failures as inline SVG.
+
+use std::fmt::Write;
+use std::time::SystemTime;
+
+use persimmonbend_core::event::Event;
+use persimmonbend_core::traffic::Point;
+
+use crate::html::Html;
+
+/// Width of a picture in its own units.
+const WIDTH: usize = 300;
+
+/// Height of a picture in its own units.
+const HEIGHT: usize = 60;
+
+/// Time that one point covers in seconds.
+const STEP_S: u64 = 10;
+
+/// Draws the median and the 99th percentile of the latency.
+#[must_use]
+pub fn latency(points: &[Point]) -> Html {
+    let top = points
+        .iter()
+        .map(|one| one.p99_us)
+        .max()
+        .unwrap_or(0)
+        .max(1);
+    let p99: Vec<u64> = points.iter().map(|one| one.p99_us).collect();
+    let p50: Vec<u64> = points.iter().map(|one| one.p50_us).collect();
+    open("Latency of the last ten minutes")
+        .raw("<polyline class=\"b\" points=\"")
+        .unclipped(Line(&p50, top))
+        .raw("\"/><polyline class=\"a\" points=\"")
+        .unclipped(Line(&p99, top))
+        .raw("\"/></svg><p class=\"n\">Worst host, p99 dark, median light; top ")
+        .text(format_args!("{:.1} ms", thousandth(top)))
+        .raw("</p>")
+}
+
+/// Draws failed requests as bars, with a line where an upstream's health was decided on.
+#[must_use]
+pub fn failures(points: &[Point], events: &[(String, Event)], now: SystemTime) -> Html {
+    let top = points
+        .iter()
+        .map(|one| one.failed)
+        .max()
+        .unwrap_or(0)
+        .max(1);
+    let failed: Vec<u64> = points.iter().map(|one| one.failed).collect();
+    let decided: Vec<u64> = events
+        .iter()
+        .filter(|(_, event)| event.part == "health")
+        .filter_map(|(_, event)| now.duration_since(event.at).ok())
+        .map(|age| age.as_secs() / STEP_S)
+        .collect();
+    open("Failed requests of the last ten minutes")
+        .raw("<path class=\"c\" d=\"")
+        .unclipped(Bars(&failed, top))
+        .raw("\"/><path class=\"d\" d=\"")
+        .unclipped(Marks(&decided, points.len()))
+        .raw("\"/></svg><p class=\"n\">Failed in 10 s, top ")
+        .text(top)
+        .raw("; lines are ejections and returns</p>")
+}
+
+fn open(title: &'static str) -> Html {
+    Html::new()
+        .raw("<svg viewBox=\"0 0 300 60\" role=\"img\"><title>")
+        .raw(title)
+        .raw("</title>")
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn thousandth(micros: u64) -> f64 {
+    micros as f64 / 1_000.0
+}
+
+fn across(index: usize, length: usize) -> usize {
+    index * WIDTH / length.max(2).saturating_sub(1)
+}
+
+fn up(value: u64, top: u64) -> usize {
+    let share = value.saturating_mul(HEIGHT as u64) / top.max(1);
+    HEIGHT - usize::try_from(share).unwrap_or(HEIGHT).min(HEIGHT)
+}
+
+/// Points of a line.
+struct Line<'a>(&'a [u64], u64);
+
+impl std::fmt::Display for Line<'_> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let length = self.0.len();
+        for (index, value) in self.0.iter().enumerate() {
+            write!(
+                formatter,
+                "{},{} ",
+                across(index, length),
+                up(*value, self.1)
+            )?;
+        }
+        Ok(())
+    }
+}
+
+/// Vertical strokes from the bottom.
+struct Bars<'a>(&'a [u64], u64);
+
+impl std::fmt::Display for Bars<'_> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let length = self.0.len();
+        for (index, value) in self.0.iter().enumerate().filter(|(_, value)| **value > 0) {
+            let height = HEIGHT - up(*value, self.1);
+            write!(formatter, "M{} 60v-{height}", across(index, length))?;
+        }
+        Ok(())
+    }
+}
+
+/// Vertical strokes over the whole height, by steps before the end.
+struct Marks<'a>(&'a [u64], usize);
+
+impl std::fmt::Display for Marks<'_> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let length = self.1;
+        for back in self.0 {
+            let back = usize::try_from(*back).unwrap_or(usize::MAX);
+            if back < length {
+                write!(formatter, "M{} 0v60", across(length - 1 - back, length))?;
+            }
+        }
+        formatter.write_char(' ')
+    }
+}
--- /dev/null
+++ b/programs/pb-console/src/view.rs
@@ -0,0 +1,197 @@
+//! What the pages show, gathered from control and from the proxies.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use pb_ctl::fleet::Fleet;
+use pb_ctl::fleet::Progress;
+use persimmonbend_core::config::State;
+use persimmonbend_core::event::Event;
+use persimmonbend_core::explain::Absent;
+use persimmonbend_core::explain::Capacity;
+use persimmonbend_core::explain::Overview;
+use persimmonbend_core::explain::Query;
+use persimmonbend_core::explain::Served;
+use persimmonbend_core::traffic::Point;
+
+/// The fleet at a glance.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    /// Where the configuration is in force; nothing when control is away.
+    pub progress: Option<Progress>,
+    /// Configuration, from control or from a proxy.
+    pub config: Option<State>,
+    /// What the proxies that answer say.
+    pub overviews: Vec<Overview>,
+}
+
+impl View {
+    /// Gathers the view of a fleet.
+    pub async fn gather(fleet: &Fleet) -> Self {
+        let status = fleet.status().await.ok();
+        let progress = status.map(|status| Progress::new(status.revision, &status));
+        let config = match &progress {
+            Some(_) => fleet.config().await.ok(),
+            None => fleet.config_of_a_proxy().await.ok(),
+        };
+        let overviews = fleet.ask_all::<Overview>(&Query::Overview).await;
+        Self {
+            progress,
+            config,
+            overviews: overviews.into_values().collect(),
+        }
+    }
+
+    /// Returns whether control answers.
+    #[must_use]
+    pub const fn has_control(&self) -> bool {
+        self.progress.is_some()
+    }
+
+    /// Returns one sentence for each thing that is wrong now.
+    #[must_use]
+    pub fn problems(&self) -> Vec<String> {
+        let mut problems = Vec::new();
+        match &self.progress {
+            None => problems.push(
+                "Control is away. The fleet serves on; changes other than withdrawals of keys must \
+                 wait."
+                    .to_owned(),
+            ),
+            Some(progress) if !progress.is_complete() => {
+                problems.push(sentence(&progress.describe()));
+            }
+            Some(_) => {}
+        }
+        if self.overviews.is_empty() {
+            problems.push("No proxy answers.".to_owned());
+        }
+        let unready = self.overviews.iter().filter(|one| !one.ready);
+        problems.extend(unready.map(|one| format!("Host {} takes no requests.", one.host)));
+        problems.extend(self.suspected());
+        let below = self.services().into_iter();
+        let below = below.filter(|one| one.in_use < one.minimum() || one.slots == 0);
+        problems.extend(below.map(|one| {
+            format!(
+                "Service {} has {} of {} slots in use, below its floor of {}.",
+                one.service,
+                one.in_use,
+                one.slots,
+                one.minimum()
+            )
+        }));
+        problems
+    }
+
+    /// Returns the services as the host with the fewest slots in use sees them.
+    #[must_use]
+    pub fn services(&self) -> Vec<Capacity> {
+        let mut worst: BTreeMap<&str, &Capacity> = BTreeMap::new();
+        for capacity in self.overviews.iter().flat_map(|one| &one.services) {
+            let kept = worst.entry(&capacity.service).or_insert(capacity);
+            if capacity.in_use < kept.in_use {
+                *kept = capacity;
+            }
+        }
+        worst.into_values().cloned().collect()
+    }
+
+    /// Returns the upstreams that any host holds out of use.
+    #[must_use]
+    pub fn absent(&self) -> Vec<Absent> {
+        let mut absent: BTreeMap<&str, &Absent> = BTreeMap::new();
+        for one in self.overviews.iter().flat_map(|one| &one.absent) {
+            absent.entry(&one.upstream).or_insert(one);
+        }
+        absent.into_values().cloned().collect()
+    }
+
+    /// Returns the tenants over all hosts that answer, the worst served first.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn tenants(&self) -> Vec<Served> {
+        let mut sums: BTreeMap<&str, Served> = BTreeMap::new();
+        for one in self.overviews.iter().flat_map(|one| &one.tenants) {
+            match sums.get_mut(one.name.as_str()) {
+                Some(sum) => merge(sum, one),
+                None => {
+                    sums.insert(&one.name, one.clone());
+                }
+            }
+        }
+        let mut tenants: Vec<Served> = sums.into_values().collect();
+        for one in &mut tenants {
+            let failed = one.failed.values().copied().fold(0, u64::saturating_add);
+            let all = one.answered.saturating_add(failed);
+            one.success = one.answered as f64 / all.max(1) as f64;
+        }
+        tenants.sort_by(|a, b| {
+            let by_success = a.success.total_cmp(&b.success);
+            by_success.then(b.p99_ms.total_cmp(&a.p99_ms))
+        });
+        tenants
+    }
+
+    /// Returns latency and failures over all hosts; of the latency the worst host's counts.
+    #[must_use]
+    pub fn series(&self) -> Vec<Point> {
+        let length = self.overviews.iter().map(|one| one.series.len()).max();
+        let length = length.unwrap_or_default();
+        let mut sum = vec![Point::default(); length];
+        for series in self.overviews.iter().map(|one| &one.series) {
+            let offset = length - series.len();
+            for (total, point) in sum[offset..].iter_mut().zip(series) {
+                total.answered = total.answered.saturating_add(point.answered);
+                total.failed = total.failed.saturating_add(point.failed);
+                total.p50_us = total.p50_us.max(point.p50_us);
+                total.p99_us = total.p99_us.max(point.p99_us);
+            }
+        }
+        sum
+    }
+
+    /// Returns the latest events of all hosts, newest first, each sentence once.
+    #[must_use]
+    pub fn events(&self) -> Vec<(String, Event)> {
+        let mut seen = BTreeSet::new();
+        let mut events: Vec<(String, Event)> = Vec::new();
+        for overview in &self.overviews {
+            for event in &overview.events {
+                if seen.insert((&event.subject, &event.text)) {
+                    events.push((overview.host.clone(), event.clone()));
+                }
+            }
+        }
+        events.sort_by_key(|(_, event)| std::cmp::Reverse(event.at));
+        events
+    }
+
+    fn suspected(&self) -> BTreeSet<String> {
+        let hosts = self.overviews.iter().flat_map(|one| &one.hosts);
+        let suspected = hosts.filter(|one| one.suspected);
+        suspected
+            .map(|one| {
+                format!(
+                    "Host {} in zone {} is suspected to be gone.",
+                    one.host, one.zone
+                )
+            })
+            .collect()
+    }
+}
+
+fn merge(sum: &mut Served, other: &Served) {
+    sum.answered = sum.answered.saturating_add(other.answered);
+    for (code, count) in &other.failed {
+        let total = sum.failed.entry(code.clone()).or_default();
+        *total = total.saturating_add(*count);
+    }
+    sum.p50_ms = sum.p50_ms.max(other.p50_ms);
+    sum.p99_ms = sum.p99_ms.max(other.p99_ms);
+}
+
+fn sentence(text: &str) -> String {
+    let mut letters = text.chars();
+    let first = letters.next().map(char::to_uppercase);
+    first.map_or_else(String::new, |first| format!("{first}{}.", letters.as_str()))
+}
--- a/programs/pb-ctl/src/command.rs
+++ b/programs/pb-ctl/src/command.rs
@@ -15,6 +15,8 @@
 
 use bpaf::Bpaf;
 use persimmonbend_app::settings;
+use persimmonbend_app::token::Token;
+use serde_json::json;
 
 use crate::exit::Answer;
 use crate::exit::Exit;
@@ -145,6 +147,12 @@
         #[bpaf(positional("ADDRESS|HOST"))]
         process: String,
     },
+    /// Make a token for an operator of the console and show it, once
+    #[bpaf(command)]
+    Token {
+        #[bpaf(external)]
+        output: Output,
+    },
     /// Show the events of the proxies
     #[bpaf(command)]
     Events {
@@ -163,6 +171,7 @@
     match command {
         Command::Check { output, files } => service::check(files).print(output.json),
         Command::Collect { output, folder } => service::collect(folder).print(output.json),
+        Command::Token { output } => token().print(output.json),
         _ => online(&arguments.settings, command),
     }
 }
@@ -189,6 +198,17 @@
     runtime.block_on(perform(&fleet, command)).print(json)
 }
 
+fn token() -> Answer {
+    let token = Token::generate();
+    let digest = token.digest().to_string();
+    let text = format!(
+        "token for the operator: {}\ntoken_digest for the settings: {digest}",
+        token.reveal()
+    );
+    let value = json!({ "token": token.reveal(), "token_digest": digest });
+    Answer::new(Exit::Done, text, value)
+}
+
 async fn perform(fleet: &Fleet, command: &Command) -> Answer {
     let answer = try_perform(fleet, command).await;
     answer.unwrap_or_else(Answer::from)
@@ -198,6 +218,7 @@
     match command {
         Command::Check { files, .. } => Ok(service::check(files)),
         Command::Collect { folder, .. } => Ok(service::collect(folder)),
+        Command::Token { .. } => Ok(token()),
         Command::Publish {
             options,
             dry_run,
@@ -232,6 +253,7 @@
             | Self::History { output, .. }
             | Self::Rollback { output, .. }
             | Self::Status { output }
+            | Self::Token { output }
             | Self::Explain { output, .. }
             | Self::Events { output, .. } => output.json,
             Self::Key { command } => command.json(),
--- a/programs/pb-ctl/src/fleet.rs
+++ b/programs/pb-ctl/src/fleet.rs
@@ -41,13 +41,24 @@
 #[derive(Debug, Clone)]
 pub struct Fleet {
     settings: Settings,
+    leader_timeout: Duration,
 }
 
 impl Fleet {
     /// Creates a fleet from an operator's settings.
     #[must_use]
     pub const fn new(settings: Settings) -> Self {
-        Self { settings }
+        Self {
+            settings,
+            leader_timeout: LEADER_TIMEOUT,
+        }
+    }
+
+    /// Sets the time to look for a leader.
+    #[must_use]
+    pub const fn leader_timeout(mut self, timeout: Duration) -> Self {
+        self.leader_timeout = timeout;
+        self
     }
 
     /// Returns the settings.
@@ -72,7 +83,7 @@
                 compio::time::sleep(LEADER_PAUSE).await;
             }
         };
-        let found = compio::time::timeout(LEADER_TIMEOUT, search).await;
+        let found = compio::time::timeout(self.leader_timeout, search).await;
         found.map_err(|_| {
             anyhow!(
                 "no control replica leads; none of the {} answers as leader",
--- a/programs/pb-lab/src/fleet.rs
+++ b/programs/pb-lab/src/fleet.rs
@@ -13,6 +13,7 @@
 use futures_channel::oneshot;
 use persimmonbend_app::settings;
 use persimmonbend_app::stop::Stop;
+use persimmonbend_app::token::Token;
 use persimmonbend_core::fault::Faults;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -186,6 +187,31 @@
     })
 }
 
+/// Starts a console for one operator, and returns its address with the operator's token.
+///
+/// # Errors
+///
+/// Returns an error when it does not start.
+pub fn console(
+    files: &Files,
+    operator: &str,
+    control: &[SocketAddr],
+    proxies: &[SocketAddr],
+) -> anyhow::Result<(Part, SocketAddr, Token)> {
+    let token = Token::generate();
+    let settings = checked::<pb_console::settings::File, _>(&json!({
+        "listen": "127.0.0.1:0",
+        "control": control,
+        "proxies": proxies,
+        "secret_file": files.secret(),
+        "operators": [{ "name": operator, "token_digest": token.digest().to_string() }],
+    }))?;
+    let (part, address) = Part::start("console", move |stop, bound| {
+        pb_console::run(settings, stop, bound)
+    })?;
+    Ok((part, address, token))
+}
+
 /// Starts a stand-in upstream.
 ///
 /// # Errors
