--- a/programs/pb-proxy/src/callers.rs
+++ b/programs/pb-proxy/src/callers.rs
@@ -17,6 +17,7 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
+use persimmonbend_app::http;
 use persimmonbend_app::http::Body;
 use persimmonbend_app::http::Handler;
 use persimmonbend_core::error::Kind;
@@ -76,6 +77,8 @@
         trace.route(&target);
         let tenant = if target.route.open {
             None
+        } else if self.node.is_isolated() {
+            return Err(Kind::Isolated);
         } else {
             Some(auth::tenant(&self.node.board(), &head.headers)?)
         };
@@ -85,11 +88,16 @@
         if target.route.non_idempotent {
             return Err(Kind::ClaimUnavailable);
         }
+        let key = match tenant {
+            Some(_) => Some(auth::digest(&head.headers)?),
+            None => None,
+        };
         let body = read(body, self.node.settings().body_max_bytes).await?;
         let plan = Plan {
             deadline: deadline(started, &target, &head.headers),
             target,
             tenant,
+            key,
             head: Rc::new(forwarded(head)),
             body,
             trace: Rc::clone(trace),
@@ -123,6 +131,9 @@
         let ended = outcome.as_ref().map(|response| response.status().as_u16());
         trace.end(&self.node, ended.map_err(|kind| *kind));
         let mut response = outcome.unwrap_or_else(|kind| refusal::response(kind, &name));
+        if self.node.stop().is_asked() {
+            http::say_last(&mut response);
+        }
         if let Ok(value) = HeaderValue::from_str(&name) {
             response
                 .headers_mut()
--- a/programs/pb-proxy/src/explain/overview.rs
+++ b/programs/pb-proxy/src/explain/overview.rs
@@ -9,6 +9,8 @@
 use persimmonbend_core::explain::Overview;
 use persimmonbend_core::explain::Served;
 use persimmonbend_core::explain::Sighting;
+use persimmonbend_core::health::Verdict;
+use persimmonbend_core::steward::Verdicts;
 use persimmonbend_core::traffic::Tally;
 use persimmonbend_core::upstream::Upstream;
 
@@ -24,9 +26,53 @@
 /// Events that an overview lists.
 const MAX_EVENTS: usize = 40;
 
+/// What this host knows of the upstreams.
+#[derive(Clone, Copy)]
+pub struct Sight<'a> {
+    /// The board.
+    pub board: &'a Board,
+    verdicts: &'a dyn Verdicts,
+    zone: &'a str,
+}
+
+impl<'a> Sight<'a> {
+    /// Creates the sight of a host.
+    #[must_use]
+    pub fn new(node: &'a Node, board: &'a Board, verdicts: &'a dyn Verdicts) -> Self {
+        Self {
+            board,
+            verdicts,
+            zone: &node.settings().zone,
+        }
+    }
+
+    /// Returns the verdict on an upstream, as seen from the zone of this host.
+    #[must_use]
+    pub fn verdict(&self, upstream: &str) -> Verdict {
+        let now = self.board.now();
+        self.verdicts.verdict(upstream, self.zone, now)
+    }
+
+    fn judged(&self, upstream: &str) -> Option<String> {
+        let text = match self.verdict(upstream) {
+            Verdict::Use { .. } => return None,
+            Verdict::Trial => "It is on trial and gets one request at a time.",
+            Verdict::Ejected => "It is ejected, for what its requests showed.",
+        };
+        let latest = self.board.events().about(upstream);
+        let latest = latest.filter(|event| event.part == HEALTH).last();
+        Some(latest.map_or_else(|| text.to_owned(), |event| format!("{text} {}", event.text)))
+    }
+}
+
+/// Part that writes the events about verdicts.
+const HEALTH: &str = "health";
+
 /// Returns the overview of this host.
 pub fn overview(node: &Node) -> Overview {
     let board = node.board();
+    let verdicts = node.slots().verdicts().borrow();
+    let sight = Sight::new(node, &board, verdicts.as_ref());
     let traffic = node.traffic();
     let tenants = traffic.tenants().iter();
     let routes = traffic.routes().iter();
@@ -35,8 +81,8 @@
         zone: node.settings().zone.clone(),
         ready: node.is_ready(),
         revision: board.config().revision(),
-        services: services(&board),
-        absent: absent(&board),
+        services: services(&sight),
+        absent: absent(&sight),
         tenants: worst_first(tenants.map(|(name, tally)| served(name.clone(), tally))),
         routes: worst_first(routes.map(|((service, route), tally)| {
             let name = format!("{service}/{route}");
@@ -49,7 +95,8 @@
 }
 
 /// Returns the slots of a service against its floor.
-pub fn capacity(board: &Board, service: &str) -> Capacity {
+pub fn capacity(sight: &Sight<'_>, service: &str) -> Capacity {
+    let board = sight.board;
     let config = board.config();
     let floor = config.services().get(service).map_or(0.0, |one| one.floor);
     let mut capacity = Capacity {
@@ -58,15 +105,14 @@
         slots: 0,
         in_use: 0,
     };
-    let now = board.now();
     let offered = board.upstreams(service).filter(|one| {
         let announcement = &one.announcement;
-        one.is_current(now) && announcement.stage.takes_requests()
+        one.is_current() && announcement.stage.takes_requests()
     });
     for upstream in offered {
         let slots = upstream.announcement.slots;
         capacity.slots += slots;
-        if absence(board, upstream).is_none() {
+        if absence(sight, upstream).is_none() {
             capacity.in_use += slots;
         }
     }
@@ -74,33 +120,34 @@
 }
 
 /// Returns why an upstream gets no requests, or nothing when it gets some.
-pub fn absence(board: &Board, upstream: &Upstream) -> Option<String> {
+pub fn absence(sight: &Sight<'_>, upstream: &Upstream) -> Option<String> {
     let announcement = &upstream.announcement;
     if !announcement.stage.takes_requests() {
         return Some(format!("It says that it is {:?}.", announcement.stage));
     }
-    if !upstream.is_current(board.now()) {
+    if !upstream.is_current() {
         return Some("It stopped announcing itself.".to_owned());
     }
-    subject::ordered(board, &announcement.id)
+    subject::ordered(sight.board, &announcement.id).or_else(|| sight.judged(&announcement.id))
 }
 
-fn services(board: &Board) -> Vec<Capacity> {
+fn services(sight: &Sight<'_>) -> Vec<Capacity> {
+    let board = sight.board;
     let config = board.config();
     let announced = board
         .all_upstreams()
         .map(|one| one.announcement.service.as_str());
     let mut names: BTreeSet<&str> = config.services().keys().map(String::as_str).collect();
     names.extend(announced);
-    names.iter().map(|name| capacity(board, name)).collect()
+    names.iter().map(|name| capacity(sight, name)).collect()
 }
 
-fn absent(board: &Board) -> Vec<Absent> {
-    let absent = board.all_upstreams().filter_map(|one| {
+fn absent(sight: &Sight<'_>) -> Vec<Absent> {
+    let absent = sight.board.all_upstreams().filter_map(|one| {
         Some(Absent {
             upstream: one.announcement.id.clone(),
             service: one.announcement.service.clone(),
-            reason: absence(board, one)?,
+            reason: absence(sight, one)?,
         })
     });
     absent.take(MAX_ABSENT).collect()
--- a/programs/pb-proxy/src/explain/subject.rs
+++ b/programs/pb-proxy/src/explain/subject.rs
@@ -4,10 +4,12 @@
 use persimmonbend_core::config::Order;
 use persimmonbend_core::event::Event;
 use persimmonbend_core::explain::Report;
+use persimmonbend_core::health::Verdict;
 use persimmonbend_core::traffic::Tally;
 use persimmonbend_core::upstream::Upstream;
 
 use crate::explain::overview;
+use crate::explain::overview::Sight;
 use crate::explain::seconds_ago;
 use crate::node::Node;
 
@@ -26,10 +28,12 @@
     };
     report.known = true;
     report.sentences.extend(changes(&board, name));
+    let verdicts = node.slots().verdicts().borrow();
+    let sight = Sight::new(node, &board, verdicts.as_ref());
     report.sentences.push(announced(&board, upstream));
-    report.sentences.push(usage(&board, upstream));
-    let capacity = overview::capacity(&board, &upstream.announcement.service);
-    if overview::absence(&board, upstream).is_none() {
+    report.sentences.push(usage(&sight, upstream));
+    let capacity = overview::capacity(&sight, &upstream.announcement.service);
+    if overview::absence(&sight, upstream).is_none() {
         report.slots_in_use = upstream.announcement.slots;
     }
     report.sentences.push(format!(
@@ -199,10 +203,17 @@
     )
 }
 
-fn usage(board: &Board, upstream: &Upstream) -> String {
-    match overview::absence(board, upstream) {
-        Some(reason) => format!("It gets no new requests: {reason}"),
-        None => format!(
+fn usage(sight: &Sight<'_>, upstream: &Upstream) -> String {
+    let verdict = sight.verdict(&upstream.announcement.id);
+    match (overview::absence(sight, upstream), verdict) {
+        (Some(reason), Verdict::Trial) => reason,
+        (Some(reason), _) => format!("It gets no new requests: {reason}"),
+        (None, Verdict::Use { weight }) if weight < 1.0 => format!(
+            "It gets requests on {:.0}% of its slots; {} of this host are running there.",
+            weight * 100.0,
+            upstream.in_flight
+        ),
+        (None, _) => format!(
             "It gets requests; {} of this host are running there.",
             upstream.in_flight
         ),
--- a/programs/pb-proxy/src/lib.rs
+++ b/programs/pb-proxy/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod callers;
 pub mod explain;
 pub mod forward;
+pub mod gossip;
+pub mod links;
 pub mod metrics;
 pub mod node;
 pub mod peer;
@@ -14,6 +16,7 @@
 pub mod slots;
 pub mod subscription;
 pub mod trace;
+pub mod withdrawals;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -49,7 +52,7 @@
 /// # Errors
 ///
 /// Returns an error when an address cannot be bound.
-pub async fn run<B>(settings: Settings, stop: Stop, bound: B) -> anyhow::Result<()>
+pub async fn run<B>(mut settings: Settings, stop: Stop, bound: B) -> anyhow::Result<()>
 where
     B: FnOnce(Addresses),
 {
@@ -66,6 +69,7 @@
         "proxy: {} takes requests on {}",
         settings.host, addresses.callers
     );
+    settings.peers = addresses.peers;
     bound(addresses);
 
     let node = Rc::new(Node::new(settings, Rc::new(System), stop.clone()));
@@ -75,8 +79,15 @@
     };
     let ended = Stop::new();
     let background = [
-        spawn(listener.roles(roles).serve()),
+        spawn(
+            listener
+                .roles(roles)
+                .slots(slots::handler(Rc::clone(&node)))
+                .serve(),
+        ),
+        spawn(slots::run(Rc::clone(&node))),
         spawn(subscription::run(Rc::clone(&node))),
+        spawn(gossip::run(Rc::clone(&node))),
         spawn(node::sweep(Rc::clone(&node))),
         spawn(metrics::run(Rc::clone(&node))),
         spawn(node::close_after_notice(Rc::clone(&node))),
