--- a/programs/pb-console/src/perform.rs
+++ b/programs/pb-console/src/perform.rs
@@ -209,7 +209,7 @@
     let proxy = fleet.withdraw_at_a_proxy(digest).await?;
     let text = format!(
         "Control gives no answer; the proxy at {proxy} took the withdrawal of key {} and spreads \
-         it. Repeat it once control is back to record it there.",
+         it. The proxies pass it on once control is back.",
         digest.short()
     );
     Ok(Done::new(Ending::Accepted, text))
--- a/programs/pb-ctl/src/command/key.rs
+++ b/programs/pb-ctl/src/command/key.rs
@@ -186,7 +186,7 @@
     let proxy = fleet.withdraw_at_a_proxy(digest).await?;
     let text = format!(
         "control gives no answer ({why:#}); the proxy at {proxy} took the withdrawal of key {} and \
-         spreads it; repeat the command once control is back to record it there",
+         spreads it; the proxies pass it on once control is back",
         digest.short()
     );
     let value = json!({ "digest": digest, "by_proxy": proxy, "recorded_at_control": false });
--- a/programs/pb-lab/tests/operators.rs
+++ b/programs/pb-lab/tests/operators.rs
@@ -206,9 +206,22 @@
     let mut stage = Stage::start();
     let publish = stage.publish("0.4");
     stage.expect(&publish, Exit::Done, "in force on 1 of 1 hosts");
+    stage.expect(
+        "tenant set --per-second 50 --burst 50 farm",
+        Exit::Done,
+        "accepted",
+    );
+    let issued = stage.expect("key issue farm", Exit::Done, "pbk_");
+    let key = issued.text.clone();
+    stage.wait_for("an answer", || stage.get(&key).starts_with("HTTP/1.1 200"));
     stage.control.take().unwrap().end().unwrap();
+    let withdraw = format!("key withdraw {}", issued.value["digest"].as_str().unwrap());
+    let taken = stage.expect(&withdraw, Exit::Pending, "took the withdrawal");
+    assert_eq!(taken.value["recorded_at_control"], false);
+    let refused = stage.get(&key);
+    assert!(refused.contains("key_withdrawn"), "{refused}");
     stage.expect("status", Exit::Done, "control is away");
     stage.expect(&publish, Exit::Failed, "no control replica leads");
-    stage.expect("explain host host-0", Exit::Done, "revision 1");
+    stage.expect("explain host host-0", Exit::Done, "revision 3");
     stage.end();
 }
--- /dev/null
+++ b/programs/pb-lab/tests/samples.rs
@@ -0,0 +1,81 @@
+//! The sample settings and service files can be used as they are.
+
+#![allow(clippy::unwrap_used)]
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use pb_lab::fleet::Files;
+use persimmonbend_app::settings;
+use persimmonbend_core::fault::Faults;
+use serde::de::DeserializeOwned;
+
+const FLEETS: [&str; 3] = ["sample", "trinacria", "haugland"];
+
+fn folder(fleet: &str) -> PathBuf {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../config");
+    root.join(fleet)
+}
+
+/// Checks a settings file with the secret of the test in place of its own.
+fn check<R, C>(path: &Path, files: &Files)
+where
+    R: DeserializeOwned,
+    C: TryFrom<R, Error = Faults>,
+{
+    let text = std::fs::read_to_string(path).unwrap();
+    assert!(text.contains("\"fleet-secret\""), "{}", path.display());
+    let text = text.replace("fleet-secret", &files.secret().display().to_string());
+    let checked = settings::parse::<R, C>(&text);
+    assert!(
+        checked.is_ok(),
+        "{}: {:?}",
+        path.display(),
+        checked.err().unwrap()
+    );
+}
+
+#[test]
+fn every_settings_file_can_be_used() {
+    let files = Files::create().unwrap();
+    let mut checked = 0;
+    for fleet in FLEETS {
+        for entry in std::fs::read_dir(folder(fleet)).unwrap() {
+            let path = entry.unwrap().path();
+            let name = path.file_name().unwrap().to_string_lossy().into_owned();
+            match name.split(['-', '.']).next().unwrap() {
+                "control" => {
+                    check::<pb_control::settings::File, pb_control::settings::Settings>(
+                        &path, &files,
+                    );
+                }
+                "proxy" => {
+                    check::<pb_proxy::settings::File, pb_proxy::settings::Settings>(&path, &files);
+                }
+                "ctl" => check::<pb_ctl::settings::File, pb_ctl::settings::Settings>(&path, &files),
+                "console" => {
+                    check::<pb_console::settings::File, pb_console::settings::Settings>(
+                        &path, &files,
+                    );
+                }
+                "services" => continue,
+                other => panic!("no program reads {other}"),
+            }
+            checked += 1;
+        }
+    }
+    assert!(checked >= 4 * FLEETS.len(), "{checked} files");
+}
+
+#[test]
+fn every_service_file_can_be_published() {
+    for (fleet, services, non_idempotent) in
+        [("sample", 1, 1), ("trinacria", 3, 1), ("haugland", 3, 1)]
+    {
+        let found = pb_ctl::files::find(&folder(fleet)).unwrap();
+        let read = pb_ctl::files::read(&found).unwrap_or_else(|error| panic!("{error}"));
+        let routes = read.iter().flat_map(|service| &service.routes);
+        let marked = routes.filter(|route| route.non_idempotent).count();
+        assert_eq!((read.len(), marked), (services, non_idempotent), "{fleet}");
+    }
+}
