--- a/programs/pb-proxy/tests/slots.rs
+++ b/programs/pb-proxy/tests/slots.rs
@@ -71,6 +71,7 @@
         connections_max: 7,
         routing: Routing::Steward,
         steward_timeout,
+        metrics: None,
     };
     let node = Rc::new(Node::new(settings, Rc::new(System), Stop::new()));
     spawn(slots::run(Rc::clone(&node))).detach();
