fix(proxy): explanations read the judges of the services

Change: the explanations ask slots::Judges by service and upstream. Conclusion: the workspace builds.

--- a/programs/pb-proxy/src/explain/overview.rs
+++ b/programs/pb-proxy/src/explain/overview.rs
@@ -10,12 +10,13 @@
 use persimmonbend_core::explain::Served;
 use persimmonbend_core::explain::Sighting;
 use persimmonbend_core::health::Verdict;
-use persimmonbend_core::steward::Verdicts;
 use persimmonbend_core::traffic::Tally;
+use persimmonbend_core::upstream::Announcement;
 use persimmonbend_core::upstream::Upstream;
 
 use crate::explain::subject;
 use crate::node::Node;
+use crate::slots::Judges;
 
 /// Tenants, and routes, that an overview lists.
 const MAX_SERVED: usize = 20;
@@ -31,35 +32,36 @@
 pub struct Sight<'a> {
     /// The board.
     pub board: &'a Board,
-    verdicts: &'a dyn Verdicts,
+    judges: &'a Judges,
     zone: &'a str,
 }
 
 impl<'a> Sight<'a> {
     /// Creates the sight of a host.
     #[must_use]
-    pub fn new(node: &'a Node, board: &'a Board, verdicts: &'a dyn Verdicts) -> Self {
+    pub fn new(node: &'a Node, board: &'a Board) -> Self {
         Self {
             board,
-            verdicts,
+            judges: node.slots().judges(),
             zone: &node.settings().zone,
         }
     }
 
     /// Returns the verdict on an upstream, as seen from the zone of this host.
     #[must_use]
-    pub fn verdict(&self, upstream: &str) -> Verdict {
+    pub fn verdict(&self, upstream: &Upstream) -> Verdict {
+        let Announcement { id, service, .. } = &upstream.announcement;
         let now = self.board.now();
-        self.verdicts.verdict(upstream, self.zone, now)
+        self.judges.verdict(service, id, self.zone, now)
     }
 
-    fn judged(&self, upstream: &str) -> Option<String> {
+    fn judged(&self, upstream: &Upstream) -> Option<String> {
         let text = match self.verdict(upstream) {
             Verdict::Use { .. } => return None,
             Verdict::Trial => "It is on trial and gets one request at a time.",
             Verdict::Ejected => "It is ejected, for what its requests showed.",
         };
-        let latest = self.board.events().about(upstream);
+        let latest = self.board.events().about(&upstream.announcement.id);
         let latest = latest.filter(|event| event.part == HEALTH).last();
         Some(latest.map_or_else(|| text.to_owned(), |event| format!("{text} {}", event.text)))
     }
@@ -71,8 +73,7 @@
 /// Returns the overview of this host.
 pub fn overview(node: &Node) -> Overview {
     let board = node.board();
-    let verdicts = node.slots().verdicts().borrow();
-    let sight = Sight::new(node, &board, verdicts.as_ref());
+    let sight = Sight::new(node, &board);
     let traffic = node.traffic();
     let tenants = traffic.tenants().iter();
     let routes = traffic.routes().iter();
@@ -128,7 +129,7 @@
     if !upstream.is_current() {
         return Some("It stopped announcing itself.".to_owned());
     }
-    subject::ordered(sight.board, &announcement.id).or_else(|| sight.judged(&announcement.id))
+    subject::ordered(sight.board, &announcement.id).or_else(|| sight.judged(upstream))
 }
 
 fn services(sight: &Sight<'_>) -> Vec<Capacity> {
--- a/programs/pb-proxy/src/explain/subject.rs
+++ b/programs/pb-proxy/src/explain/subject.rs
@@ -28,8 +28,7 @@
     };
     report.known = true;
     report.sentences.extend(changes(&board, name));
-    let verdicts = node.slots().verdicts().borrow();
-    let sight = Sight::new(node, &board, verdicts.as_ref());
+    let sight = Sight::new(node, &board);
     report.sentences.push(announced(&board, upstream));
     report.sentences.push(usage(&sight, upstream));
     let capacity = overview::capacity(&sight, &upstream.announcement.service);
@@ -204,7 +203,7 @@
 }
 
 fn usage(sight: &Sight<'_>, upstream: &Upstream) -> String {
-    let verdict = sight.verdict(&upstream.announcement.id);
+    let verdict = sight.verdict(upstream);
     match (overview::absence(sight, upstream), verdict) {
         (Some(reason), Verdict::Trial) => reason,
         (Some(reason), _) => format!("It gets no new requests: {reason}"),
--- a/programs/pb-proxy/src/slots/judges.rs
+++ b/programs/pb-proxy/src/slots/judges.rs
@@ -7,6 +7,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Instant;
 
 use log::warn;
 use persimmonbend_core::board::Board;
@@ -63,6 +64,16 @@
         result
     }
 
+    /// Returns what hosts of `zone` may send to an upstream of a service.
+    #[must_use]
+    pub fn verdict(&self, service: &str, upstream: &str, zone: &str, now: Instant) -> Verdict {
+        let services = self.services.borrow();
+        let seat = services.get(service);
+        seat.map_or(Verdict::Use { weight: 1.0 }, |seat| {
+            seat.judge.verdict(upstream, zone, now)
+        })
+    }
+
     /// Takes in changes of upstreams and configuration and writes an event for each decision;
     /// returns the decisions.
     pub fn tick(&self, node: &Node) -> Vec<(ServiceId, Decision)> {
--- a/programs/pb-proxy/tests/slots.rs
+++ b/programs/pb-proxy/tests/slots.rs
@@ -63,7 +63,6 @@
         seeds: Vec::new(),
         advertise_peers: None,
         isolation: LONG,
-        metrics: None,
         secret: secret(),
         body_max_bytes: 1024,
         answer_hold_bytes: 1024,
