feat(proxy): a host that control is silent to borrows tokens of other hosts

Cause: a proxy that never reached control has no seat and thus no share, and refused every keyed request. Test configuration_and_withdrawals_spread_without_control (pb-lab, membership) waited in vain for an answer of such a host.

Change: Peer.lend spends a token of the lender for a request of another host; a host does so when no reply came for 600 ms. The issuer has a name of its own in stamps, since a single replica keeps its term over a restart. Socket tests for a tenant over its rate, repeats at other proxies, an execution that may have run, and control away.

--- a/crates/core/src/quota/holder.rs
+++ b/crates/core/src/quota/holder.rs
@@ -97,6 +97,12 @@
         now >= self.contact + CUT_OFF
     }
 
+    /// Returns how long no reply has arrived.
+    #[must_use]
+    pub fn silence(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.contact)
+    }
+
     /// Returns the seat, once it is known.
     #[must_use]
     pub const fn seat(&self) -> Option<Seat> {
--- a/crates/core/src/quota/issuer.rs
+++ b/crates/core/src/quota/issuer.rs
@@ -64,7 +64,10 @@
 }
 
 impl Issuer {
-    /// Creates the issuer of a term, whose lease began no earlier than `now`.
+    /// Creates the issuer of a term, whose lease began no later than `now`.
+    ///
+    /// The term must differ from that of every earlier issuer, also of the same replica before
+    /// its restart.
     ///
     /// It grants nothing until every grant of an earlier issuer has lapsed, or all of the hosts
     /// with a seat have told what they hold.
@@ -175,7 +178,8 @@
     /// Takes in the stamp that the batch gives back.
     fn listen(&mut self, batch: &Batch, config: &State, now: Instant) {
         let echo = batch.echo.filter(|stamp| stamp.term == self.term);
-        let Some(heard) = echo.map(|stamp| self.started + stamp.since_start) else {
+        let heard = echo.map(|stamp| self.started + stamp.since_start);
+        let Some(heard) = heard.filter(|heard| *heard <= now) else {
             return;
         };
         let returns = self.is_withheld(&batch.host, now) && now < heard + SILENCE;
--- a/crates/wire/src/fleet_capnp.rs
+++ b/crates/wire/src/fleet_capnp.rs
@@ -8239,6 +8239,8 @@
     pub type StatusResults<> = ::capnp::capability::Results<crate::fleet_capnp::peer::status_results::Owned>;
     pub type OrderParams<> = ::capnp::capability::Params<crate::fleet_capnp::peer::order_params::Owned>;
     pub type OrderResults<> = ::capnp::capability::Results<crate::fleet_capnp::peer::order_results::Owned>;
+    pub type LendParams<> = ::capnp::capability::Params<crate::fleet_capnp::peer::lend_params::Owned>;
+    pub type LendResults<> = ::capnp::capability::Results<crate::fleet_capnp::peer::lend_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -8312,6 +8314,9 @@
         pub fn order_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::peer::order_params::Owned,crate::fleet_capnp::peer::order_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
         }
+        pub fn lend_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::peer::lend_params::Owned,crate::fleet_capnp::peer::lend_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 8, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn ping(self: ::capnp::capability::Rc<Self>, _: PingParams<>, _: PingResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::ping not implemented".to_string()))) }
@@ -8322,6 +8327,7 @@
         fn dump(self: ::capnp::capability::Rc<Self>, _: DumpParams<>, _: DumpResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::dump not implemented".to_string()))) }
         fn status(self: ::capnp::capability::Rc<Self>, _: StatusParams<>, _: StatusResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::status not implemented".to_string()))) }
         fn order(self: ::capnp::capability::Rc<Self>, _: OrderParams<>, _: OrderResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::order not implemented".to_string()))) }
+        fn lend(self: ::capnp::capability::Rc<Self>, _: LendParams<>, _: LendResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::lend not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -8359,6 +8365,7 @@
                 5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::dump(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::status(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::order(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                8 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::lend(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -11498,6 +11505,448 @@
             pub(crate) const TYPE_ID: u64 = 0xe6ce_e2e0_0d68_a73e;
         }
     }
+
+    pub mod lend_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_tenant(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_tenant(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_service(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_tenant(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_tenant(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_tenant(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_tenant(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_service(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(189, 162, 132, 129, 226, 220, 12, 157),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
+                ::capnp::word(46, 108, 101, 110, 100, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 101, 110, 97, 110, 116, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0x9d0c_dce2_8184_a2bd;
+        }
+    }
+
+    pub mod lend_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_lent(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_lent(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_lent(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(14, 25, 150, 225, 13, 194, 174, 225),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
+                ::capnp::word(46, 108, 101, 110, 100, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(108, 101, 110, 116, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xe1ae_c20d_e196_190e;
+        }
+    }
 }
 
 pub mod host_record {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,8 +1,11 @@
 //! Typed calls to a proxy.
 
+use std::time::Duration;
+
 use persimmonbend_core::explain::Query;
 use persimmonbend_core::id::Revision;
 use persimmonbend_core::key::Digest;
+use persimmonbend_core::quota::Account;
 use serde::de::DeserializeOwned;
 
 use crate::error::Error;
@@ -65,6 +68,20 @@
         Ok(())
     }
 
+    /// Asks the proxy to spend one of its tokens for a request of this host, within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure of the call; a token may have been spent.
+    pub async fn lend(&self, account: &Account, limit: Duration) -> Result<bool, Error> {
+        let mut request = self.remote.lend_request();
+        request.get().set_tenant(&account.tenant);
+        let service = account.service.as_deref().unwrap_or_default();
+        request.get().set_service(service);
+        let response = call(limit, request.send().promise).await?;
+        Ok(response.get()?.get_lent())
+    }
+
     /// Returns the report of the proxy as JSON.
     ///
     /// # Errors
--- a/programs/pb-control/src/issuer.rs
+++ b/programs/pb-control/src/issuer.rs
@@ -13,6 +13,7 @@
 
 use crate::error::Error;
 use crate::leadership::Leadership;
+use crate::leadership::Term;
 use crate::node::Node;
 
 /// Answers the batches of holders.
@@ -21,7 +22,15 @@
     node: Rc<Node>,
     clock: Rc<dyn Clock>,
     seats: u32,
-    current: RefCell<Option<quota::Issuer>>,
+    current: RefCell<Option<Current>>,
+}
+
+/// The issuer of the present reign.
+#[derive(Debug)]
+struct Current {
+    /// Term of the replicated log.
+    term: Term,
+    issuer: quota::Issuer,
 }
 
 impl Issuer {
@@ -50,11 +59,14 @@
         let mut current = self.current.borrow_mut();
         let reply = self.node.read(|machine| {
             let seats = machine.seats();
-            if current.as_ref().is_none_or(|issuer| issuer.term() != term) {
+            if current.as_ref().is_none_or(|known| known.term != term) {
                 info!("rates: grants of term {term} begin");
-                *current = Some(quota::Issuer::new(term, seats.clone(), now));
+                // A replica without others keeps its term over a restart, so the issuer has a
+                // name of its own.
+                let issuer = quota::Issuer::new(rand::random(), seats.clone(), now);
+                *current = Some(Current { term, issuer });
             }
-            let issuer = current.as_mut()?;
+            let issuer = &mut current.as_mut()?.issuer;
             issuer.seat(seats, machine.config(), now);
             Some(issuer.answer(batch, machine.config(), now))
         });
@@ -80,7 +92,7 @@
 
     fn incarnation(&self, host: &str) -> Option<Incarnation> {
         let current = self.current.borrow();
-        current.as_ref()?.incarnation(host)
+        current.as_ref()?.issuer.incarnation(host)
     }
 
     /// Sees to it that a host has a seat if there is a free one.
--- /dev/null
+++ b/programs/pb-lab/tests/rates.rs
@@ -0,0 +1,250 @@
+//! Rates and at-most-once requests over several proxies on real sockets.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use pb_lab::fleet;
+use pb_lab::fleet::Files;
+use pb_lab::fleet::Part;
+use pb_lab::upstream::Setup;
+use persimmonbend_core::config::Change;
+use persimmonbend_core::config::File;
+use persimmonbend_core::config::Rate;
+use persimmonbend_core::config::Service;
+use persimmonbend_core::config::Tenant;
+use persimmonbend_core::key::Secret;
+use serde_json::json;
+
+use crate::support::Fleet;
+use crate::support::caller::Caller;
+use crate::support::count;
+use crate::support::wait_until;
+
+const RATE: f64 = 40.0;
+const BURST: u32 = 20;
+
+/// A fleet of three proxies before one upstream.
+struct Bed {
+    fleet: Fleet,
+    secret: Secret,
+    upstream: Part,
+    upstream_address: SocketAddr,
+}
+
+impl Bed {
+    fn start(per_second: f64, burst: u32, work: Duration) -> Self {
+        let secret = Secret::generate(&mut rand::rng());
+        let fleet = Fleet::start(Files::create().unwrap(), 3);
+        fleet.configure(&secret);
+        fleet.submit(Change::Publish {
+            services: vec![service()],
+        });
+        let rate = Rate { per_second, burst };
+        let id = "farm".to_owned();
+        fleet.submit(Change::SetTenant {
+            tenant: Tenant { id, rate },
+        });
+        let proxies = fleet.proxies.iter();
+        let setup = Setup {
+            id: "upstream-0".to_owned(),
+            service: "herd".to_owned(),
+            zone: "a".to_owned(),
+            listen: "127.0.0.1:0".parse().unwrap(),
+            slots: 50,
+            work,
+            proxies: proxies.map(|proxy| proxy.addresses.platform).collect(),
+            seed: 1,
+        };
+        let (upstream, upstream_address) = fleet::upstream(setup, fleet.ledger.clone()).unwrap();
+        let bed = Self {
+            fleet,
+            secret,
+            upstream,
+            upstream_address,
+        };
+        let revision = bed.fleet.revision();
+        bed.fleet.wait_for("the upstream", |status| {
+            count(status, "upstreams") == 1 && count(status, "revision") == revision
+        });
+        for proxy in 0..3 {
+            wait_until("an answer", || bed.get(proxy) == 200);
+        }
+        bed
+    }
+
+    fn get(&self, proxy: usize) -> u16 {
+        let mut caller = Caller::connect(self.callers(proxy)).unwrap();
+        let answer = caller.get("/herd/register", &self.secret);
+        answer.map_or(0, |answer| answer.status)
+    }
+
+    fn callers(&self, proxy: usize) -> SocketAddr {
+        self.fleet.proxies[proxy].addresses.callers
+    }
+
+    /// Begins a request that lodges a return and leaves the connection open.
+    fn press(&self, proxy: usize, name: &str, key: Option<&str>, body: &str) -> TcpStream {
+        let secret = self.secret.reveal();
+        let key = key.map_or(String::new(), |key| format!("idempotency-key: {key}\r\n"));
+        let length = body.len();
+        let request = format!(
+            "POST /herd/lodge HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\
+             authorization: Bearer {secret}\r\nx-lab-request: {name}\r\n{key}\
+             content-length: {length}\r\n\r\n{body}"
+        );
+        let mut stream = TcpStream::connect(self.callers(proxy)).unwrap();
+        let timeout = Some(Duration::from_secs(20));
+        stream.set_read_timeout(timeout).unwrap();
+        stream.write_all(request.as_bytes()).unwrap();
+        stream
+    }
+
+    fn lodge(&self, proxy: usize, name: &str, key: Option<&str>, body: &str) -> String {
+        read(self.press(proxy, name, key, body))
+    }
+
+    fn end(self) {
+        self.upstream.end().unwrap();
+        self.fleet.end();
+    }
+}
+
+fn read(mut stream: TcpStream) -> String {
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    answer
+}
+
+fn body(answer: &str) -> &str {
+    answer.split_once("\r\n\r\n").unwrap().1
+}
+
+fn service() -> Service {
+    let file: File = serde_json::from_value(json!({
+        "service": "herd",
+        "owner": "registry",
+        "routes": [
+            { "id": "register", "prefix": "/herd", "methods": ["GET"] },
+            {
+                "id": "lodge",
+                "prefix": "/herd/lodge",
+                "methods": ["POST"],
+                "non_idempotent": true,
+                "deadline_ms": 3_000,
+            },
+        ],
+    }))
+    .unwrap();
+    Service::try_from(file).unwrap()
+}
+
+/// Sends requests without a pause and returns how many were admitted.
+fn flood(address: SocketAddr, secret: &Secret, until: Instant) -> u32 {
+    let mut caller = Caller::connect(address).unwrap();
+    let mut admitted = 0;
+    while Instant::now() < until {
+        let answer = caller.get("/herd/register", secret).unwrap();
+        assert!([200, 429, 503].contains(&answer.status), "{answer:?}");
+        admitted += u32::from(answer.status == 200);
+        thread::sleep(Duration::from_millis(2));
+    }
+    admitted
+}
+
+#[test]
+fn a_tenant_over_its_rate_gets_its_rate_over_all_hosts() {
+    let bed = Bed::start(RATE, BURST, Duration::from_millis(1));
+    let started = Instant::now();
+    let until = started + Duration::from_secs(3);
+    let floods: Vec<_> = (0..3)
+        .map(|proxy| {
+            let address = bed.callers(proxy);
+            let secret = bed.secret.clone();
+            thread::spawn(move || flood(address, &secret, until))
+        })
+        .collect();
+    let admitted: u32 = floods.into_iter().map(|flood| flood.join().unwrap()).sum();
+    let elapsed = started.elapsed().as_secs_f64();
+    let most = f64::from(BURST) + RATE * elapsed;
+    println!("admitted {admitted} of at most {most:.1} in {elapsed:.2} s");
+    assert!(f64::from(admitted) <= most);
+    assert!(admitted > BURST, "the rate was not used");
+    bed.end();
+}
+
+#[test]
+fn a_request_pressed_again_elsewhere_runs_once() {
+    let bed = Bed::start(1_000.0, 1_000, Duration::from_millis(100));
+    let presses: Vec<_> = (0..3)
+        .map(|proxy| bed.press(proxy, "return-1", Some("key-1"), "42 sheep"))
+        .collect();
+    let answers: Vec<String> = presses.into_iter().map(read).collect();
+    for answer in &answers {
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert_eq!(body(answer), body(&answers[0]));
+    }
+    let replayed = |answer: &&String| answer.contains("x-persimmonbend-replayed: true");
+    assert_eq!(answers.iter().filter(replayed).count(), 2);
+
+    drop(bed.press(0, "return-2", Some("key-2"), "hung up"));
+    let again = bed.lodge(1, "return-2", Some("key-2"), "hung up");
+    assert!(again.starts_with("HTTP/1.1 200"), "{again}");
+
+    let other = bed.lodge(2, "return-1", Some("key-1"), "43 sheep");
+    assert!(other.contains("idempotency_key_reused"), "{other}");
+    let without = bed.lodge(2, "return-3", None, "42 sheep");
+    assert!(without.contains("idempotency_key_missing"), "{without}");
+    let ledger = &bed.fleet.ledger;
+    assert_eq!(ledger.executions("return-1"), 1);
+    assert_eq!(ledger.executions("return-2"), 1);
+    assert_eq!(ledger.executions("return-3"), 0);
+    assert_eq!(ledger.duplicates(), 0);
+    bed.end();
+}
+
+#[test]
+fn a_request_that_may_have_run_is_not_run_again() {
+    let bed = Bed::start(1_000.0, 1_000, Duration::from_millis(1));
+    let mut stream = TcpStream::connect(bed.upstream_address).unwrap();
+    let fault = r#"{"fault":"silent"}"#;
+    let length = fault.len();
+    let request = format!(
+        "POST /_lab/fault HTTP/1.1\r\nhost: t\r\nconnection: close\r\n\
+         content-length: {length}\r\n\r\n{fault}"
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    assert!(read(stream).starts_with("HTTP/1.1 200"));
+    let first = bed.lodge(0, "return-1", Some("key-1"), "42 sheep");
+    assert!(first.contains("x-persimmonbend-ran: unknown"), "{first}");
+    let again = bed.lodge(1, "return-1", Some("key-1"), "42 sheep");
+    assert!(again.contains("may_have_run"), "{again}");
+    assert_eq!(bed.fleet.ledger.executions("return-1"), 1);
+    bed.end();
+}
+
+#[test]
+fn a_request_that_cannot_be_recorded_is_refused_as_not_run() {
+    let mut bed = Bed::start(1_000.0, 1_000, Duration::from_millis(1));
+    bed.fleet.stop_control();
+    for press in 0..3 {
+        let answer = bed.lodge(press % 3, "return-1", Some("key-1"), "42 sheep");
+        assert!(answer.contains("x-persimmonbend-ran: no"), "{answer}");
+    }
+    assert_eq!(bed.fleet.ledger.executions("return-1"), 0);
+    bed.fleet.restart_control();
+    wait_until("an answer", || {
+        let answer = bed.lodge(1, "return-1", Some("key-1"), "42 sheep");
+        answer.starts_with("HTTP/1.1 200")
+    });
+    assert_eq!(bed.fleet.ledger.executions("return-1"), 1);
+    bed.end();
+}
--- a/programs/pb-proxy/src/peer.rs
+++ b/programs/pb-proxy/src/peer.rs
@@ -8,12 +8,14 @@
 use log::info;
 use log::warn;
 use persimmonbend_core::key::Digest;
+use persimmonbend_core::quota::Account;
 use persimmonbend_core::throttle::Throttle;
 use persimmonbend_wire::fleet_capnp::peer;
 
 use crate::explain;
 use crate::gossip;
 use crate::node::Node;
+use crate::rates;
 use crate::subscription;
 
 /// Returns a capability that serves `node`.
@@ -64,6 +66,22 @@
         Ok(())
     }
 
+    async fn lend(
+        self: Server<Self>,
+        params: peer::LendParams,
+        mut results: peer::LendResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let service = params.get_service()?.to_str()?;
+        let account = Account {
+            tenant: params.get_tenant()?.to_str()?.to_owned(),
+            service: (!service.is_empty()).then(|| service.to_owned()),
+        };
+        let lent = rates::lend(&self.node, account).await;
+        results.get().set_lent(lent);
+        Ok(())
+    }
+
     async fn withdraw(
         self: Server<Self>,
         params: peer::WithdrawParams,
--- a/programs/pb-proxy/src/rates.rs
+++ b/programs/pb-proxy/src/rates.rs
@@ -1,5 +1,8 @@
 //! Rates of tenants: tokens in hand, and batches to the issuer.
 
+mod borrow;
+
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,6 +34,12 @@
 /// Time for the answer to a batch.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time without a reply after which tokens of other hosts are borrowed.
+const SILENT_AFTER: Duration = Duration::from_millis(600);
+
+/// Longest time that a host which lends waits for a token.
+const LEND_WAIT: Duration = Duration::from_millis(150);
+
 /// Pause before the next replica is tried.
 const RETRY_PAUSE: Duration = Duration::from_millis(30);
 
@@ -41,6 +50,7 @@
     holder: RefCell<Holder>,
     wanted: Event,
     answered: Event,
+    borrowing: Cell<usize>,
 }
 
 impl Rates {
@@ -55,6 +65,7 @@
             holder: RefCell::new(holder),
             wanted: Event::new(),
             answered: Event::new(),
+            borrowing: Cell::new(0),
         }
     }
 
@@ -89,20 +100,41 @@
     let config = node.board().config();
     let account = Account::of(&config, tenant, service);
     let rate = account.rate(&config).ok_or(Kind::RateUnavailable)?;
-    let now = node.now();
-    let rates = node.rates();
-    let admission = rates.holder.borrow_mut().admit(&account, rate, now);
-    if let Some(result) = result(admission) {
-        return result;
+    let time = deadline.saturating_duration_since(node.now()) / 2;
+    let until = node.now() + time.min(MAX_WAIT);
+    let waiter = Waiter {
+        node,
+        account,
+        rate,
+        until,
+    };
+    let refused = match waiter.try_admit() {
+        Some(result) => result,
+        None => waiter.wait(true).await,
+    };
+    match refused {
+        Err(_) if waiter.is_silent() && borrow::borrow(node, &waiter.account).await => Ok(()),
+        result => result,
     }
-    let time = deadline.saturating_duration_since(now) / 2;
+}
+
+/// Spends a token of this host for a request of another host and returns whether there was one.
+pub async fn lend(node: &Rc<Node>, account: Account) -> bool {
+    let rate = account.rate(&node.board().config());
+    let Some(rate) = rate else {
+        return false;
+    };
     let waiter = Waiter {
         node,
         account,
         rate,
-        until: now + time.min(MAX_WAIT),
+        until: node.now() + LEND_WAIT,
+    };
+    let lent = match waiter.try_admit() {
+        Some(result) => result,
+        None => waiter.wait(false).await,
     };
-    waiter.wait().await
+    lent.is_ok()
 }
 
 /// Exchanges batches with the leader until the future is dropped.
@@ -143,16 +175,21 @@
 }
 
 impl Waiter<'_> {
-    async fn wait(&self) -> Result<(), Kind> {
+    /// Decides at once if possible; otherwise the request counts as waiting.
+    fn try_admit(&self) -> Option<Result<(), Kind>> {
+        let mut holder = self.node.rates().holder.borrow_mut();
+        result(holder.admit(&self.account, self.rate, self.node.now()))
+    }
+
+    /// Waits for a token; `borrows` tells whether other hosts are asked while control is silent.
+    async fn wait(&self, borrows: bool) -> Result<(), Kind> {
         let rates = self.node.rates();
+        let _waiting = Waiting(self);
         rates.wanted.notify(usize::MAX);
         loop {
             let answered = rates.answered.listen();
             let now = self.node.now();
-            let admission = rates
-                .holder
-                .borrow_mut()
-                .retry(&self.account, self.rate, now);
+            let admission = self.retry(now);
             if let Some(result) = result(admission) {
                 return result;
             }
@@ -160,15 +197,31 @@
             if left.is_zero() {
                 return Err(Kind::RateUnavailable);
             }
+            if borrows && self.is_silent() && borrow::borrow(self.node, &self.account).await {
+                return Ok(());
+            }
             let _ = timeout(left.min(TICK), answered).await;
         }
     }
+
+    fn retry(&self, now: Instant) -> Admission {
+        let mut holder = self.node.rates().holder.borrow_mut();
+        holder.retry(&self.account, self.rate, now)
+    }
+
+    fn is_silent(&self) -> bool {
+        let silence = self.node.rates().holder.borrow().silence(self.node.now());
+        silence >= SILENT_AFTER
+    }
 }
 
-impl Drop for Waiter<'_> {
+/// Ends the wait of a request when dropped.
+struct Waiting<'a>(&'a Waiter<'a>);
+
+impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        let rates = self.node.rates();
-        rates.holder.borrow_mut().leave(&self.account);
+        let rates = self.0.node.rates();
+        rates.holder.borrow_mut().leave(&self.0.account);
     }
 }
 
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -133,6 +133,9 @@
   dump @5 () -> (state :Data);
   status @6 () -> (report :Data);
   order @7 (order :Data) -> (outcome :Data);
+  # Spends a token of this host for a request of another host that cannot ask the issuer. An empty
+  # service means that the tenant has a rate of its own.
+  lend @8 (tenant :Text, service :Text) -> (lent :Bool);
 }
 
 # What a host says about itself.
