--- a/programs/pb-proxy/src/lib.rs
+++ b/programs/pb-proxy/src/lib.rs
@@ -2,9 +2,11 @@
 
 pub mod auth;
 pub mod callers;
+pub mod explain;
 pub mod forward;
 pub mod gossip;
 pub mod links;
+pub mod metrics;
 pub mod node;
 pub mod peer;
 pub mod platform;
@@ -13,6 +15,7 @@
 pub mod settings;
 pub mod slots;
 pub mod subscription;
+pub mod trace;
 pub mod withdrawals;
 
 use std::net::SocketAddr;
@@ -86,6 +89,7 @@
         spawn(subscription::run(Rc::clone(&node))),
         spawn(gossip::run(Rc::clone(&node))),
         spawn(node::sweep(Rc::clone(&node))),
+        spawn(metrics::run(Rc::clone(&node))),
         spawn(node::close_after_notice(Rc::clone(&node))),
     ];
     let health = spawn(platform.serve(Rc::new(Platform::new(Rc::clone(&node))), ended.clone()));
--- a/programs/pb-proxy/tests/slots.rs
+++ b/programs/pb-proxy/tests/slots.rs
@@ -63,6 +63,7 @@
         seeds: Vec::new(),
         advertise_peers: None,
         isolation: Duration::from_secs(5),
+        metrics: None,
         secret: secret(),
         body_max_bytes: 1024,
         answer_hold_bytes: 1024,
@@ -102,6 +103,14 @@
     });
 }
 
+/// Returns the name of a host that is the steward in place of `host`, which knows itself too.
+fn steward_name() -> String {
+    let names = (0..).map(|number| format!("steward-{number}"));
+    let ranks_first =
+        |name: &String| rendezvous::first(SERVICE, ["host", name]) == Some(name.as_str());
+    names.into_iter().find(ranks_first).unwrap()
+}
+
 async fn listen(node: &Rc<Node>) -> SocketAddr {
     let listener = Listener::bind(loopback(), secret()).await.unwrap();
     let address = listener.address().unwrap();
@@ -139,7 +148,7 @@
     spawn(listener.slots(handler).serve()).detach();
     let node = node("host", steward_timeout);
     announce_upstreams(&node, 1);
-    announce_host(&node, "fake", address);
+    announce_host(&node, &steward_name(), address);
     node
 }
 
@@ -235,7 +244,7 @@
         drop(socket);
         let node = node("host", LONG);
         announce_upstreams(&node, 1);
-        announce_host(&node, "gone", address);
+        announce_host(&node, &steward_name(), address);
         for _ in 0..5 {
             assert!(reserve(&node).await.is_ok());
         }
