--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -23,11 +23,11 @@
 pub mod handshake;
 pub mod link;
 pub mod listener;
+pub mod meter;
 pub mod peer;
 pub mod quota;
 pub mod record;
 pub mod slots;
-pub mod traffic;
 pub mod update;
 
 #[allow(clippy::all, clippy::pedantic, clippy::restriction, missing_docs)]
