feat(proxy): trials for repeatable requests, cheaper idle links

Cause: a trial of a sick upstream could take a request that must not be sent twice; links to stewards were pinged four times a second even when unused; one late answer kept a host from its steward. Change: an ask says whether it may be sent again, and only such a one goes on trial while another upstream has a free slot. A link is pinged while an ask waits or the steward counts reservations, and closed after 10 s without use; the steward's side closes a connection that is silent for 30 s. A steward is left aside only after three late answers in a row. Reservations are reported as soon as the hosts change. Idle entries are dropped without a scan.

--- a/crates/core/src/steward.rs
+++ b/crates/core/src/steward.rs
@@ -222,8 +222,7 @@
             self.forget(&host);
         }
         self.loads.retain(|upstream, load| {
-            let known = |one: &Upstream| one.announcement.id == *upstream;
-            load.running > 0 || board.upstreams(&self.service).any(known)
+            load.running > 0 || board.upstream(&self.service, upstream).is_some()
         });
         let mut answers = self.refuse_unplaceable(board, verdicts);
         answers.extend(self.serve_queue(board, verdicts));
--- a/crates/core/src/steward/ask.rs
+++ b/crates/core/src/steward/ask.rs
@@ -32,6 +32,9 @@
     pub deadline: Instant,
     /// Upstreams that were tried already.
     pub avoid: Vec<UpstreamId>,
+    /// Whether the request may be sent again; only such a one is used for a trial while another
+    /// upstream has a free slot.
+    pub idempotent: bool,
 }
 
 /// A slot in use.
--- a/crates/core/src/steward/rank.rs
+++ b/crates/core/src/steward/rank.rs
@@ -7,7 +7,8 @@
 /// A place that an ask could be given, better ones greater.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 pub struct Rank {
-    trial: bool,
+    wanted_trial: bool,
+    in_use: bool,
     near: bool,
     free: f64,
     idle_for: u64,
@@ -27,8 +28,10 @@
         if running >= limit {
             return None;
         }
+        let on_trial = verdict == Verdict::Trial;
         Some(Self {
-            trial: verdict == Verdict::Trial,
+            wanted_trial: on_trial && ask.idempotent,
+            in_use: !on_trial,
             near: upstream.announcement.zone == ask.zone,
             free: f64::from(limit - running) / f64::from(limit),
             idle_for,
--- a/crates/core/tests/steward.rs
+++ b/crates/core/tests/steward.rs
@@ -88,6 +88,7 @@
         tenant: Some(tenant.to_owned()),
         deadline: board.now() + left,
         avoid: Vec::new(),
+        idempotent: true,
     }
 }
 
@@ -226,6 +227,7 @@
                         .then(|| format!("u{avoid}"))
                         .into_iter()
                         .collect(),
+                    idempotent: *tenant == 0,
                 };
                 self.waiting.insert(ask.ticket.clone(), ask.clone());
                 let answers = self
@@ -408,6 +410,29 @@
     assert_eq!(zones.iter().collect::<String>(), "aaaaaabbbbbb");
 }
 
+#[test]
+fn only_requests_that_may_be_sent_again_are_used_for_trials() {
+    let clock = Rc::new(Manual::new());
+    let board = board(&clock, 2);
+    let mut verdicts = Fixed::default();
+    verdicts.verdicts.insert("u0".to_owned(), Verdict::Trial);
+    let mut steward = Steward::new("herd".to_owned());
+    for number in 0..SLOTS {
+        let mut once = ask(&board, number, "t", Duration::from_secs(1));
+        once.idempotent = false;
+        let answers = steward.reserve(&board, &verdicts, once);
+        assert_eq!(granted(&answers), Some("u1"));
+    }
+    let again = ask(&board, 10, "t", Duration::from_secs(1));
+    let answers = steward.reserve(&board, &verdicts, again);
+    assert_eq!(granted(&answers), Some("u0"));
+    steward.release(&board, &mut verdicts, &release(10, Duration::ZERO));
+    let mut last = ask(&board, 11, "t", Duration::from_secs(1));
+    last.idempotent = false;
+    let answers = steward.reserve(&board, &verdicts, last);
+    assert_eq!(granted(&answers), Some("u0"), "nothing else is free");
+}
+
 #[test]
 fn a_service_without_usable_upstreams_refuses_at_once() {
     let clock = Rc::new(Manual::new());
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -46,6 +46,8 @@
         left: Duration,
         /// Upstreams that were tried already.
         avoid: Vec<UpstreamId>,
+        /// Whether the request may be sent again.
+        idempotent: bool,
     },
     /// Grants a slot.
     Granted {
--- a/crates/wire/src/slots/codec.rs
+++ b/crates/wire/src/slots/codec.rs
@@ -65,8 +65,10 @@
                 tenant,
                 left,
                 avoid,
+                idempotent,
             } => {
                 raw.number = *number;
+                raw.flag = *idempotent;
                 raw.first = self.name(service, bytes)?;
                 raw.second = self.name(tenant.as_deref().unwrap_or_default(), bytes)?;
                 raw.third = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
@@ -226,6 +228,7 @@
                 tenant: self.optional(raw.second)?,
                 left: Duration::from_millis(u64::from(raw.third)),
                 avoid: self.list(&raw.list)?,
+                idempotent: raw.flag,
             },
             Tag::Granted => Frame::Granted {
                 number,
--- a/crates/wire/src/slots/raw.rs
+++ b/crates/wire/src/slots/raw.rs
@@ -60,7 +60,7 @@
     pub third: u32,
     /// Code of a sign, a reason or a verdict.
     pub code: u8,
-    /// Whether the connection had been used before.
+    /// Whether the connection had been used before, or the request may be sent again.
     pub flag: bool,
     /// A name.
     pub text: String,
--- a/crates/wire/tests/slots.rs
+++ b/crates/wire/tests/slots.rs
@@ -50,6 +50,7 @@
                 tenant: tenant(g),
                 left: Duration::from_millis(u64::from(u16::arbitrary(g))),
                 avoid: (0..u8::arbitrary(g) % 3).map(|_| name(g)).collect(),
+                idempotent: bool::arbitrary(g),
             },
             2 => Frame::Granted {
                 number,
@@ -130,6 +131,7 @@
             tenant: Some("clinic-etna".to_owned()),
             left: Duration::from_millis(1_500),
             avoid: Vec::new(),
+            idempotent: true,
         },
         Frame::Granted {
             number,
--- a/programs/pb-lab/src/routing.rs
+++ b/programs/pb-lab/src/routing.rs
@@ -68,6 +68,9 @@
     /// Time that is counted, in seconds
     #[bpaf(long, argument("SECONDS"), fallback(8))]
     seconds: u64,
+    /// Time that a steward has for its first answer, in milliseconds
+    #[bpaf(long, argument("MILLIS"), fallback(4))]
+    steward_timeout_ms: u64,
     /// Seed of arrivals and work
     #[bpaf(long, argument("SEED"), fallback(1))]
     seed: u64,
@@ -152,7 +155,11 @@
         };
         for number in 0..bench.proxies {
             let seeds: Vec<SocketAddr> = stage.addresses.iter().map(|one| one.peers).collect();
-            let further = json!({ "seeds": seeds, "routing": way });
+            let further = json!({
+                "seeds": seeds,
+                "routing": way,
+                "steward_timeout_ms": bench.steward_timeout_ms,
+            });
             let name = format!("host-{number}");
             let zone = ZONES[number % ZONES.len()];
             let (part, addresses) =
--- a/programs/pb-proxy/src/forward.rs
+++ b/programs/pb-proxy/src/forward.rs
@@ -138,6 +138,7 @@
             tenant: plan.tenant.as_deref(),
             deadline: plan.deadline,
             avoid: &trail.avoid,
+            idempotent: !plan.target.route.non_idempotent,
         };
         let reservation = match node.slots().reserve(node, &ask).await {
             Ok(reservation) => reservation,
--- a/programs/pb-proxy/src/slots.rs
+++ b/programs/pb-proxy/src/slots.rs
@@ -211,6 +211,7 @@
                 tenant: ask.tenant.map(str::to_owned),
                 deadline: ask.deadline,
                 avoid: ask.avoid.to_vec(),
+                idempotent: ask.idempotent,
             };
             self.stewards.reserve(node, &ask.service.to_owned(), here);
             return;
@@ -221,6 +222,7 @@
             tenant: ask.tenant.map(str::to_owned),
             left: ask.deadline.saturating_duration_since(node.now()),
             avoid: ask.avoid.to_vec(),
+            idempotent: ask.idempotent,
         };
         self.links.send(steward, frame);
     }
@@ -377,13 +379,16 @@
 /// Drives the stewards on this host until the future is dropped.
 pub async fn run(node: Rc<Node>) {
     let mut reported = node.now();
+    let mut host_changes = 0;
     loop {
         compio::time::sleep(TICK).await;
         let slots = node.slots();
         slots.stewards.tick(&node);
         let decisions = slots.judges.tick(&node);
         slots.stewards.spread(&decisions);
-        if is_due(reported, node.now()) {
+        let changes = node.board().host_changes();
+        if changes != host_changes || is_due(reported, node.now()) {
+            host_changes = changes;
             reported = node.now();
             slots.report_all(&node);
         }
--- a/programs/pb-proxy/src/slots/links.rs
+++ b/programs/pb-proxy/src/slots/links.rs
@@ -25,15 +25,24 @@
 
 use crate::node::Node;
 
-/// Time between two looks at a link, and the silence after which it is pinged.
+/// Time between two looks at a link, and between two pings while an ask waits.
 const PING_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Silence after which a link is replaced.
+/// Time without an answer to a ping after which a link is replaced.
 const SILENCE: Duration = Duration::from_secs(1);
 
+/// Time between two pings while a steward counts reservations of this host.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+
+/// Silence after which a link that is not used is closed.
+const IDLE_LIFETIME: Duration = Duration::from_secs(10);
+
 /// Pause after a link failed.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
 
+/// Late answers in a row after which a steward is not asked for a while.
+const SLOW_TIMES: u32 = 3;
+
 /// First pause after a steward was slow; doubles with each further time.
 const SLOW_PAUSE: Duration = Duration::from_millis(20);
 
@@ -107,15 +116,25 @@
         true
     }
 
-    /// Notes that a steward did not answer in time; it is not asked for a while.
+    /// Notes that a steward did not answer in time; after several times in a row it is not asked
+    /// for a while.
     pub fn note_slow(&self, node: &Node, host: &str) {
         if let Some(link) = self.hosts.borrow_mut().get_mut(host) {
-            let pause = SLOW_PAUSE * 2_u32.saturating_pow(link.slow_times);
-            link.slow_until = Some(node.now() + pause.min(SLOW_PAUSE_MAX));
-            link.slow_times = (link.slow_times + 1).min(MAX_DOUBLINGS);
+            link.slow_times = (link.slow_times + 1).min(SLOW_TIMES + MAX_DOUBLINGS);
+            if let Some(doublings) = link.slow_times.checked_sub(SLOW_TIMES) {
+                let pause = SLOW_PAUSE * 2_u32.saturating_pow(doublings);
+                link.slow_until = Some(node.now() + pause.min(SLOW_PAUSE_MAX));
+            }
         }
     }
 
+    /// Returns whether the last answer of a steward was late.
+    #[must_use]
+    pub fn is_slow(&self, host: &str) -> bool {
+        let hosts = self.hosts.borrow();
+        hosts.get(host).is_some_and(|link| link.slow_times > 0)
+    }
+
     /// Notes that a steward answered in time.
     pub fn note_timely(&self, host: &str) {
         if let Some(link) = self.hosts.borrow_mut().get_mut(host) {
@@ -175,7 +194,12 @@
     slots.report_all(node);
     info!("slots: linked to {host}");
     let writing = spawn(writer.run());
-    let watching = spawn(watch(Rc::clone(node), sender.clone(), Rc::clone(&heard)));
+    let watching = spawn(watch(
+        Rc::clone(node),
+        host.clone(),
+        sender.clone(),
+        Rc::clone(&heard),
+    ));
     let reading = read(node, host, receiver, &heard);
     let closed = sender.closed();
     pin_mut!(reading, closed);
@@ -219,17 +243,31 @@
     }
 }
 
-/// Pings a quiet link and closes a silent one.
-async fn watch(node: Rc<Node>, sender: Sender, heard: Rc<Cell<Instant>>) {
+/// Pings a link that waits for something, and closes it when it stays silent or is not used.
+async fn watch(node: Rc<Node>, host: HostId, sender: Sender, heard: Rc<Cell<Instant>>) {
     let mut number = 0;
+    let mut last = node.now();
+    let mut pinged: Option<Instant> = None;
     while sender.is_open() {
         compio::time::sleep(PING_INTERVAL).await;
-        let silence = node.now().saturating_duration_since(heard.get());
-        if silence >= SILENCE {
+        let now = node.now();
+        pinged = pinged.filter(|pinged| heard.get() < *pinged);
+        if pinged.is_some_and(|pinged| now.saturating_duration_since(pinged) >= SILENCE) {
             sender.close();
-        } else if silence >= PING_INTERVAL {
+            return;
+        }
+        let silence = now.saturating_duration_since(heard.get());
+        let slots = node.slots();
+        let waits = slots.pending.any_at(&host) || slots.links.is_slow(&host);
+        let used = waits || slots.running.any_at(&host);
+        let is_due = now.saturating_duration_since(last) >= KEEP_ALIVE;
+        if waits || (used && is_due) {
             number += 1;
+            last = now;
+            pinged = pinged.or(Some(now));
             sender.send(Frame::Ping { number });
+        } else if !used && silence >= IDLE_LIFETIME {
+            sender.close();
         }
     }
 }
--- a/programs/pb-proxy/src/slots/pending.rs
+++ b/programs/pb-proxy/src/slots/pending.rs
@@ -36,6 +36,13 @@
         }
     }
 
+    /// Returns whether asks wait for a steward.
+    #[must_use]
+    pub fn any_at(&self, steward: &str) -> bool {
+        let asks = self.asks.borrow();
+        asks.values().any(|entry| entry.steward == steward)
+    }
+
     /// Ends the wait of every ask at a steward.
     pub fn give_up(&self, steward: &HostId) {
         let mut asks = self.asks.borrow_mut();
--- a/programs/pb-proxy/src/slots/reservation.rs
+++ b/programs/pb-proxy/src/slots/reservation.rs
@@ -21,6 +21,8 @@
     pub deadline: Instant,
     /// Upstreams that were tried already.
     pub avoid: &'a [UpstreamId],
+    /// Whether the request may be sent again.
+    pub idempotent: bool,
 }
 
 /// How an attempt ended.
--- a/programs/pb-proxy/src/slots/running.rs
+++ b/programs/pb-proxy/src/slots/running.rs
@@ -104,6 +104,13 @@
         self.places.borrow().keys().copied().collect()
     }
 
+    /// Returns whether a steward counts reservations of this host.
+    #[must_use]
+    pub fn any_at(&self, steward: &HostId) -> bool {
+        let places = self.places.borrow();
+        places.values().any(|place| place.told.contains(steward))
+    }
+
     /// Adds a reservation.
     pub fn insert(&self, number: u32, place: Place) {
         self.places.borrow_mut().insert(number, place);
--- a/programs/pb-proxy/src/slots/server.rs
+++ b/programs/pb-proxy/src/slots/server.rs
@@ -1,5 +1,6 @@
 //! Slot connections of other hosts that ask the stewards here.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,6 +33,12 @@
 /// Time between two notes that a host was heard from.
 const HEAR_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Silence after which a connection is closed.
+const SILENCE: Duration = Duration::from_secs(30);
+
+/// Time between two looks for a silent connection.
+const SILENCE_CHECK: Duration = Duration::from_secs(5);
+
 /// Longest time that a host may say is left for an answer.
 const MAX_LEFT: Duration = Duration::from_secs(600);
 
@@ -49,30 +56,48 @@
     host: HostId,
     zone: Zone,
     sender: Sender,
-    heard: Instant,
+    heard: Rc<Cell<Instant>>,
+    /// When the stewards were last told that the host was heard from.
+    noted: Instant,
 }
 
 async fn serve(node: Rc<Node>, stream: TcpStream, from: SocketAddr) {
     let (sender, writer, receiver) = channel::split(stream);
     let writing = spawn(writer.run());
-    let reading = read(node, receiver, sender.clone());
+    let heard = Rc::new(Cell::new(node.now()));
+    let watching = spawn(watch(Rc::clone(&node), sender.clone(), Rc::clone(&heard)));
+    let reading = read(node, receiver, sender.clone(), heard);
     let closed = sender.closed();
     pin_mut!(reading, closed);
     if let futures_util::future::Either::Left((Err(error), _)) = select(reading, closed).await {
         info!("slots: the connection from {from} ended: {error}");
     }
     sender.close();
-    drop(writing);
+    drop((writing, watching));
+}
+
+/// Closes a connection that is silent for long.
+async fn watch(node: Rc<Node>, sender: Sender, heard: Rc<Cell<Instant>>) {
+    while node.now().saturating_duration_since(heard.get()) < SILENCE {
+        compio::time::sleep(SILENCE_CHECK).await;
+    }
+    sender.close();
 }
 
-async fn read(node: Rc<Node>, mut receiver: Receiver, sender: Sender) -> Result<(), Error> {
+async fn read(
+    node: Rc<Node>,
+    mut receiver: Receiver,
+    sender: Sender,
+    heard: Rc<Cell<Instant>>,
+) -> Result<(), Error> {
     let first = timeout(HELLO_TIMEOUT, receiver.next()).await;
     let mut frames = first.map_err(|_| Error::Timeout)??.into_iter();
     let Some(Frame::Hello { host, zone }) = frames.next() else {
         return Err(Error::Malformed("the first frame is no hello".to_owned()));
     };
     let mut session = Session {
-        heard: node.now(),
+        noted: node.now(),
+        heard,
         node,
         host,
         zone,
@@ -97,8 +122,9 @@
     fn take_in(&mut self, frames: Vec<Frame>) -> Result<(), Error> {
         let now = self.node.now();
         let stewards = &self.node.slots().stewards;
-        if now.saturating_duration_since(self.heard) >= HEAR_INTERVAL {
-            self.heard = now;
+        self.heard.set(now);
+        if now.saturating_duration_since(self.noted) >= HEAR_INTERVAL {
+            self.noted = now;
             stewards.hear(&self.node, &self.host);
         }
         for frame in frames {
@@ -116,6 +142,7 @@
                 tenant,
                 left,
                 avoid,
+                idempotent,
             } => {
                 let ask = Ask {
                     ticket: self.ticket(number),
@@ -123,6 +150,7 @@
                     tenant,
                     deadline: now + left.min(MAX_LEFT),
                     avoid,
+                    idempotent,
                 };
                 stewards.reserve(&self.node, &service, ask);
             }
--- a/programs/pb-proxy/tests/slots.rs
+++ b/programs/pb-proxy/tests/slots.rs
@@ -157,6 +157,7 @@
         tenant: Some("farm"),
         deadline: node.now() + PATIENCE,
         avoid: &[],
+        idempotent: true,
     };
     node.slots().reserve(node, &ask).await
 }
