--- a/crates/app/src/lib.rs
+++ b/crates/app/src/lib.rs
@@ -5,7 +5,9 @@
 
 pub mod http;
 pub mod logging;
+pub mod metrics;
 pub mod program;
 pub mod secret;
 pub mod settings;
 pub mod stop;
+pub mod token;
--- a/programs/pb-proxy/src/callers.rs
+++ b/programs/pb-proxy/src/callers.rs
@@ -28,7 +28,10 @@
 use crate::forward;
 use crate::forward::Plan;
 use crate::node::Node;
+use crate::rates;
+use crate::records;
 use crate::refusal;
+use crate::trace::Trace;
 
 /// Largest request head in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -61,7 +64,11 @@
         Self { node }
     }
 
-    async fn run(&self, request: Request<Incoming>) -> Result<Response<Body>, Kind> {
+    async fn run(
+        &self,
+        request: Request<Incoming>,
+        trace: &Rc<Trace>,
+    ) -> Result<Response<Body>, Kind> {
         if !self.node.is_configured() {
             return Err(Kind::NotReady);
         }
@@ -69,6 +76,7 @@
         let (head, body) = request.into_parts();
         check_head(&head)?;
         let target = self.target(&head)?;
+        trace.route(&target);
         let tenant = if target.route.open {
             None
         } else if self.node.is_isolated() {
@@ -76,8 +84,13 @@
         } else {
             Some(auth::tenant(&self.node.board(), &head.headers)?)
         };
-        if target.route.non_idempotent {
-            return Err(Kind::ClaimUnavailable);
+        if let Some(tenant) = &tenant {
+            trace.tenant(tenant);
+        }
+        let idempotency_key = records::key(&target.route, &head.headers)?;
+        let deadline = deadline(started, &target, &head.headers);
+        if let Some(tenant) = &tenant {
+            rates::admit(&self.node, tenant, &target.service, deadline).await?;
         }
         let key = match tenant {
             Some(_) => Some(auth::digest(&head.headers)?),
@@ -85,14 +98,18 @@
         };
         let body = read(body, self.node.settings().body_max_bytes).await?;
         let plan = Plan {
-            deadline: deadline(started, &target, &head.headers),
+            deadline,
             target,
             tenant,
             key,
             head: Rc::new(forwarded(head)),
             body,
+            trace: Rc::clone(trace),
+        };
+        let mut response = match idempotency_key {
+            Some(key) => records::run(&self.node, plan, key).await?,
+            None => forward::send(&self.node, &plan).await?,
         };
-        let mut response = forward::send(&self.node, &plan).await?;
         strip_hop_by_hop(response.headers_mut());
         Ok(response)
     }
@@ -116,7 +133,10 @@
 impl Handler for Callers {
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         let name = self.name();
-        let outcome = self.run(request).await;
+        let trace = Rc::new(Trace::new(name.clone(), self.node.now()));
+        let outcome = self.run(request, &trace).await;
+        let ended = outcome.as_ref().map(|response| response.status().as_u16());
+        trace.end(&self.node, ended.map_err(|kind| *kind));
         let mut response = outcome.unwrap_or_else(|kind| refusal::response(kind, &name));
         if self.node.stop().is_asked() {
             http::say_last(&mut response);
--- a/programs/pb-proxy/src/forward.rs
+++ b/programs/pb-proxy/src/forward.rs
@@ -35,6 +35,7 @@
 use crate::slots::Ask;
 use crate::slots::Report;
 use crate::slots::Reservation;
+use crate::trace::Trace;
 
 /// Header that tells an upstream how many milliseconds are left.
 pub const DEADLINE_HEADER: &str = "x-request-deadline-ms";
@@ -60,6 +61,8 @@
     pub body: Bytes,
     /// When the answer is due.
     pub deadline: Instant,
+    /// What is noted of the request.
+    pub trace: Rc<Trace>,
 }
 
 impl Plan {
@@ -147,6 +150,7 @@
         if let Err(kind) = plan.still_allowed(node) {
             return trail.end(kind);
         }
+        plan.trace.attempt(reservation.upstream());
         if let Some(response) = visit(node, plan, reservation, &mut trail).await {
             return response;
         }
--- a/programs/pb-proxy/src/peer.rs
+++ b/programs/pb-proxy/src/peer.rs
@@ -1,13 +1,17 @@
 //! The peer interface as a remote procedure call server.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use capnp::Error;
 use capnp::capability::Rc as Server;
 use log::info;
+use log::warn;
 use persimmonbend_core::key::Digest;
+use persimmonbend_core::throttle::Throttle;
 use persimmonbend_wire::fleet_capnp::peer;
 
+use crate::explain;
 use crate::gossip;
 use crate::node::Node;
 use crate::subscription;
@@ -15,11 +19,13 @@
 /// Returns a capability that serves `node`.
 #[must_use]
 pub fn client(node: Rc<Node>) -> peer::Client {
-    capnp_rpc::new_client(Peer { node })
+    let throttle = RefCell::default();
+    capnp_rpc::new_client(Peer { node, throttle })
 }
 
 struct Peer {
     node: Rc<Node>,
+    throttle: RefCell<Throttle>,
 }
 
 impl peer::Server for Peer {
@@ -36,7 +42,13 @@
         params: peer::GossipParams,
         mut results: peer::GossipResults,
     ) -> Result<(), Error> {
-        let reply = gossip::answer(&self.node, params.get()?.get_message()?)?;
+        let message = params.get()?.get_message()?;
+        let reply = gossip::answer(&self.node, message);
+        let reply = reply.inspect_err(|error| {
+            if let Some(held) = self.throttle.borrow_mut().admit(self.node.now()) {
+                warn!("members: dropped gossip: {error}; {held} more before");
+            }
+        })?;
         results.get().set_reply(&reply);
         Ok(())
     }
@@ -87,6 +99,20 @@
         Ok(())
     }
 
+    async fn explain(
+        self: Server<Self>,
+        params: peer::ExplainParams,
+        mut results: peer::ExplainResults,
+    ) -> Result<(), Error> {
+        let query = params.get()?.get_query()?;
+        let query =
+            serde_json::from_slice(query).map_err(|error| Error::failed(error.to_string()))?;
+        let answer = explain::answer(&self.node, &query);
+        let answer = answer.map_err(|error| Error::failed(error.to_string()))?;
+        results.get().set_report(answer.to_string().as_bytes());
+        Ok(())
+    }
+
     async fn dump(
         self: Server<Self>,
         _params: peer::DumpParams,
--- a/programs/pb-proxy/src/settings.rs
+++ b/programs/pb-proxy/src/settings.rs
@@ -61,6 +61,8 @@
     routing: Routing,
     #[serde(default)]
     steward_timeout_ms: Option<u64>,
+    #[serde(default)]
+    metrics: Option<String>,
 }
 
 /// Checked settings.
@@ -99,6 +101,8 @@
     pub routing: Routing,
     /// Time that a steward has for its first answer.
     pub steward_timeout: Duration,
+    /// Receiver of metrics, if there is one.
+    pub metrics: Option<SocketAddr>,
 }
 
 impl TryFrom<File> for Settings {
@@ -132,6 +136,8 @@
             "isolation_ms",
             "must be at least 1000",
         );
+        let metrics = file.metrics.as_deref();
+        let metrics = metrics.and_then(|text| faults.address(text, "metrics"));
         let secret = secret::read(&mut faults, "secret_file", &file.secret_file);
         let stop_notice_ms = file.stop_notice_ms.unwrap_or(DEFAULT_STOP_NOTICE_MS);
         let steward_timeout_ms = file
@@ -155,6 +161,7 @@
                 connections_max: file.connections.unwrap_or(DEFAULT_CONNECTIONS),
                 routing: file.routing,
                 steward_timeout: Duration::from_millis(steward_timeout_ms),
+                metrics,
             })
         })();
         faults.into_result(settings)
