--- /dev/null
+++ b/programs/pb-lab/src/capacity/measure.rs
@@ -0,0 +1,260 @@
+//! Slopes of memory, time and bytes that one process can show.
+
+use std::hint::black_box;
+use std::process::Command;
+use std::rc::Rc;
+use std::time::Instant;
+
+use anyhow::Context;
+use hyper::HeaderMap;
+use hyper::header::AUTHORIZATION;
+use hyper::header::HeaderValue;
+use persimmonbend_core::board::Board;
+use persimmonbend_core::clock::System;
+use persimmonbend_core::config::Change;
+use persimmonbend_core::config::State;
+use persimmonbend_core::key::Secret;
+
+use crate::capacity::fit::slope;
+use crate::capacity::grow;
+
+/// Bytes of a page of memory.
+const PAGE_BYTES: f64 = 4_096.0;
+
+/// Key checks whose mean time is taken.
+const KEY_CHECKS: u32 = 100_000;
+
+/// Changes whose mean time is taken.
+const CHANGES: u32 = 20;
+
+const KEYS: usize = 126_000;
+const TENANTS: usize = 63_000;
+const ROUTES: usize = 6_100;
+const SERVICES: usize = 1_600;
+const UPSTREAMS: usize = 24_000;
+const HOSTS: usize = 2_800;
+
+/// One measured slope.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Measured {
+    /// Name in the file of slopes.
+    pub name: &'static str,
+    /// Value in the unit of that file.
+    pub value: f64,
+}
+
+/// What a process can be filled with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Content {
+    /// Key digests of a configuration.
+    Keys,
+    /// Tenants of a configuration.
+    Tenants,
+    /// Routes in force.
+    Routes,
+    /// Upstreams on a board.
+    Upstreams,
+    /// Hosts on a board.
+    Hosts,
+}
+
+impl Content {
+    const ALL: [Self; 5] = [
+        Self::Keys,
+        Self::Tenants,
+        Self::Routes,
+        Self::Upstreams,
+        Self::Hosts,
+    ];
+
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Keys => "memory_key",
+            Self::Tenants => "memory_tenant",
+            Self::Routes => "memory_route",
+            Self::Upstreams => "memory_upstream",
+            Self::Hosts => "memory_host",
+        }
+    }
+
+    const fn whole(self) -> usize {
+        match self {
+            Self::Keys => KEYS,
+            Self::Tenants => TENANTS,
+            Self::Routes => ROUTES,
+            Self::Upstreams => UPSTREAMS,
+            Self::Hosts => HOSTS,
+        }
+    }
+}
+
+impl std::str::FromStr for Content {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let found = Self::ALL.into_iter().find(|one| one.name() == text);
+        found.ok_or_else(|| format!("there is no content {text}"))
+    }
+}
+
+/// Measures the slopes at a quarter, a half and the whole of the target's sizes.
+///
+/// Memory is measured in a process of its own for each size, since memory that was freed would be
+/// used again.
+///
+/// # Errors
+///
+/// Returns an error when a process cannot be started or its memory cannot be read.
+pub fn measure() -> anyhow::Result<Vec<Measured>> {
+    let mut found = vec![measured("memory_process", resident()?)];
+    for content in Content::ALL {
+        found.push(measured(content.name(), memory(content)?));
+    }
+    found.extend(documents()?);
+    found.extend(times()?);
+    Ok(found)
+}
+
+/// Fills this process and returns the bytes of memory that it then takes.
+///
+/// # Errors
+///
+/// Returns an error when the memory of the process cannot be read.
+pub fn fill(content: Content, size: usize) -> anyhow::Result<f64> {
+    let state = match content {
+        Content::Keys => filled(size, |number| grow::key(number).0),
+        Content::Tenants => filled(size, grow::tenant),
+        Content::Routes => return kept(&routed(size)),
+        Content::Upstreams => return kept(&grow::upstreams(size)),
+        Content::Hosts => return kept(&grow::hosts(size)),
+    };
+    kept(&state)
+}
+
+fn kept<T>(content: &T) -> anyhow::Result<f64> {
+    let bytes = resident()?;
+    black_box(content);
+    Ok(bytes)
+}
+
+fn filled<F: Fn(usize) -> Change>(size: usize, change: F) -> State {
+    let mut state = grow::empty();
+    for number in 0..size {
+        grow::apply(&mut state, change(number));
+    }
+    state
+}
+
+/// Returns a board that has routes in force, as a proxy holds them.
+fn routed(size: usize) -> Board {
+    let mut state = grow::empty();
+    let services = size * SERVICES / ROUTES;
+    grow::apply(&mut state, grow::routes(services, size));
+    let mut board = Board::new(Rc::new(System));
+    board.put_config(state);
+    board
+}
+
+/// Returns the bytes of memory that one more item takes.
+fn memory(content: Content) -> anyhow::Result<f64> {
+    let program = std::env::current_exe()?;
+    let mut points = Vec::new();
+    for size in [content.whole() / 4, content.whole() / 2, content.whole()] {
+        let output = Command::new(&program)
+            .args(["fill", content.name(), &size.to_string()])
+            .output()?;
+        let text = String::from_utf8(output.stdout)?;
+        points.push((as_float(size), text.trim().parse()?));
+    }
+    Ok(slope(&points))
+}
+
+/// Returns the bytes of one item in a snapshot.
+fn documents() -> anyhow::Result<Vec<Measured>> {
+    let length = |state: &State| anyhow::Ok(as_float(serde_json::to_vec(state)?.len()));
+    let mut keys = Vec::new();
+    let mut tenants = Vec::new();
+    for size in [1_000, 2_000, 4_000] {
+        let state = filled(size, |number| grow::key(number).0);
+        keys.push((as_float(size), length(&state)?));
+        let state = filled(size, grow::tenant);
+        tenants.push((as_float(size), length(&state)?));
+    }
+    Ok(vec![
+        measured("snapshot_key", slope(&keys)),
+        measured("snapshot_tenant", slope(&tenants)),
+    ])
+}
+
+/// Returns the times at the target's size: a key check, a change, a snapshot.
+fn times() -> anyhow::Result<Vec<Measured>> {
+    let mut state = grow::empty();
+    let mut last = None;
+    for number in 0..TENANTS {
+        grow::apply(&mut state, grow::tenant(number));
+    }
+    for number in 0..KEYS {
+        let (change, secret) = grow::key(number % TENANTS);
+        grow::apply(&mut state, change);
+        last = Some(secret);
+    }
+    grow::apply(&mut state, grow::routes(SERVICES, ROUTES));
+    let last = last.context("no key was issued")?;
+    let started = Instant::now();
+    let snapshot = serde_json::to_vec(&state)?;
+    let encode = started.elapsed();
+    let started = Instant::now();
+    let decoded: State = serde_json::from_slice(&snapshot)?;
+    let decode = started.elapsed();
+    anyhow::ensure!(decoded == state, "the snapshot is not the state");
+    let mut board = Board::new(Rc::new(System));
+    board.put_config(state);
+    Ok(vec![
+        measured("snapshot_bytes", as_float(snapshot.len())),
+        measured("snapshot_encode_ms", encode.as_secs_f64() * 1_000.0),
+        measured("snapshot_decode_ms", decode.as_secs_f64() * 1_000.0),
+        measured("key_check_us", key_check_us(&board, &last)?),
+        measured("change_ms", change_ms(&mut board)),
+    ])
+}
+
+fn key_check_us(board: &Board, secret: &Secret) -> anyhow::Result<f64> {
+    let mut headers = HeaderMap::new();
+    let value = HeaderValue::from_str(&format!("Bearer {}", secret.reveal()))?;
+    headers.insert(AUTHORIZATION, value);
+    let started = Instant::now();
+    for _ in 0..KEY_CHECKS {
+        let tenant = pb_proxy::auth::tenant(board, black_box(&headers));
+        anyhow::ensure!(tenant.is_ok(), "the key is not known");
+    }
+    Ok(started.elapsed().as_secs_f64() * 1_000_000.0 / f64::from(KEY_CHECKS))
+}
+
+/// Returns the time that a proxy takes to put one change in force.
+fn change_ms(board: &mut Board) -> f64 {
+    let started = Instant::now();
+    for _ in 0..CHANGES {
+        let mut state = State::clone(&board.config());
+        grow::apply(&mut state, grow::tenant(0));
+        board.put_config(state);
+    }
+    started.elapsed().as_secs_f64() * 1_000.0 / f64::from(CHANGES)
+}
+
+const fn measured(name: &'static str, value: f64) -> Measured {
+    Measured { name, value }
+}
+
+fn resident() -> anyhow::Result<f64> {
+    let text = std::fs::read_to_string("/proc/self/statm")?;
+    let pages = text
+        .split(' ')
+        .nth(1)
+        .context("statm has no second field")?;
+    Ok(pages.parse::<f64>()? * PAGE_BYTES)
+}
+
+#[allow(clippy::cast_precision_loss)]
+const fn as_float(size: usize) -> f64 {
+    size as f64
+}
--- /dev/null
+++ b/programs/pb-lab/src/capacity/tables.rs
@@ -0,0 +1,204 @@
+//! The tables of the capacity page.
+
+use std::fmt::Write;
+
+use crate::capacity::slopes::Slopes;
+
+const DAEMONS: f64 = 2_800.0;
+const UPSTREAMS: f64 = 24_000.0;
+const ROUTES: f64 = 6_100.0;
+const TENANTS: f64 = 63_000.0;
+const KEYS: f64 = 126_000.0;
+const REQUESTS_PER_S: f64 = 210_000.0;
+const CHANGES_PER_DAY: f64 = 4_600.0;
+const RESTARTS_PER_DAY: f64 = 3_500.0;
+const CONTROL_HOSTS: f64 = 12.0;
+const DAY_S: f64 = 86_400.0;
+const MEGABYTE: f64 = 1_000_000.0;
+const KILOBYTE: f64 = 1_000.0;
+const MILLIS_PER_S: f64 = 1_000.0;
+const MICROS_PER_S: f64 = 1_000_000.0;
+
+/// Budgets of one daemon for control.
+const MAX_MEMORY_MB: f64 = 32.0;
+const MAX_CORE_PERCENT: f64 = 1.0;
+const MAX_KILOBYTES_PER_S: f64 = 30.0;
+
+/// One line: a count times a slope, in a unit.
+struct Line {
+    what: &'static str,
+    count: f64,
+    slope: &'static str,
+    scale: f64,
+}
+
+/// Lines with their sum and the budget for it.
+struct Table {
+    title: &'static str,
+    unit: &'static str,
+    limit: Option<f64>,
+    lines: &'static [Line],
+}
+
+const PER_DAEMON: f64 = REQUESTS_PER_S / DAEMONS;
+
+const TABLES: &[Table] = &[
+    Table {
+        title: "Memory of a daemon",
+        unit: "MB",
+        limit: Some(MAX_MEMORY_MB),
+        lines: &[
+            line("process at its start", 1.0, "memory_process", MEGABYTE),
+            line("key digests", KEYS, "memory_key", MEGABYTE),
+            line("tenants", TENANTS, "memory_tenant", MEGABYTE),
+            line("routes", ROUTES, "memory_route", MEGABYTE),
+            line("upstreams", UPSTREAMS, "memory_upstream", MEGABYTE),
+            line("daemons", DAEMONS, "memory_host", MEGABYTE),
+            line(
+                "membership of upstreams",
+                UPSTREAMS,
+                "memory_membership",
+                MEGABYTE,
+            ),
+        ],
+    },
+    Table {
+        title: "Processor time of a daemon for control",
+        unit: "% of a core",
+        limit: Some(MAX_CORE_PERCENT),
+        lines: &[
+            line(
+                "changes put in force",
+                CHANGES_PER_DAY / DAY_S,
+                "change_ms",
+                MILLIS_PER_S / 100.0,
+            ),
+            line(
+                "slots: calls as host and as steward",
+                PER_DAEMON,
+                "slot_call_us",
+                MICROS_PER_S / 100.0,
+            ),
+            line("gossip", 1.0, "gossip_core_percent", 1.0),
+            line("grants of rates", 1.0, "grants_core_percent", 1.0),
+        ],
+    },
+    Table {
+        title: "Processor time of a daemon for requests",
+        unit: "% of a core",
+        limit: None,
+        lines: &[line(
+            "key checks",
+            PER_DAEMON,
+            "key_check_us",
+            MICROS_PER_S / 100.0,
+        )],
+    },
+    Table {
+        title: "Control traffic of a daemon",
+        unit: "KB/s",
+        limit: Some(MAX_KILOBYTES_PER_S),
+        lines: &[
+            line(
+                "changes of configuration",
+                CHANGES_PER_DAY / DAY_S,
+                "change_bytes",
+                KILOBYTE,
+            ),
+            line(
+                "slots: calls as host and as steward",
+                PER_DAEMON,
+                "slot_call_bytes",
+                KILOBYTE,
+            ),
+            line("gossip", 1.0, "gossip_bytes", KILOBYTE),
+            line("grants of rates", 1.0, "grants_bytes", KILOBYTE),
+        ],
+    },
+    Table {
+        title: "Control host: snapshots for restarts, spread over a day and 12 hosts",
+        unit: "KB/s",
+        limit: None,
+        lines: &[line(
+            "snapshots sent",
+            RESTARTS_PER_DAY / DAY_S / CONTROL_HOSTS,
+            "snapshot_bytes",
+            KILOBYTE,
+        )],
+    },
+    Table {
+        title: "Control host: snapshots for a lost zone of daemons that comes back at once",
+        unit: "MB",
+        limit: None,
+        lines: &[line(
+            "snapshots sent",
+            DAEMONS / 18.0 / CONTROL_HOSTS,
+            "snapshot_bytes",
+            MEGABYTE,
+        )],
+    },
+    Table {
+        title: "Start of a daemon: time to read the snapshot",
+        unit: "ms",
+        limit: None,
+        lines: &[line("snapshot decoded", 1.0, "snapshot_decode_ms", 1.0)],
+    },
+];
+
+/// Returns the tables in the form of the page.
+#[must_use]
+pub fn tables(slopes: &Slopes) -> String {
+    let mut text = String::new();
+    for table in TABLES {
+        write_table(&mut text, table, slopes);
+    }
+    write_slopes(&mut text, slopes);
+    text
+}
+
+const fn line(what: &'static str, count: f64, slope: &'static str, scale: f64) -> Line {
+    Line {
+        what,
+        count,
+        slope,
+        scale,
+    }
+}
+
+fn write_table(text: &mut String, table: &Table, slopes: &Slopes) {
+    let _ = writeln!(text, "### {}\n", table.title);
+    let _ = writeln!(text, "| part | count | slope | {} |", table.unit);
+    let _ = writeln!(text, "| --- | --- | --- | --- |");
+    let mut sum = 0.0;
+    let mut missing = 0;
+    for line in table.lines {
+        let value = slopes.value(line.slope);
+        let product = value.map(|value| value * line.count / line.scale);
+        sum += product.unwrap_or_default();
+        missing += usize::from(product.is_none());
+        let shown = product.map_or("not measured yet".to_owned(), |one| format!("{one:.3}"));
+        let (what, count, slope) = (line.what, line.count, line.slope);
+        let _ = writeln!(text, "| {what} | {count:.4} | `{slope}` | {shown} |");
+    }
+    let _ = writeln!(text, "| **sum of what is measured** | | | {sum:.3} |\n");
+    let Some(limit) = table.limit else { return };
+    let unit = table.unit;
+    let verdict = match (sum > limit, missing) {
+        (true, _) => format!("over the limit by {:.1} {unit}", sum - limit),
+        (false, 0) => format!("within the limit, {:.1} {unit} left", limit - sum),
+        (false, _) => format!("open: {missing} parts are not measured yet"),
+    };
+    let _ = writeln!(text, "Limit {limit} {unit}: {verdict}.\n");
+}
+
+fn write_slopes(text: &mut String, slopes: &Slopes) {
+    let _ = writeln!(text, "### Slopes\n");
+    let _ = writeln!(text, "| slope | value | unit | command |");
+    let _ = writeln!(text, "| --- | --- | --- | --- |");
+    for slope in slopes.all().values() {
+        let value = slope.value;
+        let value = value.map_or("not measured yet".to_owned(), |value| format!("{value:.3}"));
+        let (name, unit, command) = (&slope.name, &slope.unit, &slope.command);
+        let _ = writeln!(text, "| `{name}` | {value} | {unit} | {command} |");
+    }
+}
--- a/programs/pb-lab/src/command.rs
+++ b/programs/pb-lab/src/command.rs
@@ -1,6 +1,8 @@
 //! The command line.
 
 use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -10,8 +12,10 @@
 use persimmonbend_app::program::EXIT_USAGE;
 use persimmonbend_app::program::Log;
 use persimmonbend_app::program::log;
+use persimmonbend_app::settings;
 use persimmonbend_app::stop::Stop;
 
+use crate::capacity;
 use crate::demo;
 use crate::upstream;
 use crate::upstream::Ledger;
@@ -37,6 +41,29 @@
         #[bpaf(long)]
         json: bool,
     },
+    /// Print the tables of the capacity page from the file of slopes
+    #[bpaf(command)]
+    Capacity {
+        /// File of slopes
+        #[bpaf(
+            positional("FILE"),
+            fallback(PathBuf::from("docs/capacity/slopes.jsonc"))
+        )]
+        slopes: PathBuf,
+    },
+    /// Measure the slopes of memory, time and bytes that one process can show
+    #[bpaf(command)]
+    Slopes,
+    /// Fill this process and print the bytes of memory that it takes
+    #[bpaf(command, hide)]
+    Fill {
+        /// What to fill it with
+        #[bpaf(positional("CONTENT"))]
+        content: capacity::Content,
+        /// How many of it
+        #[bpaf(positional("COUNT"))]
+        count: usize,
+    },
     /// Run one stand-in upstream until it is interrupted
     #[bpaf(command)]
     Upstream {
@@ -76,6 +103,12 @@
     }
     match arguments.command {
         Command::Demo { json } => program::run(demo::run(json)),
+        Command::Capacity { slopes } => program::run(async move { print_tables(&slopes) }),
+        Command::Fill { content, count } => program::run(async move {
+            println!("{}", capacity::fill(content, count)?);
+            Ok(())
+        }),
+        Command::Slopes => program::run(async { print_slopes() }),
         Command::Upstream {
             id,
             service,
@@ -101,6 +134,19 @@
     }
 }
 
+fn print_tables(file: &Path) -> anyhow::Result<()> {
+    let slopes = settings::load::<capacity::File, capacity::Slopes>(file)?;
+    print!("{}", capacity::tables(&slopes));
+    Ok(())
+}
+
+fn print_slopes() -> anyhow::Result<()> {
+    for slope in capacity::measure()? {
+        println!("{} {:.3}", slope.name, slope.value);
+    }
+    Ok(())
+}
+
 async fn serve(setup: Setup) -> anyhow::Result<()> {
     let stop = Stop::new();
     compio::runtime::spawn(program::watch_signals(stop.clone())).detach();
