--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -14,6 +14,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use log::error;
@@ -73,6 +74,7 @@
     role: Role,
     leader: Option<Id>,
     heard: Option<Instant>,
+    told_commit: Index,
     granted_until: Option<Instant>,
     deadline: Instant,
     hello_due: Instant,
@@ -131,6 +133,7 @@
             role: Role::Follower,
             leader: None,
             heard: None,
+            told_commit: 0,
             granted_until: None,
             deadline: now,
             hello_due: now,
@@ -187,6 +190,18 @@
         }
     }
 
+    /// Returns whether the replica delivered all that a leader had committed when it was last
+    /// heard, and heard it within `age`.
+    #[must_use]
+    pub fn is_current(&self, age: Duration) -> bool {
+        let now = self.clock.now();
+        let lately = self.heard().is_some_and(|heard| now < heard + age);
+        match &self.role {
+            Role::Leader(lead) => lately && self.delivered >= lead.opening(),
+            _ => lately && self.delivered >= self.told_commit,
+        }
+    }
+
     /// Returns why the replica stopped, if it did.
     #[must_use]
     pub fn failure(&self) -> Option<&str> {
--- a/crates/replica/src/replica/follow.rs
+++ b/crates/replica/src/replica/follow.rs
@@ -31,6 +31,7 @@
         }
         self.hear(from.clone());
         let round = append.round;
+        self.told_commit = append.commit;
         let progress = self.take(append);
         if self.failure.is_none() {
             self.send(from, Body::Reply { round, progress });
@@ -44,6 +45,7 @@
         }
         self.hear(from.clone());
         let round = install.round;
+        self.told_commit = self.told_commit.max(install.last.index);
         let progress = self.take_chunk(install);
         self.send(from, Body::Reply { round, progress });
     }
--- a/crates/replica/src/replica/founding.rs
+++ b/crates/replica/src/replica/founding.rs
@@ -61,20 +61,24 @@
         }
     }
 
+    /// Answers a replica without members.
+    ///
+    /// One that missed the founding is told committed members, with which it may vote; its empty
+    /// log keeps it from winning an election against those who hold the entries before.
     pub(super) fn on_hello(&mut self, from: Id, storage: Option<StorageId>, address: String) {
         let applicant = Applicant { id: from, address };
         if self.log.members().is_empty() {
             self.meet(applicant, storage.is_some());
             return;
         }
-        let founders = &self.log.snapshot().members;
+        let settled = &self.log.snapshot().members;
         if self.log.members().get(&applicant.id).is_none() {
             let host = applicant.id.host.clone();
             if self.applicants.len() < MAX_APPLICANTS || self.applicants.contains_key(&host) {
                 self.applicants.insert(host, applicant);
             }
-        } else if founders.get(&applicant.id).is_some() && self.log.snapshot().index == 0 {
-            let body = Body::Found(founders.clone());
+        } else if settled.get(&applicant.id).is_some() {
+            let body = Body::Found(settled.clone());
             self.send(applicant.id, body);
         }
     }
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -13,6 +13,7 @@
 use crate::fleet_capnp::control;
 use crate::link::CALL_TIMEOUT;
 use crate::link::call;
+use crate::members;
 use crate::update::Update;
 
 /// Time beyond its wait that a watch may take.
@@ -107,6 +108,31 @@
         Ok(serde_json::from_slice(response.get()?.get_report()?)?)
     }
 
+    /// Changes one replica of the log and waits until the change is committed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotLeader`] from a follower and [`Error::Remote`] with the reason of a
+    /// refusal. After [`Error::Timeout`] the outcome is unknown; the status tells it.
+    pub async fn members(&self, order: &members::Order) -> Result<(), Error> {
+        let mut request = self.remote.members_request();
+        request.get().set_order(&serde_json::to_vec(order)?);
+        call(SUBMIT_TIMEOUT, request.send().promise).await?;
+        Ok(())
+    }
+
+    /// Hands messages of the replicated log to the replica and returns its reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure of the call.
+    pub async fn replicate(&self, batch: &[u8], limit: Duration) -> Result<Vec<u8>, Error> {
+        let mut request = self.remote.replicate_request();
+        request.get().set_message(batch);
+        let response = call(limit, request.send().promise).await?;
+        Ok(response.get()?.get_reply()?.to_vec())
+    }
+
     /// Returns the state of the replica as JSON.
     ///
     /// # Errors
--- a/crates/wire/src/fleet_capnp.rs
+++ b/crates/wire/src/fleet_capnp.rs
@@ -2287,6 +2287,8 @@
     pub type DumpResults<> = ::capnp::capability::Results<crate::fleet_capnp::control::dump_results::Owned>;
     pub type SnapshotParams<> = ::capnp::capability::Params<crate::fleet_capnp::control::snapshot_params::Owned>;
     pub type SnapshotResults<> = ::capnp::capability::Results<crate::fleet_capnp::control::snapshot_results::Owned>;
+    pub type MembersParams<> = ::capnp::capability::Params<crate::fleet_capnp::control::members_params::Owned>;
+    pub type MembersResults<> = ::capnp::capability::Results<crate::fleet_capnp::control::members_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -2369,6 +2371,9 @@
         pub fn snapshot_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::control::snapshot_params::Owned,crate::fleet_capnp::control::snapshot_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 10, ::core::option::Option::None)
         }
+        pub fn members_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::control::members_params::Owned,crate::fleet_capnp::control::members_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 11, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn ping(self: ::capnp::capability::Rc<Self>, _: PingParams<>, _: PingResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::ping not implemented".to_string()))) }
@@ -2382,6 +2387,7 @@
         fn status(self: ::capnp::capability::Rc<Self>, _: StatusParams<>, _: StatusResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::status not implemented".to_string()))) }
         fn dump(self: ::capnp::capability::Rc<Self>, _: DumpParams<>, _: DumpResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::dump not implemented".to_string()))) }
         fn snapshot(self: ::capnp::capability::Rc<Self>, _: SnapshotParams<>, _: SnapshotResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::snapshot not implemented".to_string()))) }
+        fn members(self: ::capnp::capability::Rc<Self>, _: MembersParams<>, _: MembersResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method control::Server::members not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -2422,6 +2428,7 @@
                 8 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::status(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 9 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::dump(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 10 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::snapshot(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                11 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::members(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -7046,6 +7053,379 @@
             pub(crate) const TYPE_ID: u64 = 0xea65_e873_d6d1_8ad7;
         }
     }
+
+    pub mod members_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_order(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_order(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_order(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_order(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_order(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_order(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(134, 70, 55, 68, 237, 182, 131, 212),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 67, 111, 110, 116),
+                ::capnp::word(114, 111, 108, 46, 109, 101, 109, 98),
+                ::capnp::word(101, 114, 115, 36, 80, 97, 114, 97),
+                ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(111, 114, 100, 101, 114, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xd483_b6ed_4437_4686;
+        }
+    }
+
+    pub mod members_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(86, 31, 91, 173, 199, 23, 141, 220),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 67, 111, 110, 116),
+                ::capnp::word(114, 111, 108, 46, 109, 101, 109, 98),
+                ::capnp::word(101, 114, 115, 36, 82, 101, 115, 117),
+                ::capnp::word(108, 116, 115, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xdc8d_17c7_ad5b_1f56;
+        }
+    }
 }
 
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod handshake;
 pub mod link;
 pub mod listener;
+pub mod members;
 pub mod peer;
 pub mod slots;
 pub mod update;
--- a/crates/wire/src/listener.rs
+++ b/crates/wire/src/listener.rs
@@ -56,6 +56,21 @@
         })
     }
 
+    /// Takes over a bound socket.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Io`] when the socket cannot be used.
+    pub fn adopt(socket: std::net::TcpListener, secret: Secret) -> Result<Self, Error> {
+        socket.set_nonblocking(true)?;
+        Ok(Self {
+            socket: TcpListener::from_std(socket)?,
+            secret,
+            roles: Roles::default(),
+            slots: None,
+        })
+    }
+
     /// Sets the capabilities that the process serves.
     #[must_use]
     pub fn roles(mut self, roles: Roles) -> Self {
--- /dev/null
+++ b/programs/pb-control/src/links.rs
@@ -0,0 +1,179 @@
+//! Messages to the other replicas.
+//!
+//! Each other host has a queue and a task that sends it in batches over one link. A batch that is
+//! not acknowledged in time closes the link, so that one gone silent is dialled anew. Messages may
+//! be lost; the protocol repeats what matters.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::runtime::JoinHandle;
+use compio::runtime::spawn;
+use event_listener::Event;
+use log::info;
+use persimmonbend_core::id::HostId;
+use persimmonbend_replica::message::Body;
+use persimmonbend_replica::message::Message;
+use persimmonbend_wire::control::Client;
+use persimmonbend_wire::error::Error;
+use persimmonbend_wire::handshake::Secret;
+use persimmonbend_wire::link::Link;
+
+use crate::node::Node;
+use crate::settings::Settings;
+
+/// Messages kept for one host; the oldest are dropped first.
+const MAX_QUEUE: usize = 256;
+
+/// Time for a batch to be acknowledged.
+const BATCH_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Pause after a link failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Links to the other replicas.
+pub struct Links {
+    node: Rc<Node>,
+    secret: Secret,
+    host: HostId,
+    listed: BTreeMap<HostId, SocketAddr>,
+    learned: RefCell<BTreeMap<HostId, SocketAddr>>,
+    queues: RefCell<BTreeMap<HostId, Rc<Queue>>>,
+}
+
+struct Queue {
+    messages: RefCell<VecDeque<Message>>,
+    filled: Event,
+    _sender: RefCell<Option<JoinHandle<()>>>,
+}
+
+impl Links {
+    /// Creates links that dial when there is something to send.
+    #[must_use]
+    pub fn new(node: Rc<Node>, settings: &Settings) -> Self {
+        let listed = settings.replicas.iter();
+        Self {
+            node,
+            secret: settings.secret.clone(),
+            host: settings.host.clone(),
+            listed: listed.map(|one| (one.host.clone(), one.address)).collect(),
+            learned: RefCell::new(BTreeMap::new()),
+            queues: RefCell::new(BTreeMap::new()),
+        }
+    }
+
+    /// Learns the address of a replica that asks to be taken in.
+    pub fn learn(&self, message: &Message) {
+        if let Body::Hello { address } = &message.body
+            && let Ok(address) = address.parse()
+        {
+            let host = message.from.host.clone();
+            self.learned.borrow_mut().insert(host, address);
+        }
+    }
+
+    /// Queues a message.
+    pub fn send(self: &Rc<Self>, message: Message) {
+        let queue = self.queue(&message.to);
+        let mut messages = queue.messages.borrow_mut();
+        if messages.len() >= MAX_QUEUE {
+            messages.pop_front();
+        }
+        messages.push_back(message);
+        queue.filled.notify(usize::MAX);
+    }
+
+    fn queue(self: &Rc<Self>, host: &HostId) -> Rc<Queue> {
+        let mut queues = self.queues.borrow_mut();
+        if let Some(queue) = queues.get(host) {
+            return Rc::clone(queue);
+        }
+        let queue = Rc::new(Queue {
+            messages: RefCell::new(VecDeque::new()),
+            filled: Event::new(),
+            _sender: RefCell::new(None),
+        });
+        let sending = Rc::clone(self).serve(host.clone(), Rc::clone(&queue));
+        *queue._sender.borrow_mut() = Some(spawn(sending));
+        queues.insert(host.clone(), Rc::clone(&queue));
+        queue
+    }
+
+    async fn serve(self: Rc<Self>, host: HostId, queue: Rc<Queue>) {
+        let mut reached = false;
+        loop {
+            let error = match self.address(&host) {
+                Some(address) => self.serve_link(address, &queue, &mut reached).await,
+                None => Error::Role,
+            };
+            if reached {
+                info!("control: lost replica {host}: {error}");
+                reached = false;
+            }
+            queue.messages.borrow_mut().clear();
+            compio::time::sleep(RETRY_PAUSE).await;
+            queue.wait().await;
+        }
+    }
+
+    async fn serve_link(&self, address: SocketAddr, queue: &Queue, reached: &mut bool) -> Error {
+        let link = match Link::connect(address, &self.host, &self.secret).await {
+            Ok(link) => link,
+            Err(error) => return error,
+        };
+        let control = match link.control() {
+            Ok(control) => control,
+            Err(error) => return error,
+        };
+        loop {
+            queue.wait().await;
+            let batch = std::mem::take(&mut *queue.messages.borrow_mut());
+            match self.send_batch(&control, batch).await {
+                Ok(()) => *reached = true,
+                Err(error) => return error,
+            }
+        }
+    }
+
+    async fn send_batch(&self, control: &Client, batch: VecDeque<Message>) -> Result<(), Error> {
+        let batch = postcard::to_stdvec(&batch).map_err(malformed)?;
+        let reply = control.replicate(&batch, BATCH_TIMEOUT).await?;
+        if !reply.is_empty() {
+            let report = postcard::from_bytes(&reply).map_err(malformed)?;
+            self.node.merge_report(report);
+        }
+        Ok(())
+    }
+
+    /// Returns the address of a host: as the settings say, else as it said, else as the log says.
+    fn address(&self, host: &str) -> Option<SocketAddr> {
+        if let Some(address) = self.listed.get(host) {
+            return Some(*address);
+        }
+        if let Some(address) = self.learned.borrow().get(host) {
+            return Some(*address);
+        }
+        let members = self.node.member_addresses();
+        let member = members.iter().find(|(member, _)| member == host)?;
+        member.1.parse().ok()
+    }
+}
+
+impl Queue {
+    async fn wait(&self) {
+        while self.messages.borrow().is_empty() {
+            let listener = self.filled.listen();
+            if self.messages.borrow().is_empty() {
+                listener.await;
+            }
+        }
+    }
+}
+
+fn malformed<E: std::fmt::Display>(error: E) -> Error {
+    Error::Malformed(error.to_string())
+}
--- a/programs/pb-control/src/node.rs
+++ b/programs/pb-control/src/node.rs
@@ -1,8 +1,11 @@
 //! The state of a replica and the changes it accepts.
 
+mod applied;
+mod hosts;
+mod proposals;
+
+use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,9 +13,9 @@
 
 use anyhow::Context;
 use event_listener::Event;
+use futures_channel::oneshot;
 use log::info;
 use persimmonbend_core::clock::Clock;
-use persimmonbend_core::config::Entry;
 use persimmonbend_core::config::Outcome;
 use persimmonbend_core::config::State;
 use persimmonbend_core::config::Submission;
@@ -21,111 +24,121 @@
 use persimmonbend_core::machine::Command;
 use persimmonbend_core::machine::Machine;
 use persimmonbend_core::machine::Reply;
-use persimmonbend_replica::journal::Journal;
+use persimmonbend_replica::entry::Entry;
+use persimmonbend_replica::entry::Payload;
+use persimmonbend_replica::files::Files;
+use persimmonbend_replica::members::Change;
+use persimmonbend_replica::members::Refusal;
+use persimmonbend_replica::message::Message;
+use persimmonbend_replica::replica::Output;
+use persimmonbend_replica::replica::Replica;
+use persimmonbend_replica::settings;
+use persimmonbend_replica::settings::Limits;
 use persimmonbend_wire::update::Update;
-use rand::seq::IteratorRandom;
 use serde_json::json;
 
 use crate::error::Error;
 use crate::leadership::Leadership;
 use crate::leadership::Observer;
 use crate::leadership::Term;
+use crate::node::applied::Applied;
+use crate::node::hosts::Hosts;
+pub use crate::node::hosts::Sighting;
+use crate::node::proposals::Proposals;
 use crate::settings::Settings;
 
-/// Term of a replica that has no others.
-const FIRST_TERM: Term = 1;
-
-/// Entries kept for hosts that are a little behind.
-const RECENT_ENTRIES: usize = 1_024;
-
-/// Addresses of other hosts that a watch returns at most.
-const BOOK: usize = 8;
-
-/// Time after its last call for which a host's address is handed out.
-const BOOK_LIFETIME: Duration = Duration::from_secs(60);
-
-/// Most hosts whose addresses are kept.
-const MAX_HOSTS: usize = 8_192;
-
 /// Longest time that a watch waits.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 
-/// What a host last told about the configuration it has in force.
-#[derive(Debug, Clone, Copy)]
-struct Seen {
-    revision: Revision,
-    at: Instant,
-}
+/// Time after which a proposal that is not committed is answered as unknown.
+const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Where a host takes calls of its peers.
-#[derive(Debug, Clone, Copy)]
-struct Contact {
-    peers: SocketAddr,
-    at: Instant,
-}
+/// Time after the leader was heard for which a follower serves the configuration.
+const CURRENT: Duration = Duration::from_secs(2);
+
+/// Entries after which the log is replaced by a snapshot.
+const COMPACT_ENTRIES: usize = 4_096;
+
+/// Steps in which a single replica founds or restores its log.
+const OPENING_STEPS: usize = 4;
 
 /// One control replica.
 #[derive(Debug)]
 pub struct Node {
     host: HostId,
     clock: Rc<dyn Clock>,
-    started: Instant,
-    inner: RefCell<Inner>,
+    replica: RefCell<Replica>,
+    applied: RefCell<Applied>,
+    hosts: RefCell<Hosts>,
+    proposals: RefCell<Proposals>,
+    /// Term and start of the reign that observers know of.
+    reign: Cell<Option<(Term, Instant)>>,
     observers: RefCell<Vec<Rc<dyn Observer>>>,
+    /// Notified when the replica has something to sync or to send.
+    work: Event,
+    /// Notified when the configuration changes.
     changed: Event,
 }
 
-#[derive(Debug)]
-struct Inner {
-    journal: Journal,
-    machine: Machine,
-    recent: VecDeque<Entry>,
-    hosts: BTreeMap<HostId, Seen>,
-    contacts: BTreeMap<HostId, Contact>,
-}
-
 impl Node {
-    /// Opens the data folder and replays its journal.
+    /// Opens the data folder and restores what it holds.
     ///
     /// # Errors
     ///
-    /// Returns an error when the folder cannot be used or holds an unreadable entry.
+    /// Returns an error when the folder cannot be used or is damaged.
     pub fn open(settings: &Settings, clock: Rc<dyn Clock>) -> anyhow::Result<Self> {
         let folder = &settings.data;
-        std::fs::create_dir_all(folder)
-            .with_context(|| format!("cannot make {}", folder.display()))?;
-        let (journal, records) = Journal::open(&folder.join("journal"))?;
-        let mut inner = Inner {
-            journal,
-            machine: Machine::default(),
-            recent: VecDeque::new(),
-            hosts: BTreeMap::new(),
-            contacts: BTreeMap::new(),
-        };
-        for record in records {
-            let command = serde_json::from_slice(&record).context("unreadable journal entry")?;
-            inner.apply(&command);
-        }
-        Ok(Self {
+        let opened = Files::open(folder, &settings.host, rand::random());
+        let (files, contents) =
+            opened.with_context(|| format!("cannot use {}", folder.display()))?;
+        let replica = Replica::new(
+            protocol(settings),
+            contents,
+            Box::new(files),
+            Rc::clone(&clock),
+        )?;
+        let node = Self {
             host: settings.host.clone(),
-            started: clock.now(),
             clock,
-            inner: RefCell::new(inner),
+            replica: RefCell::new(replica),
+            applied: RefCell::new(Applied::new()),
+            hosts: RefCell::new(Hosts::new()),
+            proposals: RefCell::new(Proposals::new()),
+            reign: Cell::new(None),
             observers: RefCell::new(Vec::new()),
+            work: Event::new(),
             changed: Event::new(),
-        })
+        };
+        for _ in 0..OPENING_STEPS {
+            node.advance()?;
+        }
+        Ok(node)
+    }
+
+    /// Returns the present time of the replica's clock.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        self.clock.now()
     }
 
     /// Returns the revision in force.
     #[must_use]
     pub fn revision(&self) -> Revision {
-        self.inner.borrow().machine.config().revision()
+        self.read(|machine| machine.config().revision())
     }
 
     /// Returns the configuration in force.
     #[must_use]
     pub fn state(&self) -> State {
-        self.inner.borrow().machine.config().clone()
+        self.read(|machine| machine.config().clone())
+    }
+
+    /// Returns what `read` finds in the replicated state.
+    pub fn read<T, F>(&self, read: F) -> T
+    where
+        F: FnOnce(&Machine) -> T,
+    {
+        read(self.applied.borrow().machine())
     }
 
     /// Returns whether this replica leads and may answer for the fleet.
@@ -137,15 +150,39 @@
     /// Returns the newest term that the replica knows.
     #[must_use]
     pub fn term(&self) -> Term {
-        self.leadership().term()
+        self.replica.borrow().term()
     }
 
     /// Returns the role of this replica.
     #[must_use]
     pub fn leadership(&self) -> Leadership {
-        Leadership::Leader {
-            term: FIRST_TERM,
-            since: self.started,
+        let replica = self.replica.borrow();
+        let current = replica.term();
+        match self.reign.get() {
+            Some((term, since)) if term == current && replica.is_leading() => {
+                Leadership::Leader { term, since }
+            }
+            _ => Leadership::Follower { term: current },
+        }
+    }
+
+    /// Returns the address of the leader, or an empty text.
+    #[must_use]
+    pub fn leader_hint(&self) -> String {
+        let replica = self.replica.borrow();
+        replica.leader_address().unwrap_or_default().to_owned()
+    }
+
+    /// Fails on a replica that does not lead.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotLeader`] with the leader's address if known.
+    pub fn require_leader(&self) -> Result<(), Error> {
+        if self.is_leader() {
+            Ok(())
+        } else {
+            Err(Error::NotLeader(self.leader_hint()))
         }
     }
 
@@ -161,13 +198,17 @@
     ///
     /// Returns an error when this replica does not lead or cannot commit the command.
     pub async fn propose(&self, command: Command) -> Result<Reply, Error> {
-        let record = serde_json::to_vec(&command).map_err(invalid)?;
-        let mut inner = self.inner.borrow_mut();
-        inner.journal.append(&record).map_err(stopped)?;
-        let reply = inner.apply(&command);
-        drop(inner);
-        self.announce(&reply);
-        Ok(reply)
+        let record = serde_json::to_vec(&command).map_err(|error| {
+            let reason = error.to_string();
+            Error::Invalid(reason)
+        })?;
+        self.require_leader()?;
+        if self.proposals.borrow().is_full() {
+            return Err(Error::Busy);
+        }
+        let place = self.replica.borrow_mut().propose(record);
+        let place = place.ok_or_else(|| Error::NotLeader(self.leader_hint()))?;
+        self.wait_for(place).await
     }
 
     /// Proposes a submission and returns its outcome.
@@ -178,65 +219,187 @@
     pub async fn submit(&self, submission: Submission) -> Result<Outcome, Error> {
         match self.propose(Command::Change { submission }).await? {
             Reply::Change { outcome, .. } => Ok(outcome),
-            _ => Err(Error::Invalid(
-                "a change got the reply to another command".to_owned(),
-            )),
+            _ => Err(Error::Unknown),
         }
     }
 
+    /// Changes the members of the log and returns once the change is committed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when this replica does not lead, cannot commit the change, or refuses it.
+    pub async fn change_members(&self, change: &Change) -> Result<(), Error> {
+        self.require_leader()?;
+        let place = self.replica.borrow_mut().change(change);
+        let place = place.map_err(|refusal| match refusal {
+            Refusal::NotLeader => Error::NotLeader(self.leader_hint()),
+            other => Error::Invalid(other.to_string()),
+        })?;
+        info!("control: members: {change:?}");
+        self.wait_for(place).await.map(|_| ())
+    }
+
     /// Waits at most `wait` for configuration newer than `since` and returns it.
-    pub async fn watch(&self, host: &str, since: Revision, wait: Duration) -> (Revision, Update) {
-        self.saw(host, since);
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotLeader`] when the replica has not heard a leader lately or lacks
+    /// entries that the leader had committed, since its configuration may be an old one.
+    pub async fn watch(
+        &self,
+        host: &str,
+        since: Revision,
+        wait: Duration,
+    ) -> Result<(Revision, Update), Error> {
+        let now = self.clock.now();
+        self.hosts.borrow_mut().saw(host, since, now);
+        self.require_current()?;
         let listener = self.changed.listen();
         if self.revision() <= since {
             let _ = compio::time::timeout(wait.min(MAX_WAIT), listener).await;
         }
-        let inner = self.inner.borrow();
-        (inner.machine.config().revision(), inner.update(since))
+        self.require_current()?;
+        let update = self.applied.borrow().update(since);
+        Ok((self.revision(), update))
     }
 
     /// Notes where a host takes calls of its peers.
     pub fn meet(&self, host: &str, peers: Option<SocketAddr>) {
-        let Some(peers) = peers else {
-            return;
-        };
-        let at = self.clock.now();
-        let contacts = &mut self.inner.borrow_mut().contacts;
-        if contacts.len() < MAX_HOSTS || contacts.contains_key(host) {
-            contacts.insert(host.to_owned(), Contact { peers, at });
+        if let Some(peers) = peers {
+            let now = self.clock.now();
+            self.hosts.borrow_mut().meet(host, peers, now);
         }
-        contacts.retain(|_, one| at.duration_since(one.at) < BOOK_LIFETIME);
     }
 
     /// Returns the addresses of some hosts other than `host` that called lately.
     #[must_use]
     pub fn book(&self, host: &str) -> Vec<SocketAddr> {
-        let inner = self.inner.borrow();
-        let others = inner.contacts.iter().filter(|(id, _)| *id != host);
-        let peers = others.map(|(_, contact)| contact.peers);
-        peers.sample(&mut rand::rng(), BOOK)
+        self.hosts.borrow().book(host, self.clock.now())
+    }
+
+    /// Returns the hosts that called this replica lately, for the other replicas.
+    #[must_use]
+    pub fn report(&self) -> Vec<Sighting> {
+        self.hosts.borrow().report(self.clock.now())
+    }
+
+    /// Takes in the hosts that called another replica.
+    pub fn merge_report(&self, sightings: Vec<Sighting>) {
+        let now = self.clock.now();
+        self.hosts.borrow_mut().merge(sightings, now);
+    }
+
+    /// Takes in messages of another replica.
+    pub fn receive(&self, messages: Vec<Message>) {
+        let mut replica = self.replica.borrow_mut();
+        for message in messages {
+            replica.receive(message);
+        }
+        self.work.notify(usize::MAX);
+    }
+
+    /// Waits until there is something to sync or to send.
+    pub async fn worked(&self) {
+        self.work.listen().await;
+    }
+
+    /// Lets time pass, syncs what came in and applies what is committed; returns the messages to
+    /// send.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the disk failed or a command cannot be read; the replica must stop.
+    pub fn advance(&self) -> anyhow::Result<Vec<Message>> {
+        let flushed = {
+            let mut replica = self.replica.borrow_mut();
+            replica.tick();
+            replica.flush()
+        };
+        let output = match flushed {
+            Ok(output) => output,
+            Err(error) => {
+                self.tell_leadership();
+                return Err(error).context("the replica stopped");
+            }
+        };
+        let messages = self.take(output)?;
+        self.compact()?;
+        self.tell_leadership();
+        Ok(messages)
+    }
+
+    /// Returns the addresses of the members of the log.
+    #[must_use]
+    pub fn member_addresses(&self) -> Vec<(HostId, String)> {
+        let replica = self.replica.borrow();
+        let members = replica.log().members().list().iter();
+        members
+            .map(|member| (member.id.host.clone(), member.address.clone()))
+            .collect()
     }
 
     /// Returns what operators ask for first.
     #[must_use]
     pub fn status(&self) -> serde_json::Value {
-        let inner = self.inner.borrow();
         let now = self.clock.now();
-        let host = |(name, seen): (&HostId, &Seen)| {
-            json!({
-                "host": name,
-                "revision": seen.revision,
-                "silent_ms": u64::try_from(now.duration_since(seen.at).as_millis()).unwrap_or(u64::MAX),
-            })
-        };
+        let replica = self.replica.borrow();
+        let heard = replica.heard();
+        let silent = heard.map(|heard| now.saturating_duration_since(heard).as_millis());
         json!({
             "host": self.host,
-            "leader": true,
-            "revision": inner.machine.config().revision(),
-            "hosts": inner.hosts.iter().map(host).collect::<Vec<_>>(),
+            "leader": self.is_leader(),
+            "leader_address": replica.leader_address(),
+            "leader_silent_ms": silent.map(|silent| u64::try_from(silent).unwrap_or(u64::MAX)),
+            "current": replica.is_current(CURRENT),
+            "revision": self.revision(),
+            "hosts": self.hosts.borrow().status(now),
+            "replica": replica.status(),
         })
     }
 
+    async fn wait_for(&self, (term, index): (Term, u64)) -> Result<Reply, Error> {
+        let receiver: oneshot::Receiver<_> = self.proposals.borrow_mut().add(term, index);
+        self.work.notify(usize::MAX);
+        match compio::time::timeout(PROPOSAL_TIMEOUT, receiver).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) | Err(_) => Err(Error::Unknown),
+        }
+    }
+
+    fn require_current(&self) -> Result<(), Error> {
+        if self.replica.borrow().is_current(CURRENT) {
+            Ok(())
+        } else {
+            Err(Error::NotLeader(self.leader_hint()))
+        }
+    }
+
+    fn take(&self, output: Output) -> anyhow::Result<Vec<Message>> {
+        if let Some(snapshot) = output.installed {
+            let machine = serde_json::from_slice(&snapshot.data).context("unreadable snapshot")?;
+            self.applied.borrow_mut().install(machine);
+            self.changed.notify(usize::MAX);
+        }
+        for entry in output.committed {
+            self.apply(&entry)?;
+        }
+        Ok(output.messages)
+    }
+
+    fn apply(&self, entry: &Entry) -> anyhow::Result<()> {
+        let reply = match &entry.payload {
+            Payload::Command(record) => {
+                let command = serde_json::from_slice(record).context("unreadable command")?;
+                self.applied.borrow_mut().apply(&command)
+            }
+            Payload::Empty | Payload::Members(_) => Reply::Applied,
+        };
+        self.announce(&reply);
+        let mut proposals = self.proposals.borrow_mut();
+        proposals.settle(entry.term, entry.index, reply);
+        Ok(())
+    }
+
     fn announce(&self, reply: &Reply) {
         let Reply::Change {
             entry: Some(entry), ..
@@ -249,51 +412,70 @@
         self.changed.notify(usize::MAX);
     }
 
-    fn saw(&self, host: &str, revision: Revision) {
-        let seen = Seen {
-            revision,
-            at: self.clock.now(),
-        };
-        self.inner.borrow_mut().hosts.insert(host.to_owned(), seen);
-    }
-}
-
-impl Inner {
-    fn apply(&mut self, command: &Command) -> Reply {
-        let reply = self.machine.apply(command);
-        if let Reply::Change {
-            entry: Some(entry), ..
-        } = &reply
-        {
-            self.recent.push_back(entry.clone());
+    fn compact(&self) -> anyhow::Result<()> {
+        let mut replica = self.replica.borrow_mut();
+        if replica.log().entries().len() < COMPACT_ENTRIES {
+            return Ok(());
         }
-        if self.recent.len() > RECENT_ENTRIES {
-            self.recent.pop_front();
+        let applied = replica.commit();
+        if applied > replica.log().snapshot().index {
+            let data = self.read(serde_json::to_vec)?;
+            replica.compact(applied, data);
         }
-        reply
+        Ok(())
     }
 
-    fn update(&self, since: Revision) -> Update {
-        let config = self.machine.config();
-        if since >= config.revision() {
-            return Update::Changes(Vec::new());
+    /// Tells observers of a reign that began or ended since the last call.
+    fn tell_leadership(&self) {
+        let (leading, term) = {
+            let replica = self.replica.borrow();
+            (replica.is_leading(), replica.term())
+        };
+        let known = self.reign.get();
+        let lasts = leading && known.is_some_and(|(reign, _)| reign == term);
+        if lasts || (!leading && known.is_none()) {
+            return;
+        }
+        if known.is_some() {
+            self.reign.set(None);
+            self.proposals.borrow_mut().abandon();
+            self.tell(Leadership::Follower { term });
         }
-        let reaches = self
-            .recent
-            .front()
-            .is_some_and(|first| first.revision <= since + 1);
-        if !reaches {
-            return Update::Snapshot(Box::new(config.clone()));
+        if leading {
+            let since = self.clock.now();
+            self.reign.set(Some((term, since)));
+            info!("control: {} leads term {term}", self.host);
+            self.tell(Leadership::Leader { term, since });
         }
-        let newer = self.recent.iter().filter(|entry| entry.revision > since);
-        Update::Changes(newer.cloned().collect())
     }
-}
 
-fn invalid<E: std::fmt::Display>(error: E) -> Error {
-    Error::Invalid(error.to_string())
+    fn tell(&self, leadership: Leadership) {
+        let observers = self.observers.borrow().clone();
+        for observer in observers {
+            observer.changed(leadership);
+        }
+    }
 }
 
-fn stopped<E: std::fmt::Display>(error: E) -> Error {
-    Error::Stopped(error.to_string())
+fn protocol(settings: &Settings) -> settings::Settings {
+    let own = settings
+        .replicas
+        .iter()
+        .find(|one| one.host == settings.host);
+    let address = own.map_or(settings.listen, |own| own.address);
+    let others = settings
+        .replicas
+        .iter()
+        .filter(|one| one.host != settings.host);
+    settings::Settings {
+        address: address.to_string(),
+        peers: others
+            .map(|one| settings::Peer {
+                host: one.host.clone(),
+                address: one.address.to_string(),
+            })
+            .collect(),
+        limits: Limits::default(),
+        seed: rand::random(),
+    }
 }
--- a/programs/pb-control/src/server.rs
+++ b/programs/pb-control/src/server.rs
@@ -5,18 +5,23 @@
 
 use capnp::Error;
 use capnp::capability::Rc as Server;
+use persimmonbend_replica::id::Id;
+use persimmonbend_replica::members::Change;
 use persimmonbend_wire::fleet_capnp::control;
+use persimmonbend_wire::members;
 
 use crate::node::Node;
+use crate::replication::Replication;
 
 /// Returns a capability that serves `node`.
 #[must_use]
-pub fn client(node: Rc<Node>) -> control::Client {
-    capnp_rpc::new_client(Control { node })
+pub fn client(node: Rc<Node>, replication: Rc<Replication>) -> control::Client {
+    capnp_rpc::new_client(Control { node, replication })
 }
 
 struct Control {
     node: Rc<Node>,
+    replication: Rc<Replication>,
 }
 
 impl control::Server for Control {
@@ -26,6 +31,7 @@
         mut results: control::PingResults,
     ) -> Result<(), Error> {
         results.get().set_leader(self.node.is_leader());
+        results.get().set_hint(self.node.leader_hint());
         Ok(())
     }
 
@@ -39,7 +45,7 @@
         let wait = Duration::from_millis(u64::from(params.get_wait_ms()));
         let peers = params.get_peers()?.to_str()?.parse().ok();
         self.node.meet(host, peers);
-        let (revision, update) = self.node.watch(host, params.get_since(), wait).await;
+        let (revision, update) = self.node.watch(host, params.get_since(), wait).await?;
         let book = self.node.book(host);
         let length = u32::try_from(book.len()).unwrap_or(u32::MAX);
         let mut list = results.get().init_book(length);
@@ -62,6 +68,27 @@
         Ok(())
     }
 
+    async fn replicate(
+        self: Server<Self>,
+        params: control::ReplicateParams,
+        mut results: control::ReplicateResults,
+    ) -> Result<(), Error> {
+        let batch = params.get()?.get_message()?;
+        let reply = self.replication.receive(batch).map_err(failed)?;
+        results.get().set_reply(&reply);
+        Ok(())
+    }
+
+    async fn members(
+        self: Server<Self>,
+        params: control::MembersParams,
+        _results: control::MembersResults,
+    ) -> Result<(), Error> {
+        let order = serde_json::from_slice(params.get()?.get_order()?).map_err(failed)?;
+        self.node.change_members(&change(order)).await?;
+        Ok(())
+    }
+
     async fn snapshot(
         self: Server<Self>,
         _params: control::SnapshotParams,
@@ -100,6 +127,16 @@
     }
 }
 
+fn change(order: members::Order) -> Change {
+    match order {
+        members::Order::Add { host } => Change::Add { host },
+        members::Order::Promote { host } => Change::Promote { host },
+        members::Order::Remove { host, storage } => Change::Remove {
+            id: Id { host, storage },
+        },
+    }
+}
+
 fn failed<E: std::fmt::Display>(error: E) -> Error {
     Error::failed(error.to_string())
 }
--- a/programs/pb-control/src/settings.rs
+++ b/programs/pb-control/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a control replica.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -9,6 +10,9 @@
 use persimmonbend_wire::handshake::Secret;
 use serde::Deserialize;
 
+/// Most control replicas.
+const MAX_REPLICAS: usize = 16;
+
 /// The settings file as written.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -17,6 +21,25 @@
     listen: String,
     data: PathBuf,
     secret_file: PathBuf,
+    #[serde(default)]
+    replicas: Vec<ReplicaFile>,
+}
+
+/// A control replica as written.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ReplicaFile {
+    host: String,
+    address: String,
+}
+
+/// A control replica.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Replica {
+    /// Its host.
+    pub host: HostId,
+    /// Address that the other replicas reach it at.
+    pub address: SocketAddr,
 }
 
 /// Checked settings.
@@ -30,6 +53,8 @@
     pub data: PathBuf,
     /// Fleet secret.
     pub secret: Secret,
+    /// All control replicas, this one among them; none for a single replica.
+    pub replicas: Vec<Replica>,
 }
 
 impl TryFrom<File> for Settings {
@@ -40,12 +65,34 @@
         faults.require(!file.host.is_empty(), "host", "must not be empty");
         let listen = faults.address(&file.listen, "listen");
         let secret = secret::read(&mut faults, "secret_file", &file.secret_file);
+        let replicas = check_replicas(&mut faults, &file.host, &file.replicas);
         let settings = listen.zip(secret).map(|(listen, secret)| Self {
             host: file.host,
             listen,
             data: file.data,
             secret: Secret::from(secret),
+            replicas,
         });
         faults.into_result(settings)
     }
 }
+
+fn check_replicas(faults: &mut Faults, own: &str, files: &[ReplicaFile]) -> Vec<Replica> {
+    let mut hosts = BTreeSet::new();
+    let mut replicas = Vec::new();
+    for (at, file) in files.iter().enumerate() {
+        let host = format!("replicas[{at}].host");
+        faults.require(!file.host.is_empty(), &host, "must not be empty");
+        faults.require(hosts.insert(&file.host), &host, "comes twice");
+        let address = faults.address(&file.address, &format!("replicas[{at}].address"));
+        replicas.extend(address.map(|address| Replica {
+            host: file.host.clone(),
+            address,
+        }));
+    }
+    let knows_itself = files.is_empty() || files.iter().any(|file| file.host == own);
+    faults.require(knows_itself, "replicas", "must name this host too");
+    let few = files.len() <= MAX_REPLICAS;
+    faults.require(few, "replicas", "names more than 16 replicas");
+    replicas
+}
--- a/programs/pb-lab/src/fleet.rs
+++ b/programs/pb-lab/src/fleet.rs
@@ -1,6 +1,7 @@
 //! A whole fleet inside one process, each part on a thread and a runtime of its own.
 
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::mpsc;
@@ -162,15 +163,68 @@
     name: &str,
     listen: SocketAddr,
 ) -> anyhow::Result<(Part, SocketAddr)> {
-    let settings = checked::<pb_control::settings::File, _>(&json!({
+    let settings = control_settings(files, name, listen, &[])?;
+    Part::start(name, move |stop, bound| {
+        pb_control::run(settings, stop, bound)
+    })
+}
+
+/// Starts control replicas that hold one log, each on a port of its own.
+///
+/// # Errors
+///
+/// Returns an error when one does not start.
+pub fn controls(files: &Files, names: &[&str]) -> anyhow::Result<Vec<(Part, SocketAddr)>> {
+    let mut sockets = Vec::new();
+    let mut replicas = Vec::new();
+    for name in names {
+        let socket = TcpListener::bind("127.0.0.1:0")?;
+        replicas.push((*name, socket.local_addr()?));
+        sockets.push(socket);
+    }
+    let mut parts = Vec::new();
+    for ((name, address), socket) in replicas.iter().zip(sockets) {
+        let settings = control_settings(files, name, *address, &replicas)?;
+        parts.push(Part::start(name, move |stop, bound| {
+            pb_control::run_on(socket, settings, stop, bound)
+        })?);
+    }
+    Ok(parts)
+}
+
+/// Starts one of several control replicas again, on the address that it had.
+///
+/// # Errors
+///
+/// Returns an error when it does not start.
+pub fn control_again(
+    files: &Files,
+    name: &str,
+    replicas: &[(&str, SocketAddr)],
+) -> anyhow::Result<(Part, SocketAddr)> {
+    let found = replicas.iter().find(|(host, _)| *host == name);
+    let (_, address) = found.with_context(|| format!("{name} is no replica"))?;
+    let settings = control_settings(files, name, *address, replicas)?;
+    Part::start(name, move |stop, bound| {
+        pb_control::run(settings, stop, bound)
+    })
+}
+
+fn control_settings(
+    files: &Files,
+    name: &str,
+    listen: SocketAddr,
+    replicas: &[(&str, SocketAddr)],
+) -> anyhow::Result<pb_control::settings::Settings> {
+    let replica =
+        |(host, address): &(&str, SocketAddr)| json!({ "host": host, "address": address });
+    checked::<pb_control::settings::File, _>(&json!({
         "host": name,
         "listen": listen,
         "data": files.folder().join(name),
         "secret_file": files.secret(),
-    }))?;
-    Part::start(name, move |stop, bound| {
-        pb_control::run(settings, stop, bound)
-    })
+        "replicas": replicas.iter().map(replica).collect::<Vec<_>>(),
+    }))
 }
 
 /// Starts a proxy.
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -77,6 +77,8 @@
   status @8 () -> (report :Data);
   dump @9 () -> (state :Data);
   snapshot @10 () -> (revision :UInt64, state :Data);
+  # Adds, promotes or removes a replica; the order is JSON.
+  members @11 (order :Data) -> ();
 }
 
 # Served by a proxy to its peers, to pb-ctl and to pb-console.
