--- a/crates/wire/src/listener.rs
+++ b/crates/wire/src/listener.rs
@@ -56,14 +56,28 @@
     ///
     /// Returns [`Error::Io`] when the address cannot be bound.
     pub async fn bind(address: SocketAddr, secret: Secret) -> Result<Self, Error> {
-        Ok(Self {
-            socket: TcpListener::bind(address).await?,
+        Ok(Self::new(TcpListener::bind(address).await?, secret))
+    }
+
+    /// Takes over a bound socket.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Io`] when the socket cannot be used.
+    pub fn adopt(socket: std::net::TcpListener, secret: Secret) -> Result<Self, Error> {
+        socket.set_nonblocking(true)?;
+        Ok(Self::new(TcpListener::from_std(socket)?, secret))
+    }
+
+    fn new(socket: TcpListener, secret: Secret) -> Self {
+        Self {
+            socket,
             secret,
             roles: Roles::default(),
             slots: None,
             admission: Rc::default(),
             throttle: RefCell::new(Throttle::new()),
-        })
+        }
     }
 
     /// Sets the capabilities that the process serves.
