feat(lab): scenarios run on processes and sockets

Cause: what the parts do together was only seen in single tests. Change: pb-lab run FILE starts hosts and control replicas as processes, stand-in upstreams behind relays, callers behind a balancer, brings about the timed faults, and checks what must always hold besides the file's expectations.

--- a/programs/pb-lab/src/command.rs
+++ b/programs/pb-lab/src/command.rs
@@ -20,6 +20,7 @@
 use crate::routing;
 use crate::routing::Bench;
 use crate::routing::bench;
+use crate::run;
 use crate::upstream;
 use crate::upstream::Ledger;
 use crate::upstream::Setup;
@@ -73,6 +74,30 @@
         #[bpaf(positional("COUNT"))]
         count: usize,
     },
+    /// Run a scenario on processes and sockets of this machine
+    #[bpaf(command)]
+    Run {
+        /// Seed of the load
+        #[bpaf(long, argument("SEED"), fallback(1))]
+        seed: u64,
+        /// Scenario file
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Run a control replica
+    #[bpaf(command, hide)]
+    Control {
+        /// Settings file
+        #[bpaf(long, argument("FILE"))]
+        settings: PathBuf,
+    },
+    /// Run a proxy
+    #[bpaf(command, hide)]
+    Proxy {
+        /// Settings file
+        #[bpaf(long, argument("FILE"))]
+        settings: PathBuf,
+    },
     /// Run one stand-in upstream until it is interrupted
     #[bpaf(command)]
     Upstream {
@@ -106,12 +131,17 @@
 /// Runs a command and returns its exit code.
 #[must_use]
 pub fn run(arguments: Arguments) -> ExitCode {
+    if let Some(code) = run_part(&arguments) {
+        return code;
+    }
     if let Err(error) = logging::start(arguments.log.level, arguments.log.file.as_deref()) {
         eprintln!("{error:#}");
         return ExitCode::from(EXIT_USAGE);
     }
     match arguments.command {
         Command::Demo { json } => program::run(demo::run(json)),
+        Command::Run { file, seed } => program::run(async move { run::run(&file, seed).await }),
+        Command::Control { .. } | Command::Proxy { .. } => ExitCode::from(EXIT_USAGE),
         Command::Routing { bench } => program::run(routing::run(bench)),
         Command::Capacity { slopes } => program::run(async move { print_tables(&slopes) }),
         Command::Fill { content, count } => program::run(async move {
@@ -157,6 +187,34 @@
     Ok(())
 }
 
+/// Runs one process of a fleet, if that is what the arguments say.
+fn run_part(arguments: &Arguments) -> Option<ExitCode> {
+    let options = |settings: &PathBuf| program::Options {
+        settings: settings.clone(),
+        check: false,
+        log: arguments.log.clone(),
+    };
+    match &arguments.command {
+        Command::Control { settings } => Some(program::serve::<
+            pb_control::settings::File,
+            pb_control::settings::Settings,
+            _,
+            _,
+        >(&options(settings), |settings, stop| {
+            pb_control::run(settings, stop, |_| ())
+        })),
+        Command::Proxy { settings } => Some(program::serve::<
+            pb_proxy::settings::File,
+            pb_proxy::settings::Settings,
+            _,
+            _,
+        >(&options(settings), |settings, stop| {
+            pb_proxy::run(settings, stop, |_| ())
+        })),
+        _ => None,
+    }
+}
+
 async fn serve(setup: Setup) -> anyhow::Result<()> {
     let stop = Stop::new();
     compio::runtime::spawn(program::watch_signals(stop.clone())).detach();
--- a/programs/pb-lab/src/lib.rs
+++ b/programs/pb-lab/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod load;
 pub mod report;
 pub mod routing;
+pub mod run;
 pub mod scenario;
 pub mod upstream;
--- /dev/null
+++ b/programs/pb-lab/src/run.rs
@@ -0,0 +1,80 @@
+//! Runs a scenario on real processes and sockets of this machine.
+//!
+//! Hosts and control replicas are processes; stand-in upstreams are threads of this one, so that
+//! what they ran is known for certain. Whatever the scenario expects, every run checks what must
+//! always hold.
+
+mod caller;
+mod figures;
+mod process;
+mod relay;
+mod stage;
+
+use std::path::Path;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context;
+use anyhow::ensure;
+use compio::runtime::spawn;
+
+use crate::run::figures::Figures;
+use crate::run::stage::Stage;
+use crate::scenario::Scenario;
+
+/// Time for the answers of the last requests.
+const SETTLE: Duration = Duration::from_millis(500);
+
+/// Runs a scenario file and prints its figures.
+///
+/// # Errors
+///
+/// Returns an error when the file cannot be understood, a part does not start, something that
+/// must always hold does not, or an expectation is missed.
+pub async fn run(file: &Path, seed: u64) -> anyhow::Result<()> {
+    let text = std::fs::read_to_string(file);
+    let text = text.with_context(|| format!("cannot read {}", file.display()))?;
+    let scenario = Scenario::try_from(text.as_str());
+    let scenario = scenario.with_context(|| format!("{}", file.display()))?;
+    let figures = perform(&scenario, seed).await?;
+    println!("{}", serde_json::to_string(&figures.to_json(&scenario))?);
+    let missed: Vec<String> = scenario
+        .expectations
+        .iter()
+        .filter(|one| !one.holds(figures.value(one.measure)))
+        .map(ToString::to_string)
+        .collect();
+    let broken = figures.broken();
+    ensure!(broken.is_empty(), "broken: {}", broken.join("; "));
+    ensure!(missed.is_empty(), "missed: {}", missed.join("; "));
+    Ok(())
+}
+
+async fn perform(scenario: &Scenario, seed: u64) -> anyhow::Result<Figures> {
+    let mut stage = Stage::build(scenario, seed).await?;
+    let start = Instant::now();
+    let watch = spawn(caller::watch_ready(stage.fleet(), start + scenario.length));
+    let loads: Vec<_> = scenario
+        .tenants
+        .iter()
+        .zip(1..)
+        .map(|(tenant, number)| {
+            let stream = stage.stream(tenant, seed * 1_000 + number, scenario.length);
+            spawn(caller::run(stream))
+        })
+        .collect();
+    for event in &scenario.events {
+        compio::time::sleep_until(start + event.at).await;
+        stage.act(&event.action).await?;
+    }
+    let mut samples = Vec::new();
+    for load in loads {
+        let taken = load.await.map_err(|_| anyhow::anyhow!("a load panicked"))?;
+        samples.extend(taken);
+    }
+    let _ = watch.await;
+    compio::time::sleep(SETTLE).await;
+    let figures = Figures::new(scenario, start, &samples, &mut stage).await;
+    stage.end();
+    Ok(figures)
+}
--- /dev/null
+++ b/programs/pb-lab/src/run/figures.rs
@@ -0,0 +1,298 @@
+//! What a run measured, and whether all that must hold held.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::report::Ending;
+use crate::report::Tally;
+use crate::run::caller::Sample;
+use crate::run::stage::Stage;
+use crate::scenario::Measure;
+use crate::scenario::Scenario;
+use crate::upstream::Arrival;
+
+/// Time by which an admission may lie before the arrival at an upstream.
+const ADMISSION_SLACK: Duration = Duration::from_millis(500);
+
+/// An ejection that a host wrote an event about.
+struct Ejection {
+    upstream: String,
+    at: Instant,
+}
+
+/// Figures of one run.
+#[derive(Debug, Default)]
+pub struct Figures {
+    values: BTreeMap<&'static str, f64>,
+    tally: Tally,
+    broken: Vec<String>,
+}
+
+impl Figures {
+    /// Works out the figures of a run that has ended.
+    pub async fn new(
+        scenario: &Scenario,
+        start: Instant,
+        samples: &[Sample],
+        stage: &mut Stage,
+    ) -> Self {
+        let mut figures = Self::default();
+        for sample in samples {
+            figures
+                .tally
+                .count(sample.ending, sample.latency, sample.upstream);
+        }
+        let dumps = stage.dumps().await;
+        let ejections = ejections(&dumps);
+        let arrivals = stage.ledger.arrivals();
+        figures.latency();
+        figures.outcomes(scenario, samples, stage);
+        figures.health(&ejections, stage, start);
+        figures.withdrawal(samples, stage);
+        figures.draining(&arrivals, stage);
+        figures.rates(scenario, &arrivals);
+        figures.promises(samples, stage);
+        figures
+    }
+
+    /// Returns a figure, unless the run had nothing to measure it by.
+    #[must_use]
+    pub fn value(&self, measure: Measure) -> Option<f64> {
+        self.values.get(measure.word()).copied()
+    }
+
+    /// Returns what did not hold though it always must.
+    #[must_use]
+    pub fn broken(&self) -> &[String] {
+        &self.broken
+    }
+
+    /// Returns the figures as a JSON object.
+    #[must_use]
+    pub fn to_json(&self, scenario: &Scenario) -> Value {
+        let expected = scenario.expectations.iter().map(
+            |one| json!({ "expect": one.to_string(), "holds": one.holds(self.value(one.measure)) }),
+        );
+        json!({
+            "requests": self.tally.requests,
+            "complete": self.tally.complete,
+            "refused_not_run": self.tally.refused_not_run,
+            "unknown": self.tally.unknown,
+            "wrong": self.tally.wrong,
+            "figures": self.values,
+            "expectations": expected.collect::<Vec<_>>(),
+            "broken": self.broken,
+        })
+    }
+
+    fn set(&mut self, measure: Measure, value: f64) {
+        self.values.insert(measure.word(), value);
+    }
+
+    fn latency(&mut self) {
+        if self.tally.complete > 0 {
+            self.set(Measure::AddedMedian, self.tally.added_ms(0.5));
+            self.set(Measure::AddedHigh, self.tally.added_ms(0.99));
+        }
+    }
+
+    fn outcomes(&mut self, scenario: &Scenario, samples: &[Sample], stage: &Stage) {
+        let withdrawn: BTreeSet<&str> = stage
+            .marks
+            .withdrawals
+            .iter()
+            .map(|mark| mark.subject.as_str())
+            .collect();
+        let mut worst: f64 = 100.0;
+        let mut wrongful = 0;
+        let (mut whole, mut all) = (0, 0);
+        for tenant in &scenario.tenants {
+            let own: Vec<&Sample> = samples
+                .iter()
+                .filter(|one| one.tenant == tenant.name)
+                .collect();
+            let complete = own
+                .iter()
+                .filter(|one| one.ending == Ending::Complete)
+                .count();
+            if own.is_empty() || withdrawn.contains(tenant.name.as_str()) {
+                continue;
+            }
+            if tenant.sends <= tenant.rate {
+                whole += complete;
+                all += own.len();
+                worst = worst.min(percent(complete, own.len()));
+                wrongful += own.iter().filter(|one| one.first == Ending::NotRun).count();
+            }
+        }
+        self.set(Measure::WorstTenant, worst);
+        self.set(Measure::Complete, percent(whole, all));
+        self.set(Measure::WrongfulRefusals, count(wrongful));
+        let unknown = samples
+            .iter()
+            .filter(|one| one.ending == Ending::Unknown)
+            .count();
+        self.set(Measure::Unknown, count(unknown));
+    }
+
+    fn health(&mut self, ejections: &[Ejection], stage: &Stage, start: Instant) {
+        let mut worst = None;
+        for fault in &stage.marks.faults {
+            let found = ejections
+                .iter()
+                .filter(|one| one.upstream == fault.subject && one.at >= fault.at)
+                .map(|one| one.at - fault.at)
+                .min();
+            let time = found.map_or(f64::INFINITY, |time| time.as_secs_f64() * 1_000.0);
+            worst = Some(worst.map_or(time, |worst: f64| worst.max(time)));
+        }
+        if let Some(worst) = worst {
+            self.set(Measure::Detection, worst);
+        }
+        let grey = |one: &&Ejection| {
+            let faults = &stage.marks.faults;
+            faults
+                .iter()
+                .any(|fault| fault.subject == one.upstream && fault.at <= one.at)
+        };
+        let during = ejections.iter().filter(|one| one.at >= start);
+        let mistaken: BTreeSet<&str> = during
+            .filter(|one| !grey(one))
+            .map(|one| one.upstream.as_str())
+            .collect();
+        self.set(Measure::FalseEjections, count(mistaken.len()));
+    }
+
+    fn withdrawal(&mut self, samples: &[Sample], stage: &Stage) {
+        for mark in &stage.marks.withdrawals {
+            let served = samples.iter().filter(|one| {
+                one.tenant == mark.subject && one.ending == Ending::Complete && one.at > mark.at
+            });
+            let last = served.map(|one| one.at - mark.at).max().unwrap_or_default();
+            self.set(Measure::Withdrawal, last.as_secs_f64() * 1_000.0);
+        }
+    }
+
+    fn draining(&mut self, arrivals: &[Arrival], stage: &Stage) {
+        let mut worst: Option<f64> = None;
+        for mark in &stage.marks.drains {
+            let late = arrivals
+                .iter()
+                .filter(|one| one.upstream == mark.subject && one.at > mark.at);
+            let last = late.map(|one| one.at - mark.at).max().unwrap_or_default();
+            let millis = last.as_secs_f64() * 1_000.0;
+            worst = Some(worst.map_or(millis, |worst| worst.max(millis)));
+        }
+        if let Some(worst) = worst {
+            self.set(Measure::Draining, worst);
+        }
+    }
+
+    /// Replays the requests that reached upstreams against one bucket per tenant.
+    fn rates(&mut self, scenario: &Scenario, arrivals: &[Arrival]) {
+        for tenant in &scenario.tenants {
+            let mut seen = BTreeSet::new();
+            let own = arrivals
+                .iter()
+                .filter(|one| one.request.split('/').next() == Some(&tenant.name));
+            let mut level = f64::from(tenant.burst);
+            let mut lowest = level;
+            let mut last: Option<Instant> = None;
+            for arrival in own.filter(|one| seen.insert(one.request.clone())) {
+                let passed = last.map_or(Duration::ZERO, |last| arrival.at - last);
+                last = Some(arrival.at);
+                let refilled = level + passed.as_secs_f64() * tenant.rate;
+                level = refilled.min(f64::from(tenant.burst)) - 1.0;
+                lowest = lowest.min(level);
+            }
+            let slack = 1.0 + tenant.rate * ADMISSION_SLACK.as_secs_f64();
+            if lowest < -slack {
+                let name = &tenant.name;
+                self.broken.push(format!(
+                    "tenant {name} got {:.0} more than its rate",
+                    -lowest
+                ));
+            }
+        }
+    }
+
+    fn promises(&mut self, samples: &[Sample], stage: &Stage) {
+        let ledger = &stage.ledger;
+        if ledger.keys_seen() > 0 {
+            self.broken.push(format!(
+                "an upstream saw a key {} times",
+                ledger.keys_seen()
+            ));
+        }
+        if ledger.duplicates() > 0 {
+            self.broken.push(format!(
+                "{} requests ran more than once",
+                ledger.duplicates()
+            ));
+        }
+        if self.tally.wrong > 0 {
+            self.broken.push(format!(
+                "{} answers were not the caller's",
+                self.tally.wrong
+            ));
+        }
+        if stage.marks.lost_races > 0 {
+            self.broken
+                .push("both of two equal changes were accepted".to_owned());
+        }
+        let untrue = samples.iter().filter(|one| {
+            one.first == Ending::NotRun
+                && one.ending == Ending::NotRun
+                && one.refusal.is_some()
+                && ledger.executions(&one.name) > 0
+        });
+        let untrue = untrue.count();
+        if untrue > 0 {
+            self.broken.push(format!(
+                "{untrue} requests ran though they were refused as not run"
+            ));
+        }
+    }
+}
+
+fn ejections(dumps: &[Value]) -> Vec<Ejection> {
+    let (now, wall) = (Instant::now(), SystemTime::now());
+    let events = dumps
+        .iter()
+        .filter_map(|dump| dump["events"].as_array())
+        .flatten();
+    let about_health = events.filter(|event| {
+        event["part"] == "health"
+            && event["text"]
+                .as_str()
+                .is_some_and(|text| text.starts_with("Ejected"))
+    });
+    let parsed = about_health.filter_map(|event| {
+        let at: SystemTime = serde_json::from_value(event["at"].clone()).ok()?;
+        let age = wall.duration_since(at).unwrap_or_default();
+        Some(Ejection {
+            upstream: event["subject"].as_str()?.to_owned(),
+            at: now.checked_sub(age)?,
+        })
+    });
+    parsed.collect()
+}
+
+fn percent(part: usize, whole: usize) -> f64 {
+    if whole == 0 {
+        100.0
+    } else {
+        100.0 * count(part) / count(whole)
+    }
+}
+
+#[allow(clippy::cast_precision_loss)]
+const fn count(number: usize) -> f64 {
+    number as f64
+}
--- /dev/null
+++ b/programs/pb-lab/src/run/process.rs
@@ -0,0 +1,144 @@
+//! Processes that a run starts, and ends by their own handle.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use anyhow::Context;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use serde_json::Value;
+
+/// What a process is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// A control replica.
+    Control,
+    /// A proxy.
+    Proxy,
+}
+
+impl Role {
+    const fn command(self) -> &'static str {
+        match self {
+            Self::Control => "control",
+            Self::Proxy => "proxy",
+        }
+    }
+}
+
+/// A process that can be started again with the same settings.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    role: Role,
+    folder: std::path::PathBuf,
+    child: Option<Child>,
+}
+
+impl Process {
+    /// Writes the settings of a process and starts it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the files cannot be written or the process cannot be started.
+    pub fn start(name: &str, role: Role, folder: &Path, settings: &Value) -> anyhow::Result<Self> {
+        std::fs::write(folder.join(format!("{name}.jsonc")), settings.to_string())?;
+        let mut process = Self {
+            name: name.to_owned(),
+            role,
+            folder: folder.to_owned(),
+            child: None,
+        };
+        process.restart()?;
+        Ok(process)
+    }
+
+    /// Starts the process unless it runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it cannot be started.
+    pub fn restart(&mut self) -> anyhow::Result<()> {
+        if self.is_running() {
+            return Ok(());
+        }
+        let log = self.folder.join(format!("{}.log", self.name));
+        let log = File::options().create(true).append(true).open(log)?;
+        let child = Command::new(std::env::current_exe()?)
+            .arg(self.role.command())
+            .arg("--settings")
+            .arg(self.folder.join(format!("{}.jsonc", self.name)))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn();
+        self.child = Some(child.with_context(|| format!("cannot start {}", self.name))?);
+        Ok(())
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Asks the process to stop without waiting for it.
+    pub fn stop(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Freezes the process.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    fn is_running(&mut self) -> bool {
+        let Some(child) = &mut self.child else {
+            return false;
+        };
+        matches!(child.try_wait(), Ok(None))
+    }
+
+    fn signal(&self, signal: Signal) {
+        let child = self.child.as_ref();
+        let pid = child.and_then(|child| i32::try_from(child.id()).ok());
+        if let Some(pid) = pid.and_then(Pid::from_raw) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Returns addresses on loopback that are free now.
+///
+/// # Errors
+///
+/// Returns an error when no port can be bound.
+pub fn free_addresses(count: usize) -> anyhow::Result<Vec<SocketAddr>> {
+    let mut sockets = Vec::new();
+    for _ in 0..count {
+        sockets.push(TcpListener::bind("127.0.0.1:0")?);
+    }
+    sockets
+        .iter()
+        .map(|socket| Ok(socket.local_addr()?))
+        .collect()
+}
--- /dev/null
+++ b/programs/pb-lab/src/run/relay.rs
@@ -0,0 +1,100 @@
+//! A relay in front of a port that can lose what passes through it.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+
+/// Bytes carried at a time.
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// Carries connections to a target until told otherwise.
+#[derive(Debug, Clone)]
+pub struct Relay {
+    address: SocketAddr,
+    state: Arc<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    cut: AtomicBool,
+    /// Connections of an earlier generation are silent.
+    generation: AtomicU64,
+}
+
+impl Relay {
+    /// Opens a relay to `target`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no port can be bound.
+    pub fn open(target: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let relay = Self {
+            address: listener.local_addr()?,
+            state: Arc::default(),
+        };
+        let state = Arc::clone(&relay.state);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if let Ok(other) = TcpStream::connect(target) {
+                    let _ = (stream.set_nodelay(true), other.set_nodelay(true));
+                    let generation = state.generation.load(Ordering::SeqCst);
+                    carry(&stream, &other, &state, generation);
+                    carry(&other, &stream, &state, generation);
+                }
+            }
+        });
+        Ok(relay)
+    }
+
+    /// Returns the address of the relay.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Loses every byte from now on, or carries again.
+    pub fn cut(&self, cut: bool) {
+        self.state.cut.store(cut, Ordering::SeqCst);
+    }
+
+    /// Makes the open connections silent; new ones work.
+    pub fn silence(&self) {
+        self.state.generation.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+fn carry(from: &TcpStream, to: &TcpStream, state: &Arc<State>, generation: u64) {
+    let (Ok(mut from), Ok(mut to)) = (from.try_clone(), to.try_clone()) else {
+        return;
+    };
+    let state = Arc::clone(state);
+    thread::spawn(move || {
+        let mut bytes = [0; BUFFER_BYTES];
+        loop {
+            let read = match from.read(&mut bytes) {
+                Ok(0) | Err(_) => break,
+                Ok(read) => read,
+            };
+            let silent = state.generation.load(Ordering::SeqCst) > generation;
+            if silent || state.cut.load(Ordering::SeqCst) {
+                continue;
+            }
+            if to.write_all(&bytes[..read]).is_err() {
+                break;
+            }
+        }
+        let silent = state.generation.load(Ordering::SeqCst) > generation;
+        if !silent {
+            let _ = to.shutdown(Shutdown::Both);
+        }
+    });
+}
--- /dev/null
+++ b/programs/pb-lab/src/run/stage.rs
@@ -0,0 +1,529 @@
+//! The processes, relays and upstreams of a run, and what can be done to them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context;
+use anyhow::bail;
+use compio::runtime::spawn;
+use cyper::Client;
+use pb_ctl::fleet::Fleet;
+use persimmonbend_core::config::Change;
+use persimmonbend_core::config::File;
+use persimmonbend_core::config::Order;
+use persimmonbend_core::config::Outcome;
+use persimmonbend_core::config::Rate;
+use persimmonbend_core::config::Service;
+use persimmonbend_core::config::Tenant;
+use persimmonbend_core::key::Secret;
+use persimmonbend_wire::handshake;
+use persimmonbend_wire::link::Link;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::fleet;
+use crate::fleet::Files;
+use crate::fleet::Part;
+use crate::run::caller::Host;
+use crate::run::caller::Hosts;
+use crate::run::caller::Stream;
+use crate::run::process::Process;
+use crate::run::process::Role;
+use crate::run::process::free_addresses;
+use crate::run::relay::Relay;
+use crate::scenario;
+use crate::scenario::Action;
+use crate::scenario::Scenario;
+use crate::upstream;
+use crate::upstream::Fault;
+use crate::upstream::Ledger;
+use crate::upstream::Setup;
+
+/// Time for the fleet to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(40);
+
+/// Time between two looks at a condition.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Hosts that an upstream announces itself to.
+const ANNOUNCED_TO: usize = 4;
+
+/// Hosts that others are told of at the start.
+const SEEDS: usize = 3;
+
+/// Notice period of a planned stop, in milliseconds; longer than the balancer takes to see it.
+const STOP_NOTICE_MS: u64 = 1_000;
+
+/// One stand-in upstream.
+struct Upstream {
+    part: Option<Part>,
+    direct: SocketAddr,
+    relay: Relay,
+}
+
+/// A moment that a figure is measured from.
+#[derive(Debug, Clone)]
+pub struct Mark {
+    /// When it was.
+    pub at: Instant,
+    /// Upstream, host or tenant that it is about.
+    pub subject: String,
+}
+
+/// What was done during a run.
+#[derive(Debug, Clone, Default)]
+pub struct Marks {
+    /// Upstreams that got a fault.
+    pub faults: Vec<Mark>,
+    /// Upstreams that lost their fault.
+    pub heals: Vec<Mark>,
+    /// Upstreams that began to drain.
+    pub drains: Vec<Mark>,
+    /// Tenants whose key was withdrawn, once that was accepted.
+    pub withdrawals: Vec<Mark>,
+    /// Hosts that were killed, frozen or cut off.
+    pub broken_hosts: Vec<Mark>,
+    /// Races in which not exactly one of two equal changes was accepted.
+    pub lost_races: u64,
+}
+
+/// Everything that a run has set up.
+pub struct Stage {
+    /// What the upstreams ran.
+    pub ledger: Ledger,
+    /// What was done.
+    pub marks: Marks,
+    files: Files,
+    processes: BTreeMap<String, Process>,
+    control_relays: BTreeMap<String, Vec<Relay>>,
+    upstreams: BTreeMap<String, Upstream>,
+    hosts: Hosts,
+    peers: Vec<(String, SocketAddr)>,
+    operator: Fleet,
+    keys: BTreeMap<String, Secret>,
+    services: Vec<Service>,
+}
+
+impl Stage {
+    /// Starts the fleet of a scenario and publishes its configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a part does not start or the fleet does not become ready.
+    pub async fn build(scenario: &Scenario, seed: u64) -> anyhow::Result<Self> {
+        let files = Files::create()?;
+        let control = free_addresses(scenario.control)?;
+        let operator = fleet::operator(&files, &control)?;
+        let mut stage = Self {
+            ledger: Ledger::new(),
+            marks: Marks::default(),
+            files,
+            processes: BTreeMap::new(),
+            control_relays: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+            hosts: Rc::default(),
+            peers: Vec::new(),
+            operator,
+            keys: BTreeMap::new(),
+            services: services(scenario)?,
+        };
+        stage.start_control(&control)?;
+        stage.wait_for_leader().await?;
+        stage.start_hosts(scenario, &control)?;
+        stage.start_upstreams(scenario, seed)?;
+        let revision = stage.configure(scenario).await?;
+        stage.wait_until_ready(scenario, revision).await?;
+        Ok(stage)
+    }
+
+    /// Returns the hosts as the balancer sees them.
+    #[must_use]
+    pub fn fleet(&self) -> Hosts {
+        Rc::clone(&self.hosts)
+    }
+
+    /// Returns the load of a tenant.
+    #[must_use]
+    pub fn stream(&self, tenant: &scenario::Tenant, seed: u64, length: Duration) -> Stream {
+        let route = if tenant.once { "once" } else { "read" };
+        Stream {
+            tenant: tenant.name.clone(),
+            key: self.keys[&tenant.name].clone(),
+            path: format!("/{}/{route}", tenant.service),
+            once: tenant.once,
+            per_second: tenant.sends,
+            length,
+            hosts: self.fleet(),
+            seed,
+        }
+    }
+
+    /// Returns the dumps of the hosts that answer.
+    pub async fn dumps(&self) -> Vec<Value> {
+        let mut dumps = Vec::new();
+        for (_, address) in &self.peers {
+            let asked = compio::time::timeout(Duration::from_secs(2), self.dump(*address));
+            if let Ok(Ok(dump)) = asked.await {
+                dumps.push(dump);
+            }
+        }
+        dumps
+    }
+
+    /// Does what an event says.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the event names something that is not there.
+    pub async fn act(&mut self, action: &Action) -> anyhow::Result<()> {
+        match action {
+            Action::Fault(upstream, fault) => self.set_fault(upstream, *fault).await?,
+            Action::Silence(upstream) => self.upstream(upstream)?.relay.silence(),
+            Action::Leave(upstream) => self.leave(upstream)?,
+            Action::Drain(upstream) => self.drain(upstream).await?,
+            Action::Kill(name) => {
+                self.break_host(name);
+                self.process(name)?.kill();
+            }
+            Action::Stop(name) => self.process(name)?.stop(),
+            Action::Start(name) => self.process(name)?.restart()?,
+            Action::Freeze(name) => {
+                self.break_host(name);
+                self.process(name)?.freeze();
+            }
+            Action::Thaw(name) => self.process(name)?.thaw(),
+            Action::Cut(name) => self.cut(name, true)?,
+            Action::Join(name) => self.cut(name, false)?,
+            Action::Withdraw(tenant) => self.withdraw(tenant).await?,
+            Action::Race => self.race().await,
+        }
+        Ok(())
+    }
+
+    /// Ends every part.
+    pub fn end(self) {
+        drop(self.processes);
+        for (_, mut upstream) in self.upstreams {
+            if let Some(part) = &mut upstream.part {
+                part.ask_to_stop();
+            }
+        }
+        drop(self.files);
+    }
+
+    fn start_control(&mut self, addresses: &[SocketAddr]) -> anyhow::Result<()> {
+        let replica = |(number, address): (usize, &SocketAddr)| json!({ "host": format!("control-{number}"), "address": address });
+        let replicas: Vec<Value> = addresses.iter().enumerate().map(replica).collect();
+        for (number, address) in addresses.iter().enumerate() {
+            let name = format!("control-{number}");
+            let settings = json!({
+                "host": name,
+                "listen": address,
+                "data": self.files.folder().join(&name),
+                "secret_file": self.files.secret(),
+                "replicas": replicas,
+            });
+            let process = Process::start(&name, Role::Control, self.files.folder(), &settings)?;
+            self.processes.insert(name, process);
+        }
+        Ok(())
+    }
+
+    fn start_hosts(&mut self, scenario: &Scenario, control: &[SocketAddr]) -> anyhow::Result<()> {
+        let addresses = free_addresses(scenario.hosts * 3)?;
+        let seeds: Vec<SocketAddr> = addresses
+            .iter()
+            .skip(2)
+            .step_by(3)
+            .take(SEEDS)
+            .copied()
+            .collect();
+        for (number, chunk) in addresses.chunks(3).enumerate() {
+            let name = format!("host-{number}");
+            let relays: Vec<Relay> = control
+                .iter()
+                .map(|address| Relay::open(*address))
+                .collect::<Result<_, _>>()?;
+            let reached: Vec<SocketAddr> = relays.iter().map(Relay::address).collect();
+            let settings = json!({
+                "host": name,
+                "zone": zone(number, scenario.zones),
+                "callers": chunk[0],
+                "platform": chunk[1],
+                "peers": chunk[2],
+                "control": reached,
+                "seeds": seeds,
+                "secret_file": self.files.secret(),
+                "stop_notice_ms": STOP_NOTICE_MS,
+            });
+            let process = Process::start(&name, Role::Proxy, self.files.folder(), &settings)?;
+            self.processes.insert(name.clone(), process);
+            self.control_relays.insert(name.clone(), relays);
+            self.peers.push((name, chunk[2]));
+            self.hosts.borrow_mut().push(Host {
+                callers: chunk[0],
+                platform: chunk[1],
+                ready: true,
+            });
+        }
+        Ok(())
+    }
+
+    fn start_upstreams(&mut self, scenario: &Scenario, seed: u64) -> anyhow::Result<()> {
+        let platforms: Vec<SocketAddr> = self
+            .hosts
+            .borrow()
+            .iter()
+            .map(|host| host.platform)
+            .collect();
+        for service in &scenario.services {
+            for number in 0..service.upstreams {
+                let to = platforms.iter().cycle().skip(number * ANNOUNCED_TO);
+                let setup = Setup {
+                    id: format!("{}-{number}", service.name),
+                    service: service.name.clone(),
+                    zone: zone(number, scenario.zones),
+                    listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+                    slots: service.slots,
+                    work: service.work,
+                    proxies: to
+                        .take(ANNOUNCED_TO.min(platforms.len()))
+                        .copied()
+                        .collect(),
+                    seed: seed * 1_000 + u64::try_from(number)?,
+                };
+                let id = setup.id.clone();
+                let upstream = start_upstream(setup, self.ledger.clone())?;
+                self.upstreams.insert(id, upstream);
+            }
+        }
+        Ok(())
+    }
+
+    async fn wait_for_leader(&self) -> anyhow::Result<()> {
+        let until = Instant::now() + READY_TIMEOUT;
+        loop {
+            match self.operator.leader().await {
+                Err(error) if Instant::now() > until => return Err(error),
+                Err(_) => compio::time::sleep(PAUSE).await,
+                Ok(_) => return Ok(()),
+            }
+        }
+    }
+
+    async fn configure(&mut self, scenario: &Scenario) -> anyhow::Result<u64> {
+        let services = self.services.clone();
+        let mut revision = accepted(&self.operator, Change::Publish { services }).await?;
+        for tenant in &scenario.tenants {
+            let set = Tenant {
+                id: tenant.name.clone(),
+                rate: Rate {
+                    per_second: tenant.rate,
+                    burst: tenant.burst,
+                },
+            };
+            accepted(&self.operator, Change::SetTenant { tenant: set }).await?;
+            let secret = Secret::generate(&mut rand::rng());
+            let issue = Change::IssueKey {
+                digest: secret.digest(),
+                tenant: tenant.name.clone(),
+                label: "run".to_owned(),
+            };
+            revision = accepted(&self.operator, issue).await?;
+            self.keys.insert(tenant.name.clone(), secret);
+        }
+        Ok(revision)
+    }
+
+    async fn wait_until_ready(&self, scenario: &Scenario, revision: u64) -> anyhow::Result<()> {
+        let until = Instant::now() + READY_TIMEOUT;
+        loop {
+            let dumps = self.dumps().await;
+            let current = |dump: &&Value| {
+                let status = &dump["status"];
+                let upstreams = dump["upstreams"].as_array().map_or(0, Vec::len);
+                status["revision"] == revision
+                    && status["ready"] == true
+                    && upstreams == self.upstreams.len()
+                    && status["hosts_live"] == scenario.hosts
+            };
+            let ready = dumps.iter().filter(current).count();
+            if ready == scenario.hosts {
+                return Ok(());
+            }
+            if Instant::now() > until {
+                let states: Vec<String> = dumps.iter().map(state).collect();
+                bail!(
+                    "only {ready} of {} hosts became ready at revision {revision}: {}",
+                    scenario.hosts,
+                    states.join(", ")
+                );
+            }
+            compio::time::sleep(PAUSE).await;
+        }
+    }
+
+    async fn dump(&self, address: SocketAddr) -> anyhow::Result<Value> {
+        let secret = std::fs::read_to_string(self.files.secret())?;
+        let secret = handshake::Secret::from(secret.trim().to_owned());
+        let link = Link::connect(address, "run", &secret).await?;
+        Ok(link.peer()?.dump().await?)
+    }
+
+    async fn set_fault(&mut self, name: &str, fault: Fault) -> anyhow::Result<()> {
+        let url = format!("http://{}/_lab/fault", self.upstream(name)?.direct);
+        let response = Client::new()?.post(url)?.json(&fault)?.send().await?;
+        anyhow::ensure!(
+            response.status().is_success(),
+            "{name} did not take the fault"
+        );
+        let mark = mark(name);
+        match fault {
+            Fault::None => self.marks.heals.push(mark),
+            _ => self.marks.faults.push(mark),
+        }
+        Ok(())
+    }
+
+    fn leave(&mut self, name: &str) -> anyhow::Result<()> {
+        let upstream = self.upstreams.get_mut(name).context("no such upstream")?;
+        if let Some(part) = &mut upstream.part {
+            part.ask_to_stop();
+        }
+        self.marks.drains.push(mark(name));
+        Ok(())
+    }
+
+    async fn drain(&mut self, name: &str) -> anyhow::Result<()> {
+        let upstream = name.to_owned();
+        let order = Order::Drain;
+        accepted(&self.operator, Change::Steer { upstream, order }).await?;
+        self.marks.drains.push(mark(name));
+        Ok(())
+    }
+
+    async fn withdraw(&mut self, tenant: &str) -> anyhow::Result<()> {
+        let secret = self.keys.get(tenant).context("no such tenant")?;
+        let digest = secret.digest();
+        accepted(&self.operator, Change::WithdrawKey { digest }).await?;
+        self.marks.withdrawals.push(mark(tenant));
+        Ok(())
+    }
+
+    /// Publishes twice at once against one revision.
+    async fn race(&mut self) {
+        let Ok(base) = self.operator.config().await.map(|config| config.revision()) else {
+            return;
+        };
+        let publish = || {
+            let operator = self.operator.clone();
+            let services = self.services.clone();
+            spawn(async move {
+                operator
+                    .submit(Change::Publish { services }, Some(base))
+                    .await
+            })
+        };
+        let (left, right) = (publish(), publish());
+        let outcomes = [left.await, right.await];
+        let accepted = |outcome: &&Result<anyhow::Result<Outcome>, _>| {
+            matches!(outcome, Ok(Ok(Outcome::Accepted { .. })))
+        };
+        if outcomes.iter().filter(accepted).count() > 1 {
+            self.marks.lost_races += 1;
+        }
+    }
+
+    fn cut(&mut self, name: &str, cut: bool) -> anyhow::Result<()> {
+        let relays = self.control_relays.get(name).context("no such host")?;
+        relays.iter().for_each(|relay| relay.cut(cut));
+        Ok(())
+    }
+
+    fn break_host(&mut self, name: &str) {
+        self.marks.broken_hosts.push(mark(name));
+    }
+
+    fn process(&mut self, name: &str) -> anyhow::Result<&mut Process> {
+        self.processes
+            .get_mut(name)
+            .with_context(|| format!("there is no {name}"))
+    }
+
+    fn upstream(&self, name: &str) -> anyhow::Result<&Upstream> {
+        self.upstreams
+            .get(name)
+            .with_context(|| format!("there is no upstream {name}"))
+    }
+}
+
+fn state(dump: &Value) -> String {
+    let status = &dump["status"];
+    let upstreams = dump["upstreams"].as_array().map_or(0, Vec::len);
+    format!(
+        "{} revision {} ready {} upstreams {upstreams} hosts {}",
+        status["host"], status["revision"], status["ready"], status["hosts_live"]
+    )
+}
+
+fn start_upstream(setup: Setup, ledger: Ledger) -> anyhow::Result<Upstream> {
+    let name = setup.id.clone();
+    let (part, (direct, relay)) = Part::start(&name, move |stop, told| {
+        upstream::run_behind(setup, ledger, stop, |direct| match Relay::open(direct) {
+            Ok(relay) => {
+                let address = relay.address();
+                told((direct, relay));
+                address
+            }
+            Err(_) => direct,
+        })
+    })?;
+    Ok(Upstream {
+        part: Some(part),
+        direct,
+        relay,
+    })
+}
+
+fn services(scenario: &Scenario) -> anyhow::Result<Vec<Service>> {
+    let service = |service: &scenario::Service| {
+        let name = &service.name;
+        let file: File = serde_json::from_value(json!({
+            "service": name,
+            "owner": "lab",
+            "floor": service.floor,
+            "routes": [
+                { "id": "read", "prefix": format!("/{name}/read"), "methods": ["GET"] },
+                {
+                    "id": "once",
+                    "prefix": format!("/{name}/once"),
+                    "methods": ["POST"],
+                    "non_idempotent": true,
+                },
+            ],
+        }))?;
+        Service::try_from(file).map_err(|faults| anyhow::anyhow!("{faults}"))
+    };
+    scenario.services.iter().map(service).collect()
+}
+
+async fn accepted(operator: &Fleet, change: Change) -> anyhow::Result<u64> {
+    match operator.submit(change, None).await? {
+        Outcome::Accepted { revision } => Ok(revision),
+        other => bail!("a change was not accepted: {other:?}"),
+    }
+}
+
+fn zone(number: usize, zones: usize) -> String {
+    format!("zone-{}", number % zones)
+}
+
+fn mark(subject: &str) -> Mark {
+    Mark {
+        at: Instant::now(),
+        subject: subject.to_owned(),
+    }
+}
--- a/programs/pb-lab/src/upstream.rs
+++ b/programs/pb-lab/src/upstream.rs
@@ -13,6 +13,7 @@
 use persimmonbend_app::stop::Stop;
 
 pub use fault::Fault;
+pub use ledger::Arrival;
 pub use ledger::Ledger;
 
 /// How a stand-in upstream is set up.
@@ -46,10 +47,25 @@
 pub async fn run<B>(setup: Setup, ledger: Ledger, stop: Stop, bound: B) -> anyhow::Result<()>
 where
     B: FnOnce(SocketAddr),
+{
+    run_behind(setup, ledger, stop, |address| {
+        bound(address);
+        address
+    })
+    .await
+}
+
+/// Runs a stand-in upstream that announces the address which `bound` returns for its own.
+///
+/// # Errors
+///
+/// Returns an error when the address cannot be bound.
+pub async fn run_behind<B>(setup: Setup, ledger: Ledger, stop: Stop, bound: B) -> anyhow::Result<()>
+where
+    B: FnOnce(SocketAddr) -> SocketAddr,
 {
     let socket = Server::bind(setup.listen).await?;
-    let address = socket.address()?;
-    bound(address);
+    let address = bound(socket.address()?);
     let upstream = Rc::new(server::Upstream::new(&setup, ledger));
     let announcing = compio::runtime::spawn(announcer::run(
         setup,
--- a/programs/pb-lab/src/upstream/ledger.rs
+++ b/programs/pb-lab/src/upstream/ledger.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Instant;
 
 /// Executions by request, shared by all upstreams of a run.
 #[derive(Debug, Clone, Default)]
@@ -15,9 +16,21 @@
 #[derive(Debug, Default)]
 struct Shared {
     executions: BTreeMap<String, Execution>,
+    arrivals: Vec<Arrival>,
     keys_seen: u64,
 }
 
+/// A request that reached an upstream.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// When it came.
+    pub at: Instant,
+    /// Upstream that it came to.
+    pub upstream: String,
+    /// Name of the request.
+    pub request: String,
+}
+
 #[derive(Debug, Default)]
 struct Execution {
     count: u32,
@@ -39,6 +52,22 @@
         execution.once |= once;
     }
 
+    /// Notes that a request reached an upstream.
+    pub fn arrived(&self, upstream: &str, request: &str) {
+        let arrival = Arrival {
+            at: Instant::now(),
+            upstream: upstream.to_owned(),
+            request: request.to_owned(),
+        };
+        self.lock().arrivals.push(arrival);
+    }
+
+    /// Returns the requests that reached upstreams, in their order.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.lock().arrivals.clone()
+    }
+
     /// Notes that an upstream saw a caller's key.
     pub fn saw_key(&self) {
         self.lock().keys_seen += 1;
--- a/programs/pb-lab/src/upstream/server.rs
+++ b/programs/pb-lab/src/upstream/server.rs
@@ -98,6 +98,7 @@
         let name = name(&request);
         let once = request.headers().contains_key("idempotency-key");
         let path = request.uri().path().to_owned();
+        self.ledger.arrived(&self.id, &name);
         if fault == Fault::Shed {
             return shed();
         }
