--- a/programs/pb-control/src/issuer.rs
+++ b/programs/pb-control/src/issuer.rs
@@ -10,6 +10,7 @@
 use persimmonbend_core::quota;
 use persimmonbend_core::quota::Batch;
 use persimmonbend_core::quota::Reply;
+use serde_json::json;
 
 use crate::error::Error;
 use crate::leadership::Leadership;
@@ -90,6 +91,22 @@
         Ok(())
     }
 
+    /// Returns the seats and what is granted as JSON.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        let now = self.clock.now();
+        let current = self.current.borrow();
+        let issuer = current.as_ref().map(|current| &current.issuer);
+        self.node.read(|machine| {
+            json!({
+                "seats": machine.seats().size(),
+                "seats_taken": machine.seats().hosts(),
+                "accounts_active": issuer.map_or(0, quota::Issuer::active),
+                "shares_withheld": issuer.map(|issuer| issuer.withheld(now).collect::<Vec<_>>()),
+            })
+        })
+    }
+
     fn incarnation(&self, host: &str) -> Option<Incarnation> {
         let current = self.current.borrow();
         current.as_ref()?.issuer.incarnation(host)
--- a/programs/pb-control/src/records.rs
+++ b/programs/pb-control/src/records.rs
@@ -13,6 +13,7 @@
 use persimmonbend_core::record::Millis;
 use persimmonbend_core::record::Outcome;
 use persimmonbend_core::record::Verdict;
+use serde_json::json;
 
 use crate::error::Error;
 use crate::node::Node;
@@ -83,6 +84,17 @@
         Ok(())
     }
 
+    /// Returns the size of the records as JSON.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        self.node.read(|machine| {
+            json!({
+                "count": machine.records().len(),
+                "stored_bytes": machine.records().stored_bytes(),
+            })
+        })
+    }
+
     fn look(&self, claim: &Claim) -> Option<Verdict> {
         let at = self.wall();
         self.node.read(|machine| machine.records().look(claim, at))
--- a/programs/pb-control/src/server.rs
+++ b/programs/pb-control/src/server.rs
@@ -151,6 +151,8 @@
         let dump = serde_json::json!({
             "status": self.node.status(),
             "config": self.node.state(),
+            "rates": self.issuer.dump(),
+            "records": self.records.dump(),
         });
         results.get().set_state(dump.to_string().as_bytes());
         Ok(())
--- /dev/null
+++ b/programs/pb-lab/src/claims.rs
@@ -0,0 +1,119 @@
+//! Latency of claims and outcomes at a control replica with synced files.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context;
+use anyhow::bail;
+use bpaf::Bpaf;
+use hdrhistogram::Histogram;
+use persimmonbend_core::key::Digest;
+use persimmonbend_core::record::Answer;
+use persimmonbend_core::record::Claim;
+use persimmonbend_core::record::Name;
+use persimmonbend_core::record::Outcome;
+use persimmonbend_core::record::Owner;
+use persimmonbend_core::record::Verdict;
+use persimmonbend_wire::control::Client;
+use persimmonbend_wire::handshake::Secret;
+use persimmonbend_wire::link::Link;
+
+use crate::fleet;
+use crate::fleet::Files;
+
+/// Longest latency that is told apart, in microseconds.
+const MAX_MICROS: u64 = 60_000_000;
+
+/// Bytes of the answers that are stored.
+const ANSWER_BYTES: usize = 200;
+
+/// How many claims are made.
+#[derive(Debug, Clone, Copy, Bpaf)]
+pub struct Plan {
+    /// Claims, one after the other
+    #[bpaf(long, argument("N"), fallback(2_000))]
+    pub claims: u64,
+}
+
+/// Claims and completes records one after the other and prints the latencies.
+///
+/// # Errors
+///
+/// Returns an error when the replica does not start or refuses a claim.
+pub async fn run(plan: Plan) -> anyhow::Result<()> {
+    let files = Files::create()?;
+    let (control, address) = fleet::control(&files, "control-0")?;
+    let measured = measure(&files, address, plan).await;
+    control.end()?;
+    let (claims, outcomes) = measured?;
+    print("claim", &claims);
+    print("outcome", &outcomes);
+    Ok(())
+}
+
+async fn measure(
+    files: &Files,
+    address: SocketAddr,
+    plan: Plan,
+) -> anyhow::Result<(Histogram<u64>, Histogram<u64>)> {
+    let secret = std::fs::read_to_string(files.secret())?;
+    let secret = Secret::from(secret.trim().to_owned());
+    let link = Link::connect(address, "lab", &secret).await?;
+    let client = link.control()?;
+    let mut claims = Histogram::new_with_max(MAX_MICROS, 3)?;
+    let mut outcomes = Histogram::new_with_max(MAX_MICROS, 3)?;
+    for number in 0..plan.claims {
+        let (claimed, told) = one(&client, number).await?;
+        claims.record(micros(claimed))?;
+        outcomes.record(micros(told))?;
+    }
+    Ok((claims, outcomes))
+}
+
+async fn one(client: &Client, number: u64) -> anyhow::Result<(Duration, Duration)> {
+    let claim = claim(number);
+    let started = Instant::now();
+    let verdict = client.claim(&claim, Duration::ZERO).await;
+    let claimed = started.elapsed();
+    if verdict.context("a claim failed")? != Verdict::Fresh {
+        bail!("claim {number} is not fresh");
+    }
+    let outcome = Outcome::Answered {
+        answer: Answer {
+            status: 200,
+            headers: Vec::new(),
+            body: vec![b'x'; ANSWER_BYTES],
+        },
+    };
+    let started = Instant::now();
+    client.complete(&claim, &outcome).await?;
+    Ok((claimed, started.elapsed()))
+}
+
+fn claim(number: u64) -> Claim {
+    Claim {
+        name: Name {
+            tenant: "farm".to_owned(),
+            route: "herd/lodge".to_owned(),
+            key: format!("{number:032x}"),
+        },
+        request: Digest::from([0; 32]),
+        owner: Owner {
+            host: "lab".to_owned(),
+            attempt: number,
+        },
+        patience: Duration::from_secs(10),
+    }
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(MAX_MICROS)
+}
+
+fn print(what: &str, histogram: &Histogram<u64>) {
+    let p50 = histogram.value_at_quantile(0.5);
+    let p99 = histogram.value_at_quantile(0.99);
+    let count = histogram.len();
+    println!("{what}: p50 {p50} us, p99 {p99} us, {count} calls");
+}
--- a/programs/pb-lab/src/command.rs
+++ b/programs/pb-lab/src/command.rs
@@ -12,6 +12,9 @@
 use persimmonbend_app::program::log;
 use persimmonbend_app::stop::Stop;
 
+use crate::claims;
+use crate::claims::Plan;
+use crate::claims::plan;
 use crate::demo;
 use crate::routing;
 use crate::routing::Bench;
@@ -33,6 +36,12 @@
 /// What to run.
 #[derive(Debug, Clone, Bpaf)]
 enum Command {
+    /// Measure claims and outcomes of records at a control replica
+    #[bpaf(command)]
+    Claims {
+        #[bpaf(external(plan))]
+        plan: Plan,
+    },
     /// Run a small fleet with a grey upstream and show what happens
     #[bpaf(command)]
     Demo {
@@ -84,6 +93,7 @@
         return ExitCode::from(EXIT_USAGE);
     }
     match arguments.command {
+        Command::Claims { plan } => program::run(claims::run(plan)),
         Command::Demo { json } => program::run(demo::run(json)),
         Command::Routing { bench } => program::run(routing::run(bench)),
         Command::Upstream {
--- a/programs/pb-lab/src/lib.rs
+++ b/programs/pb-lab/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Everything runs on loopback with ports from the kernel. Nothing here is shipped to hosts.
 
+pub mod claims;
 pub mod command;
 pub mod demo;
 pub mod fleet;
--- a/programs/pb-proxy/src/node.rs
+++ b/programs/pb-proxy/src/node.rs
@@ -330,6 +330,7 @@
             "withdrawn": board.withdrawn().iter().map(key::Digest::short).collect::<Vec<_>>(),
             "hosts": board.hosts().values().map(host).collect::<Vec<_>>(),
             "upstreams": board.all_upstreams().map(upstream).collect::<Vec<_>>(),
+            "rates": self.rates.dump(now),
             "events": board.events().iter().collect::<Vec<_>>(),
             "traffic": crate::explain::traffic(self),
         })
--- a/programs/pb-proxy/src/rates.rs
+++ b/programs/pb-proxy/src/rates.rs
@@ -21,6 +21,7 @@
 use persimmonbend_core::quota::Holder;
 use persimmonbend_wire::control::Client;
 use persimmonbend_wire::error::Error;
+use serde_json::json;
 
 use crate::node::Node;
 use crate::settings::Settings;
@@ -69,19 +70,22 @@
         }
     }
 
-    /// Returns whether this host lives on its share of each rate.
+    /// Returns the tokens in hand as JSON.
     #[must_use]
-    pub fn is_cut_off(&self, now: Instant) -> bool {
-        self.holder.borrow().is_cut_off(now)
-    }
-
-    /// Returns the tokens in hand by account.
-    #[must_use]
-    pub fn held(&self) -> Vec<(Account, u32)> {
+    pub fn dump(&self, now: Instant) -> serde_json::Value {
         let holder = self.holder.borrow();
-        let held = holder.held();
-        held.map(|(account, tokens)| (account.clone(), tokens))
-            .collect()
+        let held = holder.held().map(|(account, tokens)| {
+            json!({
+                "tenant": account.tenant,
+                "service": account.service,
+                "tokens": tokens,
+            })
+        });
+        json!({
+            "cut_off": holder.is_cut_off(now),
+            "seat": holder.seat().map(|seat| seat.number),
+            "held": held.collect::<Vec<_>>(),
+        })
     }
 }
 
