--- a/crates/wire/src/slots/channel.rs
+++ b/crates/wire/src/slots/channel.rs
@@ -14,10 +14,10 @@
 use log::warn;
 
 use crate::error::Error;
+use crate::meter;
 use crate::slots::Decoder;
 use crate::slots::Encoder;
 use crate::slots::Frame;
-use crate::traffic;
 
 /// Frames that wait to be written.
 const MAX_WAITING: usize = 8_192;
@@ -162,7 +162,7 @@
             self.shared
                 .written
                 .set(self.shared.written.get() + length as u64);
-            traffic::add_sent(length);
+            meter::add_sent(length);
         }
         Ok(())
     }
@@ -195,7 +195,7 @@
             buffer.clear();
             let BufResult(result, buffer) = self.stream.read(buffer).await;
             let length = result?;
-            traffic::add_received(length);
+            meter::add_received(length);
             let frames = self.decoder.feed(&buffer[..length])?;
             self.buffer = buffer;
             if length == 0 {
--- a/programs/pb-control/src/issuer.rs
+++ b/programs/pb-control/src/issuer.rs
@@ -52,9 +52,10 @@
     ///
     /// Returns an error when this replica does not lead or cannot give the host a seat.
     pub async fn answer(&self, batch: &Batch) -> Result<Reply, Error> {
+        self.node.require_leader()?;
         self.seat(&batch.host).await?;
         let Leadership::Leader { term, .. } = self.node.leadership() else {
-            return Err(Error::NotLeader(String::new()));
+            return Err(Error::NotLeader(self.node.leader_hint()));
         };
         let now = self.clock.now();
         let mut current = self.current.borrow_mut();
@@ -80,9 +81,7 @@
     ///
     /// Returns an error when this replica does not lead or cannot commit it.
     pub async fn vacate(&self, host: &str, incarnation: Incarnation) -> Result<(), Error> {
-        if !self.node.is_leader() {
-            return Err(Error::NotLeader(String::new()));
-        }
+        self.node.require_leader()?;
         if self.incarnation(host) != Some(incarnation) {
             return Ok(());
         }
--- a/programs/pb-control/src/records.rs
+++ b/programs/pb-control/src/records.rs
@@ -51,9 +51,7 @@
     pub async fn claim(&self, claim: &Claim, wait: Duration) -> Result<Verdict, Error> {
         let until = self.clock.now() + wait.min(MAX_WAIT);
         loop {
-            if !self.node.is_leader() {
-                return Err(Error::NotLeader(String::new()));
-            }
+            self.node.require_leader()?;
             let told = self.told.listen();
             let verdict = match self.look(claim) {
                 Some(verdict) => verdict,
--- a/programs/pb-lab/src/claims.rs
+++ b/programs/pb-lab/src/claims.rs
@@ -25,6 +25,12 @@
 /// Longest latency that is told apart, in microseconds.
 const MAX_MICROS: u64 = 60_000_000;
 
+/// Time for a leader to be elected.
+const ELECTION_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Pause between two looks for a leader.
+const ELECTION_PAUSE: Duration = Duration::from_millis(100);
+
 /// Bytes of the answers that are stored.
 const ANSWER_BYTES: usize = 200;
 
@@ -34,6 +40,9 @@
     /// Claims, one after the other
     #[bpaf(long, argument("N"), fallback(2_000))]
     pub claims: u64,
+    /// Control replicas that hold the log
+    #[bpaf(long, argument("N"), fallback(1))]
+    pub replicas: usize,
 }
 
 /// Claims and completes records one after the other and prints the latencies.
@@ -43,9 +52,14 @@
 /// Returns an error when the replica does not start or refuses a claim.
 pub async fn run(plan: Plan) -> anyhow::Result<()> {
     let files = Files::create()?;
-    let (control, address) = fleet::control(&files, "control-0")?;
-    let measured = measure(&files, address, plan).await;
-    control.end()?;
+    let names: Vec<String> = (0..plan.replicas).map(|n| format!("control-{n}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let replicas = fleet::controls(&files, &names)?;
+    let addresses: Vec<SocketAddr> = replicas.iter().map(|(_, address)| *address).collect();
+    let measured = measure(&files, &addresses, plan).await;
+    for (replica, _) in replicas {
+        replica.end()?;
+    }
     let (claims, outcomes) = measured?;
     print("claim", &claims);
     print("outcome", &outcomes);
@@ -54,13 +68,12 @@
 
 async fn measure(
     files: &Files,
-    address: SocketAddr,
+    replicas: &[SocketAddr],
     plan: Plan,
 ) -> anyhow::Result<(Histogram<u64>, Histogram<u64>)> {
     let secret = std::fs::read_to_string(files.secret())?;
     let secret = Secret::from(secret.trim().to_owned());
-    let link = Link::connect(address, "lab", &secret).await?;
-    let client = link.control()?;
+    let (_link, client) = leader(replicas, &secret).await?;
     let mut claims = Histogram::new_with_max(MAX_MICROS, 3)?;
     let mut outcomes = Histogram::new_with_max(MAX_MICROS, 3)?;
     for number in 0..plan.claims {
@@ -71,6 +84,22 @@
     Ok((claims, outcomes))
 }
 
+/// Returns a link to the replica that leads, once there is one.
+async fn leader(replicas: &[SocketAddr], secret: &Secret) -> anyhow::Result<(Link, Client)> {
+    let until = Instant::now() + ELECTION_TIMEOUT;
+    while Instant::now() < until {
+        for address in replicas {
+            let link = Link::connect(*address, "lab", secret).await?;
+            let client = link.control()?;
+            if client.ping().await? {
+                return Ok((link, client));
+            }
+        }
+        compio::time::sleep(ELECTION_PAUSE).await;
+    }
+    bail!("no replica leads")
+}
+
 async fn one(client: &Client, number: u64) -> anyhow::Result<(Duration, Duration)> {
     let claim = claim(number);
     let started = Instant::now();
--- a/programs/pb-proxy/src/node.rs
+++ b/programs/pb-proxy/src/node.rs
@@ -21,7 +21,7 @@
 use persimmonbend_core::key;
 use persimmonbend_core::membership::Membership;
 use persimmonbend_core::traffic::Traffic;
-use persimmonbend_wire::traffic;
+use persimmonbend_wire::meter;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -293,13 +293,17 @@
             "stopping": self.stop.is_asked(),
             "revision": board.config().revision(),
             "upstreams": board.all_upstreams().count(),
+            "upstreams_taking": board
+                .all_upstreams()
+                .filter(|upstream| board.takes_requests(upstream))
+                .count(),
             "hosts": board.hosts().len(),
             "hosts_live": board.live_hosts().count(),
             "panel": { "heard": heard, "all": all },
             "vouched": membership.vouched(),
             "links": self.links.count(),
-            "traffic": traffic::counts(),
             "slots": self.slots.status(),
+            "control_bytes": meter::counts(),
         })
     }
 
