--- a/programs/pb-control/src/issuer.rs
+++ b/programs/pb-control/src/issuer.rs
@@ -10,6 +10,7 @@
 use persimmonbend_core::quota;
 use persimmonbend_core::quota::Batch;
 use persimmonbend_core::quota::Reply;
+use serde_json::json;
 
 use crate::error::Error;
 use crate::leadership::Leadership;
@@ -51,9 +52,10 @@
     ///
     /// Returns an error when this replica does not lead or cannot give the host a seat.
     pub async fn answer(&self, batch: &Batch) -> Result<Reply, Error> {
+        self.node.require_leader()?;
         self.seat(&batch.host).await?;
         let Leadership::Leader { term, .. } = self.node.leadership() else {
-            return Err(Error::NotLeader(String::new()));
+            return Err(Error::NotLeader(self.node.leader_hint()));
         };
         let now = self.clock.now();
         let mut current = self.current.borrow_mut();
@@ -79,9 +81,7 @@
     ///
     /// Returns an error when this replica does not lead or cannot commit it.
     pub async fn vacate(&self, host: &str, incarnation: Incarnation) -> Result<(), Error> {
-        if !self.node.is_leader() {
-            return Err(Error::NotLeader(String::new()));
-        }
+        self.node.require_leader()?;
         if self.incarnation(host) != Some(incarnation) {
             return Ok(());
         }
@@ -90,6 +90,22 @@
         Ok(())
     }
 
+    /// Returns the seats and what is granted as JSON.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        let now = self.clock.now();
+        let current = self.current.borrow();
+        let issuer = current.as_ref().map(|current| &current.issuer);
+        self.node.read(|machine| {
+            json!({
+                "seats": machine.seats().size(),
+                "seats_taken": machine.seats().hosts(),
+                "accounts_active": issuer.map_or(0, quota::Issuer::active),
+                "shares_withheld": issuer.map(|issuer| issuer.withheld(now).collect::<Vec<_>>()),
+            })
+        })
+    }
+
     fn incarnation(&self, host: &str) -> Option<Incarnation> {
         let current = self.current.borrow();
         current.as_ref()?.issuer.incarnation(host)
--- a/programs/pb-lab/src/command.rs
+++ b/programs/pb-lab/src/command.rs
@@ -16,6 +16,9 @@
 use persimmonbend_app::stop::Stop;
 
 use crate::capacity;
+use crate::claims;
+use crate::claims::Plan;
+use crate::claims::plan;
 use crate::demo;
 use crate::routing;
 use crate::routing::Bench;
@@ -38,6 +41,12 @@
 /// What to run.
 #[derive(Debug, Clone, Bpaf)]
 enum Command {
+    /// Measure claims and outcomes of records at a control replica
+    #[bpaf(command)]
+    Claims {
+        #[bpaf(external(plan))]
+        plan: Plan,
+    },
     /// Run a small fleet with a grey upstream and show what happens
     #[bpaf(command)]
     Demo {
@@ -139,6 +148,7 @@
         return ExitCode::from(EXIT_USAGE);
     }
     match arguments.command {
+        Command::Claims { plan } => program::run(claims::run(plan)),
         Command::Demo { json } => program::run(demo::run(json)),
         Command::Run { file, seed } => program::run(async move { run::run(&file, seed).await }),
         Command::Control { .. } | Command::Proxy { .. } => ExitCode::from(EXIT_USAGE),
