--- a/crates/app/src/http.rs
+++ b/crates/app/src/http.rs
@@ -57,6 +57,10 @@
     }
 }
 
+/// Address that a request came from, among its extensions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Origin(pub SocketAddr);
+
 /// Answers requests.
 pub trait Handler {
     /// Answers one request.
@@ -126,7 +130,7 @@
         handler: &Rc<H>,
         stop: &Stop,
     ) {
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, from)) = accepted else {
             compio::time::sleep(ACCEPT_PAUSE).await;
             return;
         };
@@ -138,7 +142,7 @@
         let stop = stop.clone();
         let limits = self.limits;
         spawn(async move {
-            serve_connection(stream, limits, handler, stop).await;
+            serve_connection(stream, from, limits, handler, stop).await;
             drop(guard);
         })
         .detach();
@@ -172,15 +176,17 @@
 
 async fn serve_connection<H: Handler + 'static>(
     stream: TcpStream,
+    from: SocketAddr,
     limits: Limits,
     handler: Rc<H>,
     stop: Stop,
 ) {
     let _ = stream.set_nodelay(true);
     let closing = stop.clone();
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let handler = Rc::clone(&handler);
         let stop = closing.clone();
+        request.extensions_mut().insert(Origin(from));
         async move {
             let mut response = handler.handle(request).await;
             if stop.is_asked() {
--- a/crates/core/src/board.rs
+++ b/crates/core/src/board.rs
@@ -34,6 +34,9 @@
 /// Most withdrawals that a board holds while control has not confirmed them.
 pub const MAX_WITHDRAWN: usize = 4_096;
 
+/// Lapsed upstreams from which on the loss of most of a service is not believed.
+const MANY_LAPSED: usize = 4;
+
 /// Time for which an upstream or a stopped host that is gone is remembered.
 pub const GONE_RETENTION: Duration = Duration::from_secs(120);
 
@@ -120,6 +123,9 @@
 
     /// Returns whether an upstream may get new requests, as far as it says itself and operators
     /// ordered.
+    ///
+    /// An upstream whose announcement lapsed may get some while most of its service lapsed, since
+    /// the fault is then likely on the way of the announcements.
     #[must_use]
     pub fn takes_requests(&self, upstream: &Upstream) -> bool {
         let orders = self.config.orders();
@@ -127,7 +133,15 @@
             orders.get(&upstream.announcement.id),
             Some(Order::Drain | Order::Eject)
         );
-        upstream.is_current() && upstream.announcement.stage.takes_requests() && !ordered_away
+        upstream.announcement.stage.takes_requests()
+            && !ordered_away
+            && (upstream.is_current() || self.has_lost_sight(&upstream.announcement.service))
+    }
+
+    /// Returns whether so many upstreams of a service lapsed that they are still used.
+    #[must_use]
+    pub fn has_lost_sight(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(has_lost_sight)
     }
 
     /// Returns whether a key was withdrawn, as far as this process knows.
@@ -311,7 +325,11 @@
             since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
         };
         for service in self.services.values_mut() {
-            service.retain(|_, one| age(one.gone_since) < GONE_RETENTION || one.in_flight > 0);
+            let kept = has_lost_sight(service);
+            service.retain(|_, one| {
+                let staying = kept && one.announcement.stage.takes_requests();
+                age(one.gone_since) < GONE_RETENTION || one.in_flight > 0 || staying
+            });
         }
         self.services.retain(|_, service| !service.is_empty());
         let left = self.services.values().map(BTreeMap::len).sum();
@@ -360,3 +378,12 @@
     );
     (announcement.incarnation, announcement.sequence, lapsed) > known_version
 }
+
+/// Returns whether all upstreams of a service lapsed, or most of several.
+fn has_lost_sight(service: &BTreeMap<UpstreamId, Upstream>) -> bool {
+    let upstreams = service.values();
+    let staying = upstreams.filter(|one| one.announcement.stage.takes_requests());
+    let (lapsed, current): (Vec<&Upstream>, Vec<&Upstream>) = staying.partition(|one| one.lapsed);
+    let most = lapsed.len() >= MANY_LAPSED && lapsed.len() > current.len();
+    current.is_empty() || most
+}
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -193,11 +193,6 @@
         }
     }
 
-    /// Notes that a message of `bytes` was sent or received.
-    pub fn spend(&mut self, bytes: usize) {
-        self.budget.spend(bytes);
-    }
-
     /// Tells the fleet that this host is stopping.
     pub fn stop(&mut self, board: &mut Board) {
         self.own.stopping = true;
--- a/crates/core/src/membership/exchange.rs
+++ b/crates/core/src/membership/exchange.rs
@@ -57,6 +57,7 @@
         if let Some(theirs) = message.summary {
             self.fill_summary(board, theirs, &mut answer);
         }
+        self.budget.spend(answer.bulk());
         answer
     }
 
@@ -82,6 +83,7 @@
         if let Some(theirs) = answer.summary {
             self.follow_up(board, theirs, answer, &mut next);
         }
+        self.budget.spend(next.bulk());
         (!next.is_empty()).then_some(next)
     }
 
--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -102,6 +102,9 @@
     }
 }
 
+/// Bytes of an encoded version.
+const MARK_BYTES: usize = 24;
+
 /// Bytes of an encoded record beside its names.
 const RECORD_BYTES: usize = 72;
 
@@ -175,6 +178,13 @@
         }
     }
 
+    /// Returns an estimate of the bytes of records and versions, which the budget bounds.
+    #[must_use]
+    pub fn bulk(&self) -> usize {
+        let records = self.records.iter().map(Record::size);
+        records.sum::<usize>() + self.marks.len() * MARK_BYTES
+    }
+
     /// Returns whether the message carries nothing that the receiver could act on.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
--- a/crates/core/src/membership/watch.rs
+++ b/crates/core/src/membership/watch.rs
@@ -14,6 +14,11 @@
 /// Upstreams from which on losing more than half of them at once is read as an own fault.
 const MANY: usize = 4;
 
+/// Share of its lifetime after which an upstream counts as missed when the many are counted.
+///
+/// Renewals do not all end in the same moment, so the first lapses before the last is silent.
+const MISSED_AT: u32 = 2;
+
 /// One host or upstream that this host vouches for.
 #[derive(Debug, Clone)]
 struct Watch {
@@ -27,6 +32,10 @@
     fn is_silent(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.heard) >= self.lifetime
     }
+
+    fn is_missed(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard) >= self.lifetime / MISSED_AT
+    }
 }
 
 /// All that this host vouches for.
@@ -130,14 +139,14 @@
             .collect()
     }
 
-    /// Returns whether so many upstreams went silent that the fault is likely this host's own.
+    /// Returns whether so many upstreams are missed that the fault is likely this host's own.
     #[must_use]
     pub fn lost_sight(&self, now: Instant) -> bool {
         let upstreams = self.entries.values();
         let upstreams = upstreams.filter(|entry| entry.lifetime == upstream::LIFETIME);
-        let (silent, heard): (Vec<&Watch>, Vec<&Watch>) =
-            upstreams.partition(|entry| entry.is_silent(now));
-        silent.len() >= MANY && silent.len() > heard.len()
+        let (missed, heard): (Vec<&Watch>, Vec<&Watch>) =
+            upstreams.partition(|entry| entry.is_missed(now));
+        missed.len() >= MANY && missed.len() > heard.len()
     }
 
     /// Returns how many of `vouchers` miss a subject at the same time.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -25,6 +25,8 @@
 pub mod listener;
 pub mod meter;
 pub mod peer;
+pub mod quota;
+pub mod record;
 pub mod slots;
 pub mod update;
 
--- a/programs/pb-control/src/node.rs
+++ b/programs/pb-control/src/node.rs
@@ -128,6 +128,14 @@
         self.inner.borrow().machine.config().clone()
     }
 
+    /// Returns what `read` finds in the replicated state.
+    pub fn read<T, F>(&self, read: F) -> T
+    where
+        F: FnOnce(&Machine) -> T,
+    {
+        read(&self.inner.borrow().machine)
+    }
+
     /// Returns whether this replica leads and may answer for the fleet.
     #[must_use]
     pub fn is_leader(&self) -> bool {
@@ -178,9 +186,7 @@
     pub async fn submit(&self, submission: Submission) -> Result<Outcome, Error> {
         match self.propose(Command::Change { submission }).await? {
             Reply::Change { outcome, .. } => Ok(outcome),
-            _ => Err(Error::Invalid(
-                "a change got the reply to another command".to_owned(),
-            )),
+            _ => Err(Error::Unknown),
         }
     }
 
--- a/programs/pb-proxy/src/callers.rs
+++ b/programs/pb-proxy/src/callers.rs
@@ -28,6 +28,8 @@
 use crate::forward;
 use crate::forward::Plan;
 use crate::node::Node;
+use crate::rates;
+use crate::records;
 use crate::refusal;
 use crate::trace::Trace;
 
@@ -85,8 +87,10 @@
         if let Some(tenant) = &tenant {
             trace.tenant(tenant);
         }
-        if target.route.non_idempotent {
-            return Err(Kind::ClaimUnavailable);
+        let idempotency_key = records::key(&target.route, &head.headers)?;
+        let deadline = deadline(started, &target, &head.headers);
+        if let Some(tenant) = &tenant {
+            rates::admit(&self.node, tenant, &target.service, deadline).await?;
         }
         let key = match tenant {
             Some(_) => Some(auth::digest(&head.headers)?),
@@ -94,7 +98,7 @@
         };
         let body = read(body, self.node.settings().body_max_bytes).await?;
         let plan = Plan {
-            deadline: deadline(started, &target, &head.headers),
+            deadline,
             target,
             tenant,
             key,
@@ -102,7 +106,10 @@
             body,
             trace: Rc::clone(trace),
         };
-        let mut response = forward::send(&self.node, &plan).await?;
+        let mut response = match idempotency_key {
+            Some(key) => records::run(&self.node, plan, key).await?,
+            None => forward::send(&self.node, &plan).await?,
+        };
         strip_hop_by_hop(response.headers_mut());
         Ok(response)
     }
--- a/programs/pb-proxy/src/node.rs
+++ b/programs/pb-proxy/src/node.rs
@@ -20,7 +20,6 @@
 use persimmonbend_core::host;
 use persimmonbend_core::key;
 use persimmonbend_core::membership::Membership;
-use persimmonbend_core::steward::Unconditional;
 use persimmonbend_core::traffic::Traffic;
 use persimmonbend_wire::meter;
 use rand::RngExt;
@@ -28,8 +27,11 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
 
+use crate::control::Control;
 use crate::links::Links;
 use crate::pool::Pool;
+use crate::rates::Rates;
+use crate::records::Records;
 use crate::settings::Settings;
 use crate::slots::Slots;
 use crate::withdrawals::Withdrawals;
@@ -44,6 +46,9 @@
     board: RefCell<Board>,
     membership: RefCell<Membership>,
     links: Links,
+    control: Control,
+    rates: Rates,
+    records: Records,
     news: Event,
     exchanges: Cell<usize>,
     fetching: Cell<bool>,
@@ -76,6 +81,9 @@
             board: RefCell::new(board),
             membership: RefCell::new(membership),
             links: Links::new(),
+            control: Control::new(&settings),
+            rates: Rates::new(&settings, &*clock),
+            records: Records::new(),
             news: Event::new(),
             exchanges: Cell::new(0),
             fetching: Cell::new(false),
@@ -84,7 +92,7 @@
             joined: Cell::new(false),
             rng: RefCell::new(rng),
             pool: Pool::new(settings.connections_max),
-            slots: Slots::new(settings.routing, Box::new(Unconditional)),
+            slots: Slots::new(settings.routing),
             traffic: RefCell::new(Traffic::new(clock.now())),
             ready: Cell::new(false),
             closing: Stop::new(),
@@ -136,6 +144,24 @@
         &self.links
     }
 
+    /// Returns the link to the replica of control that leads.
+    #[must_use]
+    pub const fn control(&self) -> &Control {
+        &self.control
+    }
+
+    /// Returns the rates of tenants.
+    #[must_use]
+    pub const fn rates(&self) -> &Rates {
+        &self.rates
+    }
+
+    /// Returns the executions of non-idempotent requests.
+    #[must_use]
+    pub const fn records(&self) -> &Records {
+        &self.records
+    }
+
     /// Returns the number of exchanges under way.
     #[must_use]
     pub const fn exchanges(&self) -> &Cell<usize> {
@@ -277,6 +303,7 @@
             "vouched": membership.vouched(),
             "links": self.links.count(),
             "control_bytes": meter::counts(),
+            "slots": self.slots.status(),
         })
     }
 
--- a/programs/pb-proxy/src/slots.rs
+++ b/programs/pb-proxy/src/slots.rs
@@ -5,6 +5,7 @@
 //! own counts and its own evidence and reports the slot to the steward afterwards.
 
 mod counts;
+mod judges;
 mod links;
 mod pending;
 mod reservation;
@@ -13,7 +14,6 @@
 mod stewards;
 
 use std::cell::Cell;
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -33,10 +33,11 @@
 use persimmonbend_core::steward::Decision;
 use persimmonbend_core::steward::Release;
 use persimmonbend_core::steward::Ticket;
-use persimmonbend_core::steward::Verdicts;
 use persimmonbend_wire::slots::Frame;
+use serde_json::json;
 
 pub use counts::Counts;
+pub use judges::Judges;
 pub use reservation::Ask;
 pub use reservation::Report;
 pub use reservation::Reservation;
@@ -62,7 +63,7 @@
 pub struct Slots {
     routing: Routing,
     picker: Box<dyn Picker>,
-    verdicts: RefCell<Box<dyn Verdicts>>,
+    judges: Judges,
     stewards: Stewards,
     links: Links,
     pending: Pending,
@@ -72,9 +73,9 @@
 }
 
 impl Slots {
-    /// Creates a choice by `routing` that judges upstreams by `verdicts`.
+    /// Creates a choice by `routing`.
     #[must_use]
-    pub fn new(routing: Routing, verdicts: Box<dyn Verdicts>) -> Self {
+    pub fn new(routing: Routing) -> Self {
         let picker: Box<dyn Picker> = match routing {
             Routing::Uniform => Box::new(Uniform),
             Routing::TwoChoices | Routing::Steward => Box::new(TwoChoices),
@@ -82,7 +83,7 @@
         Self {
             routing,
             picker,
-            verdicts: RefCell::new(verdicts),
+            judges: Judges::default(),
             stewards: Stewards::default(),
             links: Links::default(),
             pending: Pending::default(),
@@ -104,10 +105,24 @@
         self.links.bytes_written() + self.stewards.bytes_written()
     }
 
-    /// Returns the judge of upstreams.
+    /// Returns how reservations ended and what the slot protocol cost.
     #[must_use]
-    pub const fn verdicts(&self) -> &RefCell<Box<dyn Verdicts>> {
-        &self.verdicts
+    pub fn status(&self) -> serde_json::Value {
+        let counts = &self.counts;
+        json!({
+            "granted": counts.granted.get(),
+            "queued": counts.queued.get(),
+            "refused": counts.refused.get(),
+            "late": counts.late.get(),
+            "chosen": counts.chosen.get(),
+            "bytes_written": self.bytes_written(),
+        })
+    }
+
+    /// Returns the judges of upstreams.
+    #[must_use]
+    pub const fn judges(&self) -> &Judges {
+        &self.judges
     }
 
     /// Reserves an upstream for an attempt.
@@ -214,16 +229,17 @@
     fn choose(&self, node: &Rc<Node>, ask: &Ask<'_>) -> Result<Reservation, Kind> {
         let picked = {
             let board = node.board();
-            let verdicts = self.verdicts.borrow();
-            let view = View {
-                board: &board,
-                verdicts: verdicts.as_ref(),
-                service: ask.service,
-                zone: &node.settings().zone,
-                avoid: ask.avoid,
-                in_flight_max: node.settings().connections_max,
-            };
-            self.picker.pick(&view, &mut *node.rng())
+            self.judges.with(&board, ask.service, |judge| {
+                let view = View {
+                    board: &board,
+                    verdicts: judge,
+                    service: ask.service,
+                    zone: &node.settings().zone,
+                    avoid: ask.avoid,
+                    in_flight_max: node.settings().connections_max,
+                };
+                self.picker.pick(&view, &mut *node.rng())
+            })
         };
         let upstream = picked.ok_or(Kind::NoUpstream)?.announcement.id;
         let number = self.number();
@@ -297,7 +313,10 @@
         if !place.told.contains(&node.settings().host) {
             let evidence = place.evidence(&node.settings().zone, report, latency);
             let now = node.now();
-            self.verdicts.borrow_mut().observe(&evidence, now);
+            let board = node.board();
+            self.judges.with(&board, &place.service, |judge| {
+                judge.observe(&evidence, now);
+            });
         }
         for steward in &place.told {
             let release = Release {
@@ -362,6 +381,8 @@
         compio::time::sleep(TICK).await;
         let slots = node.slots();
         slots.stewards.tick(&node);
+        let decisions = slots.judges.tick(&node);
+        slots.stewards.spread(&decisions);
         if is_due(reported, node.now()) {
             reported = node.now();
             slots.report_all(&node);
--- /dev/null
+++ b/programs/pb-proxy/src/slots/judges.rs
@@ -0,0 +1,170 @@
+//! The judges of the services on this host.
+//!
+//! A judge sees what this host's own requests show and, where this host is the steward, what all
+//! hosts show.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use log::warn;
+use persimmonbend_core::board::Board;
+use persimmonbend_core::health::Decision;
+use persimmonbend_core::health::Judge;
+use persimmonbend_core::health::Member;
+use persimmonbend_core::health::Policy;
+use persimmonbend_core::health::Verdict;
+use persimmonbend_core::id::Incarnation;
+use persimmonbend_core::id::Revision;
+use persimmonbend_core::id::ServiceId;
+use persimmonbend_core::id::UpstreamId;
+use persimmonbend_core::upstream::Stage;
+
+use crate::node::Node;
+
+/// Judges by service.
+#[derive(Debug, Default)]
+pub struct Judges {
+    services: RefCell<BTreeMap<ServiceId, Seat>>,
+    synced: Cell<Option<State>>,
+}
+
+/// What the judges were last told of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct State {
+    upstream_changes: u64,
+    revision: Revision,
+}
+
+/// The judge of one service.
+#[derive(Debug)]
+struct Seat {
+    judge: Judge,
+    incarnations: BTreeMap<UpstreamId, Incarnation>,
+    /// Upstreams that are out of use on the word of the steward.
+    advised: BTreeSet<UpstreamId>,
+}
+
+impl Judges {
+    /// Runs `work` with the judge of a service.
+    pub fn with<R, W>(&self, board: &Board, service: &str, work: W) -> R
+    where
+        W: FnOnce(&mut Judge) -> R,
+    {
+        let mut services = self.services.borrow_mut();
+        if let Some(seat) = services.get_mut(service) {
+            return work(&mut seat.judge);
+        }
+        let mut seat = Seat::new();
+        seat.sync(board, service);
+        let result = work(&mut seat.judge);
+        services.insert(service.to_owned(), seat);
+        result
+    }
+
+    /// Returns what hosts of `zone` may send to an upstream of a service.
+    #[must_use]
+    pub fn verdict(&self, service: &str, upstream: &str, zone: &str, now: Instant) -> Verdict {
+        let services = self.services.borrow();
+        let seat = services.get(service);
+        seat.map_or(Verdict::Use { weight: 1.0 }, |seat| {
+            seat.judge.verdict(upstream, zone, now)
+        })
+    }
+
+    /// Takes in changes of upstreams and configuration and writes an event for each decision;
+    /// returns the decisions.
+    pub fn tick(&self, node: &Node) -> Vec<(ServiceId, Decision)> {
+        self.sync(&node.board());
+        let mut decisions = Vec::new();
+        for (service, seat) in self.services.borrow_mut().iter_mut() {
+            let taken = seat.judge.take_decisions().into_iter();
+            decisions.extend(taken.map(|decision| (service.clone(), decision)));
+        }
+        for (service, decision) in &decisions {
+            let Decision { upstream, text, .. } = decision;
+            warn!("health: {upstream} of {service}: {text}");
+            node.board_mut().record("health", upstream, text.clone());
+        }
+        decisions
+    }
+
+    /// Returns the upstreams of a service that are out of use.
+    #[must_use]
+    pub fn out(&self, service: &str) -> Vec<UpstreamId> {
+        let services = self.services.borrow();
+        let Some(seat) = services.get(service) else {
+            return Vec::new();
+        };
+        let reports = seat.judge.reports().into_iter();
+        let out = reports.filter(|report| report.out);
+        out.map(|report| report.upstream).collect()
+    }
+
+    /// Takes in the steward's verdict on an upstream, as far as the floor allows.
+    pub fn advise(&self, board: &Board, service: &str, upstream: &str, verdict: Verdict) {
+        let now = board.now();
+        let mut services = self.services.borrow_mut();
+        let Some(seat) = services.get_mut(service) else {
+            return;
+        };
+        if verdict == Verdict::Ejected {
+            seat.judge.adopt(upstream, now);
+            seat.advised.insert(upstream.to_owned());
+        } else if seat.advised.remove(upstream) {
+            seat.judge.restarted(upstream, now);
+        }
+    }
+
+    fn sync(&self, board: &Board) {
+        let state = State {
+            upstream_changes: board.upstream_changes(),
+            revision: board.config().revision(),
+        };
+        if self.synced.replace(Some(state)) == Some(state) {
+            return;
+        }
+        let mut services = self.services.borrow_mut();
+        services.retain(|service, _| board.upstreams(service).next().is_some());
+        for (service, seat) in services.iter_mut() {
+            seat.sync(board, service);
+        }
+    }
+}
+
+impl Seat {
+    fn new() -> Self {
+        Self {
+            judge: Judge::new(Policy::default()),
+            incarnations: BTreeMap::new(),
+            advised: BTreeSet::new(),
+        }
+    }
+
+    fn sync(&mut self, board: &Board, service: &str) {
+        let now = board.now();
+        if let Some(service) = board.config().services().get(service) {
+            self.judge.set_floor(service.floor);
+        }
+        let upstreams = board.upstreams(service);
+        let members: Vec<_> = upstreams.filter(|one| board.takes_requests(one)).collect();
+        let member = |one: &&persimmonbend_core::upstream::Upstream| {
+            let ready = one.announcement.stage == Stage::Ready;
+            Member::new(&one.announcement.id, one.announcement.slots, ready)
+        };
+        self.judge.sync(members.iter().map(member), now);
+        for one in &members {
+            let id = &one.announcement.id;
+            let incarnation = one.announcement.incarnation;
+            let before = self.incarnations.insert(id.clone(), incarnation);
+            if before.is_some_and(|before| before < incarnation) {
+                self.judge.restarted(id, now);
+                self.advised.remove(id);
+            }
+        }
+        self.incarnations
+            .retain(|id, _| board.upstream(service, id).is_some());
+    }
+}
