--- a/crates/core/src/membership/pace.rs
+++ b/crates/core/src/membership/pace.rs
@@ -19,6 +19,7 @@
 use crate::membership::message::Message;
 use crate::membership::message::Record;
 use crate::membership::message::Subject;
+use crate::membership::message::Version;
 use crate::membership::message::host_key;
 use crate::membership::view::Place;
 
@@ -31,8 +32,11 @@
 /// Time between two exchanges with one of the vouchers of this host.
 const PRESENCE_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Time between two messages of renewals or doubts to one host.
-const VOUCHING_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two messages of doubts to one host.
+const DOUBT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time between two messages of renewals to one host, well below the lifetime of an announcement.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Hosts that a piece of news is pushed to.
 const FAN_OUT: usize = 3;
@@ -48,7 +52,8 @@
 pub struct Pace {
     exchange: Instant,
     presence: Instant,
-    vouching: Instant,
+    doubts: Instant,
+    renewals: Instant,
     turn: usize,
 }
 
@@ -59,7 +64,8 @@
         Self {
             exchange: now,
             presence: now,
-            vouching: now,
+            doubts: now,
+            renewals: now,
             turn: 0,
         }
     }
@@ -71,8 +77,8 @@
         let now = board.now();
         self.refresh(board);
         let mut sendings = Vec::new();
-        if now >= self.pace.vouching {
-            self.pace.vouching = now + VOUCHING_INTERVAL;
+        if now >= self.pace.doubts {
+            self.pace.doubts = now + DOUBT_INTERVAL;
             self.vouch(board, &mut sendings);
         }
         self.push_news(board, &mut sendings);
@@ -142,7 +148,7 @@
     fn vouch(&mut self, board: &mut Board, sendings: &mut Vec<Sending>) {
         let mut messages: BTreeMap<HostId, Message> = BTreeMap::new();
         let blank = Message::new(self.own.clone(), board.config().revision());
-        for (voucher, renewals) in std::mem::take(&mut self.renewals) {
+        for (voucher, renewals) in self.due_renewals(board) {
             let message = messages.entry(voucher).or_insert_with(|| blank.clone());
             let marks = renewals.into_iter();
             message.renewals = marks.map(|(key, version)| Mark { key, version }).collect();
@@ -163,6 +169,15 @@
         self.call_quiet_hosts(board, sendings);
     }
 
+    fn due_renewals(&mut self, board: &Board) -> BTreeMap<HostId, BTreeMap<Key, Version>> {
+        let now = board.now();
+        if now < self.pace.renewals {
+            return BTreeMap::new();
+        }
+        self.pace.renewals = now + self.jittered(RENEWAL_INTERVAL);
+        std::mem::take(&mut self.renewals)
+    }
+
     /// Returns what this host misses, unless the fault is likely its own.
     fn doubts(&mut self, board: &mut Board) -> Vec<Mark> {
         let now = board.now();
@@ -254,6 +269,7 @@
         self.news.told = revision;
         live.shuffle(&mut self.rng);
         for to in live.into_iter().take(FAN_OUT) {
+            self.budget.spend(message.bulk());
             let message = message.clone();
             sendings.push(Sending { to, message });
         }
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -224,15 +224,19 @@
 
 #[test]
 fn upstreams_that_all_fall_silent_at_once_are_kept() {
-    let mut network = network(HOSTS, 40, 1);
-    for source in &mut network.sources {
-        source.silent = true;
-    }
-    network.run(Duration::from_secs(60));
-    for node in network.nodes.values() {
-        let board = node.board.borrow();
-        assert!(board.all_upstreams().all(|one| !one.lapsed));
+    fn property(seed: u64) {
+        let mut network = network(HOSTS, 40, seed);
+        for source in &mut network.sources {
+            source.silent = true;
+        }
+        network.run(Duration::from_secs(60));
+        for node in network.nodes.values() {
+            let board = node.board.borrow();
+            let lapsed = board.all_upstreams().filter(|one| one.lapsed);
+            assert_eq!(lapsed.count(), 0, "seed {seed}");
+        }
     }
+    check(property);
 }
 
 #[test]
@@ -268,3 +272,38 @@
         assert!(!board.takes_requests(held), "host {}", name(*host));
     }
 }
+
+#[test]
+fn many_renewals_do_not_hold_news_back() {
+    let mut network = network(6, 600, 1);
+    network.run(Duration::from_secs(60));
+    assert!(network.agrees());
+    network.sources[3].announcement.stage = Stage::Draining;
+    assert_eq!(network.announce(3, 2), Some(Taken::News));
+    network.run(Duration::from_secs(2));
+    let source = &network.sources[3].announcement;
+    for (host, node) in &network.nodes {
+        let board = node.board.borrow();
+        let held = board.upstream(&source.service, &source.id).unwrap();
+        assert!(!board.takes_requests(held), "host {}", name(*host));
+    }
+    assert_eq!(network.wrongly_lapsed(), Vec::new());
+}
+
+#[test]
+fn a_service_whose_announcements_all_stop_is_still_used() {
+    let mut network = network(24, 9, 1);
+    network.run(Duration::from_secs(10));
+    for source in &mut network.sources {
+        source.silent = true;
+    }
+    network.run(Duration::from_secs(150));
+    for node in network.nodes.values() {
+        let mut board = node.board.borrow_mut();
+        board.sweep();
+        let taking = board
+            .all_upstreams()
+            .filter(|one| board.takes_requests(one));
+        assert_eq!(taking.count(), 9);
+    }
+}
--- a/programs/pb-proxy/src/gossip.rs
+++ b/programs/pb-proxy/src/gossip.rs
@@ -60,7 +60,6 @@
     let message = gossip::decode(bytes)?;
     let answer = node.membership().answer(&mut node.board_mut(), &message);
     let reply = gossip::encode(&answer)?;
-    node.membership().spend(reply.len());
     node.wake_for_news();
     if message.revision > node.board().config().revision() {
         let node = Rc::clone(node);
@@ -109,7 +108,6 @@
     let bytes = gossip::encode(message)?;
     let sent = node.now();
     let reply = peer.gossip(&bytes).await?;
-    node.membership().spend(bytes.len());
     let answer = gossip::decode(&reply)?;
     if answer.revision > node.board().config().revision() {
         fetch(node, peer).await?;
