--- a/programs/pb-proxy/src/slots.rs
+++ b/programs/pb-proxy/src/slots.rs
@@ -12,11 +12,11 @@
 mod running;
 mod server;
 mod stewards;
+mod ticks;
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use compio::time::timeout;
 use persimmonbend_core::error::Kind;
@@ -42,6 +42,7 @@
 pub use reservation::Report;
 pub use reservation::Reservation;
 pub use server::handler;
+pub use ticks::run;
 
 use crate::node::Node;
 use crate::settings::Routing;
@@ -52,12 +53,6 @@
 use crate::slots::running::Running;
 use crate::slots::stewards::Stewards;
 
-/// Time between two ticks of the stewards on this host.
-const TICK: Duration = Duration::from_millis(10);
-
-/// Time between two looks for reservations that a steward has not heard of.
-const REPORT_INTERVAL: Duration = Duration::from_millis(200);
-
 /// What a host knows about the slots of upstreams.
 #[derive(Debug)]
 pub struct Slots {
@@ -375,26 +370,3 @@
         number
     }
 }
-
-/// Drives the stewards on this host until the future is dropped.
-pub async fn run(node: Rc<Node>) {
-    let mut reported = node.now();
-    let mut host_changes = 0;
-    loop {
-        compio::time::sleep(TICK).await;
-        let slots = node.slots();
-        slots.stewards.tick(&node);
-        let decisions = slots.judges.tick(&node);
-        slots.stewards.spread(&decisions);
-        let changes = node.board().host_changes();
-        if changes != host_changes || is_due(reported, node.now()) {
-            host_changes = changes;
-            reported = node.now();
-            slots.report_all(&node);
-        }
-    }
-}
-
-fn is_due(last: Instant, now: Instant) -> bool {
-    now.saturating_duration_since(last) >= REPORT_INTERVAL
-}
--- /dev/null
+++ b/programs/pb-proxy/src/slots/ticks.rs
@@ -0,0 +1,36 @@
+//! The work on slots that is due from time to time.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::node::Node;
+
+/// Time between two ticks of the stewards on this host.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Time between two looks for reservations that a steward has not heard of.
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Drives the stewards on this host until the future is dropped.
+pub async fn run(node: Rc<Node>) {
+    let mut reported = node.now();
+    let mut host_changes = 0;
+    loop {
+        compio::time::sleep(TICK).await;
+        let slots = node.slots();
+        slots.stewards.tick(&node);
+        let decisions = slots.judges.tick(&node);
+        slots.stewards.spread(&decisions);
+        let changes = node.board().host_changes();
+        if changes != host_changes || is_due(reported, node.now()) {
+            host_changes = changes;
+            reported = node.now();
+            slots.report_all(&node);
+        }
+    }
+}
+
+fn is_due(last: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(last) >= REPORT_INTERVAL
+}
