--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod handshake;
 pub mod link;
 pub mod listener;
+pub mod members;
 pub mod meter;
 pub mod peer;
 pub mod quota;
