--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,5 +36,6 @@
 pub mod route;
 pub mod routing;
 pub mod steward;
+pub mod throttle;
 pub mod traffic;
 pub mod upstream;
--- a/programs/pb-lab/src/command.rs
+++ b/programs/pb-lab/src/command.rs
@@ -17,6 +17,9 @@
 
 use crate::capacity;
 use crate::demo;
+use crate::routing;
+use crate::routing::Bench;
+use crate::routing::bench;
 use crate::upstream;
 use crate::upstream::Ledger;
 use crate::upstream::Setup;
@@ -64,6 +67,12 @@
         #[bpaf(positional("COUNT"))]
         count: usize,
     },
+    /// Compare the ways to choose upstreams at several loads
+    #[bpaf(command)]
+    Routing {
+        #[bpaf(external(bench))]
+        bench: Bench,
+    },
     /// Run one stand-in upstream until it is interrupted
     #[bpaf(command)]
     Upstream {
@@ -109,6 +118,7 @@
             Ok(())
         }),
         Command::Slopes => program::run(async { print_slopes() }),
+        Command::Routing { bench } => program::run(routing::run(bench)),
         Command::Upstream {
             id,
             service,
--- a/programs/pb-proxy/src/node.rs
+++ b/programs/pb-proxy/src/node.rs
@@ -20,15 +20,18 @@
 use persimmonbend_core::host;
 use persimmonbend_core::key;
 use persimmonbend_core::membership::Membership;
-use persimmonbend_core::steward::Unconditional;
 use persimmonbend_core::traffic::Traffic;
+use persimmonbend_wire::traffic;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
 
+use crate::control::Control;
 use crate::links::Links;
 use crate::pool::Pool;
+use crate::rates::Rates;
+use crate::records::Records;
 use crate::settings::Settings;
 use crate::slots::Slots;
 use crate::withdrawals::Withdrawals;
@@ -41,15 +44,18 @@
     settings: Settings,
     clock: Rc<dyn Clock>,
     board: RefCell<Board>,
-    traffic: RefCell<Traffic>,
     membership: RefCell<Membership>,
     links: Links,
+    control: Control,
+    rates: Rates,
+    records: Records,
     news: Event,
     exchanges: Cell<usize>,
     fetching: Cell<bool>,
     recent: RefCell<VecDeque<Entry>>,
     withdrawals: Withdrawals,
     joined: Cell<bool>,
+    traffic: RefCell<Traffic>,
     rng: RefCell<ChaCha8Rng>,
     pool: Pool,
     slots: Slots,
@@ -73,9 +79,11 @@
         );
         Self {
             board: RefCell::new(board),
-            traffic: RefCell::new(Traffic::new(clock.now())),
             membership: RefCell::new(membership),
             links: Links::new(),
+            control: Control::new(&settings),
+            rates: Rates::new(&settings, &*clock),
+            records: Records::new(),
             news: Event::new(),
             exchanges: Cell::new(0),
             fetching: Cell::new(false),
@@ -84,7 +92,8 @@
             joined: Cell::new(false),
             rng: RefCell::new(rng),
             pool: Pool::new(settings.connections_max),
-            slots: Slots::new(settings.routing, Box::new(Unconditional)),
+            slots: Slots::new(settings.routing),
+            traffic: RefCell::new(Traffic::new(clock.now())),
             ready: Cell::new(false),
             closing: Stop::new(),
             settings,
@@ -123,18 +132,6 @@
         self.board.borrow_mut()
     }
 
-    /// Returns the counts of requests for reading.
-    #[must_use]
-    pub fn traffic(&self) -> Ref<'_, Traffic> {
-        self.traffic.borrow()
-    }
-
-    /// Returns the counts of requests for writing; the borrow must not be held over an await.
-    #[must_use]
-    pub fn traffic_mut(&self) -> RefMut<'_, Traffic> {
-        self.traffic.borrow_mut()
-    }
-
     /// Returns the membership; the borrow must not be held over an await.
     #[must_use]
     pub fn membership(&self) -> RefMut<'_, Membership> {
@@ -147,6 +144,24 @@
         &self.links
     }
 
+    /// Returns the link to the replica of control that leads.
+    #[must_use]
+    pub const fn control(&self) -> &Control {
+        &self.control
+    }
+
+    /// Returns the rates of tenants.
+    #[must_use]
+    pub const fn rates(&self) -> &Rates {
+        &self.rates
+    }
+
+    /// Returns the executions of non-idempotent requests.
+    #[must_use]
+    pub const fn records(&self) -> &Records {
+        &self.records
+    }
+
     /// Returns the number of exchanges under way.
     #[must_use]
     pub const fn exchanges(&self) -> &Cell<usize> {
@@ -184,6 +199,18 @@
         }
     }
 
+    /// Returns the counts of requests for reading.
+    #[must_use]
+    pub fn traffic(&self) -> Ref<'_, Traffic> {
+        self.traffic.borrow()
+    }
+
+    /// Returns the counts of requests for writing; the borrow must not be held over an await.
+    #[must_use]
+    pub fn traffic_mut(&self) -> RefMut<'_, Traffic> {
+        self.traffic.borrow_mut()
+    }
+
     /// Returns the random generator; the borrow must not be held over an await.
     #[must_use]
     pub fn rng(&self) -> RefMut<'_, ChaCha8Rng> {
@@ -271,6 +298,8 @@
             "panel": { "heard": heard, "all": all },
             "vouched": membership.vouched(),
             "links": self.links.count(),
+            "traffic": traffic::counts(),
+            "slots": self.slots.status(),
         })
     }
 
--- a/programs/pb-proxy/src/settings.rs
+++ b/programs/pb-proxy/src/settings.rs
@@ -126,8 +126,6 @@
         let platform = faults.address(&file.platform, "platform");
         let peers = faults.address(&file.peers, "peers");
         let control = faults.addresses(&file.control, "control");
-        let metrics = file.metrics.as_deref();
-        let metrics = metrics.and_then(|text| faults.address(text, "metrics"));
         let seeds = faults.addresses(&file.seeds, "seeds");
         let advertise_peers = file.advertise_peers.as_deref();
         let advertise_peers =
@@ -138,6 +136,8 @@
             "isolation_ms",
             "must be at least 1000",
         );
+        let metrics = file.metrics.as_deref();
+        let metrics = metrics.and_then(|text| faults.address(text, "metrics"));
         let secret = secret::read(&mut faults, "secret_file", &file.secret_file);
         let stop_notice_ms = file.stop_notice_ms.unwrap_or(DEFAULT_STOP_NOTICE_MS);
         let steward_timeout_ms = file
--- a/programs/pb-proxy/tests/slots.rs
+++ b/programs/pb-proxy/tests/slots.rs
@@ -62,7 +62,7 @@
         control: Vec::new(),
         seeds: Vec::new(),
         advertise_peers: None,
-        isolation: Duration::from_secs(5),
+        isolation: LONG,
         secret: secret(),
         body_max_bytes: 1024,
         answer_hold_bytes: 1024,
@@ -129,6 +129,14 @@
     nodes
 }
 
+/// Returns a name that ranks before `other` for the service.
+fn name_before(other: &str) -> String {
+    let names = (0..).map(|number| format!("host-{number}"));
+    let mut first =
+        names.filter(|name| rendezvous::first(SERVICE, [name.as_str(), other]) != Some(other));
+    first.next().unwrap()
+}
+
 /// Starts a fake steward and a host that knows only this steward.
 async fn with_fake<F>(steward_timeout: Duration, fake: F) -> Rc<Node>
 where
@@ -140,7 +148,7 @@
     spawn(listener.slots(handler).serve()).detach();
     let node = node("host", steward_timeout);
     announce_upstreams(&node, 1);
-    announce_host(&node, "fake", address);
+    announce_host(&node, &name_before("host"), address);
     node
 }
 
@@ -236,7 +244,7 @@
         drop(socket);
         let node = node("host", LONG);
         announce_upstreams(&node, 1);
-        announce_host(&node, "gone", address);
+        announce_host(&node, &name_before("host"), address);
         for _ in 0..5 {
             assert!(reserve(&node).await.is_ok());
         }
