feat(ctl): control replicas are listed and replaced by commands

Cause: replicas of the log could be changed only by code. Conclusion: a test loses the disk of one of three replicas and brings it back as a voter by these commands alone.

--- a/programs/pb-ctl/src/command.rs
+++ b/programs/pb-ctl/src/command.rs
@@ -3,6 +3,7 @@
 mod change;
 mod history;
 mod key;
+mod members;
 mod publish;
 mod service;
 mod tenant;
@@ -126,6 +127,12 @@
         #[bpaf(external(upstream::command))]
         command: upstream::Command,
     },
+    /// List, add, promote and remove control replicas
+    #[bpaf(command)]
+    Members {
+        #[bpaf(external(members::command))]
+        command: members::Command,
+    },
     /// Show what control and a proxy know of the fleet
     #[bpaf(command)]
     Status {
@@ -236,6 +243,7 @@
         } => publish::rollback(fleet, *revision, options).await,
         Command::Key { command } => key::run(fleet, command).await,
         Command::Tenant { command } => tenant::run(fleet, command).await,
+        Command::Members { command } => members::run(fleet, command).await,
         Command::Upstream { command } => upstream::run(fleet, command).await,
         Command::Status { .. } => view::status(fleet).await,
         Command::Explain { subject, .. } => view::explain(fleet, subject).await,
@@ -258,6 +266,7 @@
             | Self::Events { output, .. } => output.json,
             Self::Key { command } => command.json(),
             Self::Tenant { command } => command.json(),
+            Self::Members { command } => command.json(),
             Self::Upstream { command } => command.json(),
             Self::Dump { .. } => false,
         }
--- a/programs/pb-lab/tests/operators.rs
+++ b/programs/pb-lab/tests/operators.rs
@@ -60,10 +60,7 @@
     }
 
     fn ctl(&self, line: &str) -> Answer {
-        let words: Vec<&str> = line.split(' ').collect();
-        let arguments = command::arguments().run_inner(words.as_slice()).unwrap();
-        let runtime = compio::runtime::Runtime::new().unwrap();
-        runtime.block_on(command::answer(&self.operator, &arguments))
+        ctl(&self.operator, line)
     }
 
     fn expect(&self, line: &str, exit: Exit, text: &str) -> Answer {
@@ -115,6 +112,27 @@
     }
 }
 
+fn ctl(operator: &Fleet, line: &str) -> Answer {
+    let words: Vec<&str> = line.split(' ').collect();
+    let arguments = command::arguments().run_inner(words.as_slice()).unwrap();
+    let runtime = compio::runtime::Runtime::new().unwrap();
+    runtime.block_on(command::answer(operator, &arguments))
+}
+
+/// Runs a command until it ends as expected.
+fn repeat(operator: &Fleet, line: &str, exit: Exit, text: &str) -> Answer {
+    let mut last = None;
+    for _ in 0..150 {
+        let answer = ctl(operator, line);
+        if answer.exit == exit && answer.text.contains(text) {
+            return answer;
+        }
+        last = Some(answer);
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    panic!("{line}: {last:?}");
+}
+
 fn request_name(answer: &str) -> String {
     let lines = answer.lines();
     let mut names = lines.filter_map(|line| line.strip_prefix("x-request-id: "));
@@ -225,3 +243,52 @@
     stage.expect("explain host host-0", Exit::Done, "revision 3");
     stage.end();
 }
+
+#[test]
+fn a_lost_control_host_is_replaced_by_commands() {
+    const NAMES: [&str; 3] = ["control-0", "control-1", "control-2"];
+    let files = Files::create().unwrap();
+    let (mut parts, addresses): (Vec<Part>, Vec<SocketAddr>) =
+        fleet::controls(&files, &NAMES).unwrap().into_iter().unzip();
+    let replicas: Vec<(&str, SocketAddr)> = NAMES.into_iter().zip(addresses.clone()).collect();
+    let operator = fleet::operator_with(&files, &addresses, &[]).unwrap();
+    let set = "tenant set --per-second 5 --burst 5 farm";
+    repeat(&operator, set, Exit::Pending, "on no host");
+    let before = repeat(&operator, "members list", Exit::Done, "control-2");
+    let members = before.value["members"].as_array().unwrap();
+    let lost = members
+        .iter()
+        .find(|one| one["member"]["id"]["host"] == "control-2");
+    let storage = lost.unwrap()["member"]["id"]["storage"].as_u64().unwrap();
+
+    parts.pop().unwrap().end().unwrap();
+    std::fs::remove_dir_all(files.folder().join("control-2")).unwrap();
+    parts.push(
+        fleet::control_again(&files, "control-2", &replicas)
+            .unwrap()
+            .0,
+    );
+    let asks = "control-2 storage";
+    repeat(&operator, "members list", Exit::Done, "asks to be taken in");
+    repeat(
+        &operator,
+        "members promote control-9",
+        Exit::Rejected,
+        "not accepted",
+    );
+    repeat(&operator, "members add control-2", Exit::Done, "committed");
+    let remove = format!("members remove control-2 {storage}");
+    repeat(&operator, &remove, Exit::Done, "committed");
+    repeat(
+        &operator,
+        "members promote control-2",
+        Exit::Done,
+        "committed",
+    );
+    let after = repeat(&operator, "members list", Exit::Done, asks);
+    assert_eq!(after.text.matches(": voter").count(), 3, "{after:?}");
+    assert!(!after.text.contains(&storage.to_string()), "{after:?}");
+    for part in parts {
+        part.end().unwrap();
+    }
+}
