--- a/crates/wire/src/slots/codec.rs
+++ b/crates/wire/src/slots/codec.rs
@@ -42,7 +42,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Malformed`] when the frame is longer than [`MAX_FRAME_BYTES`].
+    /// Returns [`Error::Malformed`] when the frame is longer than [`MAX_FRAME_BYTES`](super::MAX_FRAME_BYTES).
     pub fn encode(&mut self, frame: &Frame, bytes: &mut Vec<u8>) -> Result<(), Error> {
         if self.names.len() + MAX_LIST * 2 > MAX_NAMES {
             self.names.clear();
