fix(app): a command line that cannot be used ends with exit code 2

Change: the programs read their command lines by app::program::parse, which ends with 2 for a message and 0 for help; pb-lab keeps its own way.

--- a/crates/app/src/program.rs
+++ b/crates/app/src/program.rs
@@ -3,7 +3,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use bpaf::Args;
 use bpaf::Bpaf;
+use bpaf::OptionParser;
+use bpaf::ParseFailure;
 use log::LevelFilter;
 
 use crate::logging;
@@ -41,6 +44,22 @@
     pub file: Option<PathBuf>,
 }
 
+/// Reads the command line.
+///
+/// # Errors
+///
+/// Returns the exit code after help or a message was printed: 0 for help and the version,
+/// [`EXIT_USAGE`] for arguments that cannot be used.
+pub fn parse<T>(options: &OptionParser<T>) -> Result<T, ExitCode> {
+    options.run_inner(Args::current_args()).map_err(|failure| {
+        failure.print_message(HELP_COLUMNS);
+        match failure {
+            ParseFailure::Stderr(_) => ExitCode::from(EXIT_USAGE),
+            ParseFailure::Stdout(..) | ParseFailure::Completion(_) => ExitCode::SUCCESS,
+        }
+    })
+}
+
 /// Runs a program that reads settings and serves until it is stopped.
 ///
 /// Returns 0 after an ordinary end, [`EXIT_FAILURE`] after an error and [`EXIT_USAGE`] for
@@ -102,5 +121,8 @@
     stop.ask();
 }
 
+/// Width of help texts.
+const HELP_COLUMNS: usize = 100;
+
 const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
--- a/programs/pb-ctl/src/main.rs
+++ b/programs/pb-ctl/src/main.rs
@@ -3,7 +3,11 @@
 use std::process::ExitCode;
 
 use pb_ctl::command;
+use persimmonbend_app::program;
 
 fn main() -> ExitCode {
-    command::run(&command::arguments().run())
+    match program::parse(&command::arguments()) {
+        Ok(arguments) => command::run(&arguments),
+        Err(code) => code,
+    }
 }
--- a/programs/pb-proxy/src/main.rs
+++ b/programs/pb-proxy/src/main.rs
@@ -17,7 +17,10 @@
 }
 
 fn main() -> ExitCode {
-    let arguments = arguments().run();
+    let arguments = match program::parse(&arguments()) {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
     program::serve::<File, Settings, _, _>(&arguments.options, |settings, stop| async move {
         pb_proxy::run(settings, stop, |_| ()).await
     })
