--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,6 +16,7 @@
 //! # }
 //! ```
 
+pub mod admission;
 pub mod control;
 pub mod error;
 pub mod gossip;
@@ -24,7 +25,10 @@
 pub mod listener;
 pub mod members;
 pub mod peer;
+pub mod quota;
+pub mod record;
 pub mod slots;
+pub mod traffic;
 pub mod update;
 
 #[allow(clippy::all, clippy::pedantic, clippy::restriction, missing_docs)]
--- a/crates/wire/src/slots/codec.rs
+++ b/crates/wire/src/slots/codec.rs
@@ -123,7 +123,12 @@
                 raw.number = *number;
                 Tag::Pong
             }
-            Frame::Advice { upstream, verdict } => {
+            Frame::Advice {
+                service,
+                upstream,
+                verdict,
+            } => {
+                raw.third = self.name(service, bytes)?;
                 raw.first = self.name(upstream, bytes)?;
                 (raw.code, raw.second) = raw::verdict_code(*verdict);
                 Tag::Advice
@@ -247,6 +252,7 @@
             Tag::Ping => Frame::Ping { number },
             Tag::Pong => Frame::Pong { number },
             Tag::Advice => Frame::Advice {
+                service: self.name(raw.third)?,
                 upstream: self.name(raw.first)?,
                 verdict: raw::verdict(raw.code, raw.second)?,
             },
--- a/programs/pb-control/src/lib.rs
+++ b/programs/pb-control/src/lib.rs
@@ -1,9 +1,11 @@
 //! The control replica: accepts changes, syncs them and hands them to the fleet.
 
 pub mod error;
+pub mod issuer;
 pub mod leadership;
 pub mod links;
 pub mod node;
+pub mod records;
 pub mod replication;
 pub mod server;
 pub mod settings;
@@ -22,8 +24,10 @@
 use persimmonbend_wire::listener::Listener;
 use persimmonbend_wire::listener::Roles;
 
+use crate::issuer::Issuer;
 use crate::links::Links;
 use crate::node::Node;
+use crate::records::Records;
 use crate::replication::Replication;
 use crate::settings::Settings;
 
@@ -58,6 +62,8 @@
 {
     let node = Rc::new(Node::open(&settings, Rc::new(System))?);
     let listener = Listener::adopt(socket, settings.secret.clone())?;
+    let issuer = Issuer::new(Rc::clone(&node), Rc::new(System), settings.seats);
+    let records = Records::new(Rc::clone(&node), Rc::new(System));
     let address = listener.address()?;
     info!(
         "control: {} listens on {address} at revision {}",
@@ -68,7 +74,12 @@
     let links = Rc::new(Links::new(Rc::clone(&node), &settings));
     let replication = Rc::new(Replication::new(Rc::clone(&node), links));
     let roles = Roles {
-        control: Some(server::client(node, Rc::clone(&replication))),
+        control: Some(server::client(
+            node,
+            Rc::clone(&replication),
+            issuer,
+            records,
+        )),
         peer: None,
     };
     let serving = listener.roles(roles).serve().fuse();
--- a/programs/pb-control/src/settings.rs
+++ b/programs/pb-control/src/settings.rs
@@ -13,6 +13,8 @@
 /// Most control replicas.
 const MAX_REPLICAS: usize = 16;
 
+const DEFAULT_SEATS: u32 = 64;
+
 /// The settings file as written.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -23,6 +25,7 @@
     secret_file: PathBuf,
     #[serde(default)]
     replicas: Vec<ReplicaFile>,
+    seats: Option<u32>,
 }
 
 /// A control replica as written.
@@ -55,6 +58,8 @@
     pub secret: Secret,
     /// All control replicas, this one among them; none for a single replica.
     pub replicas: Vec<Replica>,
+    /// Entry hosts that have a share of each rate when they are cut off; fixed by the first one.
+    pub seats: u32,
 }
 
 impl TryFrom<File> for Settings {
@@ -63,6 +68,7 @@
     fn try_from(file: File) -> Result<Self, Self::Error> {
         let mut faults = Faults::new();
         faults.require(!file.host.is_empty(), "host", "must not be empty");
+        faults.require(file.seats != Some(0), "seats", "must be at least 1");
         let listen = faults.address(&file.listen, "listen");
         let secret = secret::read(&mut faults, "secret_file", &file.secret_file);
         let replicas = check_replicas(&mut faults, &file.host, &file.replicas);
@@ -72,6 +78,7 @@
             data: file.data,
             secret: Secret::from(secret),
             replicas,
+            seats: file.seats.unwrap_or(DEFAULT_SEATS),
         });
         faults.into_result(settings)
     }
--- a/programs/pb-lab/src/command.rs
+++ b/programs/pb-lab/src/command.rs
@@ -13,6 +13,9 @@
 use persimmonbend_app::stop::Stop;
 
 use crate::demo;
+use crate::routing;
+use crate::routing::Bench;
+use crate::routing::bench;
 use crate::upstream;
 use crate::upstream::Ledger;
 use crate::upstream::Setup;
@@ -37,6 +40,12 @@
         #[bpaf(long)]
         json: bool,
     },
+    /// Compare the ways to choose upstreams at several loads
+    #[bpaf(command)]
+    Routing {
+        #[bpaf(external(bench))]
+        bench: Bench,
+    },
     /// Run one stand-in upstream until it is interrupted
     #[bpaf(command)]
     Upstream {
@@ -76,6 +85,7 @@
     }
     match arguments.command {
         Command::Demo { json } => program::run(demo::run(json)),
+        Command::Routing { bench } => program::run(routing::run(bench)),
         Command::Upstream {
             id,
             service,
--- a/programs/pb-lab/src/lib.rs
+++ b/programs/pb-lab/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod fleet;
 pub mod load;
 pub mod report;
+pub mod routing;
 pub mod scenario;
 pub mod upstream;
--- a/programs/pb-lab/src/upstream/server.rs
+++ b/programs/pb-lab/src/upstream/server.rs
@@ -39,6 +39,9 @@
 /// Header that tells how long the upstream had the request, in microseconds.
 pub const TOOK_HEADER: &str = "x-lab-took-us";
 
+/// Header that tells how long the upstream worked once a slot was free, in microseconds.
+pub const WORK_HEADER: &str = "x-lab-work-us";
+
 /// Path that sets the fault.
 const FAULT_PATH: &str = "/_lab/fault";
 
@@ -105,6 +108,7 @@
             return http::json(400, &json!({ "error": "the body is not whole" }));
         };
         let _slot = self.slots.acquire().await;
+        let begun = Instant::now();
         compio::time::sleep(self.duration(fault)).await;
         self.ledger.ran(&name, once);
         if fault == Fault::Silent {
@@ -121,10 +125,9 @@
             Fault::Truncated => truncated(&answer.to_string()),
             _ => http::json(200, &answer),
         };
-        let took = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
-        response
-            .headers_mut()
-            .insert(TOOK_HEADER, HeaderValue::from(took));
+        let headers = response.headers_mut();
+        headers.insert(TOOK_HEADER, micros(started.elapsed()));
+        headers.insert(WORK_HEADER, micros(begun.elapsed()));
         response
     }
 
@@ -165,6 +168,10 @@
     }
 }
 
+fn micros(duration: Duration) -> HeaderValue {
+    HeaderValue::from(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX))
+}
+
 fn name(request: &Request<Incoming>) -> String {
     let value = request.headers().get(NAME_HEADER);
     value
--- a/programs/pb-proxy/src/slots/stewards.rs
+++ b/programs/pb-proxy/src/slots/stewards.rs
@@ -7,9 +7,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use persimmonbend_core::health::Decision as Decided;
 use persimmonbend_core::health::Sign;
+use persimmonbend_core::health::Verdict;
 use persimmonbend_core::id::HostId;
 use persimmonbend_core::id::ServiceId;
+use persimmonbend_core::id::UpstreamId;
 use persimmonbend_core::steward::Answer;
 use persimmonbend_core::steward::Ask;
 use persimmonbend_core::steward::Decision;
@@ -42,9 +45,15 @@
         open + self.bytes_closed.get()
     }
 
-    /// Starts a session of a host, whose earlier reservations are void.
-    pub fn open(&self, host: &HostId, sender: Sender) {
+    /// Starts a session of a host, whose earlier reservations are void, and tells it which
+    /// upstreams are out of use.
+    pub fn open(&self, node: &Node, host: &HostId, sender: Sender) {
         self.forget(host);
+        for service in self.services.borrow().keys() {
+            for upstream in node.slots().judges().out(service) {
+                sender.send(advice(service, &upstream, true));
+            }
+        }
         let mut sessions = self.sessions.borrow_mut();
         if let Some(earlier) = sessions.insert(host.clone(), sender) {
             self.count_closed(&earlier);
@@ -75,8 +84,9 @@
             let Some(steward) = steward(&mut services, service) else {
                 return;
             };
-            let verdicts = node.slots().verdicts().borrow();
-            steward.reserve(&node.board(), verdicts.as_ref(), ask)
+            let board = node.board();
+            let judges = node.slots().judges();
+            judges.with(&board, service, |judge| steward.reserve(&board, judge, ask))
         };
         self.deliver(node, service, answers);
     }
@@ -105,13 +115,28 @@
         }
     }
 
+    /// Tells the hosts that ask which verdicts have changed.
+    pub fn spread(&self, decisions: &[(ServiceId, Decided)]) {
+        let services = self.services.borrow();
+        let sessions = self.sessions.borrow();
+        for (service, decision) in decisions {
+            if !services.contains_key(service) {
+                continue;
+            }
+            for sender in sessions.values() {
+                sender.send(advice(service, &decision.upstream, decision.ejected));
+            }
+        }
+    }
+
     fn tick_one(&self, node: &Rc<Node>, service: &ServiceId) -> Vec<Answer> {
         let mut services = self.services.borrow_mut();
         let Some(steward) = services.get_mut(service) else {
             return Vec::new();
         };
-        let verdicts = node.slots().verdicts().borrow();
-        steward.tick(&node.board(), verdicts.as_ref())
+        let board = node.board();
+        let judges = node.slots().judges();
+        judges.with(&board, service, |judge| steward.tick(&board, judge))
     }
 
     fn take_back(&self, node: &Rc<Node>, service: &ServiceId, release: &Release) -> Vec<Answer> {
@@ -119,8 +144,11 @@
         let Some(steward) = services.get_mut(service) else {
             return Vec::new();
         };
-        let mut verdicts = node.slots().verdicts().borrow_mut();
-        steward.release(&node.board(), verdicts.as_mut(), release)
+        let board = node.board();
+        let judges = node.slots().judges();
+        judges.with(&board, service, |judge| {
+            steward.release(&board, judge, release)
+        })
     }
 
     fn forget(&self, host: &HostId) {
@@ -167,6 +195,19 @@
     }
 }
 
+fn advice(service: &ServiceId, upstream: &UpstreamId, ejected: bool) -> Frame {
+    let verdict = if ejected {
+        Verdict::Ejected
+    } else {
+        Verdict::Use { weight: 1.0 }
+    };
+    Frame::Advice {
+        service: service.clone(),
+        upstream: upstream.clone(),
+        verdict,
+    }
+}
+
 fn frame(number: u32, decision: &Decision) -> Frame {
     match decision {
         Decision::Granted { upstream } => Frame::Granted {
