--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -24,11 +24,11 @@
 pub mod link;
 pub mod listener;
 pub mod members;
+pub mod meter;
 pub mod peer;
 pub mod quota;
 pub mod record;
 pub mod slots;
-pub mod traffic;
 pub mod update;
 
 #[allow(clippy::all, clippy::pedantic, clippy::restriction, missing_docs)]
