--- a/crates/wire/src/listener.rs
+++ b/crates/wire/src/listener.rs
@@ -56,8 +56,7 @@
     ///
     /// Returns [`Error::Io`] when the address cannot be bound.
     pub async fn bind(address: SocketAddr, secret: Secret) -> Result<Self, Error> {
-        let socket = TcpListener::bind(address).await?;
-        Ok(Self::new(socket, secret))
+        Ok(Self::new(TcpListener::bind(address).await?, secret))
     }
 
     /// Takes over a bound socket.
@@ -67,8 +66,7 @@
     /// Returns [`Error::Io`] when the socket cannot be used.
     pub fn adopt(socket: std::net::TcpListener, secret: Secret) -> Result<Self, Error> {
         socket.set_nonblocking(true)?;
-        let socket = TcpListener::from_std(socket)?;
-        Ok(Self::new(socket, secret))
+        Ok(Self::new(TcpListener::from_std(socket)?, secret))
     }
 
     fn new(socket: TcpListener, secret: Secret) -> Self {
--- a/programs/pb-control/src/lib.rs
+++ b/programs/pb-control/src/lib.rs
@@ -61,9 +61,9 @@
     B: FnOnce(SocketAddr),
 {
     let node = Rc::new(Node::open(&settings, Rc::new(System))?);
-    let listener = Listener::adopt(socket, settings.secret.clone())?;
     let issuer = Issuer::new(Rc::clone(&node), Rc::new(System), settings.seats);
     let records = Records::new(Rc::clone(&node), Rc::new(System));
+    let listener = Listener::adopt(socket, settings.secret.clone())?;
     let address = listener.address()?;
     info!(
         "control: {} listens on {address} at revision {}",
--- a/programs/pb-control/src/server.rs
+++ b/programs/pb-control/src/server.rs
@@ -84,27 +84,6 @@
         Ok(())
     }
 
-    async fn replicate(
-        self: Server<Self>,
-        params: control::ReplicateParams,
-        mut results: control::ReplicateResults,
-    ) -> Result<(), Error> {
-        let batch = params.get()?.get_message()?;
-        let reply = self.replication.receive(batch).map_err(failed)?;
-        results.get().set_reply(&reply);
-        Ok(())
-    }
-
-    async fn members(
-        self: Server<Self>,
-        params: control::MembersParams,
-        _results: control::MembersResults,
-    ) -> Result<(), Error> {
-        let order = serde_json::from_slice(params.get()?.get_order()?).map_err(failed)?;
-        self.node.change_members(&change(order)).await?;
-        Ok(())
-    }
-
     async fn grant(
         self: Server<Self>,
         params: control::GrantParams,
@@ -152,6 +131,27 @@
         Ok(())
     }
 
+    async fn replicate(
+        self: Server<Self>,
+        params: control::ReplicateParams,
+        mut results: control::ReplicateResults,
+    ) -> Result<(), Error> {
+        let batch = params.get()?.get_message()?;
+        let reply = self.replication.receive(batch).map_err(failed)?;
+        results.get().set_reply(&reply);
+        Ok(())
+    }
+
+    async fn members(
+        self: Server<Self>,
+        params: control::MembersParams,
+        _results: control::MembersResults,
+    ) -> Result<(), Error> {
+        let order = serde_json::from_slice(params.get()?.get_order()?).map_err(failed)?;
+        self.node.change_members(&change(order)).await?;
+        Ok(())
+    }
+
     async fn snapshot(
         self: Server<Self>,
         _params: control::SnapshotParams,
--- a/programs/pb-control/src/settings.rs
+++ b/programs/pb-control/src/settings.rs
@@ -10,11 +10,10 @@
 use persimmonbend_wire::handshake::Secret;
 use serde::Deserialize;
 
+const DEFAULT_SEATS: u32 = 64;
 /// Most control replicas.
 const MAX_REPLICAS: usize = 16;
 
-const DEFAULT_SEATS: u32 = 64;
-
 /// The settings file as written.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -24,8 +23,9 @@
     data: PathBuf,
     secret_file: PathBuf,
     #[serde(default)]
-    replicas: Vec<ReplicaFile>,
     seats: Option<u32>,
+    #[serde(default)]
+    replicas: Vec<ReplicaFile>,
 }
 
 /// A control replica as written.
@@ -56,10 +56,10 @@
     pub data: PathBuf,
     /// Fleet secret.
     pub secret: Secret,
-    /// All control replicas, this one among them; none for a single replica.
-    pub replicas: Vec<Replica>,
     /// Entry hosts that have a share of each rate when they are cut off; fixed by the first one.
     pub seats: u32,
+    /// All control replicas, this one among them; none for a single replica.
+    pub replicas: Vec<Replica>,
 }
 
 impl TryFrom<File> for Settings {
@@ -77,8 +77,8 @@
             listen,
             data: file.data,
             secret: Secret::from(secret),
-            replicas,
             seats: file.seats.unwrap_or(DEFAULT_SEATS),
+            replicas,
         });
         faults.into_result(settings)
     }
