--- a/programs/pb-control/src/node.rs
+++ b/programs/pb-control/src/node.rs
@@ -277,13 +277,13 @@
         self.hosts.borrow().book(host, self.clock.now())
     }
 
-    /// Returns the hosts that called this replica lately, for the other replicas.
+    /// Returns the hosts that called any replica lately, for the other replicas.
     #[must_use]
     pub fn report(&self) -> Vec<Sighting> {
         self.hosts.borrow().report(self.clock.now())
     }
 
-    /// Takes in the hosts that called another replica.
+    /// Takes in the hosts that another replica knows of.
     pub fn merge_report(&self, sightings: Vec<Sighting>) {
         let now = self.clock.now();
         self.hosts.borrow_mut().merge(sightings, now);
--- a/programs/pb-control/src/node/hosts.rs
+++ b/programs/pb-control/src/node/hosts.rs
@@ -22,6 +22,10 @@
 /// Time after its last call for which other replicas are told of a host.
 const REPORT_LIFETIME: Duration = Duration::from_secs(10);
 
+/// Time by which a report must be newer to count, so that one that comes back from another replica
+/// after some delay does not make a silent host look younger.
+const REPORT_MARGIN: Duration = Duration::from_secs(1);
+
 /// Most hosts that are remembered.
 const MAX_HOSTS: usize = 8_192;
 
@@ -31,8 +35,6 @@
     revision: Revision,
     peers: Option<SocketAddr>,
     at: Instant,
-    /// Whether it called this replica and not another.
-    called_here: bool,
 }
 
 /// A host as one replica reports it to another.
@@ -68,7 +70,6 @@
         if let Some(known) = self.entry(host, now) {
             known.revision = revision;
             known.at = now;
-            known.called_here = true;
         }
     }
 
@@ -90,23 +91,23 @@
                 revision: sighting.revision,
                 peers: sighting.peers,
                 at,
-                called_here: false,
             };
             let known = self.hosts.get(&sighting.host);
-            let newer = known.is_none_or(|known| known.at < at);
-            if newer && (known.is_some() || self.hosts.len() < MAX_HOSTS) {
+            let news = known.is_none_or(|known| {
+                known.revision < sighting.revision || known.at + REPORT_MARGIN < at
+            });
+            if news && (known.is_some() || self.hosts.len() < MAX_HOSTS) {
                 self.hosts.insert(sighting.host, host);
             }
         }
     }
 
-    /// Returns the hosts that called this replica lately, for the others.
+    /// Returns the hosts that called any replica lately, for the others.
     #[must_use]
     pub fn report(&self, now: Instant) -> Vec<Sighting> {
         let lately = |host: &Host| now.duration_since(host.at) < REPORT_LIFETIME;
-        let called = self.hosts.iter().filter(|(_, host)| host.called_here);
-        called
-            .filter(|(_, host)| lately(host))
+        let recent = self.hosts.iter().filter(|(_, host)| lately(host));
+        recent
             .map(|(name, host)| Sighting {
                 host: name.clone(),
                 revision: host.revision,
@@ -149,7 +150,6 @@
             revision: 0,
             peers: None,
             at: now,
-            called_here: true,
         }))
     }
 }
--- a/programs/pb-lab/tests/control.rs
+++ b/programs/pb-lab/tests/control.rs
@@ -215,3 +215,29 @@
         assert_eq!(group.change(3).await, 3);
     });
 }
+
+#[test]
+fn every_replica_tells_which_configuration_each_host_has_in_force() {
+    run(async {
+        let group = Group::start();
+        group.change(1).await;
+        let mut proxies = Vec::new();
+        for at in 0..2 {
+            let name = format!("host-{at}");
+            let control = &group.addresses[at..=at];
+            let (part, _) = fleet::proxy(&group.files, &name, "a", control, &[]).unwrap();
+            proxies.push(part);
+        }
+        group.change(2).await;
+        let in_force = |one: &Value| {
+            let hosts = one["hosts"].as_array().unwrap();
+            hosts.len() == 2 && hosts.iter().all(|host| host["revision"] == 2)
+        };
+        for at in 0..NAMES.len() {
+            group.wait(at, "revision 2 on both hosts", in_force).await;
+        }
+        for proxy in proxies {
+            proxy.end().unwrap();
+        }
+    });
+}
