--- a/crates/wire/src/slots/codec.rs
+++ b/crates/wire/src/slots/codec.rs
@@ -42,7 +42,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Malformed`] when the frame is longer than [`MAX_FRAME_BYTES`].
+    /// Returns [`Error::Malformed`] when the frame is longer than [`MAX_FRAME_BYTES`](super::MAX_FRAME_BYTES).
     pub fn encode(&mut self, frame: &Frame, bytes: &mut Vec<u8>) -> Result<(), Error> {
         if self.names.len() + MAX_LIST * 2 > MAX_NAMES {
             self.names.clear();
@@ -65,8 +65,10 @@
                 tenant,
                 left,
                 avoid,
+                idempotent,
             } => {
                 raw.number = *number;
+                raw.flag = *idempotent;
                 raw.first = self.name(service, bytes)?;
                 raw.second = self.name(tenant.as_deref().unwrap_or_default(), bytes)?;
                 raw.third = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
@@ -226,6 +228,7 @@
                 tenant: self.optional(raw.second)?,
                 left: Duration::from_millis(u64::from(raw.third)),
                 avoid: self.list(&raw.list)?,
+                idempotent: raw.flag,
             },
             Tag::Granted => Frame::Granted {
                 number,
--- a/programs/pb-control/src/issuer.rs
+++ b/programs/pb-control/src/issuer.rs
@@ -10,9 +10,11 @@
 use persimmonbend_core::quota;
 use persimmonbend_core::quota::Batch;
 use persimmonbend_core::quota::Reply;
+use serde_json::json;
 
 use crate::error::Error;
 use crate::leadership::Leadership;
+use crate::leadership::Term;
 use crate::node::Node;
 
 /// Answers the batches of holders.
@@ -21,7 +23,15 @@
     node: Rc<Node>,
     clock: Rc<dyn Clock>,
     seats: u32,
-    current: RefCell<Option<quota::Issuer>>,
+    current: RefCell<Option<Current>>,
+}
+
+/// The issuer of the present reign.
+#[derive(Debug)]
+struct Current {
+    /// Term of the replicated log.
+    term: Term,
+    issuer: quota::Issuer,
 }
 
 impl Issuer {
@@ -42,19 +52,23 @@
     ///
     /// Returns an error when this replica does not lead or cannot give the host a seat.
     pub async fn answer(&self, batch: &Batch) -> Result<Reply, Error> {
+        self.node.require_leader()?;
         self.seat(&batch.host).await?;
         let Leadership::Leader { term, .. } = self.node.leadership() else {
-            return Err(Error::NotLeader(String::new()));
+            return Err(Error::NotLeader(self.node.leader_hint()));
         };
         let now = self.clock.now();
         let mut current = self.current.borrow_mut();
         let reply = self.node.read(|machine| {
             let seats = machine.seats();
-            if current.as_ref().is_none_or(|issuer| issuer.term() != term) {
+            if current.as_ref().is_none_or(|known| known.term != term) {
                 info!("rates: grants of term {term} begin");
-                *current = Some(quota::Issuer::new(term, seats.clone(), now));
+                // A replica without others keeps its term over a restart, so the issuer has a
+                // name of its own.
+                let issuer = quota::Issuer::new(rand::random(), seats.clone(), now);
+                *current = Some(Current { term, issuer });
             }
-            let issuer = current.as_mut()?;
+            let issuer = &mut current.as_mut()?.issuer;
             issuer.seat(seats, machine.config(), now);
             Some(issuer.answer(batch, machine.config(), now))
         });
@@ -67,9 +81,7 @@
     ///
     /// Returns an error when this replica does not lead or cannot commit it.
     pub async fn vacate(&self, host: &str, incarnation: Incarnation) -> Result<(), Error> {
-        if !self.node.is_leader() {
-            return Err(Error::NotLeader(String::new()));
-        }
+        self.node.require_leader()?;
         if self.incarnation(host) != Some(incarnation) {
             return Ok(());
         }
@@ -78,9 +90,25 @@
         Ok(())
     }
 
+    /// Returns the seats and what is granted as JSON.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        let now = self.clock.now();
+        let current = self.current.borrow();
+        let issuer = current.as_ref().map(|current| &current.issuer);
+        self.node.read(|machine| {
+            json!({
+                "seats": machine.seats().size(),
+                "seats_taken": machine.seats().hosts(),
+                "accounts_active": issuer.map_or(0, quota::Issuer::active),
+                "shares_withheld": issuer.map(|issuer| issuer.withheld(now).collect::<Vec<_>>()),
+            })
+        })
+    }
+
     fn incarnation(&self, host: &str) -> Option<Incarnation> {
         let current = self.current.borrow();
-        current.as_ref()?.incarnation(host)
+        current.as_ref()?.issuer.incarnation(host)
     }
 
     /// Sees to it that a host has a seat if there is a free one.
--- a/programs/pb-lab/src/command.rs
+++ b/programs/pb-lab/src/command.rs
@@ -1,6 +1,8 @@
 //! The command line.
 
 use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -10,12 +12,18 @@
 use persimmonbend_app::program::EXIT_USAGE;
 use persimmonbend_app::program::Log;
 use persimmonbend_app::program::log;
+use persimmonbend_app::settings;
 use persimmonbend_app::stop::Stop;
 
+use crate::capacity;
+use crate::claims;
+use crate::claims::Plan;
+use crate::claims::plan;
 use crate::demo;
 use crate::routing;
 use crate::routing::Bench;
 use crate::routing::bench;
+use crate::run;
 use crate::upstream;
 use crate::upstream::Ledger;
 use crate::upstream::Setup;
@@ -33,6 +41,12 @@
 /// What to run.
 #[derive(Debug, Clone, Bpaf)]
 enum Command {
+    /// Measure claims and outcomes of records at a control replica
+    #[bpaf(command)]
+    Claims {
+        #[bpaf(external(plan))]
+        plan: Plan,
+    },
     /// Run a small fleet with a grey upstream and show what happens
     #[bpaf(command)]
     Demo {
@@ -46,6 +60,53 @@
         #[bpaf(external(bench))]
         bench: Bench,
     },
+    /// Print the tables of the capacity page from the file of slopes
+    #[bpaf(command)]
+    Capacity {
+        /// File of slopes
+        #[bpaf(
+            positional("FILE"),
+            fallback(PathBuf::from("docs/capacity/slopes.jsonc"))
+        )]
+        slopes: PathBuf,
+    },
+    /// Measure the slopes of memory, time and bytes that one process can show
+    #[bpaf(command)]
+    Slopes,
+    /// Fill this process and print the bytes of memory that it takes
+    #[bpaf(command, hide)]
+    Fill {
+        /// What to fill it with
+        #[bpaf(positional("CONTENT"))]
+        content: capacity::Content,
+        /// How many of it
+        #[bpaf(positional("COUNT"))]
+        count: usize,
+    },
+    /// Run a scenario on processes and sockets of this machine
+    #[bpaf(command)]
+    Run {
+        /// Seed of the load
+        #[bpaf(long, argument("SEED"), fallback(1))]
+        seed: u64,
+        /// Scenario file
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Run a control replica
+    #[bpaf(command, hide)]
+    Control {
+        /// Settings file
+        #[bpaf(long, argument("FILE"))]
+        settings: PathBuf,
+    },
+    /// Run a proxy
+    #[bpaf(command, hide)]
+    Proxy {
+        /// Settings file
+        #[bpaf(long, argument("FILE"))]
+        settings: PathBuf,
+    },
     /// Run one stand-in upstream until it is interrupted
     #[bpaf(command)]
     Upstream {
@@ -79,13 +140,25 @@
 /// Runs a command and returns its exit code.
 #[must_use]
 pub fn run(arguments: Arguments) -> ExitCode {
+    if let Some(code) = run_part(&arguments) {
+        return code;
+    }
     if let Err(error) = logging::start(arguments.log.level, arguments.log.file.as_deref()) {
         eprintln!("{error:#}");
         return ExitCode::from(EXIT_USAGE);
     }
     match arguments.command {
+        Command::Claims { plan } => program::run(claims::run(plan)),
         Command::Demo { json } => program::run(demo::run(json)),
+        Command::Run { file, seed } => program::run(async move { run::run(&file, seed).await }),
+        Command::Control { .. } | Command::Proxy { .. } => ExitCode::from(EXIT_USAGE),
         Command::Routing { bench } => program::run(routing::run(bench)),
+        Command::Capacity { slopes } => program::run(async move { print_tables(&slopes) }),
+        Command::Fill { content, count } => program::run(async move {
+            println!("{}", capacity::fill(content, count)?);
+            Ok(())
+        }),
+        Command::Slopes => program::run(async { print_slopes() }),
         Command::Upstream {
             id,
             service,
@@ -111,6 +184,47 @@
     }
 }
 
+fn print_tables(file: &Path) -> anyhow::Result<()> {
+    let slopes = settings::load::<capacity::File, capacity::Slopes>(file)?;
+    print!("{}", capacity::tables(&slopes));
+    Ok(())
+}
+
+fn print_slopes() -> anyhow::Result<()> {
+    for slope in capacity::measure()? {
+        println!("{} {:.3}", slope.name, slope.value);
+    }
+    Ok(())
+}
+
+/// Runs one process of a fleet, if that is what the arguments say.
+fn run_part(arguments: &Arguments) -> Option<ExitCode> {
+    let options = |settings: &PathBuf| program::Options {
+        settings: settings.clone(),
+        check: false,
+        log: arguments.log.clone(),
+    };
+    match &arguments.command {
+        Command::Control { settings } => Some(program::serve::<
+            pb_control::settings::File,
+            pb_control::settings::Settings,
+            _,
+            _,
+        >(&options(settings), |settings, stop| {
+            pb_control::run(settings, stop, |_| ())
+        })),
+        Command::Proxy { settings } => Some(program::serve::<
+            pb_proxy::settings::File,
+            pb_proxy::settings::Settings,
+            _,
+            _,
+        >(&options(settings), |settings, stop| {
+            pb_proxy::run(settings, stop, |_| ())
+        })),
+        _ => None,
+    }
+}
+
 async fn serve(setup: Setup) -> anyhow::Result<()> {
     let stop = Stop::new();
     compio::runtime::spawn(program::watch_signals(stop.clone())).detach();
--- a/programs/pb-lab/src/lib.rs
+++ b/programs/pb-lab/src/lib.rs
@@ -2,11 +2,14 @@
 //!
 //! Everything runs on loopback with ports from the kernel. Nothing here is shipped to hosts.
 
+pub mod capacity;
+pub mod claims;
 pub mod command;
 pub mod demo;
 pub mod fleet;
 pub mod load;
 pub mod report;
 pub mod routing;
+pub mod run;
 pub mod scenario;
 pub mod upstream;
--- a/programs/pb-proxy/src/slots.rs
+++ b/programs/pb-proxy/src/slots.rs
@@ -12,11 +12,11 @@
 mod running;
 mod server;
 mod stewards;
+mod ticks;
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use compio::time::timeout;
 use persimmonbend_core::error::Kind;
@@ -42,6 +42,7 @@
 pub use reservation::Report;
 pub use reservation::Reservation;
 pub use server::handler;
+pub use ticks::run;
 
 use crate::node::Node;
 use crate::settings::Routing;
@@ -52,12 +53,6 @@
 use crate::slots::running::Running;
 use crate::slots::stewards::Stewards;
 
-/// Time between two ticks of the stewards on this host.
-const TICK: Duration = Duration::from_millis(10);
-
-/// Time between two looks for reservations that a steward has not heard of.
-const REPORT_INTERVAL: Duration = Duration::from_millis(200);
-
 /// What a host knows about the slots of upstreams.
 #[derive(Debug)]
 pub struct Slots {
@@ -211,6 +206,7 @@
                 tenant: ask.tenant.map(str::to_owned),
                 deadline: ask.deadline,
                 avoid: ask.avoid.to_vec(),
+                idempotent: ask.idempotent,
             };
             self.stewards.reserve(node, &ask.service.to_owned(), here);
             return;
@@ -221,6 +217,7 @@
             tenant: ask.tenant.map(str::to_owned),
             left: ask.deadline.saturating_duration_since(node.now()),
             avoid: ask.avoid.to_vec(),
+            idempotent: ask.idempotent,
         };
         self.links.send(steward, frame);
     }
@@ -373,23 +370,3 @@
         number
     }
 }
-
-/// Drives the stewards on this host until the future is dropped.
-pub async fn run(node: Rc<Node>) {
-    let mut reported = node.now();
-    loop {
-        compio::time::sleep(TICK).await;
-        let slots = node.slots();
-        slots.stewards.tick(&node);
-        let decisions = slots.judges.tick(&node);
-        slots.stewards.spread(&decisions);
-        if is_due(reported, node.now()) {
-            reported = node.now();
-            slots.report_all(&node);
-        }
-    }
-}
-
-fn is_due(last: Instant, now: Instant) -> bool {
-    now.saturating_duration_since(last) >= REPORT_INTERVAL
-}
