fix(core): an upstream that mostly its own zone uses is ejected for all

Ruled out: lost evidence, the floor. Change: another zone's word counts only if it found the upstream good more than once since the worst zone's test began to rise.

--- a/crates/core/src/health/judge.rs
+++ b/crates/core/src/health/judge.rs
@@ -357,7 +357,7 @@
             evidence.sign,
             expected * 100.0
         );
-        if subject.is_bad_for_all(&policy, now) {
+        if subject.is_bad_for_all(&policy) {
             self.eject(evidence, &reason, now);
         } else if zone_score >= threshold {
             self.eject_in_zone(evidence, &reason, now);
--- a/crates/core/src/health/standing.rs
+++ b/crates/core/src/health/standing.rs
@@ -32,7 +32,10 @@
     ejections: u32,
     shifted: bool,
     returned: Option<Instant>,
-    heard: Option<Instant>,
+    /// When the score began to rise from zero.
+    rising: Option<Instant>,
+    /// The two latest good observations, the latest first.
+    good: [Option<Instant>; 2],
 }
 
 impl Standing {
@@ -45,7 +48,8 @@
             ejections: 0,
             shifted: false,
             returned: None,
-            heard: None,
+            rising: None,
+            good: [None; 2],
         }
     }
 
@@ -61,11 +65,16 @@
         matches!(self.status, Status::Ejected { .. })
     }
 
-    /// Returns whether evidence came within `window` before `now`.
+    /// Returns when the running test began to speak against the upstream.
     #[must_use]
-    pub fn heard_within(&self, window: Duration, now: Instant) -> bool {
-        self.heard
-            .is_some_and(|heard| now.saturating_duration_since(heard) <= window)
+    pub const fn rising(&self) -> Option<Instant> {
+        self.rising
+    }
+
+    /// Returns whether more than one good observation came since `start`.
+    #[must_use]
+    pub fn was_good_since(&self, start: Instant) -> bool {
+        self.good[1].is_some_and(|good| good >= start)
     }
 
     /// Returns what may be sent to the upstream.
@@ -89,8 +98,15 @@
     /// Adds the log-likelihood ratio of one observation to the running test.
     pub fn add(&mut self, ratio: f64, policy: &Policy, now: Instant) {
         let threshold = policy.threshold();
-        self.heard = Some(now);
         self.score = (self.score + ratio).clamp(0.0, MAX_SCORE * threshold);
+        if self.score <= 0.0 {
+            self.rising = None;
+        } else if self.rising.is_none() {
+            self.rising = Some(now);
+        }
+        if ratio < 0.0 {
+            self.good = [Some(now), self.good[0]];
+        }
         if self.score < threshold / 2.0 {
             self.shifted = false;
         }
--- a/crates/core/src/health/subject.rs
+++ b/crates/core/src/health/subject.rs
@@ -1,7 +1,6 @@
 //! What a judge remembers of one upstream.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 use std::time::Instant;
 
 use crate::health::Member;
@@ -15,9 +14,6 @@
 /// Outcomes by which upstreams are compared.
 const OUTCOMES: usize = 8;
 
-/// Time for which evidence of a zone counts as fresh.
-const FRESH: Duration = Duration::from_secs(10);
-
 /// Share of the threshold that the zones but the worst must show together before an upstream is
 /// held as bad for all.
 const OTHER_ZONES_SHARE: f64 = 0.3;
@@ -79,20 +75,28 @@
         self.member.ready && !self.whole.is_out() && !near_out
     }
 
-    /// Returns whether more than one zone finds the upstream bad, or only one can see it.
+    /// Returns whether the upstream is to be held as bad for every zone.
+    ///
+    /// That is so when further zones find it bad too, or when no other zone has found it good since
+    /// the worst one began to find it bad.
     #[must_use]
-    pub fn is_bad_for_all(&self, policy: &Policy, now: Instant) -> bool {
+    pub fn is_bad_for_all(&self, policy: &Policy) -> bool {
         let threshold = policy.threshold();
-        let fresh = self
-            .zones
-            .values()
-            .filter(|one| one.is_out() || one.heard_within(FRESH, now));
         let found = |one: &Standing| if one.is_out() { threshold } else { one.score() };
-        let mut scores: Vec<f64> = fresh.map(found).collect();
-        scores.sort_unstable_by(f64::total_cmp);
-        let worst = scores.pop();
-        let others: f64 = scores.iter().sum();
-        worst.is_none() || scores.is_empty() || others >= OTHER_ZONES_SHARE * threshold
+        let worst = self
+            .zones
+            .iter()
+            .max_by(|a, b| found(a.1).total_cmp(&found(b.1)));
+        let Some((worst, standing)) = worst else {
+            return true;
+        };
+        let others = || self.zones.iter().filter(|(zone, _)| *zone != worst);
+        let agreeing: f64 = others().map(|(_, one)| found(one)).sum();
+        if agreeing >= OTHER_ZONES_SHARE * threshold {
+            return true;
+        }
+        let since = standing.rising();
+        since.is_some_and(|since| !others().any(|(_, one)| one.was_good_since(since)))
     }
 }
 
--- a/crates/core/tests/health.rs
+++ b/crates/core/tests/health.rs
@@ -245,6 +245,24 @@
     }
 }
 
+#[test]
+fn an_upstream_that_only_its_own_zone_uses_is_ejected_for_all() {
+    for seed in 0..SEEDS {
+        let mut service = Service::new(seed);
+        service.run(5_000, healthy);
+        let mut bad = 0;
+        while !service.judge.reports()[0].out && bad <= TARGET_BAD_ANSWERS {
+            let sent = service.step(|_, request| match (request.upstream, request.zone) {
+                (0, 0) => (Sign::Failed, request.work),
+                (0, _) => (Sign::Cancelled, request.work),
+                _ => (Sign::Answered, request.work),
+            });
+            bad += usize::from(sent.is_some_and(|(_, sign)| sign == Sign::Failed));
+        }
+        assert!(bad <= TARGET_BAD_ANSWERS, "seed {seed}: {bad} bad answers");
+    }
+}
+
 #[test]
 fn a_flapping_upstream_is_held_longer_each_time() {
     let mut service = Service::new(1);
