test(lab): relays only where a scenario needs them, reads and others told apart

Cause: a relay adds two thread changes to each request that the figures held. Change: relays stand only in scenarios that cut or silence; latencies are also given by kind of route.

--- a/programs/pb-lab/src/run/caller.rs
+++ b/programs/pb-lab/src/run/caller.rs
@@ -70,6 +70,8 @@
     pub tenant: String,
     /// Name of the request.
     pub name: String,
+    /// Whether it must not run twice.
+    pub once: bool,
     /// When it was sent first.
     pub at: Instant,
     /// How its first attempt ended.
@@ -167,6 +169,7 @@
     Sample {
         tenant: stream.tenant.clone(),
         name,
+        once: stream.once,
         at,
         first,
         ending: answer.ending,
--- a/programs/pb-lab/src/run/figures.rs
+++ b/programs/pb-lab/src/run/figures.rs
@@ -31,6 +31,10 @@
 pub struct Figures {
     values: BTreeMap<&'static str, f64>,
     tally: Tally,
+    /// Requests of routes that are idempotent.
+    reads: Tally,
+    /// Requests of routes that are not.
+    onces: Tally,
     broken: Vec<String>,
 }
 
@@ -44,6 +48,12 @@
     ) -> Self {
         let mut figures = Self::default();
         for sample in samples {
+            let kind = if sample.once {
+                &mut figures.onces
+            } else {
+                &mut figures.reads
+            };
+            kind.count(sample.ending, sample.latency, sample.upstream);
             figures
                 .tally
                 .count(sample.ending, sample.latency, sample.upstream);
@@ -85,6 +95,8 @@
             "refused_not_run": self.tally.refused_not_run,
             "unknown": self.tally.unknown,
             "wrong": self.tally.wrong,
+            "reads": latencies(&self.reads),
+            "onces": latencies(&self.onces),
             "figures": self.values,
             "expectations": expected.collect::<Vec<_>>(),
             "broken": self.broken,
@@ -284,6 +296,14 @@
     parsed.collect()
 }
 
+fn latencies(tally: &Tally) -> Value {
+    json!({
+        "complete": tally.complete,
+        "added_p50": tally.added_ms(0.5),
+        "added_p99": tally.added_ms(0.99),
+    })
+}
+
 fn percent(part: usize, whole: usize) -> f64 {
     if whole == 0 {
         100.0
--- a/programs/pb-lab/src/run/stage.rs
+++ b/programs/pb-lab/src/run/stage.rs
@@ -67,7 +67,7 @@
 struct Upstream {
     part: Option<Part>,
     direct: SocketAddr,
-    relay: Relay,
+    relay: Option<Relay>,
 }
 
 /// A moment that a figure is measured from.
@@ -106,6 +106,8 @@
     processes: BTreeMap<String, Process>,
     control_relays: BTreeMap<String, Vec<Relay>>,
     upstreams: BTreeMap<String, Upstream>,
+    /// Whether control and upstreams are reached through relays.
+    relayed: bool,
     hosts: Hosts,
     peers: Vec<(String, SocketAddr)>,
     operator: Fleet,
@@ -133,6 +135,10 @@
             processes: BTreeMap::new(),
             control_relays: BTreeMap::new(),
             upstreams: BTreeMap::new(),
+            relayed: scenario
+                .events
+                .iter()
+                .any(|event| needs_relay(&event.action)),
             hosts: Rc::default(),
             peers: Vec::new(),
             operator,
@@ -190,7 +196,10 @@
     pub async fn act(&mut self, action: &Action) -> anyhow::Result<()> {
         match action {
             Action::Fault(upstream, fault) => self.set_fault(upstream, *fault).await?,
-            Action::Silence(upstream) => self.upstream(upstream)?.relay.silence(),
+            Action::Silence(upstream) => {
+                let relay = self.upstream(upstream)?.relay.as_ref();
+                relay.context("the upstream has no relay")?.silence();
+            }
             Action::Leave(upstream) => self.leave(upstream)?,
             Action::Drain(upstream) => self.drain(upstream).await?,
             Action::Kill(name) => {
@@ -256,11 +265,13 @@
             let platform = SocketAddr::new(host, PLATFORM_PORT);
             let peers = SocketAddr::new(host, PEER_PORT);
             let name = format!("host-{number}");
-            let relays: Vec<Relay> = control
-                .iter()
-                .map(|address| Relay::open(*address))
-                .collect::<Result<_, _>>()?;
-            let reached: Vec<SocketAddr> = relays.iter().map(Relay::address).collect();
+            let relays = control.iter().filter(|_| self.relayed);
+            let relays = relays.map(|address| Relay::open(*address));
+            let relays = relays.collect::<std::io::Result<Vec<Relay>>>()?;
+            let reached: Vec<SocketAddr> = match self.relayed {
+                true => relays.iter().map(Relay::address).collect(),
+                false => control.to_vec(),
+            };
             let settings = json!({
                 "host": name,
                 "zone": zone(number, scenario.zones),
@@ -309,7 +320,7 @@
                     seed: seed * 1_000 + u64::try_from(number)?,
                 };
                 let id = setup.id.clone();
-                let upstream = start_upstream(setup, self.ledger.clone())?;
+                let upstream = start_upstream(setup, self.ledger.clone(), self.relayed)?;
                 self.upstreams.insert(id, upstream);
             }
         }
@@ -482,16 +493,22 @@
     )
 }
 
-fn start_upstream(setup: Setup, ledger: Ledger) -> anyhow::Result<Upstream> {
+/// Returns whether an action acts on what passes through relays.
+const fn needs_relay(action: &Action) -> bool {
+    matches!(
+        action,
+        Action::Silence(_) | Action::Cut(_) | Action::Join(_)
+    )
+}
+
+fn start_upstream(setup: Setup, ledger: Ledger, relayed: bool) -> anyhow::Result<Upstream> {
     let name = setup.id.clone();
     let (part, (direct, relay)) = Part::start(&name, move |stop, told| {
-        upstream::run_behind(setup, ledger, stop, |direct| match Relay::open(direct) {
-            Ok(relay) => {
-                let address = relay.address();
-                told((direct, relay));
-                address
-            }
-            Err(_) => direct,
+        upstream::run_behind(setup, ledger, stop, move |direct| {
+            let relay = relayed.then(|| Relay::open(direct).ok()).flatten();
+            let announced = relay.as_ref().map_or(direct, Relay::address);
+            told((direct, relay));
+            announced
         })
     })?;
     Ok(Upstream {
