fix: shorter leases and cut-offs, so that a lost leader refuses nobody

Cause: scenarios/leader-lost.txt, 12 hosts, 3 replicas, the leader killed three times: a request waited at most half of its 2 s for a token, while an election took 1.1 to 1.5 s, the new leader then waited out grants of 0.5 s, and a host used the share of its seat after 1.5 s only. Change: election and lease 500 ms, grants 400 ms, a seat counts as silent after 500 ms and a host as cut off after 1 s; a request waits up to three quarters of its time. The tests of quota, log and control pass.

--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -37,19 +37,19 @@
 pub use seat::Share;
 
 /// Time for which a granted token can be spent.
-pub const LIFETIME: Duration = Duration::from_millis(500);
+pub const LIFETIME: Duration = Duration::from_millis(400);
 
 /// Time after its last known reply from which the share of a seat is withheld.
-pub const SILENCE: Duration = Duration::from_millis(800);
+pub const SILENCE: Duration = Duration::from_millis(500);
 
 /// Room for clocks that run at different speeds.
 pub const DRIFT: Duration = Duration::from_millis(100);
 
 /// Time without a reply after which a holder uses the share of its seat.
-pub const CUT_OFF: Duration = Duration::from_millis(1_500);
+pub const CUT_OFF: Duration = Duration::from_millis(1_000);
 
 /// Time between two batches of a holder that has nothing to ask for.
-pub const HEARTBEAT: Duration = Duration::from_millis(250);
+pub const HEARTBEAT: Duration = Duration::from_millis(150);
 
 /// Most asks in one batch.
 pub const MAX_ASKS: usize = 256;
--- a/crates/replica/src/settings.rs
+++ b/crates/replica/src/settings.rs
@@ -35,10 +35,10 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            heartbeat: Duration::from_millis(100),
-            lease: Duration::from_secs(1),
-            drift: Duration::from_millis(100),
-            election: Duration::from_secs(1),
+            heartbeat: Duration::from_millis(50),
+            lease: Duration::from_millis(500),
+            drift: Duration::from_millis(50),
+            election: Duration::from_millis(500),
             batch_bytes: 256 * 1024,
             chunk_bytes: 256 * 1024,
             caught_up: 64,
--- a/programs/pb-lab/src/run/figures.rs
+++ b/programs/pb-lab/src/run/figures.rs
@@ -35,6 +35,8 @@
     reads: Tally,
     /// Requests of routes that are not.
     onces: Tally,
+    /// First refusals of tenants within their rate, by error code and second of the run.
+    refusals: BTreeMap<String, u64>,
     broken: Vec<String>,
 }
 
@@ -63,6 +65,7 @@
         let arrivals = stage.ledger.arrivals();
         figures.latency();
         figures.outcomes(scenario, samples, stage);
+        figures.refused(scenario, samples, start);
         figures.health(&ejections, stage, start);
         figures.withdrawal(samples, stage);
         figures.draining(&arrivals, stage);
@@ -99,6 +102,7 @@
             "onces": latencies(&self.onces),
             "figures": self.values,
             "expectations": expected.collect::<Vec<_>>(),
+            "refusals": self.refusals,
             "broken": self.broken,
         })
     }
@@ -153,6 +157,22 @@
         self.set(Measure::Unknown, count(unknown));
     }
 
+    fn refused(&mut self, scenario: &Scenario, samples: &[Sample], start: Instant) {
+        let within = |name: &str| {
+            let tenant = scenario.tenants.iter().find(|tenant| tenant.name == name);
+            tenant.is_some_and(|tenant| tenant.sends <= tenant.rate)
+        };
+        let refused = samples.iter().filter(|one| one.first == Ending::NotRun);
+        for sample in refused.filter(|one| within(&one.tenant)) {
+            let code = sample.refusal.as_deref().unwrap_or("no_host");
+            let second = sample.at.saturating_duration_since(start).as_secs();
+            *self
+                .refusals
+                .entry(format!("{code} at {second} s"))
+                .or_default() += 1;
+        }
+    }
+
     fn health(&mut self, ejections: &[Ejection], stage: &Stage, start: Instant) {
         let mut worst = None;
         for fault in &stage.marks.faults {
--- a/programs/pb-lab/src/run/stage.rs
+++ b/programs/pb-lab/src/run/stage.rs
@@ -145,7 +145,7 @@
             keys: BTreeMap::new(),
             services: services(scenario)?,
         };
-        stage.start_control(&control)?;
+        stage.start_control(&control, scenario.hosts)?;
         stage.wait_for_leader().await?;
         stage.start_hosts(scenario, &control, addresses)?;
         stage.start_upstreams(scenario, seed)?;
@@ -232,7 +232,7 @@
         drop(self.files);
     }
 
-    fn start_control(&mut self, addresses: &[SocketAddr]) -> anyhow::Result<()> {
+    fn start_control(&mut self, addresses: &[SocketAddr], seats: usize) -> anyhow::Result<()> {
         let replica = |(number, address): (usize, &SocketAddr)| json!({ "host": format!("control-{number}"), "address": address });
         let replicas: Vec<Value> = addresses.iter().enumerate().map(replica).collect();
         for (number, address) in addresses.iter().enumerate() {
@@ -243,6 +243,7 @@
                 "data": self.files.folder().join(&name),
                 "secret_file": self.files.secret(),
                 "replicas": replicas,
+                "seats": seats,
             });
             let process = Process::start(&name, Role::Control, self.files.folder(), &settings)?;
             self.processes.insert(name, process);
--- a/programs/pb-proxy/src/rates.rs
+++ b/programs/pb-proxy/src/rates.rs
@@ -29,11 +29,14 @@
 /// Longest time that a request waits for a token.
 const MAX_WAIT: Duration = Duration::from_millis(1_500);
 
+/// One part in this many of the time until the deadline is left for the request itself.
+const WAIT_PART: u32 = 4;
+
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(20);
 
 /// Time for the answer to a batch.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
+const GRANT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time without a reply after which tokens of other hosts are borrowed.
 const SILENT_AFTER: Duration = Duration::from_millis(600);
@@ -104,7 +107,7 @@
     let config = node.board().config();
     let account = Account::of(&config, tenant, service);
     let rate = account.rate(&config).ok_or(Kind::RateUnavailable)?;
-    let time = deadline.saturating_duration_since(node.now()) / 2;
+    let time = deadline.saturating_duration_since(node.now()) / WAIT_PART * (WAIT_PART - 1);
     let until = node.now() + time.min(MAX_WAIT);
     let waiter = Waiter {
         node,
