feat(lab): the demo tells detection, false ejections and double returns as seen

Cause: its closing object left detection and false ejections empty, and nothing was lodged twice. Change: the demo reads the ejections from the hosts' events and lodges each return twice at once; the scenario language has tests.

--- a/programs/pb-lab/src/demo.rs
+++ b/programs/pb-lab/src/demo.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use anyhow::bail;
 use anyhow::ensure;
@@ -15,8 +16,11 @@
 use persimmonbend_core::config::Service;
 use persimmonbend_core::config::Tenant;
 use persimmonbend_core::key::Secret;
+use serde_json::Value;
 use serde_json::json;
 
+use crate::ejection;
+use crate::ejection::Ejection;
 use crate::fleet;
 use crate::fleet::Files;
 use crate::fleet::Part;
@@ -33,6 +37,12 @@
 const SLOTS: usize = 3;
 const WORK: Duration = Duration::from_millis(5);
 const TENANTS: [&str; 2] = ["clinic-etna", "farm-noto"];
+/// Upstream that turns grey.
+const GREY: &str = "upstream-0";
+
+/// Returns per second of one tenant, each sent twice at once with one idempotency key.
+const RETURNS_PER_SECOND: f64 = 5.0;
+
 const LOAD_TIME: Duration = Duration::from_secs(8);
 const GREY_AFTER: Duration = Duration::from_secs(3);
 const PER_SECOND: f64 = 100.0;
@@ -60,12 +70,15 @@
     let keys = stage.publish().await?;
     say("published one service with two routes, two tenants and their keys");
 
+    let start = Instant::now();
     let streams = TENANTS.iter().zip(keys).zip(1..);
     let loads: Vec<_> = streams
-        .map(|((tenant, key), seed)| spawn(load::run(stage.stream(tenant, key, seed))))
+        .flat_map(|((tenant, key), seed)| stage.streams(tenant, &key, seed))
+        .map(|stream| spawn(load::run(stream)))
         .collect();
     compio::time::sleep(GREY_AFTER).await;
     stage.make_grey(0).await?;
+    let grey_since = Instant::now();
     say("made upstream-0 grey: it answers 2 s late");
 
     let mut total = Tally::new();
@@ -75,7 +88,13 @@
             Err(_) => bail!("a load panicked"),
         }
     }
-    let closing = closing(&total, ledger.duplicates());
+    let ejections = ejection::read(&stage.dumps().await);
+    let closing = Closing {
+        detection_ms: ejection::detection(&ejections, GREY, grey_since).map(millis),
+        false_ejections: Some(mistaken(&ejections, start, grey_since)),
+        ..closing(&total, ledger.duplicates())
+    };
+    say(&told(&closing));
     let keys_seen = ledger.keys_seen();
     stage.end()?;
     if json {
@@ -88,6 +107,7 @@
         "{} answers were neither whole nor truthful",
         total.wrong
     );
+    ensure!(closing.duplicates_run == 0, "a return ran more than once");
     ensure!(keys_seen == 0, "an upstream saw a key {keys_seen} times");
     ensure!(total.complete > 0, "no request was answered");
     Ok(())
@@ -201,10 +221,11 @@
         }
     }
 
-    fn stream(&self, tenant: &str, key: Secret, seed: u64) -> Stream {
-        Stream {
+    /// Returns the requests of one tenant: register look-ups, and returns that are lodged twice.
+    fn streams(&self, tenant: &str, key: &Secret, seed: u64) -> [Stream; 3] {
+        let lookups = Stream {
             name: tenant.to_owned(),
-            key: Some(key),
+            key: Some(key.clone()),
             path: "/herd/register".to_owned(),
             method: hyper::Method::GET,
             idempotency: false,
@@ -212,7 +233,26 @@
             duration: LOAD_TIME,
             proxies: self.addresses.iter().map(|one| one.callers).collect(),
             seed,
+        };
+        let returns = Stream {
+            name: format!("{tenant}-return"),
+            path: "/returns/lodge".to_owned(),
+            method: hyper::Method::POST,
+            idempotency: true,
+            per_second: RETURNS_PER_SECOND,
+            ..lookups.clone()
+        };
+        [lookups, returns.clone(), returns]
+    }
+
+    async fn dumps(&self) -> Vec<Value> {
+        let mut dumps = Vec::new();
+        for addresses in &self.addresses {
+            if let Ok((_link, proxy)) = self.operator.proxy(addresses.peers).await {
+                dumps.extend(proxy.dump().await);
+            }
         }
+        dumps
     }
 
     async fn make_grey(&self, number: usize) -> anyhow::Result<()> {
@@ -263,6 +303,23 @@
     Service::try_from(file).map_err(|faults| anyhow::anyhow!("{faults}"))
 }
 
+fn mistaken(ejections: &[Ejection], start: Instant, grey_since: Instant) -> u64 {
+    let is_grey = |one: &Ejection| one.upstream == GREY && one.at >= grey_since;
+    let mistaken = ejection::mistaken(ejections, start, is_grey);
+    u64::try_from(mistaken).unwrap_or(u64::MAX)
+}
+
+fn told(closing: &Closing) -> String {
+    match closing.detection_ms {
+        Some(time) => format!("the fleet ejected {GREY} after {time} ms"),
+        None => format!("the fleet did not eject {GREY}"),
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn closing(total: &Tally, duplicates_run: u64) -> Closing {
     Closing {
         requests: total.requests,
--- /dev/null
+++ b/programs/pb-lab/src/ejection.rs
@@ -0,0 +1,58 @@
+//! Ejections as the events of the hosts tell them.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use serde_json::Value;
+
+/// An ejection that a host wrote an event about.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ejection {
+    /// The upstream.
+    pub upstream: String,
+    /// When it was ejected.
+    pub at: Instant,
+}
+
+/// Returns the ejections that the dumps of hosts hold.
+#[must_use]
+pub fn read(dumps: &[Value]) -> Vec<Ejection> {
+    let (now, wall) = (Instant::now(), SystemTime::now());
+    let events = dumps.iter().filter_map(|dump| dump["events"].as_array());
+    let ejections = events.flatten().filter(|event| is_ejection(event));
+    let parsed = ejections.filter_map(|event| {
+        let at: SystemTime = serde_json::from_value(event["at"].clone()).ok()?;
+        let age = wall.duration_since(at).unwrap_or_default();
+        Some(Ejection {
+            upstream: event["subject"].as_str()?.to_owned(),
+            at: now.checked_sub(age)?,
+        })
+    });
+    parsed.collect()
+}
+
+/// Returns the time from `fault` to the first ejection of an upstream after it.
+#[must_use]
+pub fn detection(ejections: &[Ejection], upstream: &str, fault: Instant) -> Option<Duration> {
+    let own = ejections.iter().filter(|one| one.upstream == upstream);
+    own.filter_map(|one| one.at.checked_duration_since(fault))
+        .min()
+}
+
+/// Returns how many upstreams were ejected after `start` though `is_grey` says that they were not.
+pub fn mistaken<F>(ejections: &[Ejection], start: Instant, is_grey: F) -> usize
+where
+    F: Fn(&Ejection) -> bool,
+{
+    let during = ejections.iter().filter(|one| one.at >= start);
+    let mistaken = during.filter(|one| !is_grey(one));
+    let upstreams: BTreeSet<&str> = mistaken.map(|one| one.upstream.as_str()).collect();
+    upstreams.len()
+}
+
+fn is_ejection(event: &Value) -> bool {
+    let text = event["text"].as_str().unwrap_or_default();
+    event["part"] == "health" && text.starts_with("Ejected")
+}
--- a/programs/pb-lab/src/lib.rs
+++ b/programs/pb-lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod claims;
 pub mod command;
 pub mod demo;
+pub mod ejection;
 pub mod fleet;
 pub mod load;
 pub mod report;
--- a/programs/pb-lab/src/run/figures.rs
+++ b/programs/pb-lab/src/run/figures.rs
@@ -4,11 +4,12 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
-use std::time::SystemTime;
 
 use serde_json::Value;
 use serde_json::json;
 
+use crate::ejection;
+use crate::ejection::Ejection;
 use crate::report::Ending;
 use crate::report::Tally;
 use crate::run::caller::Sample;
@@ -20,12 +21,6 @@
 /// Time by which an admission may lie before the arrival at an upstream.
 const ADMISSION_SLACK: Duration = Duration::from_millis(500);
 
-/// An ejection that a host wrote an event about.
-struct Ejection {
-    upstream: String,
-    at: Instant,
-}
-
 /// Figures of one run.
 #[derive(Debug, Default)]
 pub struct Figures {
@@ -61,7 +56,7 @@
                 .count(sample.ending, sample.latency, sample.upstream);
         }
         let dumps = stage.dumps().await;
-        let ejections = ejections(&dumps);
+        let ejections = ejection::read(&dumps);
         let arrivals = stage.ledger.arrivals();
         figures.latency();
         figures.outcomes(scenario, samples, stage);
@@ -176,29 +171,21 @@
     fn health(&mut self, ejections: &[Ejection], stage: &Stage, start: Instant) {
         let mut worst = None;
         for fault in &stage.marks.faults {
-            let found = ejections
-                .iter()
-                .filter(|one| one.upstream == fault.subject && one.at >= fault.at)
-                .map(|one| one.at - fault.at)
-                .min();
+            let found = ejection::detection(ejections, &fault.subject, fault.at);
             let time = found.map_or(f64::INFINITY, |time| time.as_secs_f64() * 1_000.0);
             worst = Some(worst.map_or(time, |worst: f64| worst.max(time)));
         }
         if let Some(worst) = worst {
             self.set(Measure::Detection, worst);
         }
-        let grey = |one: &&Ejection| {
+        let grey = |one: &Ejection| {
             let faults = &stage.marks.faults;
             faults
                 .iter()
                 .any(|fault| fault.subject == one.upstream && fault.at <= one.at)
         };
-        let during = ejections.iter().filter(|one| one.at >= start);
-        let mistaken: BTreeSet<&str> = during
-            .filter(|one| !grey(one))
-            .map(|one| one.upstream.as_str())
-            .collect();
-        self.set(Measure::FalseEjections, count(mistaken.len()));
+        let mistaken = ejection::mistaken(ejections, start, grey);
+        self.set(Measure::FalseEjections, count(mistaken));
     }
 
     fn withdrawal(&mut self, samples: &[Sample], stage: &Stage) {
@@ -293,29 +280,6 @@
     }
 }
 
-fn ejections(dumps: &[Value]) -> Vec<Ejection> {
-    let (now, wall) = (Instant::now(), SystemTime::now());
-    let events = dumps
-        .iter()
-        .filter_map(|dump| dump["events"].as_array())
-        .flatten();
-    let about_health = events.filter(|event| {
-        event["part"] == "health"
-            && event["text"]
-                .as_str()
-                .is_some_and(|text| text.starts_with("Ejected"))
-    });
-    let parsed = about_health.filter_map(|event| {
-        let at: SystemTime = serde_json::from_value(event["at"].clone()).ok()?;
-        let age = wall.duration_since(at).unwrap_or_default();
-        Some(Ejection {
-            upstream: event["subject"].as_str()?.to_owned(),
-            at: now.checked_sub(age)?,
-        })
-    });
-    parsed.collect()
-}
-
 fn latencies(tally: &Tally) -> Value {
     json!({
         "complete": tally.complete,
--- /dev/null
+++ b/programs/pb-lab/tests/scenario.rs
@@ -0,0 +1,65 @@
+//! The scenario language, and the scenarios that the repository holds.
+
+#![allow(clippy::unwrap_used)]
+
+use std::path::Path;
+use std::time::Duration;
+
+use pb_lab::scenario::Action;
+use pb_lab::scenario::Scenario;
+use pb_lab::upstream::Fault;
+use quickcheck::quickcheck;
+
+const HEAD: &str =
+    "hosts 2 in 1 zones\nservice herd upstreams 2 slots 3 work 20ms floor 70%\nrun 1s\n";
+
+#[test]
+fn events_are_read_and_ordered_by_time() {
+    let text =
+        format!("{HEAD}at 2s heal herd-0\nat 500ms slow herd-0 by 300ms # grey\nat 1s race\n");
+    let scenario = Scenario::try_from(text.as_str()).unwrap();
+    let slow = Action::Fault("herd-0".to_owned(), Fault::Slow { by_ms: 300 });
+    let heal = Action::Fault("herd-0".to_owned(), Fault::None);
+    let expected = [(500, slow), (1_000, Action::Race), (2_000, heal)];
+    for (event, (at, action)) in scenario.events.iter().zip(expected) {
+        assert_eq!(event.at, Duration::from_millis(at));
+        assert_eq!(event.action, action);
+    }
+}
+
+#[test]
+fn mistakes_name_their_line() {
+    let cases = [
+        ("at 1s explode herd-0", 4),
+        ("at soon kill host-1", 4),
+        ("expect beauty >= 1", 4),
+        ("at 1s slow herd-0 by 300", 4),
+        ("at -1s kill host-1", 4),
+        ("tenant a rate 1/s burst 1 sends 1/s to nowhere", 0),
+    ];
+    for (line, number) in cases {
+        let error = Scenario::try_from(format!("{HEAD}{line}").as_str()).unwrap_err();
+        assert_eq!(error.line, number, "{line}: {error}");
+    }
+}
+
+#[test]
+fn the_scenarios_of_the_repository_can_be_read() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios");
+    let mut read = 0;
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        let scenario = Scenario::try_from(std::fs::read_to_string(&path).unwrap().as_str());
+        assert!(scenario.is_ok(), "{}: {scenario:?}", path.display());
+        read += 1;
+    }
+    assert!(read > 0, "there are no scenarios");
+}
+
+quickcheck! {
+    fn any_text_is_read_or_refused_without_a_panic(text: String) -> bool {
+        let _ = Scenario::try_from(text.as_str());
+        let _ = Scenario::try_from(format!("{HEAD}at {text}").as_str());
+        true
+    }
+}
