refactor(lab): a run's stage is split, and endings are judged in one place

Change: marks and the building of a stage stand in files of their own; Ending::of serves both load generators.

--- a/programs/pb-lab/src/load.rs
+++ b/programs/pb-lab/src/load.rs
@@ -125,17 +125,7 @@
     let ran = header("x-persimmonbend-ran");
     let took = header("x-lab-took-us").and_then(|text| text.parse().ok());
     let body = response.bytes().await?;
-    let ending = match ran.as_deref() {
-        Some("no") => Ending::NotRun,
-        Some(_) => Ending::Unknown,
-        None if status.is_success() && is_answer_to(name, &body) => Ending::Complete,
-        None if status.is_server_error() => Ending::Unknown,
-        None => Ending::Wrong,
-    };
+    let document: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let ending = Ending::of(name, status, ran.as_deref(), &document);
     Ok((ending, took.map(Duration::from_micros)))
 }
-
-fn is_answer_to(name: &str, body: &[u8]) -> bool {
-    let answer: Value = serde_json::from_slice(body).unwrap_or_default();
-    answer["request"] == name && answer["end"] == true
-}
--- a/programs/pb-lab/src/report.rs
+++ b/programs/pb-lab/src/report.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
+use hyper::StatusCode;
 use serde::Serialize;
+use serde_json::Value;
 
 /// Longest latency that is told apart, in microseconds.
 const MAX_LATENCY_US: u64 = 60_000_000;
@@ -21,6 +23,23 @@
     Wrong,
 }
 
+impl Ending {
+    /// Returns how a request ended, by its answer.
+    ///
+    /// `ran` is what a refusal says, `document` the body of the answer.
+    #[must_use]
+    pub fn of(name: &str, status: StatusCode, ran: Option<&str>, document: &Value) -> Self {
+        let whole = document["request"] == name && document["end"] == true;
+        match ran {
+            Some("no") => Self::NotRun,
+            Some(_) => Self::Unknown,
+            None if status.is_success() && whole => Self::Complete,
+            None if status.is_server_error() => Self::Unknown,
+            None => Self::Wrong,
+        }
+    }
+}
+
 /// Counts of a run.
 #[derive(Debug, Clone)]
 pub struct Tally {
--- a/programs/pb-lab/src/run.rs
+++ b/programs/pb-lab/src/run.rs
@@ -6,6 +6,7 @@
 
 mod caller;
 mod figures;
+mod marks;
 mod process;
 mod relay;
 mod stage;
--- a/programs/pb-lab/src/run/caller.rs
+++ b/programs/pb-lab/src/run/caller.rs
@@ -246,14 +246,7 @@
     let took = header("x-lab-took-us").and_then(|text| text.parse().ok());
     let body = response.bytes().await?;
     let document: Value = serde_json::from_slice(&body).unwrap_or_default();
-    let whole = status.is_success() && document["request"] == name && document["end"] == true;
-    let ending = match ran.as_deref() {
-        Some("no") => Ending::NotRun,
-        Some(_) => Ending::Unknown,
-        None if whole => Ending::Complete,
-        None if status.is_server_error() => Ending::Unknown,
-        None => Ending::Wrong,
-    };
+    let ending = Ending::of(name, status, ran.as_deref(), &document);
     Ok(Answer {
         ending,
         refusal: document["error"].as_str().map(str::to_owned),
--- a/programs/pb-lab/src/run/stage.rs
+++ b/programs/pb-lab/src/run/stage.rs
@@ -1,11 +1,11 @@
 //! The processes, relays and upstreams of a run, and what can be done to them.
 
+mod build;
+
 use std::collections::BTreeMap;
-use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use anyhow::Context;
 use anyhow::bail;
@@ -13,55 +13,26 @@
 use cyper::Client;
 use pb_ctl::fleet::Fleet;
 use persimmonbend_core::config::Change;
-use persimmonbend_core::config::File;
 use persimmonbend_core::config::Order;
 use persimmonbend_core::config::Outcome;
-use persimmonbend_core::config::Rate;
 use persimmonbend_core::config::Service;
-use persimmonbend_core::config::Tenant;
 use persimmonbend_core::key::Secret;
 use persimmonbend_wire::handshake;
 use persimmonbend_wire::link::Link;
 use serde_json::Value;
-use serde_json::json;
 
-use crate::fleet;
 use crate::fleet::Files;
 use crate::fleet::Part;
-use crate::run::caller::Host;
 use crate::run::caller::Hosts;
 use crate::run::caller::Stream;
-use crate::run::process::Addresses;
+use crate::run::marks::Mark;
+use crate::run::marks::Marks;
 use crate::run::process::Process;
-use crate::run::process::Role;
 use crate::run::relay::Relay;
 use crate::scenario;
 use crate::scenario::Action;
-use crate::scenario::Scenario;
-use crate::upstream;
 use crate::upstream::Fault;
 use crate::upstream::Ledger;
-use crate::upstream::Setup;
-
-/// Time for the fleet to become ready.
-const READY_TIMEOUT: Duration = Duration::from_secs(40);
-
-/// Time between two looks at a condition.
-const PAUSE: Duration = Duration::from_millis(100);
-
-/// Hosts that an upstream announces itself to.
-const ANNOUNCED_TO: usize = 4;
-
-/// Hosts that others are told of at the start.
-const SEEDS: usize = 3;
-
-/// Ports of a process, each on an IP number of its own.
-const CALLER_PORT: u16 = 7_500;
-const PLATFORM_PORT: u16 = 7_501;
-const PEER_PORT: u16 = 7_502;
-
-/// Notice period of a planned stop, in milliseconds; longer than the balancer takes to see it.
-const STOP_NOTICE_MS: u64 = 1_000;
 
 /// One stand-in upstream.
 struct Upstream {
@@ -70,32 +41,6 @@
     relay: Option<Relay>,
 }
 
-/// A moment that a figure is measured from.
-#[derive(Debug, Clone)]
-pub struct Mark {
-    /// When it was.
-    pub at: Instant,
-    /// Upstream, host or tenant that it is about.
-    pub subject: String,
-}
-
-/// What was done during a run.
-#[derive(Debug, Clone, Default)]
-pub struct Marks {
-    /// Upstreams that got a fault.
-    pub faults: Vec<Mark>,
-    /// Upstreams that lost their fault.
-    pub heals: Vec<Mark>,
-    /// Upstreams that began to drain.
-    pub drains: Vec<Mark>,
-    /// Tenants whose key was withdrawn, once that was accepted.
-    pub withdrawals: Vec<Mark>,
-    /// Hosts that were killed, frozen or cut off.
-    pub broken_hosts: Vec<Mark>,
-    /// Races in which not exactly one of two equal changes was accepted.
-    pub lost_races: u64,
-}
-
 /// Everything that a run has set up.
 pub struct Stage {
     /// What the upstreams ran.
@@ -116,44 +61,6 @@
 }
 
 impl Stage {
-    /// Starts the fleet of a scenario and publishes its configuration.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error when a part does not start or the fleet does not become ready.
-    pub async fn build(scenario: &Scenario, seed: u64) -> anyhow::Result<Self> {
-        let files = Files::create()?;
-        let mut addresses = Addresses::new();
-        let control = (0..scenario.control)
-            .map(|_| Ok(SocketAddr::new(addresses.next()?, PEER_PORT)))
-            .collect::<anyhow::Result<Vec<SocketAddr>>>()?;
-        let operator = fleet::operator(&files, &control)?;
-        let mut stage = Self {
-            ledger: Ledger::new(),
-            marks: Marks::default(),
-            files,
-            processes: BTreeMap::new(),
-            control_relays: BTreeMap::new(),
-            upstreams: BTreeMap::new(),
-            relayed: scenario
-                .events
-                .iter()
-                .any(|event| needs_relay(&event.action)),
-            hosts: Rc::default(),
-            peers: Vec::new(),
-            operator,
-            keys: BTreeMap::new(),
-            services: services(scenario)?,
-        };
-        stage.start_control(&control, scenario.hosts)?;
-        stage.wait_for_leader().await?;
-        stage.start_hosts(scenario, &control, addresses)?;
-        stage.start_upstreams(scenario, seed)?;
-        let revision = stage.configure(scenario).await?;
-        stage.wait_until_ready(scenario, revision).await?;
-        Ok(stage)
-    }
-
     /// Returns the hosts as the balancer sees them.
     #[must_use]
     pub fn fleet(&self) -> Hosts {
@@ -232,165 +139,6 @@
         drop(self.files);
     }
 
-    fn start_control(&mut self, addresses: &[SocketAddr], seats: usize) -> anyhow::Result<()> {
-        let replica = |(number, address): (usize, &SocketAddr)| json!({ "host": format!("control-{number}"), "address": address });
-        let replicas: Vec<Value> = addresses.iter().enumerate().map(replica).collect();
-        for (number, address) in addresses.iter().enumerate() {
-            let name = format!("control-{number}");
-            let settings = json!({
-                "host": name,
-                "listen": address,
-                "data": self.files.folder().join(&name),
-                "secret_file": self.files.secret(),
-                "replicas": replicas,
-                "seats": seats,
-            });
-            let process = Process::start(&name, Role::Control, self.files.folder(), &settings)?;
-            self.processes.insert(name, process);
-        }
-        Ok(())
-    }
-
-    fn start_hosts(
-        &mut self,
-        scenario: &Scenario,
-        control: &[SocketAddr],
-        mut addresses: Addresses,
-    ) -> anyhow::Result<()> {
-        let hosts = (0..scenario.hosts).map(|_| addresses.next());
-        let hosts = hosts.collect::<anyhow::Result<Vec<IpAddr>>>()?;
-        let peers = hosts.iter().map(|host| SocketAddr::new(*host, PEER_PORT));
-        let seeds: Vec<SocketAddr> = peers.take(SEEDS).collect();
-        for (number, host) in hosts.into_iter().enumerate() {
-            let callers = SocketAddr::new(host, CALLER_PORT);
-            let platform = SocketAddr::new(host, PLATFORM_PORT);
-            let peers = SocketAddr::new(host, PEER_PORT);
-            let name = format!("host-{number}");
-            let relays = control.iter().filter(|_| self.relayed);
-            let relays = relays.map(|address| Relay::open(*address));
-            let relays = relays.collect::<std::io::Result<Vec<Relay>>>()?;
-            let reached: Vec<SocketAddr> = match self.relayed {
-                true => relays.iter().map(Relay::address).collect(),
-                false => control.to_vec(),
-            };
-            let settings = json!({
-                "host": name,
-                "zone": zone(number, scenario.zones),
-                "callers": callers,
-                "platform": platform,
-                "peers": peers,
-                "control": reached,
-                "seeds": seeds,
-                "secret_file": self.files.secret(),
-                "stop_notice_ms": STOP_NOTICE_MS,
-            });
-            let process = Process::start(&name, Role::Proxy, self.files.folder(), &settings)?;
-            self.processes.insert(name.clone(), process);
-            self.control_relays.insert(name.clone(), relays);
-            self.peers.push((name, peers));
-            self.hosts.borrow_mut().push(Host {
-                callers,
-                platform,
-                ready: true,
-            });
-        }
-        Ok(())
-    }
-
-    fn start_upstreams(&mut self, scenario: &Scenario, seed: u64) -> anyhow::Result<()> {
-        let platforms: Vec<SocketAddr> = self
-            .hosts
-            .borrow()
-            .iter()
-            .map(|host| host.platform)
-            .collect();
-        for service in &scenario.services {
-            for number in 0..service.upstreams {
-                let to = platforms.iter().cycle().skip(number * ANNOUNCED_TO);
-                let setup = Setup {
-                    id: format!("{}-{number}", service.name),
-                    service: service.name.clone(),
-                    zone: zone(number, scenario.zones),
-                    listen: SocketAddr::from(([127, 0, 0, 1], 0)),
-                    slots: service.slots,
-                    work: service.work,
-                    proxies: to
-                        .take(ANNOUNCED_TO.min(platforms.len()))
-                        .copied()
-                        .collect(),
-                    seed: seed * 1_000 + u64::try_from(number)?,
-                };
-                let id = setup.id.clone();
-                let upstream = start_upstream(setup, self.ledger.clone(), self.relayed)?;
-                self.upstreams.insert(id, upstream);
-            }
-        }
-        Ok(())
-    }
-
-    async fn wait_for_leader(&self) -> anyhow::Result<()> {
-        let until = Instant::now() + READY_TIMEOUT;
-        loop {
-            match self.operator.leader().await {
-                Err(error) if Instant::now() > until => return Err(error),
-                Err(_) => compio::time::sleep(PAUSE).await,
-                Ok(_) => return Ok(()),
-            }
-        }
-    }
-
-    async fn configure(&mut self, scenario: &Scenario) -> anyhow::Result<u64> {
-        let services = self.services.clone();
-        let mut revision = accepted(&self.operator, Change::Publish { services }).await?;
-        for tenant in &scenario.tenants {
-            let set = Tenant {
-                id: tenant.name.clone(),
-                rate: Rate {
-                    per_second: tenant.rate,
-                    burst: tenant.burst,
-                },
-            };
-            accepted(&self.operator, Change::SetTenant { tenant: set }).await?;
-            let secret = Secret::generate(&mut rand::rng());
-            let issue = Change::IssueKey {
-                digest: secret.digest(),
-                tenant: tenant.name.clone(),
-                label: "run".to_owned(),
-            };
-            revision = accepted(&self.operator, issue).await?;
-            self.keys.insert(tenant.name.clone(), secret);
-        }
-        Ok(revision)
-    }
-
-    async fn wait_until_ready(&self, scenario: &Scenario, revision: u64) -> anyhow::Result<()> {
-        let until = Instant::now() + READY_TIMEOUT;
-        loop {
-            let dumps = self.dumps().await;
-            let current = |dump: &&Value| {
-                let status = &dump["status"];
-                let upstreams = dump["upstreams"].as_array().map_or(0, Vec::len);
-                status["revision"] == revision
-                    && status["ready"] == true
-                    && upstreams == self.upstreams.len()
-                    && status["hosts_live"] == scenario.hosts
-            };
-            let ready = dumps.iter().filter(current).count();
-            if ready == scenario.hosts {
-                return Ok(());
-            }
-            if Instant::now() > until {
-                let states: Vec<String> = dumps.iter().map(state).collect();
-                bail!(
-                    "only {ready} of {} hosts became ready at revision {revision}: {}",
-                    scenario.hosts,
-                    states.join(", ")
-                );
-            }
-            compio::time::sleep(PAUSE).await;
-        }
-    }
-
     async fn dump(&self, address: SocketAddr) -> anyhow::Result<Value> {
         let secret = std::fs::read_to_string(self.files.secret())?;
         let secret = handshake::Secret::from(secret.trim().to_owned());
@@ -405,7 +153,7 @@
             response.status().is_success(),
             "{name} did not take the fault"
         );
-        let mark = mark(name);
+        let mark = Mark::now(name);
         match fault {
             Fault::None => self.marks.heals.push(mark),
             _ => self.marks.faults.push(mark),
@@ -418,7 +166,7 @@
         if let Some(part) = &mut upstream.part {
             part.ask_to_stop();
         }
-        self.marks.drains.push(mark(name));
+        self.marks.drains.push(Mark::now(name));
         Ok(())
     }
 
@@ -426,7 +174,7 @@
         let upstream = name.to_owned();
         let order = Order::Drain;
         accepted(&self.operator, Change::Steer { upstream, order }).await?;
-        self.marks.drains.push(mark(name));
+        self.marks.drains.push(Mark::now(name));
         Ok(())
     }
 
@@ -434,7 +182,7 @@
         let secret = self.keys.get(tenant).context("no such tenant")?;
         let digest = secret.digest();
         accepted(&self.operator, Change::WithdrawKey { digest }).await?;
-        self.marks.withdrawals.push(mark(tenant));
+        self.marks.withdrawals.push(Mark::now(tenant));
         Ok(())
     }
 
@@ -469,7 +217,7 @@
     }
 
     fn break_host(&mut self, name: &str) {
-        self.marks.broken_hosts.push(mark(name));
+        self.marks.broken_hosts.push(Mark::now(name));
     }
 
     fn process(&mut self, name: &str) -> anyhow::Result<&mut Process> {
@@ -485,76 +233,9 @@
     }
 }
 
-fn state(dump: &Value) -> String {
-    let status = &dump["status"];
-    let upstreams = dump["upstreams"].as_array().map_or(0, Vec::len);
-    format!(
-        "{} revision {} ready {} upstreams {upstreams} hosts {}",
-        status["host"], status["revision"], status["ready"], status["hosts_live"]
-    )
-}
-
-/// Returns whether an action acts on what passes through relays.
-const fn needs_relay(action: &Action) -> bool {
-    matches!(
-        action,
-        Action::Silence(_) | Action::Cut(_) | Action::Join(_)
-    )
-}
-
-fn start_upstream(setup: Setup, ledger: Ledger, relayed: bool) -> anyhow::Result<Upstream> {
-    let name = setup.id.clone();
-    let (part, (direct, relay)) = Part::start(&name, move |stop, told| {
-        upstream::run_behind(setup, ledger, stop, move |direct| {
-            let relay = relayed.then(|| Relay::open(direct).ok()).flatten();
-            let announced = relay.as_ref().map_or(direct, Relay::address);
-            told((direct, relay));
-            announced
-        })
-    })?;
-    Ok(Upstream {
-        part: Some(part),
-        direct,
-        relay,
-    })
-}
-
-fn services(scenario: &Scenario) -> anyhow::Result<Vec<Service>> {
-    let service = |service: &scenario::Service| {
-        let name = &service.name;
-        let file: File = serde_json::from_value(json!({
-            "service": name,
-            "owner": "lab",
-            "floor": service.floor,
-            "routes": [
-                { "id": "read", "prefix": format!("/{name}/read"), "methods": ["GET"] },
-                {
-                    "id": "once",
-                    "prefix": format!("/{name}/once"),
-                    "methods": ["POST"],
-                    "non_idempotent": true,
-                },
-            ],
-        }))?;
-        Service::try_from(file).map_err(|faults| anyhow::anyhow!("{faults}"))
-    };
-    scenario.services.iter().map(service).collect()
-}
-
 async fn accepted(operator: &Fleet, change: Change) -> anyhow::Result<u64> {
     match operator.submit(change, None).await? {
         Outcome::Accepted { revision } => Ok(revision),
         other => bail!("a change was not accepted: {other:?}"),
     }
 }
-
-fn zone(number: usize, zones: usize) -> String {
-    format!("zone-{}", number % zones)
-}
-
-fn mark(subject: &str) -> Mark {
-    Mark {
-        at: Instant::now(),
-        subject: subject.to_owned(),
-    }
-}
