fix(core): a test that starts anew forgets when it began to rise

Cause: clearing, ejecting and restoring set the score to zero but kept the moment when it had begun to rise, so older good words of other zones still counted against the next ejection. Change: Standing::clear resets both, and eject and restore call it. The unused Policy::with_floor is gone.

--- a/crates/core/src/health/policy.rs
+++ b/crates/core/src/health/policy.rs
@@ -24,13 +24,6 @@
 }
 
 impl Policy {
-    /// Sets the floor.
-    #[must_use]
-    pub const fn with_floor(mut self, floor: f64) -> Self {
-        self.floor = floor;
-        self
-    }
-
     /// Returns the log-likelihood ratio at which the test decides for an ejection.
     #[must_use]
     pub fn threshold(&self) -> f64 {
--- a/crates/core/src/health/standing.rs
+++ b/crates/core/src/health/standing.rs
@@ -121,13 +121,14 @@
     /// Starts the running test anew.
     pub const fn clear(&mut self) {
         self.score = 0.0;
+        self.rising = None;
     }
 
     /// Takes the upstream out of use and returns the hold.
     pub fn eject(&mut self, policy: &Policy, now: Instant) -> Duration {
         self.ejections = self.ejections.saturating_add(1);
         let hold = policy.hold(self.ejections);
-        self.score = 0.0;
+        self.clear();
         self.shifted = false;
         self.status = Status::Ejected {
             until: now + hold,
@@ -145,7 +146,7 @@
 
     /// Puts the upstream in use again, warming up.
     pub const fn restore(&mut self, now: Instant) {
-        self.score = 0.0;
+        self.clear();
         self.returned = Some(now);
         self.status = Status::Active { since: Some(now) };
     }
