--- a/crates/app/src/http.rs
+++ b/crates/app/src/http.rs
@@ -1,5 +1,7 @@
 //! A small HTTP/1.1 server over the runtime, and helpers for answers.
 
+pub mod watched;
+
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
@@ -7,15 +9,15 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use compio::net::TcpListener;
 use compio::net::TcpStream;
 use compio::runtime::spawn;
 use compio::time::timeout;
-use cyper_core::CompioTimer;
-use cyper_core::HyperStream;
 use event_listener::Event;
+use futures_util::FutureExt;
 use futures_util::future::Either;
 use futures_util::future::select;
 use futures_util::pin_mut;
@@ -27,6 +29,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 
+use crate::http::watched::Activity;
+use crate::http::watched::Watched;
 use crate::stop::Stop;
 
 /// A body whose failure aborts the connection.
@@ -39,6 +43,10 @@
     pub head_buffer_bytes: usize,
     /// Time for a request head to arrive.
     pub head_timeout: Duration,
+    /// Time for which a connection may stay idle.
+    pub idle_timeout: Duration,
+    /// Whether a client that closes its side of the connection gives up what it has asked for.
+    pub close_cancels: bool,
     /// Connections open at a time.
     pub connections: usize,
     /// Time after a stop in which connections that were made before it are still accepted and
@@ -51,6 +59,8 @@
         Self {
             head_buffer_bytes: 64 * 1024,
             head_timeout: Duration::from_secs(30),
+            idle_timeout: Duration::from_secs(60),
+            close_cancels: false,
             connections: 10_000,
             linger: Duration::from_millis(500),
         }
@@ -65,6 +75,11 @@
 pub trait Handler {
     /// Answers one request.
     fn handle(self: Rc<Self>, request: Request<Incoming>) -> impl Future<Output = Response<Body>>;
+
+    /// Returns the bounds in force where they change while the server runs.
+    fn limits(&self) -> Option<Limits> {
+        None
+    }
 }
 
 /// Serves HTTP on one port.
@@ -182,13 +197,19 @@
     stop: Stop,
 ) {
     let _ = stream.set_nodelay(true);
+    let limits = handler.limits().unwrap_or(limits);
+    let (watched, activity) = Watched::new(stream);
     let closing = stop.clone();
+    let running = Rc::clone(&activity);
     let service = service_fn(move |mut request: Request<Incoming>| {
         let handler = Rc::clone(&handler);
         let stop = closing.clone();
+        let activity = Rc::clone(&running);
         request.extensions_mut().insert(Origin(from));
         async move {
+            activity.begin();
             let mut response = handler.handle(request).await;
+            activity.end(Instant::now());
             if stop.is_asked() {
                 say_last(&mut response);
             }
@@ -196,18 +217,58 @@
         }
     });
     let connection = http1::Builder::new()
-        .timer(CompioTimer)
-        .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.head_buffer_bytes)
-        .serve_connection(HyperStream::new_plain(stream), service);
+        .serve_connection(watched, service);
+    let ending = async {
+        let overdue = wait_until_overdue(&activity, limits).fuse();
+        let closed = closed(&activity, limits).fuse();
+        pin_mut!(overdue, closed);
+        futures_util::select! {
+            () = overdue => {},
+            () = closed => {},
+        }
+    };
     let lingered = async {
         stop.asked().await;
         compio::time::sleep(limits.linger).await;
     };
-    pin_mut!(connection, lingered);
-    if let Either::Right(_) = select(connection.as_mut(), lingered).await {
+    pin_mut!(connection, ending);
+    let stopped = {
+        let event = select(lingered.boxed_local(), ending.as_mut());
+        match select(connection.as_mut(), event).await {
+            Either::Left(_) => return,
+            Either::Right((Either::Left(_), _)) => true,
+            Either::Right((Either::Right(_), _)) => false,
+        }
+    };
+    if stopped {
         connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+        let _ = select(connection, ending).await;
+    }
+}
+
+/// Waits until a request head takes too long or the connection has been idle for too long.
+async fn wait_until_overdue(activity: &Activity, limits: Limits) {
+    let pause = limits.head_timeout.min(limits.idle_timeout);
+    loop {
+        compio::time::sleep(pause).await;
+        let over = |since: Option<Instant>, limit| {
+            since.is_some_and(|since| since.elapsed() >= limit)
+        };
+        if over(activity.head_since(), limits.head_timeout)
+            || over(activity.idle_since(), limits.idle_timeout)
+        {
+            return;
+        }
+    }
+}
+
+/// Waits until the client has closed the connection, where that gives up what it has asked for.
+async fn closed(activity: &Activity, limits: Limits) {
+    if limits.close_cancels {
+        activity.closed().await;
+    } else {
+        std::future::pending().await
     }
 }
 
--- a/crates/app/src/lib.rs
+++ b/crates/app/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod http;
 pub mod logging;
+pub mod meters;
 pub mod metrics;
 pub mod program;
 pub mod secret;
--- a/crates/app/src/logging.rs
+++ b/crates/app/src/logging.rs
@@ -2,6 +2,8 @@
 //!
 //! Each part of a program starts its lines with a fixed prefix, such as `control:` or `route:`.
 
+pub mod lines;
+
 use std::fs::OpenOptions;
 use std::path::Path;
 
--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -4,10 +4,14 @@
 
 use std::cell::Cell;
 use std::fmt;
+use std::sync::OnceLock;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
 /// A source of time.
 pub trait Clock: fmt::Debug {
     /// Returns the monotonic time, for timeouts and intervals.
@@ -18,12 +22,15 @@
 }
 
 /// The clock of the operating system.
+///
+/// Its monotonic time counts the time that the machine was suspended, so that a lease ends even
+/// while its holder sleeps.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct System;
 
 impl Clock for System {
     fn now(&self) -> Instant {
-        Instant::now()
+        Instant::now() + suspended()
     }
 
     fn wall(&self) -> SystemTime {
@@ -31,6 +38,34 @@
     }
 }
 
+/// Returns how long the machine was suspended since the first call of this process.
+fn suspended() -> Duration {
+    static BEFORE: OnceLock<Duration> = OnceLock::new();
+    let total = suspended_since_start();
+    total.saturating_sub(*BEFORE.get_or_init(|| total))
+}
+
+/// Returns how much further the clock that counts suspensions has run than the one that does not.
+fn suspended_since_start() -> Duration {
+    let running = read(ClockId::Monotonic);
+    let counted = read(ClockId::Boottime);
+    let suspended = counted.saturating_sub(running);
+    if suspended < READING_NOISE {
+        return Duration::ZERO;
+    }
+    suspended
+}
+
+fn read(clock: ClockId) -> Duration {
+    let time = clock_gettime(clock);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
+
+/// Difference of two clocks that are read one after the other.
+const READING_NOISE: Duration = Duration::from_millis(5);
+
 /// A clock that stands still until it is moved.
 #[derive(Debug)]
 pub struct Manual {
--- /dev/null
+++ b/crates/core/src/dispatch.rs
@@ -0,0 +1,677 @@
+//! The dispatcher, which places the requests of the whole fleet.
+//!
+//! The leader of control runs one [`Dispatcher`]. A host asks with [`Dispatcher::reserve`] before
+//! it sends a request and calls [`Dispatcher::release`] when the attempt has ended; both return
+//! the [`Answer`]s that are due, to this host and to others. One place thus counts the slots of
+//! every upstream, pools what all hosts see of it, and holds tenants to their quotas and services
+//! to their budget of repeats.
+//!
+//! It answers three loads. At ordinary load the cheapest upstream takes the request at once, where
+//! the cost weighs failure, lateness and zones. When all slots are taken, asks wait by rank and
+//! then fairly among tenants. An ask that cannot be answered in time is refused at once, with the
+//! time after which the queue ahead of it is served.
+
+mod ask;
+mod belief;
+mod cost;
+mod place;
+mod pool;
+mod quotas;
+mod repeats;
+mod timing;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Serialize;
+
+pub use ask::Answer;
+pub use ask::Ask;
+pub use ask::Decision;
+pub use ask::End;
+pub use belief::Belief;
+pub use cost::Subject;
+pub use place::Place;
+pub use pool::Pool;
+pub use quotas::Account;
+pub use quotas::Quotas;
+pub use repeats::Bounds;
+pub use repeats::Repeats;
+pub use timing::Timing;
+
+use crate::error::Kind;
+use crate::health::Sign;
+use crate::id::HostId;
+use crate::id::RouteId;
+use crate::id::ServiceId;
+use crate::publication::Publication;
+use crate::publication::Route;
+use crate::roster::Entry;
+use crate::roster::Number;
+use crate::steward::Ticket;
+use crate::upstream::Stage;
+
+/// Asks of one service that wait at a time.
+const MAX_WAITING: usize = 4_096;
+
+/// Multiple of the expected time after which a running attempt counts as late.
+const LATE_FACTOR: f64 = 3.0;
+
+/// Least time after which a running attempt counts as late.
+const LATE_LEAST: Duration = Duration::from_millis(200);
+
+/// Multiple of the expected time after which another attempt is better than further waiting; one
+/// request in a hundred takes some three times as long as most.
+const PATIENCE_FACTOR: f64 = 4.0;
+
+/// Time for which a host that could not connect to an upstream is sent elsewhere.
+const PAIR_PAUSE: Duration = Duration::from_secs(4);
+
+/// Time for which the share of a host that fell silent is withheld from tenants' quotas.
+const SHARE_HELD: Duration = Duration::from_secs(30);
+
+/// Shortest and longest time after which a refused request is told to come back.
+const RETRY_LEAST: Duration = Duration::from_millis(150);
+const RETRY_MOST: Duration = Duration::from_secs(2);
+
+/// Settings of a dispatcher.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Policy {
+    /// Repeats that operators allow for each service.
+    pub repeats: Bounds,
+    /// Silence after which an upstream counts as missing.
+    pub silence: Duration,
+    /// Part of its burst that a tenant finds when it is first seen; an earlier dispatcher may have
+    /// given the rest.
+    pub first_burst: f64,
+}
+
+/// A slot in use.
+#[derive(Debug, Clone)]
+struct Hold {
+    service: ServiceId,
+    upstream: Number,
+    route: RouteId,
+    since: Instant,
+    late: bool,
+}
+
+/// A host of the fleet as the dispatcher knows it.
+#[derive(Debug, Clone, Copy)]
+struct Host {
+    /// When its connection was lost, if it is.
+    lost: Option<Instant>,
+}
+
+/// What a host reports of a request that it placed on its own or through another dispatcher.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// Name of the reservation.
+    pub ticket: Ticket,
+    /// Service of the upstream.
+    pub service: ServiceId,
+    /// The upstream.
+    pub upstream: Number,
+    /// Route of the request.
+    pub route: RouteId,
+}
+
+/// The use of one upstream, for operators.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Load {
+    /// Service that it belongs to.
+    pub service: ServiceId,
+    /// The upstream.
+    pub upstream: Number,
+    /// Requests that are known to run there.
+    pub running: u32,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Probability that it is grey.
+    pub grey: f64,
+}
+
+/// Places the requests of the whole fleet.
+#[derive(Debug)]
+pub struct Dispatcher {
+    policy: Policy,
+    /// Part of the quotas and budgets that is handed out here.
+    share: f64,
+    publication: Rc<Publication>,
+    pools: BTreeMap<ServiceId, Pool>,
+    /// Service of each upstream.
+    homes: BTreeMap<Number, ServiceId>,
+    held: BTreeMap<Ticket, Hold>,
+    timings: BTreeMap<RouteId, Timing>,
+    quotas: Quotas,
+    hosts: BTreeMap<HostId, Host>,
+    /// Hosts that could not connect to an upstream, with the end of the pause.
+    pairs: BTreeMap<(HostId, Number), Instant>,
+}
+
+impl Dispatcher {
+    /// Creates a dispatcher that knows of no upstreams and no hosts.
+    #[must_use]
+    pub fn new(policy: Policy) -> Self {
+        Self {
+            policy,
+            share: 1.0,
+            publication: Rc::default(),
+            pools: BTreeMap::new(),
+            homes: BTreeMap::new(),
+            held: BTreeMap::new(),
+            timings: BTreeMap::new(),
+            quotas: Quotas::default(),
+            hosts: BTreeMap::new(),
+            pairs: BTreeMap::new(),
+        }
+    }
+
+    /// Sets the part of the quotas and budgets that is handed out here.
+    pub const fn set_share(&mut self, share: f64) {
+        self.share = share;
+    }
+
+    /// Puts a publication in force.
+    pub fn publish(&mut self, publication: Rc<Publication>) {
+        self.timings
+            .retain(|route, _| publication.routes.contains_key(route));
+        let limited = |tenant: &str| {
+            let known = publication.tenants.get(tenant);
+            known.is_some_and(|tenant| tenant.quota.is_some())
+        };
+        self.quotas.retain(limited);
+        self.publication = publication;
+    }
+
+    /// Takes in what the roster says of an upstream; returns the asks that can now be placed.
+    pub fn enrol(&mut self, entry: &Entry, now: Instant) -> Vec<Answer> {
+        let announcement = &entry.announcement;
+        if announcement.stage == Stage::Left {
+            self.dismiss(entry.number);
+            return Vec::new();
+        }
+        let service = announcement.service.clone();
+        let moved = self.homes.get(&entry.number).is_some_and(|home| *home != service);
+        if moved {
+            self.dismiss(entry.number);
+        }
+        self.homes.insert(entry.number, service.clone());
+        let bounds = self.repeats();
+        let pool = self.pools.entry(service.clone());
+        let pool = pool.or_insert_with(|| Pool::new(&bounds));
+        match pool.places.get_mut(&entry.number) {
+            Some(place) => place.update(announcement),
+            None => pool.add(entry.number, Place::new(announcement, now)),
+        }
+        self.serve(&service, now)
+    }
+
+    /// Notes that an upstream was heard from.
+    pub fn hear(&mut self, number: Number, now: Instant) {
+        if let Some(place) = self.place_mut(number) {
+            place.heard = now;
+        }
+    }
+
+    /// Notes that a host is connected.
+    pub fn join(&mut self, host: &str) {
+        self.hosts.insert(host.to_owned(), Host { lost: None });
+    }
+
+    /// Gives up what a host had reserved and asked for after its connection was lost.
+    pub fn lose(&mut self, host: &str, now: Instant) -> Vec<Answer> {
+        if let Some(known) = self.hosts.get_mut(host) {
+            known.lost = Some(now);
+        }
+        self.give_up(host, now)
+    }
+
+    /// Forgets a host that stops by plan.
+    pub fn part(&mut self, host: &str, now: Instant) -> Vec<Answer> {
+        self.hosts.remove(host);
+        self.give_up(host, now)
+    }
+
+    /// Returns how many hosts share the quotas.
+    #[must_use]
+    pub fn hosts(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Returns the probability that an upstream is grey, if it is known.
+    #[must_use]
+    pub fn grey(&self, number: Number, now: Instant) -> Option<f64> {
+        let pool = self.pools.get(self.homes.get(&number)?)?;
+        let place = pool.places.get(&number)?;
+        Some(place.belief.grey(now))
+    }
+
+    /// Returns the load and the belief of every upstream, for operators.
+    #[must_use]
+    pub fn dump(&self, now: Instant) -> Vec<Load> {
+        let pools = self.pools.iter();
+        let places = pools.flat_map(|(service, pool)| {
+            let each = pool.places.iter();
+            each.map(move |(number, place)| Load {
+                service: service.clone(),
+                upstream: *number,
+                running: place.running,
+                slots: place.slots,
+                grey: place.belief.grey(now),
+            })
+        });
+        places.collect()
+    }
+
+    /// Returns the requests that are known to run on an upstream.
+    #[must_use]
+    pub fn running(&self, number: Number) -> u32 {
+        let pool = self.homes.get(&number).and_then(|home| self.pools.get(home));
+        let place = pool.and_then(|pool| pool.places.get(&number));
+        place.map_or(0, |place| place.running)
+    }
+
+    /// Returns how many asks of a service wait.
+    #[must_use]
+    pub fn queued(&self, service: &str) -> usize {
+        self.pools.get(service).map_or(0, Pool::queued)
+    }
+
+    /// Takes in a slot that a host uses without a grant of this dispatcher.
+    pub fn hold(&mut self, report: Report, now: Instant) {
+        self.free(&report.ticket);
+        let Some(place) = self.place_mut(report.upstream) else {
+            return;
+        };
+        place.running += 1;
+        let hold = Hold {
+            service: report.service,
+            upstream: report.upstream,
+            route: report.route,
+            since: now,
+            late: false,
+        };
+        self.held.insert(report.ticket, hold);
+    }
+
+    /// Asks for an upstream.
+    pub fn reserve(&mut self, ask: Ask, now: Instant) -> Vec<Answer> {
+        let publication = Rc::clone(&self.publication);
+        let route = publication.routes.get(&ask.route);
+        let Some(route) = route.filter(|route| route.leads_to(&ask.service)) else {
+            return vec![refused(ask.ticket, Kind::RouteChanged, RETRY_LEAST)];
+        };
+        if let Err(wait) = self.admit(&ask, now) {
+            return vec![refused(ask.ticket, Kind::RateExceeded, wait)];
+        }
+        let bounds = self.repeats();
+        let pool = self.pools.entry(ask.service.clone());
+        let pool = pool.or_insert_with(|| Pool::new(&bounds));
+        if !ask.repeat {
+            pool.repeats.earn(&bounds);
+        } else if !pool.repeats.spend() {
+            return vec![refused(ask.ticket, Kind::RepeatsSpent, RETRY_LEAST)];
+        }
+        let priority = self.priority(&ask, route);
+        let pool = self.pools.get(&ask.service);
+        if pool.is_some_and(|pool| pool.ahead(priority) == 0)
+            && let Some(upstream) = self.choose(&ask, now)
+        {
+            return vec![self.grant(ask, upstream, now)];
+        }
+        if let Some((kind, wait)) = self.hopeless(&ask, priority, now) {
+            self.give_back(&ask);
+            return vec![refused(ask.ticket, kind, wait)];
+        }
+        self.enqueue(ask, priority)
+    }
+
+    /// Ends an attempt, or withdraws an ask that waits, and takes in what the attempt showed.
+    pub fn release(&mut self, ticket: &Ticket, end: &End, now: Instant) -> Vec<Answer> {
+        let Some(hold) = self.free(ticket) else {
+            self.withdraw(|ask| ask.ticket == *ticket);
+            return Vec::new();
+        };
+        self.learn(&ticket.host, &hold, end, now);
+        self.serve(&hold.service, now)
+    }
+
+    /// Lets time pass: notes late attempts, refuses asks whose time has come, forgets what lapsed.
+    pub fn tick(&mut self, now: Instant) -> Vec<Answer> {
+        self.note_late(now);
+        self.pairs.retain(|_, until| now < *until);
+        let lasts = |host: &Host| {
+            let lost = host.lost;
+            lost.is_none_or(|at| now.saturating_duration_since(at) < SHARE_HELD)
+        };
+        self.hosts.retain(|_, host| lasts(host));
+        let services: Vec<ServiceId> = self.pools.keys().cloned().collect();
+        let mut answers = Vec::new();
+        for service in services {
+            answers.extend(self.expire(&service, now));
+            answers.extend(self.serve(&service, now));
+        }
+        answers
+    }
+
+    /// Takes a token for the first attempt of a request whose tenant has a quota.
+    fn admit(&mut self, ask: &Ask, now: Instant) -> Result<(), Duration> {
+        if ask.repeat || ask.attempts > 0 || !ask.avoid.is_empty() {
+            return Ok(());
+        }
+        let Some(tenant) = &ask.tenant else {
+            return Ok(());
+        };
+        let known = self.publication.tenants.get(tenant);
+        let Some(quota) = known.and_then(|known| known.quota) else {
+            return Ok(());
+        };
+        let lost = self.hosts.values().filter(|host| host.lost.is_some()).count();
+        let all = self.hosts.len().max(1);
+        let kept = 1.0 - lost as f64 / all as f64;
+        let account = Account {
+            per_second: quota.per_second * self.share * kept,
+            burst: quota.burst * self.share,
+            first: quota.burst * self.share * self.policy.first_burst,
+        };
+        self.quotas.take(tenant, account, now)
+    }
+
+    /// Gives back the token of a first attempt that was not placed.
+    fn give_back(&mut self, ask: &Ask) {
+        if ask.attempts == 0
+            && ask.avoid.is_empty()
+            && let Some(tenant) = &ask.tenant
+        {
+            self.quotas.give_back(tenant);
+        }
+    }
+
+    fn repeats(&self) -> Bounds {
+        let bounds = self.policy.repeats;
+        Bounds {
+            ratio: bounds.ratio,
+            extra: bounds.extra * self.share,
+        }
+    }
+
+    fn priority(&self, ask: &Ask, route: &Route) -> u32 {
+        let tenant = ask.tenant.as_ref();
+        let tenant = tenant.and_then(|tenant| self.publication.tenants.get(tenant));
+        let own = tenant.and_then(|tenant| tenant.priority);
+        own.unwrap_or(route.priority)
+    }
+
+    fn choose(&mut self, ask: &Ask, now: Instant) -> Option<Number> {
+        let publication = Rc::clone(&self.publication);
+        let route = publication.routes.get(&ask.route)?;
+        let timing = self.timing(&ask.route, route);
+        let subject = Subject {
+            zone: &ask.zone,
+            idempotent: route.idempotent,
+            spare: ask.attempts + 1 < route.attempts,
+            left: left(ask, route, now).as_secs_f64(),
+            timing: &timing,
+        };
+        let silence = self.policy.silence;
+        let paused: BTreeSet<Number> = self.paused(&ask.ticket.host, now);
+        let pool = self.pools.get_mut(&ask.service)?;
+        let fresh = |number: Number| !ask.avoid.contains(&number);
+        let reachable = |number: Number| fresh(number) && !paused.contains(&number);
+        let chosen = pool.cheapest(&subject, silence, now, reachable);
+        chosen.or_else(|| pool.cheapest(&subject, silence, now, fresh))
+    }
+
+    fn paused(&self, host: &str, now: Instant) -> BTreeSet<Number> {
+        let first = (host.to_owned(), Number::MIN);
+        let last = (host.to_owned(), Number::MAX);
+        let own = self.pairs.range(first..=last);
+        own.filter(|(_, until)| now < **until)
+            .map(|((_, number), _)| *number)
+            .collect()
+    }
+
+    fn grant(&mut self, ask: Ask, upstream: Number, now: Instant) -> Answer {
+        let patience = self.patience(&ask, upstream, now);
+        if let Some(place) = self.place_mut(upstream) {
+            place.running += 1;
+            place.granted = Some(now);
+        }
+        let hold = Hold {
+            service: ask.service,
+            upstream,
+            route: ask.route,
+            since: now,
+            late: false,
+        };
+        self.held.insert(ask.ticket.clone(), hold);
+        Answer {
+            ticket: ask.ticket,
+            decision: Decision::Granted { upstream, patience },
+        }
+    }
+
+    /// Returns how long a request that may be repeated waits for an answer before it is sent
+    /// elsewhere; `None` when no attempt could follow in time.
+    fn patience(&self, ask: &Ask, upstream: Number, now: Instant) -> Option<Duration> {
+        let route = self.publication.routes.get(&ask.route)?;
+        if !route.idempotent || ask.attempts + 1 >= route.attempts {
+            return None;
+        }
+        let timing = self.timing(&ask.route, route);
+        let place = self.pools.get(&ask.service)?.places.get(&upstream)?;
+        let expected = place.expected(&timing, now).max(timing.mean());
+        let patience = Duration::from_secs_f64(expected * PATIENCE_FACTOR).max(LATE_LEAST);
+        let again = Duration::from_secs_f64(timing.mean());
+        (now + patience + again < ask.deadline).then_some(patience)
+    }
+
+    /// Returns why an ask should not wait, and when it makes sense to come back.
+    fn hopeless(&self, ask: &Ask, priority: u32, now: Instant) -> Option<(Kind, Duration)> {
+        let pool = self.pools.get(&ask.service)?;
+        let capacity = pool.capacity(now);
+        if capacity == 0 {
+            return Some((Kind::NoUpstream, RETRY_LEAST * 2));
+        }
+        let ahead = u32::try_from(pool.ahead(priority)).unwrap_or(u32::MAX);
+        let slot_time = pool.slot_time.mean();
+        let wait = slot_time.saturating_mul(ahead.saturating_add(1)) / capacity;
+        let route = self.publication.routes.get(&ask.route)?;
+        let run = Duration::from_secs_f64(self.timing(&ask.route, route).mean());
+        let full = pool.queued() >= MAX_WAITING;
+        let late = now + wait + run > ask.deadline;
+        (full || late).then_some((Kind::Overloaded, wait.clamp(RETRY_LEAST, RETRY_MOST)))
+    }
+
+    fn enqueue(&mut self, ask: Ask, priority: u32) -> Vec<Answer> {
+        let Some(pool) = self.pools.get_mut(&ask.service) else {
+            return Vec::new();
+        };
+        let answer = Answer {
+            ticket: ask.ticket.clone(),
+            decision: Decision::Queued,
+        };
+        let cost = pool.slot_time.mean();
+        let tenant = ask.tenant.clone().unwrap_or_default();
+        let queue = pool.waiting.entry(priority).or_default();
+        queue.push(&tenant, cost, ask);
+        vec![answer]
+    }
+
+    /// Places the asks of a service that wait, as far as there are free slots.
+    fn serve(&mut self, service: &str, now: Instant) -> Vec<Answer> {
+        let mut answers = Vec::new();
+        let Some(pool) = self.pools.get_mut(service) else {
+            return answers;
+        };
+        let mut waiting = std::mem::take(&mut pool.waiting);
+        for queue in waiting.values_mut() {
+            while let Some((ask, upstream)) = queue.take(|ask| self.choose(ask, now)) {
+                answers.push(self.grant(ask, upstream, now));
+            }
+        }
+        waiting.retain(|_, queue| !queue.is_empty());
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.waiting = waiting;
+        }
+        answers
+    }
+
+    /// Refuses the asks of a service that cannot be answered in time any more.
+    fn expire(&mut self, service: &str, now: Instant) -> Vec<Answer> {
+        let Some(pool) = self.pools.get_mut(service) else {
+            return Vec::new();
+        };
+        let mut waiting = std::mem::take(&mut pool.waiting);
+        let mut late = Vec::new();
+        for queue in waiting.values_mut() {
+            late.extend(queue.remove_if(|ask| self.is_late(ask, now)));
+        }
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.waiting = waiting;
+        }
+        for ask in &late {
+            self.give_back(ask);
+        }
+        let refuse = |ask: Ask| refused(ask.ticket, Kind::Overloaded, RETRY_LEAST);
+        late.into_iter().map(refuse).collect()
+    }
+
+    /// Returns whether an ask that waits could no longer be answered by a sound upstream.
+    fn is_late(&self, ask: &Ask, now: Instant) -> bool {
+        let Some(route) = self.publication.routes.get(&ask.route) else {
+            return true;
+        };
+        let run = Duration::from_secs_f64(self.timing(&ask.route, route).mean() / 2.0);
+        now + run > ask.deadline
+    }
+
+    fn learn(&mut self, host: &str, hold: &Hold, end: &End, now: Instant) {
+        let publication = Rc::clone(&self.publication);
+        let Some(route) = publication.routes.get(&hold.route) else {
+            return;
+        };
+        let mut timing = self.timing(&hold.route, route);
+        let Some(pool) = self.pools.get_mut(&hold.service) else {
+            return;
+        };
+        let Some(place) = pool.places.get_mut(&hold.upstream) else {
+            return;
+        };
+        place.belief.observe(end.sign, now);
+        match end.sign {
+            Sign::Answered => {
+                place.observe(end.latency, &timing, now);
+                pool.slot_time.observe(end.latency);
+                timing.observe(end);
+                self.timings.insert(hold.route.clone(), timing);
+            }
+            Sign::Unreachable => {
+                let pair = (host.to_owned(), hold.upstream);
+                self.pairs.insert(pair, now + PAIR_PAUSE);
+            }
+            Sign::Moved => self.dismiss(hold.upstream),
+            _ => {}
+        }
+    }
+
+    fn note_late(&mut self, now: Instant) {
+        let publication = Rc::clone(&self.publication);
+        let mut late = Vec::new();
+        for (ticket, hold) in self.held.iter().filter(|(_, hold)| !hold.late) {
+            let Some(route) = publication.routes.get(&hold.route) else {
+                continue;
+            };
+            let timing = self.timing(&hold.route, route);
+            let pool = self.pools.get(&hold.service);
+            let place = pool.and_then(|pool| pool.places.get(&hold.upstream));
+            let Some(place) = place else {
+                continue;
+            };
+            let expected = place.expected(&timing, now) * LATE_FACTOR;
+            let limit = Duration::from_secs_f64(expected).max(LATE_LEAST);
+            if now.saturating_duration_since(hold.since) > limit {
+                late.push((ticket.clone(), hold.upstream));
+            }
+        }
+        for (ticket, upstream) in late {
+            if let Some(hold) = self.held.get_mut(&ticket) {
+                hold.late = true;
+            }
+            if let Some(place) = self.place_mut(upstream) {
+                place.belief.observe_late(now);
+            }
+        }
+    }
+
+    fn give_up(&mut self, host: &str, now: Instant) -> Vec<Answer> {
+        let own = |ticket: &&Ticket| ticket.host == host;
+        let tickets: Vec<Ticket> = self.held.keys().filter(own).cloned().collect();
+        let mut services = BTreeSet::new();
+        for ticket in tickets {
+            services.extend(self.free(&ticket).map(|hold| hold.service));
+        }
+        self.withdraw(|ask| ask.ticket.host == host);
+        let served = services.iter().map(|service| self.serve(service, now));
+        served.flatten().collect()
+    }
+
+    fn withdraw<F: Fn(&Ask) -> bool>(&mut self, leaves: F) {
+        let mut withdrawn = Vec::new();
+        for pool in self.pools.values_mut() {
+            for queue in pool.waiting.values_mut() {
+                withdrawn.extend(queue.remove_if(&leaves));
+            }
+        }
+        for ask in &withdrawn {
+            self.give_back(ask);
+        }
+    }
+
+    fn free(&mut self, ticket: &Ticket) -> Option<Hold> {
+        let hold = self.held.remove(ticket)?;
+        if let Some(place) = self.place_mut(hold.upstream) {
+            place.running = place.running.saturating_sub(1);
+        }
+        Some(hold)
+    }
+
+    /// Stops placing requests on an upstream until it announces itself anew.
+    fn dismiss(&mut self, number: Number) {
+        let home = self.homes.remove(&number);
+        if let Some(pool) = home.and_then(|home| self.pools.get_mut(&home)) {
+            pool.remove(number);
+        }
+    }
+
+    fn place_mut(&mut self, number: Number) -> Option<&mut Place> {
+        let pool = self.pools.get_mut(self.homes.get(&number)?)?;
+        pool.places.get_mut(&number)
+    }
+
+    fn timing(&self, name: &str, route: &Route) -> Timing {
+        let known = self.timings.get(name).copied();
+        known.unwrap_or_else(|| Timing::new(route.objective))
+    }
+}
+
+/// Returns what is left of the objective of an ask, or of its deadline once that has passed.
+fn left(ask: &Ask, route: &Route, now: Instant) -> Duration {
+    let objective = ask.arrived + route.objective;
+    let left = objective.min(ask.deadline).saturating_duration_since(now);
+    if left.is_zero() {
+        return ask.deadline.saturating_duration_since(now);
+    }
+    left
+}
+
+const fn refused(ticket: Ticket, kind: Kind, retry_after: Duration) -> Answer {
+    Answer {
+        ticket,
+        decision: Decision::Refused { kind, retry_after },
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/belief.rs
@@ -0,0 +1,94 @@
+//! The probability that an upstream fails grey, moved by each outcome.
+//!
+//! An upstream is in one of two states, sound or grey, and changes between them by itself. Each
+//! outcome shifts the odds by its likelihood ratio; with time the probability drifts back to the
+//! long-run share. A single failure thus moves traffic at once, and nobody needs a hold time.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::health::Sign;
+
+/// Share of requests that a grey upstream fails, between what was seen of full and partial faults.
+const FAIL_GREY: f64 = 0.6;
+
+/// Share of requests that a sound upstream fails; about 1 in 100 requests fails for its own sake.
+const FAIL_SOUND: f64 = 0.02;
+
+/// Long-run share of grey upstreams: three in ten for some seconds in every nine.
+const PRIOR: f64 = 0.1;
+
+/// Time in which a belief drifts back to the long-run share by a factor of e; a grey spell lasts
+/// a few seconds.
+const DRIFT: Duration = Duration::from_secs(4);
+
+/// Bounds of the probability, so that later evidence can still move it.
+const LEAST: f64 = 0.005;
+const MOST: f64 = 0.99;
+
+/// Likelihood ratios, grey against sound, of outcomes other than plain success and failure.
+const RATIO_BROKEN: f64 = 20.0;
+const RATIO_TIMED_OUT: f64 = 6.0;
+const RATIO_LATE: f64 = 6.0;
+const RATIO_SHED: f64 = 6.0;
+/// A host that cannot connect may itself be the one that is cut off.
+const RATIO_UNREACHABLE: f64 = 3.0;
+
+/// What is believed of one upstream.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Belief {
+    grey: f64,
+    at: Instant,
+}
+
+impl Belief {
+    /// Creates the belief about an upstream that nothing is known of.
+    #[must_use]
+    pub const fn new(now: Instant) -> Self {
+        Self {
+            grey: PRIOR,
+            at: now,
+        }
+    }
+
+    /// Returns the probability that the upstream is grey.
+    #[must_use]
+    pub fn grey(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
+        let kept = (-elapsed / DRIFT.as_secs_f64()).exp();
+        PRIOR + (self.grey - PRIOR) * kept
+    }
+
+    /// Returns the probability that the next request fails.
+    #[must_use]
+    pub fn failure(&self, now: Instant) -> f64 {
+        let grey = self.grey(now);
+        grey * FAIL_GREY + (1.0 - grey) * FAIL_SOUND
+    }
+
+    /// Takes in how an attempt ended.
+    pub fn observe(&mut self, sign: Sign, now: Instant) {
+        let ratio = match sign {
+            Sign::Answered => (1.0 - FAIL_GREY) / (1.0 - FAIL_SOUND),
+            Sign::Failed => FAIL_GREY / FAIL_SOUND,
+            Sign::Truncated => RATIO_BROKEN,
+            Sign::TimedOut => RATIO_TIMED_OUT,
+            Sign::Shed => RATIO_SHED,
+            Sign::Unreachable => RATIO_UNREACHABLE,
+            Sign::Cancelled | Sign::Moved => return,
+        };
+        self.shift(ratio, now);
+    }
+
+    /// Takes in that an attempt has run far longer than expected and goes on.
+    pub fn observe_late(&mut self, now: Instant) {
+        self.shift(RATIO_LATE, now);
+    }
+
+    fn shift(&mut self, ratio: f64, now: Instant) {
+        let grey = self.grey(now);
+        let odds = grey / (1.0 - grey) * ratio;
+        self.grey = (odds / (1.0 + odds)).clamp(LEAST, MOST);
+        self.at = now;
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/place.rs
@@ -0,0 +1,107 @@
+//! What the dispatcher knows of one upstream.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::dispatch::belief::Belief;
+use crate::dispatch::timing::Timing;
+use crate::id::Zone;
+use crate::upstream::Announcement;
+use crate::upstream::Stage;
+
+/// Share of one observation in the speed.
+const SPEED_GAIN: f64 = 0.25;
+
+/// Time in which a speed drifts back to 1 by a factor of e.
+const SPEED_DRIFT: Duration = Duration::from_secs(8);
+
+/// Bounds of one observed speed, so that a single outlier moves little.
+const SPEED_LEAST: f64 = 0.5;
+const SPEED_MOST: f64 = 8.0;
+
+/// Factor by which an upstream that has just started is slower.
+const COLD: f64 = 2.0;
+
+/// Share by which an upstream slows down from empty to full.
+const CROWD: f64 = 0.3;
+
+/// An upstream with its load and what is believed of it.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// Zone that it runs in.
+    pub zone: Zone,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Requests that are known to run there.
+    pub running: u32,
+    /// What is believed of it.
+    pub belief: Belief,
+    /// When it was last granted.
+    pub granted: Option<Instant>,
+    /// When it was last heard from.
+    pub heard: Instant,
+    stage: Stage,
+    speed: f64,
+    speed_at: Instant,
+}
+
+impl Place {
+    /// Creates an upstream that nothing is known of beyond what it says itself.
+    #[must_use]
+    pub fn new(announcement: &Announcement, now: Instant) -> Self {
+        Self {
+            zone: announcement.zone.clone(),
+            slots: announcement.slots,
+            running: 0,
+            belief: Belief::new(now),
+            granted: None,
+            heard: now,
+            stage: announcement.stage,
+            speed: 1.0,
+            speed_at: now,
+        }
+    }
+
+    /// Takes in what it says of itself.
+    pub fn update(&mut self, announcement: &Announcement) {
+        self.zone.clone_from(&announcement.zone);
+        self.slots = announcement.slots;
+        self.stage = announcement.stage;
+    }
+
+    /// Returns whether it takes new requests.
+    #[must_use]
+    pub const fn is_open(&self) -> bool {
+        self.stage.takes_requests()
+    }
+
+    /// Returns whether it has a free slot for a new request.
+    #[must_use]
+    pub const fn has_room(&self) -> bool {
+        self.is_open() && self.running < self.slots
+    }
+
+    /// Returns how long a request of a route is expected to take here, in seconds.
+    #[must_use]
+    pub fn expected(&self, timing: &Timing, now: Instant) -> f64 {
+        let cold = if self.stage == Stage::Starting { COLD } else { 1.0 };
+        let crowd = f64::from(self.running) / f64::from(self.slots.max(1));
+        timing.mean() * self.speed(now) * cold * (1.0 + CROWD * crowd)
+    }
+
+    /// Takes in the latency of an answer to a request of a route.
+    pub fn observe(&mut self, latency: Duration, timing: &Timing, now: Instant) {
+        let cold = if self.stage == Stage::Starting { COLD } else { 1.0 };
+        let relative = latency.as_secs_f64() / (timing.mean() * cold).max(f64::EPSILON);
+        let relative = relative.clamp(SPEED_LEAST, SPEED_MOST);
+        let speed = self.speed(now);
+        self.speed = speed + (relative - speed) * SPEED_GAIN;
+        self.speed_at = now;
+    }
+
+    fn speed(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.speed_at).as_secs_f64();
+        let kept = (-elapsed / SPEED_DRIFT.as_secs_f64()).exp();
+        1.0 + (self.speed - 1.0) * kept
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/pool.rs
@@ -0,0 +1,150 @@
+//! The upstreams of one service, and the asks that wait for one of them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::dispatch::Ask;
+use crate::dispatch::cost;
+use crate::dispatch::cost::Subject;
+use crate::dispatch::place::Place;
+use crate::dispatch::repeats;
+use crate::dispatch::repeats::Repeats;
+use crate::id::Zone;
+use crate::publication::Priority;
+use crate::roster::Number;
+use crate::steward::Estimate;
+use crate::steward::Queue;
+
+/// Upstreams of the asking zone, and of all others, that are compared for one request. A service
+/// with fewer is compared whole; beyond, the window moves on with every request, so that the cost
+/// of a decision does not grow with the service.
+const NEAR_WINDOW: usize = 24;
+const FAR_WINDOW: usize = 24;
+
+/// Probability of being grey above which an upstream does not count as capacity.
+const USABLE: f64 = 0.5;
+
+/// The upstreams of one service.
+#[derive(Debug)]
+pub struct Pool {
+    /// Upstreams by number.
+    pub places: BTreeMap<Number, Place>,
+    /// Asks that wait, by rank.
+    pub waiting: BTreeMap<Priority, Queue<Ask>>,
+    /// Repeats that are left.
+    pub repeats: Repeats,
+    /// How long a request holds a slot.
+    pub slot_time: Estimate,
+    zones: BTreeMap<Zone, Vec<Number>>,
+    cursor: usize,
+}
+
+impl Pool {
+    /// Creates a pool without upstreams.
+    #[must_use]
+    pub fn new(bounds: &repeats::Bounds) -> Self {
+        Self {
+            places: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            repeats: Repeats::new(bounds),
+            slot_time: Estimate::new(),
+            zones: BTreeMap::new(),
+            cursor: 0,
+        }
+    }
+
+    /// Adds an upstream.
+    pub fn add(&mut self, number: Number, place: Place) {
+        self.places.insert(number, place);
+        self.index();
+    }
+
+    /// Removes an upstream.
+    pub fn remove(&mut self, number: Number) {
+        self.places.remove(&number);
+        self.index();
+    }
+
+    /// Returns how many asks wait that go before a new one of `priority`.
+    #[must_use]
+    pub fn ahead(&self, priority: Priority) -> usize {
+        self.waiting.range(..=priority).map(|(_, queue)| queue.len()).sum()
+    }
+
+    /// Returns how many asks wait.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.waiting.values().map(Queue::len).sum()
+    }
+
+    /// Returns the slots of the upstreams that are likely sound, or of all where none is.
+    #[must_use]
+    pub fn capacity(&self, now: Instant) -> u32 {
+        let open = self.places.values().filter(|place| place.is_open());
+        let sound = open.clone().filter(|place| place.belief.grey(now) < USABLE);
+        let sound: u32 = sound.map(|place| place.slots).sum();
+        if sound > 0 {
+            return sound;
+        }
+        open.map(|place| place.slots).sum()
+    }
+
+    /// Returns the upstream of least expected cost that has a free slot and that `allowed` holds
+    /// for.
+    pub fn cheapest<F>(
+        &mut self,
+        subject: &Subject<'_>,
+        silence: Duration,
+        now: Instant,
+        allowed: F,
+    ) -> Option<Number>
+    where
+        F: Fn(Number) -> bool,
+    {
+        self.cursor = self.cursor.wrapping_add(1);
+        let window = self.window(subject.zone);
+        let mut best: Option<(f64, Number)> = None;
+        for number in window {
+            let Some(place) = self.places.get(&number) else {
+                continue;
+            };
+            if !place.has_room() || !allowed(number) {
+                continue;
+            }
+            let silent = now.saturating_duration_since(place.heard) > silence;
+            let cost = cost::of(subject, place, silent, now);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, number));
+            }
+        }
+        best.map(|(_, number)| number)
+    }
+
+    fn window(&self, zone: &str) -> Vec<Number> {
+        let near = self.zones.get(zone).map(Vec::as_slice).unwrap_or_default();
+        let mut window = Vec::with_capacity(NEAR_WINDOW + FAR_WINDOW);
+        window.extend(self.turn(near, NEAR_WINDOW));
+        let others = self.zones.iter().filter(|(name, _)| name.as_str() != zone);
+        let each = FAR_WINDOW / self.zones.len().saturating_sub(1).max(1);
+        for (_, numbers) in others {
+            window.extend(self.turn(numbers, each.max(1)));
+        }
+        window
+    }
+
+    /// Returns some of the numbers, starting where the cursor stands.
+    fn turn<'a>(&self, numbers: &'a [Number], most: usize) -> impl Iterator<Item = Number> + 'a {
+        let start = self.cursor.wrapping_mul(most) % numbers.len().max(1);
+        let turned = numbers[start..].iter().chain(&numbers[..start]);
+        turned.take(most).copied()
+    }
+
+    fn index(&mut self) {
+        self.zones.clear();
+        for (number, place) in &self.places {
+            let zone = self.zones.entry(place.zone.clone()).or_default();
+            zone.push(*number);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/quotas.rs
@@ -0,0 +1,74 @@
+//! Quotas of tenants over the whole fleet, counted where requests are placed.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::id::TenantId;
+use crate::quota::Bucket;
+
+/// Longest time after which a tenant over its quota is told to come back.
+const MAX_WAIT: Duration = Duration::from_secs(3);
+
+/// Accounts of all tenants with a quota.
+#[derive(Debug, Default)]
+pub struct Quotas {
+    accounts: BTreeMap<TenantId, Balance>,
+}
+
+/// What is handed out of a tenant's quota.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Account {
+    /// Requests per second in the long run.
+    pub per_second: f64,
+    /// Requests that may come at once.
+    pub burst: f64,
+    /// Requests that may come at once when the tenant is first seen.
+    pub first: f64,
+}
+
+#[derive(Debug)]
+struct Balance {
+    bucket: Bucket,
+    /// Time at which the next token that nobody was told to come back for flows in.
+    promised: Instant,
+}
+
+impl Quotas {
+    /// Takes a token of a tenant.
+    ///
+    /// # Errors
+    ///
+    /// Returns how long to wait for a token that nobody else was told of.
+    pub fn take(&mut self, tenant: &str, account: Account, now: Instant) -> Result<(), Duration> {
+        let balance = self.accounts.entry(tenant.to_owned());
+        let balance = balance.or_insert_with(|| Balance {
+            bucket: Bucket::new(account.first, now),
+            promised: now,
+        });
+        let capacity = account.burst.max(1.0);
+        balance.bucket.refill(now, account.per_second, capacity);
+        if balance.bucket.take(1) {
+            return Ok(());
+        }
+        let pause = Duration::try_from_secs_f64(1.0 / account.per_second).unwrap_or(MAX_WAIT);
+        balance.promised = balance.promised.max(now) + pause;
+        let wait = balance.promised.saturating_duration_since(now);
+        if wait >= MAX_WAIT {
+            balance.promised = now;
+        }
+        Err(wait.min(MAX_WAIT))
+    }
+
+    /// Gives back the token of a request that was not placed.
+    pub fn give_back(&mut self, tenant: &str) {
+        if let Some(balance) = self.accounts.get_mut(tenant) {
+            balance.bucket.add(1);
+        }
+    }
+
+    /// Forgets the accounts that `lasts` does not hold for.
+    pub fn retain<F: Fn(&str) -> bool>(&mut self, lasts: F) {
+        self.accounts.retain(|tenant, _| lasts(tenant));
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/timing.rs
@@ -0,0 +1,63 @@
+//! How long the requests of a route take and how many bytes they move.
+
+use std::time::Duration;
+
+use crate::dispatch::End;
+
+/// Share of one observation in the means.
+const GAIN: f64 = 0.05;
+
+/// Observations above this multiple of the mean count as this multiple.
+const CLIP: f64 = 4.0;
+
+/// Mean time that is taken for a route before its first answer: a third of its objective.
+const UNKNOWN_SHARE: f64 = 0.33;
+
+/// Bytes in a KiB.
+const KIB: f64 = 1024.0;
+
+/// Running means of one route.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Timing {
+    mean: f64,
+    bytes: f64,
+    known: bool,
+}
+
+impl Timing {
+    /// Creates the timing of a route with an objective, before its first answer.
+    #[must_use]
+    pub fn new(objective: Duration) -> Self {
+        Self {
+            mean: objective.as_secs_f64() * UNKNOWN_SHARE,
+            bytes: 0.0,
+            known: false,
+        }
+    }
+
+    /// Returns the mean time in seconds.
+    #[must_use]
+    pub const fn mean(&self) -> f64 {
+        self.mean
+    }
+
+    /// Returns the mean size of request and answer together, in KiB.
+    #[must_use]
+    pub const fn kib(&self) -> f64 {
+        self.bytes / KIB
+    }
+
+    /// Takes in an answered attempt.
+    pub fn observe(&mut self, end: &End) {
+        let latency = end.latency.as_secs_f64();
+        let bytes = f64::from(end.bytes);
+        if !self.known {
+            self.known = true;
+            self.mean = self.mean.min(latency * CLIP).max(latency / CLIP);
+            self.bytes = bytes;
+            return;
+        }
+        self.mean += (latency.min(self.mean * CLIP) - self.mean) * GAIN;
+        self.bytes += (bytes - self.bytes) * GAIN;
+    }
+}
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -123,6 +123,12 @@
     UpstreamBroken: 502, "upstream_broken", Unknown, LATER, "The upstream did not give a whole answer.";
     /// The answer of the upstream is larger than what can be recorded.
     AnswerTooLarge: 502, "answer_too_large", Unknown, None, "The answer is too large to be recorded.";
+    /// The route has just changed and the request was not placed.
+    RouteChanged: 503, "route_changed", No, SOON, "The route has just changed.";
+    /// The request failed and the service's budget of repeats is spent.
+    RepeatsSpent: 503, "repeats_spent", No, SOON, "The service's budget of repeats is spent.";
+    /// The fleet has no configuration that this host knows to be current.
+    OutOfTouch: 503, "out_of_touch", No, SOON, "This host cannot tell whether its configuration is current.";
     /// This host is stopping.
     Stopping: 503, "stopping", No, SOON, "This host is stopping.";
 }
--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -54,6 +54,8 @@
     Shed,
     /// Given up by the caller or by a faster attempt; says nothing about the upstream.
     Cancelled,
+    /// Another upstream has its address now.
+    Moved,
 }
 
 /// One observation of an upstream.
@@ -79,7 +81,7 @@
     #[must_use]
     pub const fn counts(&self) -> bool {
         match self.sign {
-            Sign::Cancelled => false,
+            Sign::Cancelled | Sign::Moved => false,
             Sign::TimedOut | Sign::Truncated => !self.reused,
             Sign::Answered | Sign::Failed | Sign::Unreachable | Sign::Shed => true,
         }
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -73,6 +73,12 @@
 pub struct Digest([u8; 32]);
 
 impl Digest {
+    /// Returns the digest of a key that was not made by [`Secret`].
+    #[must_use]
+    pub fn of(key: &str) -> Self {
+        Self(Sha256::digest(key.as_bytes()).into())
+    }
+
     /// Returns the bytes of the digest.
     #[must_use]
     pub const fn as_bytes(&self) -> &[u8; 32] {
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -4,14 +4,18 @@
 //! [`Machine::apply`]. Decisions fall when a command is applied, never before, so that two
 //! commands that race are told apart by their order in the log.
 
+use std::rc::Rc;
+
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::config::Entry;
+use crate::config;
 use crate::config::Outcome;
 use crate::config::State;
 use crate::config::Submission;
 use crate::id::HostId;
+use crate::id::UpstreamId;
+use crate::publication::Publication;
 use crate::quota::Seat;
 use crate::quota::Seats;
 use crate::record::Claim;
@@ -21,6 +25,9 @@
 use crate::record::Owner;
 use crate::record::Table;
 use crate::record::Verdict;
+use crate::roster::Entry;
+use crate::roster::Roster;
+use crate::upstream::Announcement;
 
 /// One entry of the log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -61,6 +68,30 @@
         /// Wall time of the leader.
         at: Millis,
     },
+    /// Puts a publication in force, unless its version is not higher than the one in force.
+    Publish {
+        /// The publication with the document that its author sent.
+        published: Rc<Published>,
+    },
+    /// Takes in what an upstream says of itself.
+    Announce {
+        /// The announcement.
+        announcement: Announcement,
+    },
+    /// Notes that an upstream has left.
+    Part {
+        /// The upstream.
+        id: UpstreamId,
+    },
+}
+
+/// A publication with the document that it was read from.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Published {
+    /// The publication.
+    pub publication: Rc<Publication>,
+    /// The document as its author sent it.
+    pub document: String,
 }
 
 /// What became of a command.
@@ -71,7 +102,7 @@
         /// The outcome.
         outcome: Outcome,
         /// The entry to hand to the fleet.
-        entry: Option<Entry>,
+        entry: Option<config::Entry>,
     },
     /// The seat of a host, if there is one for it.
     Seat {
@@ -83,6 +114,16 @@
         /// The verdict.
         verdict: Verdict,
     },
+    /// The publication that is now in force, if the command changed it.
+    Published {
+        /// The publication.
+        publication: Option<Rc<Publication>>,
+    },
+    /// The upstreams that the command changed.
+    Enrolled {
+        /// Their entries.
+        changed: Vec<Entry>,
+    },
     /// The command was applied.
     Applied,
 }
@@ -95,6 +136,10 @@
     seats: Seats,
     #[serde(default)]
     records: Table,
+    #[serde(default)]
+    published: Rc<Published>,
+    #[serde(default)]
+    roster: Roster,
 }
 
 impl Machine {
@@ -116,6 +161,18 @@
         &self.records
     }
 
+    /// Returns the publication in force, with version 0 before the first one.
+    #[must_use]
+    pub const fn published(&self) -> &Rc<Published> {
+        &self.published
+    }
+
+    /// Returns the upstreams that announced themselves.
+    #[must_use]
+    pub const fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
     /// Applies a command.
     pub fn apply(&mut self, command: &Command) -> Reply {
         match command {
@@ -139,16 +196,35 @@
                 self.records.complete(name, owner, outcome, *at);
                 Reply::Applied
             }
+            Command::Publish { published } => self.publish(published),
+            Command::Announce { announcement } => Reply::Enrolled {
+                changed: self.roster.take(announcement),
+            },
+            Command::Part { id } => Reply::Enrolled {
+                changed: self.roster.part(id).into_iter().collect(),
+            },
+        }
+    }
+
+    fn publish(&mut self, published: &Rc<Published>) -> Reply {
+        let newer = published.publication.version > self.published.publication.version;
+        if newer {
+            self.published = Rc::clone(published);
+        }
+        Reply::Published {
+            publication: newer.then(|| Rc::clone(&published.publication)),
         }
     }
 
     fn change(&mut self, submission: &Submission) -> Reply {
         let outcome = self.config.judge(submission);
         let entry = match outcome {
-            Outcome::Accepted { revision } if revision > self.config.revision() => Some(Entry {
-                revision,
-                submission: submission.clone(),
-            }),
+            Outcome::Accepted { revision } if revision > self.config.revision() => {
+                Some(config::Entry {
+                    revision,
+                    submission: submission.clone(),
+                })
+            }
             _ => None,
         };
         if let Some(entry) = &entry {
--- /dev/null
+++ b/crates/core/src/publication.rs
@@ -0,0 +1,161 @@
+//! A configuration that is published as a whole, under a version given from outside.
+//!
+//! The highest version wins; one that is not higher changes nothing. A [`Publication`] holds
+//! routes by host and path prefix, services, tenants with digests of their keys, and the limits on
+//! what clients may send. [`Delta`] carries what differs between two of them, and [`Table`] finds
+//! the route of a request.
+
+mod delta;
+mod route;
+mod table;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+pub use delta::Delta;
+pub use delta::Changes;
+pub use route::Part;
+pub use route::Priority;
+pub use route::Route;
+pub use table::Table;
+pub use table::has_dot_segment;
+
+use crate::fault::Faults;
+use crate::id::RouteId;
+use crate::id::ServiceId;
+use crate::id::TenantId;
+use crate::key::Digest;
+
+/// Number of a publication, raised by its author.
+pub type Version = u64;
+
+/// Longest time that a route may keep a request waiting, as operators agreed on.
+const MAX_TIMEOUT: Duration = Duration::from_secs(600);
+
+/// Configuration in force at one version.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Publication {
+    /// Version given by the author.
+    pub version: Version,
+    /// Routes by name.
+    pub routes: BTreeMap<RouteId, Route>,
+    /// Services by name.
+    pub services: BTreeMap<ServiceId, Service>,
+    /// Tenants by name.
+    pub tenants: BTreeMap<TenantId, Tenant>,
+    /// Limits on what a client may send.
+    pub limits: Limits,
+}
+
+/// A service that routes lead to.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Service {
+    /// Path of the health check.
+    pub health_path: String,
+    /// Connections that one upstream takes from all hosts together.
+    pub connections_max: u32,
+}
+
+/// A tenant and its quota over the whole fleet.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Tenant {
+    /// Digests of its keys.
+    pub keys: BTreeSet<Digest>,
+    /// Rank that goes before the rank of the route, if the tenant has one.
+    pub priority: Option<Priority>,
+    /// Quota, if there is one.
+    pub quota: Option<Quota>,
+}
+
+/// A rate with its burst, counted over the whole fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Quota {
+    /// Requests per second in the long run.
+    pub per_second: f64,
+    /// Requests that may come at once beyond the rate.
+    pub burst: f64,
+}
+
+/// Limits on what a client may send.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Limits {
+    /// Bytes of a request head.
+    pub head_bytes: usize,
+    /// Bytes of a request body.
+    pub body_bytes: usize,
+    /// Time for a request head to arrive.
+    pub head_timeout: Duration,
+    /// Time for which a connection may stay idle.
+    pub idle_timeout: Duration,
+}
+
+impl Default for Limits {
+    /// Returns the limits in force until a publication sets others; common defaults of servers.
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 * 1024,
+            body_bytes: 64 * 1024 * 1024,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+impl Publication {
+    /// Returns what is wrong with the publication, if anything is.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault: a route to an unknown service, a weight below 0, a timeout out of
+    /// bounds or a key of two tenants.
+    pub fn check(&self) -> Result<(), Faults> {
+        let mut faults = Faults::new();
+        for (name, route) in &self.routes {
+            self.check_route(name, route, &mut faults);
+        }
+        let mut owners = BTreeMap::new();
+        for (name, tenant) in &self.tenants {
+            for key in &tenant.keys {
+                if let Some(other) = owners.insert(key, name) {
+                    let reason = format!("shares the key {} with {other}", key.short());
+                    faults.add(format!("tenants.{name}"), reason);
+                }
+            }
+        }
+        faults.into_result(Some(()))
+    }
+
+    /// Returns the tenants by the digests of their keys.
+    #[must_use]
+    pub fn keys(&self) -> BTreeMap<Digest, TenantId> {
+        let each = |(name, tenant): (&TenantId, &Tenant)| {
+            let name = name.clone();
+            let pairs = tenant.keys.iter().map(move |key| (*key, name.clone()));
+            pairs.collect::<Vec<_>>()
+        };
+        self.tenants.iter().flat_map(each).collect()
+    }
+
+    fn check_route(&self, name: &str, route: &Route, faults: &mut Faults) {
+        let field = |part: &str| format!("routes.{name}.{part}");
+        if route.parts.is_empty() {
+            faults.add(field("parts"), "must name a service");
+        }
+        for part in &route.parts {
+            if !self.services.contains_key(&part.service) {
+                let reason = format!("service {} is unknown", part.service);
+                faults.add(field("parts"), reason);
+            }
+            if !part.weight.is_finite() || part.weight < 0.0 {
+                faults.add(field("parts"), "a weight must be 0 or more");
+            }
+        }
+        if route.timeout.is_zero() || route.timeout > MAX_TIMEOUT {
+            faults.add(field("timeout"), "must be above 0 and at most ten minutes");
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/publication/delta.rs
@@ -0,0 +1,88 @@
+//! What differs between two publications.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::RouteId;
+use crate::id::ServiceId;
+use crate::id::TenantId;
+use crate::publication::Limits;
+use crate::publication::Publication;
+use crate::publication::Route;
+use crate::publication::Service;
+use crate::publication::Tenant;
+use crate::publication::Version;
+
+/// New items by name; `None` stands for one that is gone.
+pub type Changes<T> = BTreeMap<String, Option<T>>;
+
+/// The way from one publication to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Delta {
+    /// Version that the delta applies to; 0 before the first publication.
+    pub from: Version,
+    /// Version that it leads to.
+    pub to: Version,
+    routes: Changes<Route>,
+    services: Changes<Service>,
+    tenants: Changes<Tenant>,
+    limits: Option<Limits>,
+}
+
+impl Delta {
+    /// Returns the way from `old` to `new`.
+    #[must_use]
+    pub fn between(old: &Publication, new: &Publication) -> Self {
+        Self {
+            from: old.version,
+            to: new.version,
+            routes: changes::<RouteId, _>(&old.routes, &new.routes),
+            services: changes::<ServiceId, _>(&old.services, &new.services),
+            tenants: changes::<TenantId, _>(&old.tenants, &new.tenants),
+            limits: (old.limits != new.limits).then_some(new.limits),
+        }
+    }
+
+    /// Returns the publication that `old` becomes, or `None` when the delta is not for it or does
+    /// not lead to a higher version.
+    #[must_use]
+    pub fn apply(self, old: &Publication) -> Option<Publication> {
+        if self.from != old.version || self.to <= old.version {
+            return None;
+        }
+        let mut new = old.clone();
+        new.version = self.to;
+        merge(&mut new.routes, self.routes);
+        merge(&mut new.services, self.services);
+        merge(&mut new.tenants, self.tenants);
+        new.limits = self.limits.unwrap_or(new.limits);
+        Some(new)
+    }
+}
+
+fn changes<K, T>(old: &BTreeMap<K, T>, new: &BTreeMap<K, T>) -> Changes<T>
+where
+    K: Ord + Clone + Into<String>,
+    T: Clone + PartialEq,
+{
+    let put = new.iter().filter(|(name, item)| old.get(*name) != Some(*item));
+    let put = put.map(|(name, item)| (name.clone().into(), Some(item.clone())));
+    let gone = old.keys().filter(|name| !new.contains_key(*name));
+    let gone = gone.map(|name| (name.clone().into(), None));
+    put.chain(gone).collect()
+}
+
+fn merge<T>(items: &mut BTreeMap<String, T>, changes: Changes<T>) {
+    for (name, change) in changes {
+        match change {
+            Some(item) => {
+                items.insert(name, item);
+            }
+            None => {
+                items.remove(&name);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/roster.rs
@@ -0,0 +1,141 @@
+//! The upstreams that announced themselves, as a deterministic state machine.
+//!
+//! Control replicates each [`Announcement`] that changes what is known, so that an acknowledged
+//! departure outlives the replica that acknowledged it. Announcements are ordered by incarnation
+//! and sequence. Of the upstreams at one address, the latest incarnation holds it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::Incarnation;
+use crate::id::UpstreamId;
+use crate::upstream::Announcement;
+use crate::upstream::Stage;
+
+/// Number of an upstream, given at its first announcement and after each of its starts.
+pub type Number = u32;
+
+/// Departed upstreams that are remembered, so that a late announcement cannot bring them back.
+const MAX_LEFT: usize = 1_024;
+
+/// One upstream of the roster.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Short name on the links of the fleet.
+    pub number: Number,
+    /// What it last said about itself.
+    pub announcement: Announcement,
+}
+
+/// What becomes of an announcement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reception {
+    /// It changes what is known.
+    News,
+    /// It says again what is known.
+    Renewal,
+    /// A later one is known already.
+    Outdated,
+}
+
+/// All upstreams.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Roster {
+    next: Number,
+    entries: BTreeMap<UpstreamId, Entry>,
+}
+
+impl Roster {
+    /// Returns the upstreams, those that have left among them.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// Returns an upstream.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Entry> {
+        self.entries.get(id)
+    }
+
+    /// Returns what would become of an announcement.
+    #[must_use]
+    pub fn judge(&self, announcement: &Announcement) -> Reception {
+        let known = self.entries.get(&announcement.id).map(|one| &one.announcement);
+        if let Some(known) = known {
+            let same = known.incarnation == announcement.incarnation;
+            let final_word = same && known.stage == Stage::Left;
+            if final_word || (known != announcement && !announcement.supersedes(known)) {
+                return Reception::Outdated;
+            }
+            if announcement.renews(known) {
+                return Reception::Renewal;
+            }
+        }
+        let held = self.holder(announcement.address, &announcement.id);
+        if held.is_some_and(|(_, incarnation)| incarnation > announcement.incarnation) {
+            return Reception::Outdated;
+        }
+        Reception::News
+    }
+
+    /// Takes in an announcement and returns the upstreams that it changes.
+    pub fn take(&mut self, announcement: &Announcement) -> Vec<Entry> {
+        if self.judge(announcement) != Reception::News {
+            return Vec::new();
+        }
+        let mut changed = Vec::new();
+        if let Some((other, _)) = self.holder(announcement.address, &announcement.id) {
+            changed.extend(self.part(&other));
+        }
+        let known = self.entries.get(&announcement.id);
+        let lasting = known.filter(|one| one.announcement.incarnation == announcement.incarnation);
+        let number = lasting.map_or(self.next + 1, |one| one.number);
+        self.next = self.next.max(number);
+        let entry = Entry {
+            number,
+            announcement: announcement.clone(),
+        };
+        self.entries.insert(announcement.id.clone(), entry.clone());
+        changed.push(entry);
+        self.forget_oldest();
+        changed
+    }
+
+    /// Notes that an upstream has left and returns it, if it was there.
+    pub fn part(&mut self, id: &str) -> Option<Entry> {
+        let entry = self.entries.get_mut(id)?;
+        if entry.announcement.stage == Stage::Left {
+            return None;
+        }
+        entry.announcement.stage = Stage::Left;
+        let entry = entry.clone();
+        self.forget_oldest();
+        Some(entry)
+    }
+
+    /// Returns the upstream other than `id` that holds an address.
+    fn holder(&self, address: SocketAddr, id: &str) -> Option<(UpstreamId, Incarnation)> {
+        let others = self.entries.values().map(|entry| &entry.announcement);
+        let mut others = others.filter(|one| one.id != id && one.stage != Stage::Left);
+        let holder = others.find(|one| one.address == address)?;
+        Some((holder.id.clone(), holder.incarnation))
+    }
+
+    fn forget_oldest(&mut self) {
+        let left = |entry: &&Entry| entry.announcement.stage == Stage::Left;
+        let gone = self.entries.values().filter(left);
+        let mut gone: Vec<(Number, UpstreamId)> = gone
+            .map(|entry| (entry.number, entry.announcement.id.clone()))
+            .collect();
+        if gone.len() <= MAX_LEFT {
+            return;
+        }
+        gone.sort_unstable();
+        for (_, id) in gone.iter().take(gone.len() - MAX_LEFT) {
+            self.entries.remove(id);
+        }
+    }
+}
--- a/crates/replica/src/files.rs
+++ b/crates/replica/src/files.rs
@@ -32,6 +32,21 @@
 }
 
 impl Files {
+    /// Empties the data folder of a replica that was removed, so that it can begin anew.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a file cannot be removed or the folder cannot be synced.
+    pub fn discard(folder: &Path) -> io::Result<()> {
+        for name in [JOURNAL, SNAPSHOT, IDENTITY] {
+            match std::fs::remove_file(folder.join(name)) {
+                Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
+                _ => {}
+            }
+        }
+        std::fs::File::open(folder)?.sync_all()
+    }
+
     /// Opens a data folder; an empty one is given the identity of `host` and `storage`.
     ///
     /// # Errors
--- a/crates/replica/src/message.rs
+++ b/crates/replica/src/message.rs
@@ -106,6 +106,19 @@
         /// What became of it.
         progress: Progress,
     },
+    /// Tells a replica without members whom else to ask.
+    Contacts(Vec<Contact>),
+    /// Tells a replica that it was removed from the members.
+    Removed,
+}
+
+/// A replica that can be asked to be taken in.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact {
+    /// Its host.
+    pub host: HostId,
+    /// Address that it is reached at.
+    pub address: String,
 }
 
 /// A message to a replica.
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -10,8 +10,10 @@
 mod founding;
 mod lead;
 mod status;
+mod tend;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -81,6 +83,8 @@
     partial: Option<Partial>,
     fresh: BTreeMap<HostId, Applicant>,
     applicants: BTreeMap<HostId, Applicant>,
+    contacts: BTreeSet<HostId>,
+    removed: bool,
     unsynced: Unsynced,
     outbox: Vec<Message>,
     installed: bool,
@@ -140,6 +144,8 @@
             partial: None,
             fresh: BTreeMap::new(),
             applicants: BTreeMap::new(),
+            contacts: BTreeSet::new(),
+            removed: false,
             unsynced: Unsynced::default(),
             outbox: Vec::new(),
             installed,
@@ -155,6 +161,12 @@
         &self.id
     }
 
+    /// Returns the address that others reach this replica at.
+    #[must_use]
+    pub fn address(&self) -> &str {
+        &self.settings.address
+    }
+
     /// Returns the newest term that the replica knows.
     #[must_use]
     pub const fn term(&self) -> Term {
@@ -208,6 +220,12 @@
         self.failure.as_deref()
     }
 
+    /// Returns whether the other members said that this replica was removed.
+    #[must_use]
+    pub const fn is_removed(&self) -> bool {
+        self.removed
+    }
+
     /// Returns whether the replica leads, holds the lease and delivered all of earlier terms.
     #[must_use]
     pub fn is_leading(&self) -> bool {
@@ -241,6 +259,8 @@
         match message.body {
             Body::Hello { address } => self.on_hello(message.from, message.storage, address),
             Body::Found(members) => self.on_found(members),
+            Body::Contacts(contacts) => self.on_contacts(contacts),
+            Body::Removed => self.removed = true,
             Body::Poll(last) => self.on_poll(&message.from, message.term, last),
             Body::Vote(last) => self.on_vote(message.from, message.term, last),
             body => self.receive_in_term(message.from, message.term, body),
--- a/crates/replica/src/replica/change.rs
+++ b/crates/replica/src/replica/change.rs
@@ -81,7 +81,7 @@
         Ok(members.clone().without(id))
     }
 
-    fn has_caught_up(&self, id: &Id) -> bool {
+    pub(super) fn has_caught_up(&self, id: &Id) -> bool {
         let caught_up = self.settings.limits.caught_up;
         let matched = self.follower(id).map_or(0, |one| one.matched);
         let knows_members = matched >= self.log.members_index();
--- a/crates/replica/src/replica/election.rs
+++ b/crates/replica/src/replica/election.rs
@@ -46,6 +46,8 @@
         let longest = self.settings.limits.election;
         self.deadline = now + self.random(longest / 4, longest);
         if !self.may_campaign() {
+            // The answers tell a learner that was removed while it was away.
+            self.ask_voters(&Body::Poll(self.log.last()));
             return;
         }
         self.follow(None);
@@ -58,6 +60,10 @@
         if self.log.members().is_empty() {
             return;
         }
+        if self.has_removed(from, last) {
+            self.send(from.clone(), Body::Removed);
+            return;
+        }
         let next = term + 1;
         let granted = next > self.hard.term && last >= self.log.last() && !self.is_bound_by_lease();
         self.send(
@@ -157,6 +163,16 @@
         }
     }
 
+    /// Returns whether a replica whose log ends at `last` was removed.
+    ///
+    /// It holds the entry that made it a member, so a commit that reaches as far covers that entry
+    /// too, and a membership without it can only come later.
+    fn has_removed(&self, id: &Id, last: Position) -> bool {
+        let known = self.log.members().get(id).is_some();
+        let committed = self.log.members_at(self.commit);
+        !known && committed.get(id).is_none() && self.commit >= last.index
+    }
+
     /// Returns whether the replica is a voter, or one whose removal is not known to be committed.
     ///
     /// The removed one may be the only one left that holds its removal; the others then need it
--- a/crates/replica/src/replica/founding.rs
+++ b/crates/replica/src/replica/founding.rs
@@ -1,14 +1,17 @@
 //! How a log begins, and how a replica with an empty disk asks to be taken in.
 //!
-//! A replica without members says hello to all that its settings list. The first of the list
+//! A replica without members says hello to all that its settings list, and to the members that it
+//! is told of in return. The first of the list
 //! founds the log once all others answered it with empty disks of their own; its identity in the
 //! answers keeps an answer to an earlier disk from counting. A replica that holds a log remembers
 //! the hello as an application and never founds again, so that a wiped disk cannot begin a second
 //! log beside the first.
 
+use std::collections::BTreeSet;
 use std::time::Instant;
 
 use log::info;
+use persimmonbend_core::id::HostId;
 
 use crate::id::Id;
 use crate::id::StorageId;
@@ -17,6 +20,7 @@
 use crate::members::Members;
 use crate::members::Role;
 use crate::message::Body;
+use crate::message::Contact;
 use crate::message::Message;
 use crate::replica::Replica;
 use crate::storage::Hard;
@@ -25,11 +29,16 @@
 /// Applications that a replica remembers.
 const MAX_APPLICANTS: usize = 64;
 
+/// Members that a replica without members remembers beyond those of its settings.
+const MAX_CONTACTS: usize = 32;
+
 /// A replica with an empty disk.
 #[derive(Debug, Clone)]
 pub(super) struct Applicant {
     pub(super) id: Id,
     pub(super) address: String,
+    /// When it last asked.
+    pub(super) heard: Instant,
 }
 
 impl Applicant {
@@ -49,8 +58,9 @@
             return;
         }
         self.hello_due = now + self.settings.limits.heartbeat;
-        let hosts = self.settings.peers.iter().map(|peer| peer.host.clone());
-        for to in hosts.collect::<Vec<_>>() {
+        let listed = self.settings.peers.iter().map(|peer| &peer.host);
+        let hosts: BTreeSet<HostId> = listed.chain(&self.contacts).cloned().collect();
+        for to in hosts {
             self.outbox.push(Message {
                 from: self.id.clone(),
                 to,
@@ -66,7 +76,11 @@
     /// One that missed the founding is told committed members, with which it may vote; its empty
     /// log keeps it from winning an election against those who hold the entries before.
     pub(super) fn on_hello(&mut self, from: Id, storage: Option<StorageId>, address: String) {
-        let applicant = Applicant { id: from, address };
+        let applicant = Applicant {
+            id: from,
+            address,
+            heard: self.clock.now(),
+        };
         if self.log.members().is_empty() {
             self.meet(applicant, storage.is_some());
             return;
@@ -75,8 +89,10 @@
         if self.log.members().get(&applicant.id).is_none() {
             let host = applicant.id.host.clone();
             if self.applicants.len() < MAX_APPLICANTS || self.applicants.contains_key(&host) {
-                self.applicants.insert(host, applicant);
+                self.applicants.insert(host, applicant.clone());
             }
+            let body = Body::Contacts(self.contacts_to_tell());
+            self.send(applicant.id, body);
         } else if settled.get(&applicant.id).is_some() {
             let body = Body::Found(settled.clone());
             self.send(applicant.id, body);
@@ -90,6 +106,24 @@
         }
     }
 
+    /// Remembers members that were told of, so that stale settings do not keep a replica out.
+    pub(super) fn on_contacts(&mut self, contacts: Vec<Contact>) {
+        for contact in contacts {
+            if contact.host != self.id.host && self.contacts.len() < MAX_CONTACTS {
+                self.contacts.insert(contact.host);
+            }
+        }
+    }
+
+    fn contacts_to_tell(&self) -> Vec<Contact> {
+        let members = self.log.members().list().iter();
+        let contacts = members.map(|member| Contact {
+            host: member.id.host.clone(),
+            address: member.address.clone(),
+        });
+        contacts.collect()
+    }
+
     fn meet(&mut self, applicant: Applicant, answers_this_disk: bool) {
         if !self.is_fresh() {
             return;
@@ -103,6 +137,9 @@
     }
 
     fn try_to_found(&mut self, now: Instant) {
+        if !self.settings.founder {
+            return;
+        }
         let peers = &self.settings.peers;
         let first = peers.iter().all(|peer| self.id.host < peer.host);
         let all = peers.iter().all(|peer| self.fresh.contains_key(&peer.host));
@@ -112,6 +149,7 @@
         let own = Applicant {
             id: self.id.clone(),
             address: self.settings.address.clone(),
+            heard: now,
         };
         let others = peers.iter().filter_map(|peer| self.fresh.get(&peer.host));
         let founders = std::iter::once(own).chain(others.cloned());
--- a/crates/replica/src/replica/lead.rs
+++ b/crates/replica/src/replica/lead.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Returns when the term began.
+    pub(super) const fn started(&self) -> Instant {
+        self.started
+    }
+
     /// Returns the index of the entry that opened the term.
     pub(super) const fn opening(&self) -> Index {
         self.opening
--- a/crates/replica/src/settings.rs
+++ b/crates/replica/src/settings.rs
@@ -51,8 +51,12 @@
 pub struct Settings {
     /// Address that others reach this replica at.
     pub address: String,
-    /// The other replicas that the log is founded with.
+    /// The other replicas that the log is founded with, or that are asked to be taken in.
     pub peers: Vec<Peer>,
+    /// Whether this replica may found a log with its peers.
+    pub founder: bool,
+    /// Voters that the leader keeps up by itself; `None` leaves members to operators.
+    pub voters: Option<usize>,
     /// Intervals and bounds.
     pub limits: Limits,
     /// Seed of the election timeouts.
--- a/crates/replica/tests/simulation/world.rs
+++ b/crates/replica/tests/simulation/world.rs
@@ -236,6 +236,8 @@
                     address: (*name).to_owned(),
                 })
                 .collect(),
+            founder: true,
+            voters: None,
             limits: Limits {
                 batch_bytes: 200,
                 chunk_bytes: 5,
--- /dev/null
+++ b/crates/wire/src/channel.rs
@@ -0,0 +1,256 @@
+//! A connection that carries frames both ways, as two ends in one process.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::BufResult;
+use compio::io::AsyncRead;
+use compio::io::AsyncWriteExt;
+use compio::net::TcpStream;
+use compio::time::timeout;
+use event_listener::Event;
+use log::warn;
+
+use crate::error::Error;
+use crate::meter;
+
+/// Frames that wait to be written.
+const MAX_WAITING: usize = 8_192;
+
+/// Time that one write may take.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Bytes read at a time.
+const READ_BYTES: usize = 16 * 1024;
+
+/// Turns the frames of one direction into bytes.
+pub trait Encode<F> {
+    /// Appends a frame to `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Malformed`] when the frame is too long.
+    fn encode(&mut self, frame: &F, bytes: &mut Vec<u8>) -> Result<(), Error>;
+}
+
+/// Turns the bytes of one direction into frames.
+pub trait Decode<F> {
+    /// Takes in bytes and returns the frames that they complete.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Malformed`] when the bytes are not frames.
+    fn feed(&mut self, bytes: &[u8]) -> Result<Vec<F>, Error>;
+}
+
+/// Queues frames for a connection.
+#[derive(Debug)]
+pub struct Sender<F> {
+    shared: Rc<Shared<F>>,
+}
+
+impl<F> Clone for Sender<F> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: Rc::clone(&self.shared),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Shared<F> {
+    waiting: RefCell<Vec<F>>,
+    closed: Cell<bool>,
+    written: Cell<u64>,
+    event: Event,
+}
+
+impl<F> Shared<F> {
+    const fn new() -> Self {
+        Self {
+            waiting: RefCell::new(Vec::new()),
+            closed: Cell::new(false),
+            written: Cell::new(0),
+            event: Event::new(),
+        }
+    }
+}
+
+/// Reads frames from a connection.
+#[derive(Debug)]
+pub struct Receiver<D> {
+    stream: TcpStream,
+    decoder: D,
+    buffer: Vec<u8>,
+}
+
+/// Writes the queued frames to a connection.
+#[derive(Debug)]
+pub struct Writer<E, F> {
+    stream: TcpStream,
+    encoder: E,
+    shared: Rc<Shared<F>>,
+}
+
+/// Splits an authenticated connection.
+///
+/// [`Writer::run`] has to be polled for frames to leave.
+#[must_use]
+pub fn split<E, D, F>(
+    stream: TcpStream,
+    encoder: E,
+    decoder: D,
+) -> (Sender<F>, Writer<E, F>, Receiver<D>)
+where
+    E: Encode<F>,
+    D: Decode<F>,
+{
+    let shared = Rc::new(Shared::new());
+    let sender = Sender {
+        shared: Rc::clone(&shared),
+    };
+    let writer = Writer {
+        stream: stream.clone(),
+        encoder,
+        shared,
+    };
+    let receiver = Receiver {
+        stream,
+        decoder,
+        buffer: Vec::with_capacity(READ_BYTES),
+    };
+    (sender, writer, receiver)
+}
+
+impl<F> Sender<F> {
+    /// Returns whether the connection takes frames.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !self.shared.closed.get()
+    }
+
+    /// Returns whether `other` queues frames for the same connection.
+    #[must_use]
+    pub fn is(&self, other: &Self) -> bool {
+        Rc::ptr_eq(&self.shared, &other.shared)
+    }
+
+    /// Returns the bytes written so far.
+    #[must_use]
+    pub fn written(&self) -> u64 {
+        self.shared.written.get()
+    }
+
+    /// Queues a frame unless the connection is closed.
+    ///
+    /// A connection whose queue is full is closed, since the other side does not read.
+    pub fn send(&self, frame: F) {
+        if !self.is_open() {
+            return;
+        }
+        if self.shared.waiting.borrow().len() >= MAX_WAITING {
+            self.close();
+            return;
+        }
+        self.shared.waiting.borrow_mut().push(frame);
+        self.shared.event.notify(usize::MAX);
+    }
+
+    /// Closes the connection.
+    pub fn close(&self) {
+        self.shared.closed.set(true);
+        self.shared.event.notify(usize::MAX);
+    }
+
+    /// Waits until the connection is closed.
+    pub async fn closed(&self) {
+        while self.is_open() {
+            let listener = self.shared.event.listen();
+            if !self.is_open() {
+                return;
+            }
+            listener.await;
+        }
+    }
+}
+
+impl<E: Encode<F>, F> Writer<E, F> {
+    /// Writes queued frames, all that wait in one write, until the connection is closed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Io`] or [`Error::Timeout`] when the connection takes no bytes.
+    pub async fn run(mut self) -> Result<(), Error> {
+        let result = self.write_all().await;
+        self.shared.closed.set(true);
+        self.shared.event.notify(usize::MAX);
+        result
+    }
+
+    async fn write_all(&mut self) -> Result<(), Error> {
+        let mut bytes = Vec::new();
+        while let Some(frames) = self.next().await {
+            bytes.clear();
+            for frame in &frames {
+                if let Err(error) = self.encoder.encode(frame, &mut bytes) {
+                    warn!("wire: dropped a frame: {error}");
+                }
+            }
+            let length = bytes.len();
+            let writing = timeout(WRITE_TIMEOUT, self.stream.write_all(bytes));
+            let BufResult(result, buffer) = writing.await.map_err(|_| Error::Timeout)?;
+            result?;
+            bytes = buffer;
+            self.shared
+                .written
+                .set(self.shared.written.get() + length as u64);
+            meter::add_sent(length);
+        }
+        Ok(())
+    }
+
+    async fn next(&self) -> Option<Vec<F>> {
+        loop {
+            if self.shared.closed.get() {
+                return None;
+            }
+            let listener = self.shared.event.listen();
+            let frames = self.shared.waiting.take();
+            if !frames.is_empty() {
+                return Some(frames);
+            }
+            listener.await;
+        }
+    }
+}
+
+impl<D> Receiver<D> {
+    /// Waits for the next frames.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Io`] when the connection ended and [`Error::Malformed`] when it carries
+    /// something else than frames.
+    pub async fn next<F>(&mut self) -> Result<Vec<F>, Error>
+    where
+        D: Decode<F>,
+    {
+        loop {
+            let mut buffer = std::mem::take(&mut self.buffer);
+            buffer.clear();
+            let BufResult(result, buffer) = self.stream.read(buffer).await;
+            let length = result?;
+            meter::add_received(length);
+            let frames = self.decoder.feed(&buffer[..length])?;
+            self.buffer = buffer;
+            if length == 0 {
+                return Err(Error::Io(std::io::ErrorKind::UnexpectedEof.into()));
+            }
+            if !frames.is_empty() {
+                return Ok(frames);
+            }
+        }
+    }
+}
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -37,6 +37,8 @@
     Rpc,
     /// Frames of the slot protocol.
     Slots,
+    /// Frames between hosts and the dispatcher.
+    Dispatch,
 }
 
 impl Purpose {
@@ -44,6 +46,7 @@
         match self {
             Self::Rpc => 0,
             Self::Slots => 1,
+            Self::Dispatch => 2,
         }
     }
 }
@@ -55,6 +58,7 @@
         match code {
             0 => Ok(Self::Rpc),
             1 => Ok(Self::Slots),
+            2 => Ok(Self::Dispatch),
             other => Err(Error::Malformed(format!("unknown purpose {other}"))),
         }
     }
@@ -77,6 +81,20 @@
     }
 }
 
+impl Secret {
+    /// Returns the secret of a fleet that has none: every process that can connect is trusted.
+    #[must_use]
+    pub const fn open() -> Self {
+        Self(String::new())
+    }
+
+    /// Returns whether every process that can connect is trusted.
+    #[must_use]
+    pub const fn is_open(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
 impl fmt::Debug for Secret {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str("Secret(..)")
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,7 +17,9 @@
 //! ```
 
 pub mod admission;
+pub mod channel;
 pub mod control;
+pub mod dispatch;
 pub mod error;
 pub mod gossip;
 pub mod handshake;
--- a/crates/wire/src/listener.rs
+++ b/crates/wire/src/listener.rs
@@ -36,15 +36,16 @@
     pub peer: Option<peer::Client>,
 }
 
-/// Takes over connections of the slot protocol.
-pub type SlotsHandler = Rc<dyn Fn(TcpStream, SocketAddr)>;
+/// Takes over connections that carry frames.
+pub type Handler = Rc<dyn Fn(TcpStream, SocketAddr)>;
 
 /// Accepts links on one port.
 pub struct Listener {
     socket: TcpListener,
     secret: Secret,
     roles: Roles,
-    slots: Option<SlotsHandler>,
+    slots: Option<Handler>,
+    dispatch: Option<Handler>,
     admission: Rc<Admission>,
     throttle: RefCell<Throttle>,
 }
@@ -75,6 +76,7 @@
             secret,
             roles: Roles::default(),
             slots: None,
+            dispatch: None,
             admission: Rc::default(),
             throttle: RefCell::new(Throttle::new()),
         }
@@ -89,11 +91,18 @@
 
     /// Sets the handler of slot connections.
     #[must_use]
-    pub fn slots(mut self, handler: SlotsHandler) -> Self {
+    pub fn slots(mut self, handler: Handler) -> Self {
         self.slots = Some(handler);
         self
     }
 
+    /// Sets the handler of connections to the dispatcher.
+    #[must_use]
+    pub fn dispatch(mut self, handler: Handler) -> Self {
+        self.dispatch = Some(handler);
+        self
+    }
+
     /// Returns the bound address.
     ///
     /// # Errors
@@ -130,14 +139,19 @@
         place.end_handshake();
         match shaken {
             Ok(Purpose::Rpc) => serve_rpc(stream, self.roles.clone()).await,
-            Ok(Purpose::Slots) => match &self.slots {
-                Some(handler) => handler(stream, from),
-                None => self.complain(from, "slots are not served here"),
-            },
+            Ok(Purpose::Slots) => self.hand_over(self.slots.as_ref(), stream, from),
+            Ok(Purpose::Dispatch) => self.hand_over(self.dispatch.as_ref(), stream, from),
             Err(error) => self.complain(from, &error.to_string()),
         }
     }
 
+    fn hand_over(&self, handler: Option<&Handler>, stream: TcpStream, from: SocketAddr) {
+        match handler {
+            Some(handler) => handler(stream, from),
+            None => self.complain(from, "such connections are not served here"),
+        }
+    }
+
     fn complain(&self, from: SocketAddr, reason: &str) {
         match self.throttle.borrow_mut().admit(System.now()) {
             Some(0) => warn!("wire: dropped a connection from {from}: {reason}"),
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -7,6 +7,7 @@
 
 pub mod channel;
 mod codec;
+pub(crate) mod codes;
 mod raw;
 
 use std::time::Duration;
--- a/crates/wire/src/slots/codec.rs
+++ b/crates/wire/src/slots/codec.rs
@@ -6,12 +6,13 @@
 use crate::error::Error;
 use crate::fleet_capnp::slot_frame::Kind as Tag;
 use crate::slots::Frame;
+use crate::slots::codes;
+use crate::slots::codes::SIGNS;
 use crate::slots::raw;
 use crate::slots::raw::MAX_LIST;
 use crate::slots::raw::MAX_NAME_BYTES;
 use crate::slots::raw::REFUSALS;
 use crate::slots::raw::Raw;
-use crate::slots::raw::SIGNS;
 
 /// Most names that one direction of a connection defines before it starts over.
 const MAX_NAMES: usize = 16_384;
@@ -88,7 +89,7 @@
             }
             Frame::Refused { number, kind } => {
                 raw.number = *number;
-                raw.code = raw::position(&REFUSALS, kind);
+                raw.code = codes::position(&REFUSALS, kind);
                 Tag::Refused
             }
             Frame::Hold {
@@ -112,7 +113,7 @@
             } => {
                 raw.number = *number;
                 raw.second = self.name(service, bytes)?;
-                raw.code = raw::position(&SIGNS, sign);
+                raw.code = codes::position(&SIGNS, sign);
                 raw.first = u32::try_from(latency.as_micros()).unwrap_or(u32::MAX);
                 raw.flag = *reused;
                 Tag::Release
@@ -237,7 +238,7 @@
             Tag::Queued => Frame::Queued { number },
             Tag::Refused => Frame::Refused {
                 number,
-                kind: raw::item(&REFUSALS, raw.code)?,
+                kind: codes::item(&REFUSALS, raw.code)?,
             },
             Tag::Hold => Frame::Hold {
                 number,
@@ -248,7 +249,7 @@
             Tag::Release => Frame::Release {
                 number,
                 service: self.name(raw.second)?,
-                sign: raw::item(&SIGNS, raw.code)?,
+                sign: codes::item(&SIGNS, raw.code)?,
                 latency: Duration::from_micros(u64::from(raw.first)),
                 reused: raw.flag,
             },
--- /dev/null
+++ b/crates/wire/src/slots/codes.rs
@@ -0,0 +1,36 @@
+//! Codes of items by their position in a list.
+
+use persimmonbend_core::health::Sign;
+
+use crate::error::Error;
+
+/// Codes of signs, by position.
+pub const SIGNS: [Sign; 8] = [
+    Sign::Answered,
+    Sign::Failed,
+    Sign::Truncated,
+    Sign::TimedOut,
+    Sign::Unreachable,
+    Sign::Shed,
+    Sign::Cancelled,
+    Sign::Moved,
+];
+
+/// Returns the code of an item.
+#[must_use]
+pub fn position<T: PartialEq>(items: &[T], item: &T) -> u8 {
+    let found = items.iter().position(|one| one == item);
+    found
+        .and_then(|index| u8::try_from(index).ok())
+        .unwrap_or(0)
+}
+
+/// Returns the item of a code.
+///
+/// # Errors
+///
+/// Returns [`Error::Malformed`] for a code without an item.
+pub fn item<T: Copy>(items: &[T], code: u8) -> Result<T, Error> {
+    let unknown = || Error::Malformed(format!("unknown code {code}"));
+    items.get(usize::from(code)).copied().ok_or_else(unknown)
+}
--- a/crates/wire/src/slots/raw.rs
+++ b/crates/wire/src/slots/raw.rs
@@ -5,7 +5,6 @@
 use capnp::message::ReaderOptions;
 use capnp::serialize_packed;
 use persimmonbend_core::error::Kind;
-use persimmonbend_core::health::Sign;
 use persimmonbend_core::health::Verdict;
 
 use crate::error::Error;
@@ -33,17 +32,6 @@
 /// Weight of 1 in thousandths.
 const FULL_WEIGHT: f64 = 1_000.0;
 
-/// Codes of signs, by position.
-pub const SIGNS: [Sign; 7] = [
-    Sign::Answered,
-    Sign::Failed,
-    Sign::Truncated,
-    Sign::TimedOut,
-    Sign::Unreachable,
-    Sign::Shed,
-    Sign::Cancelled,
-];
-
 /// Codes of reasons of a refusal, by position.
 pub const REFUSALS: [Kind; 2] = [Kind::Overloaded, Kind::NoUpstream];
 
@@ -154,24 +142,6 @@
     })
 }
 
-/// Returns the code of an item.
-pub fn position<T: PartialEq>(items: &[T], item: &T) -> u8 {
-    let found = items.iter().position(|one| one == item);
-    found
-        .and_then(|index| u8::try_from(index).ok())
-        .unwrap_or(0)
-}
-
-/// Returns the item of a code.
-///
-/// # Errors
-///
-/// Returns [`Error::Malformed`] for a code without an item.
-pub fn item<T: Copy>(items: &[T], code: u8) -> Result<T, Error> {
-    let unknown = || Error::Malformed(format!("unknown code {code}"));
-    items.get(usize::from(code)).copied().ok_or_else(unknown)
-}
-
 /// Returns the code and the weight of a verdict.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 pub fn verdict_code(verdict: Verdict) -> (u8, u32) {
--- /dev/null
+++ b/programs/pb-control/src/desk.rs
@@ -0,0 +1,254 @@
+//! The dispatcher of the leader, with the connections of the hosts that it serves.
+//!
+//! A [`Desk`] works while its replica leads. It hands each host the publication and the upstreams,
+//! then what changes of them, and answers reservations. When the replica stops leading, every
+//! connection is closed, so that hosts look for the next leader at once.
+
+mod reign;
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::TcpStream;
+use compio::runtime::spawn;
+use compio::time::timeout;
+use persimmonbend_core::clock::Clock;
+use persimmonbend_core::dispatch::Policy;
+use persimmonbend_core::machine::Reply;
+use persimmonbend_core::roster::Reception;
+use persimmonbend_core::upstream::Announcement;
+use persimmonbend_wire::dispatch;
+use persimmonbend_wire::dispatch::Frame;
+use persimmonbend_wire::dispatch::Receiver;
+use persimmonbend_wire::dispatch::Sender;
+use persimmonbend_wire::error::Error;
+use persimmonbend_wire::listener;
+use tracing::info;
+
+use crate::desk::reign::Reign;
+use crate::leadership::Leadership;
+use crate::leadership::Observer;
+use crate::node::Node;
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Silence after which a host counts as lost; hosts say something every 400 ms.
+const HOST_SILENCE: Duration = Duration::from_secs(2);
+
+/// Time that a host has for its first frame.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time that an answer has to leave before its connection is closed.
+const LAST_WORD: Duration = Duration::from_millis(200);
+
+/// Serves hosts while the replica leads.
+pub struct Desk {
+    node: Rc<Node>,
+    clock: Rc<dyn Clock>,
+    policy: Policy,
+    reign: RefCell<Option<Reign>>,
+}
+
+impl Desk {
+    /// Creates the desk of a replica.
+    #[must_use]
+    pub fn new(node: Rc<Node>, clock: Rc<dyn Clock>, policy: Policy) -> Rc<Self> {
+        let desk = Rc::new(Self {
+            node: Rc::clone(&node),
+            clock,
+            policy,
+            reign: RefCell::new(None),
+        });
+        let observer: Rc<dyn Observer> = Rc::new(Watcher(Rc::clone(&desk)));
+        node.observe(observer);
+        desk
+    }
+
+    /// Returns the handler of hosts' connections.
+    #[must_use]
+    pub fn handler(self: &Rc<Self>) -> listener::Handler {
+        let desk = Rc::clone(self);
+        Rc::new(move |stream, from| {
+            let desk = Rc::clone(&desk);
+            spawn(async move { desk.serve(stream, from).await }).detach();
+        })
+    }
+
+    /// Does what is due until the future is dropped.
+    pub async fn run(&self) {
+        loop {
+            compio::time::sleep(TICK).await;
+            let now = self.clock.now();
+            if let Some(reign) = self.reign.borrow_mut().as_mut() {
+                reign.tick(now);
+            }
+        }
+    }
+
+    /// Returns what becomes of an announcement at this leader, and notes that its sender is there.
+    #[must_use]
+    pub fn hear(&self, announcement: &Announcement) -> Reception {
+        let reception = self
+            .node
+            .read(|machine| machine.roster().judge(announcement));
+        let mut reign = self.reign.borrow_mut();
+        let Some(reign) = reign.as_mut() else {
+            return reception;
+        };
+        if reception == Reception::Outdated || !reign.is_latest(announcement) {
+            return Reception::Outdated;
+        }
+        let known = self
+            .node
+            .read(|machine| machine.roster().get(&announcement.id).map(|one| one.number));
+        if let Some(number) = known {
+            reign.hear(number, self.clock.now());
+        }
+        reception
+    }
+
+    /// Returns the state for operators.
+    #[must_use]
+    pub fn status(&self) -> serde_json::Value {
+        let reign = self.reign.borrow();
+        reign.as_ref().map_or(serde_json::Value::Null, |reign| {
+            reign.status(self.clock.now())
+        })
+    }
+
+    fn control_addresses(&self) -> Vec<SocketAddr> {
+        let members = self.node.member_addresses();
+        let addresses = members.iter().filter_map(|(_, address)| address.parse().ok());
+        addresses.collect()
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream, from: SocketAddr) {
+        let (sender, writer, receiver) = dispatch::split(stream);
+        let writing = spawn(writer.run());
+        let reason = self.attend(&sender, receiver).await;
+        info!(peer = %from, reason = %reason, "host_link_ended");
+        let _ = timeout(LAST_WORD, writing).await;
+        sender.close();
+    }
+
+    async fn attend(&self, sender: &Sender, mut receiver: Receiver) -> Error {
+        let first = match timeout(HELLO_TIMEOUT, receiver.next()).await {
+            Ok(Ok(frames)) => frames,
+            Ok(Err(error)) => return error,
+            Err(_) => return Error::Timeout,
+        };
+        let mut frames = first.into_iter();
+        let Some(Frame::Hello { host, zone, version }) = frames.next() else {
+            return Error::Malformed("the first frame is no greeting".to_owned());
+        };
+        if !self.welcome(&host, &zone, version, sender) {
+            let leader = self.node.leader_hint();
+            sender.send(Frame::Elsewhere {
+                leader: leader.parse().ok(),
+                control: self.control_addresses(),
+            });
+            return Error::NotLeader(leader);
+        }
+        self.take(&host, sender, frames.collect());
+        let error = loop {
+            let next = async {
+                futures_util::select_biased! {
+                    () = futures_util::FutureExt::fuse(sender.closed()) => Err(Error::Role),
+                    frames = futures_util::FutureExt::fuse(receiver.next()) => frames,
+                }
+            };
+            match timeout(HOST_SILENCE, Box::pin(next)).await {
+                Ok(Ok(frames)) => self.take(&host, sender, frames),
+                Ok(Err(error)) => break error,
+                Err(_) => break Error::Timeout,
+            }
+        };
+        let now = self.clock.now();
+        if let Some(reign) = self.reign.borrow_mut().as_mut() {
+            reign.lose(&host, sender, now);
+        }
+        error
+    }
+
+    fn welcome(&self, host: &str, zone: &str, version: u64, sender: &Sender) -> bool {
+        if !self.node.is_leader() {
+            return false;
+        }
+        let control = self.control_addresses();
+        let now = self.clock.now();
+        let mut reign = self.reign.borrow_mut();
+        let Some(reign) = reign.as_mut() else {
+            return false;
+        };
+        sender.send(Frame::Welcome {
+            term: self.node.term(),
+            control,
+        });
+        let entries = self.node.read(|machine| machine.roster().entries().cloned().collect());
+        reign.join(host, zone, version, entries, sender, now);
+        true
+    }
+
+    fn take(&self, host: &str, sender: &Sender, frames: Vec<Frame>) {
+        let now = self.clock.now();
+        let mut reign = self.reign.borrow_mut();
+        let Some(reign) = reign.as_mut() else {
+            sender.close();
+            return;
+        };
+        for frame in frames {
+            reign.take(host, sender, frame, now);
+        }
+    }
+
+    fn begin(&self, term: u64) {
+        let now = self.clock.now();
+        let reign = self.node.read(|machine| {
+            let publication = Rc::clone(&machine.published().publication);
+            Reign::new(self.policy, publication, machine.roster(), now)
+        });
+        info!(term, "desk_opened");
+        *self.reign.borrow_mut() = Some(reign);
+    }
+
+    fn end(&self, term: u64) {
+        if let Some(reign) = self.reign.borrow_mut().take() {
+            info!(term, hosts = reign.hosts(), "desk_closed");
+            reign.close();
+        }
+    }
+
+    fn applied(&self, reply: &Reply) {
+        let now = self.clock.now();
+        let mut reign = self.reign.borrow_mut();
+        let Some(reign) = reign.as_mut() else {
+            return;
+        };
+        match reply {
+            Reply::Published {
+                publication: Some(publication),
+            } => reign.publish(Rc::clone(publication), now),
+            Reply::Enrolled { changed } => reign.enrol(changed, now),
+            _ => {}
+        }
+    }
+}
+
+/// Tells a desk what its replica does.
+struct Watcher(Rc<Desk>);
+
+impl Observer for Watcher {
+    fn changed(&self, leadership: Leadership) {
+        self.0.end(leadership.term());
+        if let Leadership::Leader { term, .. } = leadership {
+            self.0.begin(term);
+        }
+    }
+
+    fn applied(&self, reply: &Reply) {
+        self.0.applied(reply);
+    }
+}
--- /dev/null
+++ b/programs/pb-control/src/desk/reign.rs
@@ -0,0 +1,342 @@
+//! What a leader keeps for the hosts that it serves.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use persimmonbend_core::dispatch::Answer;
+use persimmonbend_core::dispatch::Ask;
+use persimmonbend_core::dispatch::Decision;
+use persimmonbend_core::dispatch::Dispatcher;
+use persimmonbend_core::dispatch::End;
+use persimmonbend_core::dispatch::Policy;
+use persimmonbend_core::dispatch::Report;
+use persimmonbend_core::id::HostId;
+use persimmonbend_core::id::Incarnation;
+use persimmonbend_core::id::UpstreamId;
+use persimmonbend_core::id::Zone;
+use persimmonbend_core::publication::Delta;
+use persimmonbend_core::publication::Publication;
+use persimmonbend_core::publication::Version;
+use persimmonbend_core::roster::Entry;
+use persimmonbend_core::roster::Number;
+use persimmonbend_core::roster::Roster;
+use persimmonbend_core::steward::Ticket;
+use persimmonbend_core::upstream::Announcement;
+use persimmonbend_core::upstream::Stage;
+use persimmonbend_wire::dispatch;
+use persimmonbend_wire::dispatch::Frame;
+use persimmonbend_wire::dispatch::Reserve;
+use persimmonbend_wire::dispatch::Sender;
+use serde_json::json;
+use tracing::info;
+use tracing::warn;
+
+/// Least time between two pushes of configuration to one host, so that a storm of changes costs
+/// few bytes.
+const PUSH_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time between two beats to a host.
+const BEAT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A connected host.
+#[derive(Debug)]
+struct Link {
+    sender: Sender,
+    zone: Zone,
+    /// Publication that the host has.
+    sent: Rc<Publication>,
+    pushed: Instant,
+    beat: Instant,
+}
+
+/// The state of one reign.
+#[derive(Debug)]
+pub struct Reign {
+    dispatcher: Dispatcher,
+    publication: Rc<Publication>,
+    links: BTreeMap<HostId, Link>,
+    /// Latest announcement of each upstream.
+    latest: BTreeMap<UpstreamId, (Incarnation, u64)>,
+}
+
+impl Reign {
+    /// Creates the state of a leader that no host is connected to.
+    #[must_use]
+    pub fn new(
+        policy: Policy,
+        publication: Rc<Publication>,
+        roster: &Roster,
+        now: Instant,
+    ) -> Self {
+        let mut dispatcher = Dispatcher::new(policy);
+        dispatcher.publish(Rc::clone(&publication));
+        for entry in roster.entries() {
+            dispatcher.enrol(entry, now);
+        }
+        Self {
+            dispatcher,
+            publication,
+            links: BTreeMap::new(),
+            latest: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the number of connected hosts.
+    #[must_use]
+    pub fn hosts(&self) -> usize {
+        self.links.len()
+    }
+
+    /// Closes all connections.
+    pub fn close(&self) {
+        for link in self.links.values() {
+            link.sender.close();
+        }
+    }
+
+    /// Notes the number of an announcement; returns whether it is later than all before.
+    pub fn is_latest(&mut self, announcement: &Announcement) -> bool {
+        let number = (announcement.incarnation, announcement.sequence);
+        let latest = self.latest.entry(announcement.id.clone()).or_insert(number);
+        let newer = number >= *latest;
+        *latest = number.max(*latest);
+        newer
+    }
+
+    /// Notes that an upstream was heard from.
+    pub fn hear(&mut self, number: Number, now: Instant) {
+        self.dispatcher.hear(number, now);
+    }
+
+    /// Takes in a host and tells it what it does not know.
+    pub fn join(
+        &mut self,
+        host: &str,
+        zone: &str,
+        version: Version,
+        entries: Vec<Entry>,
+        sender: &Sender,
+        now: Instant,
+    ) {
+        let answers = self.dispatcher.part(host, now);
+        self.send(answers);
+        self.dispatcher.join(host);
+        let current = version == self.publication.version;
+        let sent = if current {
+            Rc::clone(&self.publication)
+        } else {
+            Rc::default()
+        };
+        let link = Link {
+            sender: sender.clone(),
+            zone: zone.to_owned(),
+            sent,
+            pushed: now.checked_sub(PUSH_PAUSE).unwrap_or(now),
+            beat: now,
+        };
+        sender.send(Frame::Upstreams(entries));
+        if let Some(old) = self.links.insert(host.to_owned(), link) {
+            old.sender.close();
+        }
+        self.push(now);
+        info!(host, zone, version, hosts = self.links.len(), "host_joined");
+    }
+
+    /// Gives up a host whose connection ended, unless a later one has replaced it.
+    pub fn lose(&mut self, host: &str, sender: &Sender, now: Instant) {
+        let own = self.links.get(host).is_some_and(|link| link.sender.is(sender));
+        if !own {
+            return;
+        }
+        self.links.remove(host);
+        info!(host, hosts = self.links.len(), "host_lost");
+        let answers = self.dispatcher.lose(host, now);
+        self.send(answers);
+    }
+
+    /// Takes in a frame of a host.
+    pub fn take(&mut self, host: &str, sender: &Sender, frame: Frame, now: Instant) {
+        let ticket = |number| Ticket {
+            host: host.to_owned(),
+            number,
+        };
+        let answers = match frame {
+            Frame::Reserve(reserve) => self.reserve(host, reserve, now),
+            Frame::Release {
+                number,
+                sign,
+                latency_ms,
+                bytes,
+            } => match dispatch::sign(sign) {
+                Ok(sign) => {
+                    let end = End {
+                        sign,
+                        latency: Duration::from_millis(u64::from(latency_ms)),
+                        bytes,
+                    };
+                    self.dispatcher.release(&ticket(number), &end, now)
+                }
+                Err(error) => {
+                    warn!(host, error = %error, "frame_refused");
+                    sender.close();
+                    Vec::new()
+                }
+            },
+            Frame::Hold {
+                number,
+                service,
+                upstream,
+                route,
+            } => {
+                let report = Report {
+                    ticket: ticket(number),
+                    service,
+                    upstream,
+                    route,
+                };
+                self.dispatcher.hold(report, now);
+                Vec::new()
+            }
+            Frame::Bye => {
+                let answers = self.dispatcher.part(host, now);
+                self.links.remove(host);
+                sender.close();
+                answers
+            }
+            Frame::Beat { .. } => Vec::new(),
+            other => {
+                warn!(host, frame = ?other, "frame_unexpected");
+                Vec::new()
+            }
+        };
+        self.send(answers);
+    }
+
+    /// Puts a publication in force.
+    pub fn publish(&mut self, publication: Rc<Publication>, now: Instant) {
+        info!(version = publication.version, "publication_in_force");
+        self.dispatcher.publish(Rc::clone(&publication));
+        self.publication = publication;
+        self.push(now);
+    }
+
+    /// Takes in changed upstreams and tells all hosts.
+    pub fn enrol(&mut self, changed: &[Entry], now: Instant) {
+        if changed.is_empty() {
+            return;
+        }
+        for entry in changed {
+            let said = &entry.announcement;
+            info!(
+                upstream = %said.id,
+                number = entry.number,
+                service = %said.service,
+                stage = ?said.stage,
+                incarnation = said.incarnation,
+                sequence = said.sequence,
+                "upstream_changed"
+            );
+            if said.stage == Stage::Left {
+                self.latest.remove(&said.id);
+            }
+            let answers = self.dispatcher.enrol(entry, now);
+            self.send(answers);
+        }
+        for link in self.links.values() {
+            link.sender.send(Frame::Upstreams(changed.to_vec()));
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Instant) {
+        let answers = self.dispatcher.tick(now);
+        self.send(answers);
+        self.push(now);
+        let hosts = u32::try_from(self.dispatcher.hosts()).unwrap_or(u32::MAX);
+        for link in self.links.values_mut() {
+            if now.saturating_duration_since(link.beat) >= BEAT_INTERVAL {
+                link.beat = now;
+                link.sender.send(Frame::Beat { hosts });
+            }
+        }
+    }
+
+    /// Returns the state for operators.
+    #[must_use]
+    pub fn status(&self, now: Instant) -> serde_json::Value {
+        let services = self.publication.services.keys();
+        let queued: BTreeMap<&String, usize> = services
+            .map(|service| (service, self.dispatcher.queued(service)))
+            .collect();
+        json!({
+            "version": self.publication.version,
+            "hosts": self.links.keys().collect::<Vec<_>>(),
+            "queued": queued,
+            "upstreams": self.dispatcher.dump(now),
+        })
+    }
+
+    fn reserve(&mut self, host: &str, reserve: Reserve, now: Instant) -> Vec<Answer> {
+        let zone = self.links.get(host).map(|link| link.zone.clone());
+        let waited = Duration::from_millis(u64::from(reserve.waited_ms));
+        let left = Duration::from_millis(u64::from(reserve.left_ms));
+        let ask = Ask {
+            ticket: Ticket {
+                host: host.to_owned(),
+                number: reserve.number,
+            },
+            zone: zone.unwrap_or_default(),
+            route: reserve.route,
+            service: reserve.service,
+            tenant: reserve.tenant,
+            arrived: now.checked_sub(waited).unwrap_or(now),
+            deadline: now + left,
+            attempts: u32::from(reserve.attempts),
+            repeat: reserve.repeat,
+            avoid: reserve.avoid,
+        };
+        self.dispatcher.reserve(ask, now)
+    }
+
+    fn push(&mut self, now: Instant) {
+        for link in self.links.values_mut() {
+            let behind = link.sent.version < self.publication.version;
+            if !behind || now.saturating_duration_since(link.pushed) < PUSH_PAUSE {
+                continue;
+            }
+            let delta = Delta::between(&link.sent, &self.publication);
+            link.sender.send(Frame::Published(Box::new(delta)));
+            link.sent = Rc::clone(&self.publication);
+            link.pushed = now;
+        }
+    }
+
+    fn send(&self, answers: Vec<Answer>) {
+        for answer in answers {
+            let Answer { ticket, decision } = answer;
+            let number = ticket.number;
+            let frame = match decision {
+                Decision::Granted { upstream, patience } => Frame::Granted {
+                    number,
+                    upstream,
+                    patience_ms: patience.map_or(0, dispatch::millis),
+                },
+                Decision::Queued => Frame::Queued { number },
+                Decision::Refused { kind, retry_after } => {
+                    let after_ms = dispatch::millis(retry_after);
+                    info!(host = %ticket.host, number, kind = %kind, after_ms, "ask_refused");
+                    Frame::Refused {
+                        number,
+                        kind: dispatch::kind_code(kind),
+                        after_ms,
+                    }
+                }
+            };
+            if let Some(link) = self.links.get(&ticket.host) {
+                link.sender.send(frame);
+            }
+        }
+    }
+}
--- a/programs/pb-control/src/leadership.rs
+++ b/programs/pb-control/src/leadership.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::time::Instant;
 
+use persimmonbend_core::machine::Reply;
+
 /// Number of a leader's reign; rises with each election.
 pub type Term = u64;
 
@@ -45,6 +47,9 @@
 pub trait Observer {
     /// Takes note of the new role.
     fn changed(&self, leadership: Leadership);
+
+    /// Takes note of a command that was applied.
+    fn applied(&self, _reply: &Reply) {}
 }
 
 impl fmt::Debug for dyn Observer {
--- a/programs/pb-control/src/lib.rs
+++ b/programs/pb-control/src/lib.rs
@@ -1,10 +1,12 @@
 //! The control replica: accepts changes, syncs them and hands them to the fleet.
 
+pub mod desk;
 pub mod error;
 pub mod issuer;
 pub mod leadership;
 pub mod links;
 pub mod node;
+pub mod port;
 pub mod records;
 pub mod replication;
 pub mod server;
@@ -15,18 +17,24 @@
 use std::rc::Rc;
 
 use anyhow::Context;
+use compio::runtime::spawn;
 use futures_util::FutureExt;
 use futures_util::pin_mut;
 use futures_util::select;
 use log::info;
+use persimmonbend_app::http::Server;
 use persimmonbend_app::stop::Stop;
+use persimmonbend_core::clock::Clock;
 use persimmonbend_core::clock::System;
 use persimmonbend_wire::listener::Listener;
 use persimmonbend_wire::listener::Roles;
 
+use crate::desk::Desk;
 use crate::issuer::Issuer;
 use crate::links::Links;
 use crate::node::Node;
+use crate::port::Dialect;
+use crate::port::Port;
 use crate::records::Records;
 use crate::replication::Replication;
 use crate::settings::Settings;
@@ -60,7 +68,42 @@
 where
     B: FnOnce(SocketAddr),
 {
-    let node = Rc::new(Node::open(&settings, Rc::new(System))?);
+    serve(socket, settings, None, stop, bound).await
+}
+
+/// A port for operators and upstreams.
+#[derive(Debug, Clone)]
+pub struct Front {
+    /// Address that it listens on.
+    pub listen: SocketAddr,
+    /// The platform's calls and answers.
+    pub dialect: Rc<dyn Dialect>,
+}
+
+/// Runs a replica with a port for operators and upstreams until `stop` is asked for.
+///
+/// # Errors
+///
+/// Returns an error as [`run`] does.
+pub async fn run_with(settings: Settings, front: Front, stop: Stop) -> anyhow::Result<()> {
+    let socket = TcpListener::bind(settings.listen)
+        .with_context(|| format!("cannot listen on {}", settings.listen))?;
+    serve(socket, settings, Some(front), stop, |_| ()).await
+}
+
+async fn serve<B>(
+    socket: TcpListener,
+    settings: Settings,
+    front: Option<Front>,
+    stop: Stop,
+    bound: B,
+) -> anyhow::Result<()>
+where
+    B: FnOnce(SocketAddr),
+{
+    let clock: Rc<dyn Clock> = Rc::new(System);
+    let node = Rc::new(Node::open(&settings, Rc::clone(&clock))?);
+    let desk = Desk::new(Rc::clone(&node), clock, settings.policy);
     let issuer = Issuer::new(Rc::clone(&node), Rc::new(System), settings.seats);
     let records = Records::new(Rc::clone(&node), Rc::new(System));
     let listener = Listener::adopt(socket, settings.secret.clone())?;
@@ -71,6 +114,22 @@
         node.revision()
     );
     bound(address);
+    let ended = Stop::new();
+    let mut background = vec![spawn({
+        let desk = Rc::clone(&desk);
+        async move { desk.run().await }
+    })];
+    if let Some(front) = front {
+        let port = Port::new(
+            Rc::clone(&node),
+            Rc::clone(&desk),
+            front.dialect,
+            front.listen,
+        );
+        let server = Server::bind(front.listen).await;
+        let server = server.with_context(|| format!("cannot listen on {}", front.listen))?;
+        background.push(spawn(server.serve(Rc::new(port), ended.clone())));
+    }
     let links = Rc::new(Links::new(Rc::clone(&node), &settings));
     let replication = Rc::new(Replication::new(Rc::clone(&node), links));
     let roles = Roles {
@@ -82,7 +141,11 @@
         )),
         peer: None,
     };
-    let serving = listener.roles(roles).serve().fuse();
+    let serving = listener
+        .roles(roles)
+        .dispatch(desk.handler())
+        .serve()
+        .fuse();
     let replicating = replication.run().fuse();
     let work = async {
         pin_mut!(serving, replicating);
@@ -92,6 +155,7 @@
         }
     };
     let result = stop.until(work).await.unwrap_or(Ok(()));
+    drop(background);
     info!("control: {} stopped", settings.host);
     result
 }
--- a/programs/pb-control/src/links.rs
+++ b/programs/pb-control/src/links.rs
@@ -29,6 +29,9 @@
 /// Messages kept for one host; the oldest are dropped first.
 const MAX_QUEUE: usize = 256;
 
+/// Addresses of replicas that are remembered beyond those of the settings and the members.
+const MAX_LEARNED: usize = 256;
+
 /// Time for a batch to be acknowledged.
 const BATCH_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -66,13 +69,25 @@
         }
     }
 
-    /// Learns the address of a replica that asks to be taken in.
+    /// Learns the addresses of a replica that asks to be taken in, or of members to ask.
     pub fn learn(&self, message: &Message) {
-        if let Body::Hello { address } = &message.body
-            && let Ok(address) = address.parse()
+        match &message.body {
+            Body::Hello { address } => self.learn_one(&message.from.host, address),
+            Body::Contacts(contacts) => {
+                for contact in contacts {
+                    self.learn_one(&contact.host, &contact.address);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn learn_one(&self, host: &HostId, address: &str) {
+        let mut learned = self.learned.borrow_mut();
+        if let Ok(address) = address.parse()
+            && (learned.len() < MAX_LEARNED || learned.contains_key(host))
         {
-            let host = message.from.host.clone();
-            self.learned.borrow_mut().insert(host, address);
+            learned.insert(host.clone(), address);
         }
     }
 
--- a/programs/pb-control/src/node.rs
+++ b/programs/pb-control/src/node.rs
@@ -7,13 +7,16 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use anyhow::Context;
+use anyhow::bail;
 use event_listener::Event;
 use futures_channel::oneshot;
+use log::debug;
 use log::info;
 use persimmonbend_core::clock::Clock;
 use persimmonbend_core::config::Outcome;
@@ -56,9 +59,15 @@
 /// Time after the leader was heard for which a follower serves the configuration.
 const CURRENT: Duration = Duration::from_secs(2);
 
+/// Time after a leader was heard for which callers are sent to it.
+const HINT_AGE: Duration = Duration::from_millis(600);
+
 /// Entries after which the log is replaced by a snapshot.
 const COMPACT_ENTRIES: usize = 4_096;
 
+/// Bytes of entries after which the log is replaced by a snapshot.
+const COMPACT_BYTES: usize = 8 * 1024 * 1024;
+
 /// Steps in which a single replica founds or restores its log.
 const OPENING_STEPS: usize = 4;
 
@@ -66,6 +75,7 @@
 #[derive(Debug)]
 pub struct Node {
     host: HostId,
+    folder: PathBuf,
     clock: Rc<dyn Clock>,
     replica: RefCell<Replica>,
     applied: RefCell<Applied>,
@@ -99,6 +109,7 @@
         )?;
         let node = Self {
             host: settings.host.clone(),
+            folder: folder.clone(),
             clock,
             replica: RefCell::new(replica),
             applied: RefCell::new(Applied::new()),
@@ -173,6 +184,17 @@
         replica.leader_address().unwrap_or_default().to_owned()
     }
 
+    /// Returns the address of the leader if it was heard lately and is another replica.
+    #[must_use]
+    pub fn fresh_leader_hint(&self) -> Option<SocketAddr> {
+        let replica = self.replica.borrow();
+        let heard = replica.heard()?;
+        let age = self.clock.now().saturating_duration_since(heard);
+        let address = replica.leader_address()?.parse().ok()?;
+        let other = replica.leader_address() != Some(replica.address());
+        (age < HINT_AGE && other).then_some(address)
+    }
+
     /// Fails on a replica that does not lead.
     ///
     /// # Errors
@@ -322,12 +344,30 @@
                 return Err(error).context("the replica stopped");
             }
         };
+        if self.replica.borrow().is_removed() {
+            Files::discard(&self.folder).context("the data folder cannot be emptied")?;
+            bail!("this replica was removed from the log; its data folder was emptied");
+        }
         let messages = self.take(output)?;
         self.compact()?;
         self.tell_leadership();
         Ok(messages)
     }
 
+    /// Proposes the change of members that is due, if one is; the next follows once it is
+    /// committed.
+    pub fn tend_members(&self) {
+        let due = self.replica.borrow().due_change();
+        let Some(change) = due else {
+            return;
+        };
+        match self.replica.borrow_mut().change(&change) {
+            Ok(_) => info!("control: members: {change:?}"),
+            Err(refusal) => debug!("control: members: {change:?} has to wait: {refusal}"),
+        }
+        self.work.notify(usize::MAX);
+    }
+
     /// Returns the addresses of the members of the log.
     #[must_use]
     pub fn member_addresses(&self) -> Vec<(HostId, String)> {
@@ -395,6 +435,9 @@
             Payload::Empty | Payload::Members(_) => Reply::Applied,
         };
         self.announce(&reply);
+        for observer in self.observers.borrow().iter() {
+            observer.applied(&reply);
+        }
         let mut proposals = self.proposals.borrow_mut();
         proposals.settle(entry.term, entry.index, reply);
         Ok(())
@@ -414,7 +457,9 @@
 
     fn compact(&self) -> anyhow::Result<()> {
         let mut replica = self.replica.borrow_mut();
-        if replica.log().entries().len() < COMPACT_ENTRIES {
+        let entries = replica.log().entries();
+        let bytes = || entries.iter().map(Entry::size).sum::<usize>();
+        if entries.len() < COMPACT_ENTRIES && bytes() < COMPACT_BYTES {
             return Ok(());
         }
         let applied = replica.commit();
@@ -475,6 +520,8 @@
                 address: one.address.to_string(),
             })
             .collect(),
+        founder: settings.founder,
+        voters: settings.voters,
         limits: Limits::default(),
         seed: rand::random(),
     }
--- /dev/null
+++ b/programs/pb-control/src/port.rs
@@ -0,0 +1,230 @@
+//! The port for operators and upstreams.
+//!
+//! A [`Dialect`] reads the calls of a platform and writes its answers; [`Port`] decides what
+//! becomes of them. Only the leader answers. The others name it, as long as they hear it, and say
+//! otherwise that they cannot tell.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compio::time::timeout;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use persimmonbend_app::http::Body;
+use persimmonbend_app::http::Handler;
+use persimmonbend_core::id::UpstreamId;
+use persimmonbend_core::machine::Command;
+use persimmonbend_core::machine::Published;
+use persimmonbend_core::publication::Version;
+use persimmonbend_core::roster::Reception;
+use persimmonbend_core::upstream::Announcement;
+use tracing::info;
+use tracing::warn;
+
+use crate::desk::Desk;
+use crate::error::Error;
+use crate::node::Node;
+
+/// Largest body in bytes: a configuration of the target size with 6,100 routes takes about 2 MB.
+const MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
+
+/// Time for a body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What a call asks for.
+#[derive(Debug)]
+pub enum Call {
+    /// Puts a publication in force.
+    Publish(Box<Published>),
+    /// Reads the publication in force.
+    Read,
+    /// An upstream says something of itself.
+    Announce(Announcement),
+    /// An upstream leaves.
+    Part(UpstreamId),
+}
+
+/// Why a call is not taken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fault {
+    /// There is no such call.
+    Unknown,
+    /// The call cannot be read or makes no sense.
+    Invalid(String),
+}
+
+/// What became of a call.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The call is done; for a publication with the version in force.
+    Done(Option<Version>),
+    /// The announcement is taken in; the next one had better come to this address.
+    Heard(SocketAddr),
+    /// The document of the publication in force.
+    Document(String),
+    /// Another replica answers such calls.
+    Elsewhere(SocketAddr),
+    /// Nobody is known to answer such calls now.
+    Unavailable,
+    /// The call is not taken.
+    Refused(Fault),
+}
+
+/// Reads the calls of a platform and writes its answers.
+pub trait Dialect: fmt::Debug {
+    /// Reads a call.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call cannot be taken.
+    fn read(&self, head: &Parts, body: &Bytes) -> Result<Call, Fault>;
+
+    /// Writes an answer to the call with the given head.
+    fn write(&self, head: &Parts, outcome: Outcome) -> Response<Body>;
+}
+
+/// Answers operators and upstreams.
+pub struct Port {
+    node: Rc<Node>,
+    desk: Rc<Desk>,
+    dialect: Rc<dyn Dialect>,
+    /// Address that this replica serves such calls on; all replicas use the same port number.
+    address: SocketAddr,
+}
+
+impl Port {
+    /// Creates the handler of a replica that serves such calls on `address`.
+    #[must_use]
+    pub const fn new(
+        node: Rc<Node>,
+        desk: Rc<Desk>,
+        dialect: Rc<dyn Dialect>,
+        address: SocketAddr,
+    ) -> Self {
+        Self {
+            node,
+            desk,
+            dialect,
+            address,
+        }
+    }
+
+    async fn run(&self, head: &Parts, body: Incoming) -> Outcome {
+        let reading = Limited::new(body, MAX_BODY_BYTES).collect();
+        let Ok(Ok(body)) = timeout(BODY_TIMEOUT, reading).await else {
+            return Outcome::Refused(Fault::Invalid("the body is not whole".to_owned()));
+        };
+        if !self.node.is_leader() {
+            return self.elsewhere();
+        }
+        match self.dialect.read(head, &body.to_bytes()) {
+            Ok(call) => self.perform(call).await,
+            Err(fault) => {
+                warn!(path = head.uri.path(), fault = ?fault, "call_refused");
+                Outcome::Refused(fault)
+            }
+        }
+    }
+
+    async fn perform(&self, call: Call) -> Outcome {
+        match call {
+            Call::Publish(published) => self.publish(*published).await,
+            Call::Read => self.read(),
+            Call::Announce(announcement) => self.announce(announcement).await,
+            Call::Part(id) => self.part(id).await,
+        }
+    }
+
+    async fn publish(&self, published: Published) -> Outcome {
+        let version = published.publication.version;
+        if let Err(faults) = published.publication.check() {
+            let reason = faults.to_string();
+            warn!(version, reason, "publication_refused");
+            return Outcome::Refused(Fault::Invalid(reason));
+        }
+        let known = self.version();
+        if version > known {
+            let published = Rc::new(published);
+            if let Err(outcome) = self.propose(Command::Publish { published }).await {
+                return outcome;
+            }
+        }
+        let in_force = self.version();
+        info!(version, known, in_force, "publication_acknowledged");
+        Outcome::Done(Some(in_force))
+    }
+
+    fn read(&self) -> Outcome {
+        let published = self.node.read(|machine| Rc::clone(machine.published()));
+        if published.publication.version == 0 || !self.node.is_leader() {
+            return Outcome::Unavailable;
+        }
+        Outcome::Document(published.document.clone())
+    }
+
+    async fn announce(&self, announcement: Announcement) -> Outcome {
+        let id = announcement.id.clone();
+        match self.desk.hear(&announcement) {
+            Reception::Renewal => return Outcome::Heard(self.address),
+            Reception::Outdated => {
+                info!(
+                    upstream = %id,
+                    incarnation = announcement.incarnation,
+                    sequence = announcement.sequence,
+                    "announcement_outdated"
+                );
+                return Outcome::Done(None);
+            }
+            Reception::News => {}
+        }
+        match self.propose(Command::Announce { announcement }).await {
+            Ok(()) => Outcome::Heard(self.address),
+            Err(outcome) => outcome,
+        }
+    }
+
+    async fn part(&self, id: UpstreamId) -> Outcome {
+        match self.propose(Command::Part { id }).await {
+            Ok(()) => Outcome::Done(None),
+            Err(outcome) => outcome,
+        }
+    }
+
+    async fn propose(&self, command: Command) -> Result<(), Outcome> {
+        match self.node.propose(command).await {
+            Ok(_) => Ok(()),
+            Err(Error::Invalid(reason)) => Err(Outcome::Refused(Fault::Invalid(reason))),
+            Err(error) => {
+                warn!(error = %error, "order_not_committed");
+                Err(Outcome::Unavailable)
+            }
+        }
+    }
+
+    fn version(&self) -> Version {
+        self.node
+            .read(|machine| machine.published().publication.version)
+    }
+
+    fn elsewhere(&self) -> Outcome {
+        let hint: Option<SocketAddr> = self.node.fresh_leader_hint();
+        hint.map_or(Outcome::Unavailable, |leader| {
+            Outcome::Elsewhere(SocketAddr::new(leader.ip(), self.address.port()))
+        })
+    }
+}
+
+impl Handler for Port {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        let outcome = self.run(&head, body).await;
+        self.dialect.write(&head, outcome)
+    }
+}
--- a/programs/pb-control/src/replication.rs
+++ b/programs/pb-control/src/replication.rs
@@ -43,6 +43,7 @@
     /// Returns the error of the disk.
     pub async fn run(&self) -> anyhow::Result<()> {
         loop {
+            self.node.tend_members();
             for message in self.node.advance()? {
                 self.links.send(message);
             }
--- a/programs/pb-control/src/settings.rs
+++ b/programs/pb-control/src/settings.rs
@@ -3,14 +3,29 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use persimmonbend_app::secret;
+use persimmonbend_core::dispatch::Bounds;
+use persimmonbend_core::dispatch::Policy;
 use persimmonbend_core::fault::Faults;
 use persimmonbend_core::id::HostId;
 use persimmonbend_wire::handshake::Secret;
 use serde::Deserialize;
 
 const DEFAULT_SEATS: u32 = 64;
+
+/// Placing without settings of an operator: repeats as the proxies' own budget, and three missed
+/// announcements of upstreams that announce themselves every 2 s.
+const DEFAULT_POLICY: Policy = Policy {
+    repeats: Bounds {
+        ratio: 0.1,
+        extra: 20.0,
+    },
+    silence: Duration::from_secs(6),
+    first_burst: 0.5,
+};
+
 /// Most control replicas.
 const MAX_REPLICAS: usize = 16;
 
@@ -60,6 +75,12 @@
     pub seats: u32,
     /// All control replicas, this one among them; none for a single replica.
     pub replicas: Vec<Replica>,
+    /// Whether this replica may found a log with the others.
+    pub founder: bool,
+    /// Voters that the leader keeps up by itself; `None` leaves members to operators.
+    pub voters: Option<usize>,
+    /// How requests are placed.
+    pub policy: Policy,
 }
 
 impl TryFrom<File> for Settings {
@@ -79,6 +100,9 @@
             secret: Secret::from(secret),
             seats: file.seats.unwrap_or(DEFAULT_SEATS),
             replicas,
+            founder: true,
+            voters: None,
+            policy: DEFAULT_POLICY,
         });
         faults.into_result(settings)
     }
--- a/programs/pb-proxy/src/callers.rs
+++ b/programs/pb-proxy/src/callers.rs
@@ -12,6 +12,7 @@
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
+use hyper::Uri;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderName;
@@ -99,7 +100,7 @@
             target,
             tenant,
             key,
-            head: Rc::new(forwarded(head)),
+            head: Rc::new(without_key(head)),
             body,
             trace: Rc::clone(trace),
         };
@@ -152,11 +153,7 @@
         .uri
         .path_and_query()
         .map_or("", |target| target.as_str());
-    let headers = head
-        .headers
-        .iter()
-        .map(|(name, value)| name.as_str().len() + value.len());
-    if target.len() + headers.sum::<usize>() > MAX_HEAD_BYTES {
+    if head_bytes(head) > MAX_HEAD_BYTES {
         return Err(Kind::HeadTooLarge);
     }
     if !target.starts_with('/') || auth::in_target(target) {
@@ -165,6 +162,21 @@
     Ok(())
 }
 
+/// Returns the bytes of a head's target and headers.
+pub(crate) fn head_bytes(head: &Parts) -> usize {
+    let target = head.uri.path_and_query();
+    let target = target.map_or(0, |target| target.as_str().len());
+    let headers = head.headers.iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len());
+    target + headers.sum::<usize>()
+}
+
+/// Returns the target as it is sent to an upstream.
+pub(crate) fn origin_form(uri: &Uri) -> Uri {
+    let target = uri.path_and_query().cloned();
+    target.map_or_else(|| uri.clone(), Uri::from)
+}
+
 async fn read(body: Incoming, limit: usize) -> Result<Bytes, Kind> {
     let reading = Limited::new(body, limit).collect();
     let collected = timeout(BODY_TIMEOUT, reading)
@@ -184,15 +196,21 @@
     started + asked.map_or(own, |millis| own.min(Duration::from_millis(millis)))
 }
 
-fn forwarded(mut head: Parts) -> Parts {
+fn without_key(mut head: Parts) -> Parts {
     auth::strip(&mut head.headers);
+    forwarded(head)
+}
+
+/// Returns a head without what concerns the client's connection only.
+pub(crate) fn forwarded(mut head: Parts) -> Parts {
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(hyper::header::CONTENT_LENGTH);
     head.headers.remove(hyper::header::EXPECT);
     head
 }
 
-fn strip_hop_by_hop(headers: &mut HeaderMap) {
+/// Removes the headers that concern one connection only.
+pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let listed: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .iter()
--- a/programs/pb-proxy/src/forward.rs
+++ b/programs/pb-proxy/src/forward.rs
@@ -40,6 +40,9 @@
 /// Header that tells an upstream how many milliseconds are left.
 pub const DEADLINE_HEADER: &str = "x-request-deadline-ms";
 
+/// Time that a new connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Age up to which an idle connection is used again.
 const POOLED_LIFETIME: Duration = Duration::from_secs(20);
 
@@ -266,7 +269,10 @@
     if !fresh && let Some(connection) = node.pool().take(address, lifetime, node.now()) {
         return Ok(connection);
     }
-    let connected = node.pool().connect(address, node.now()).await;
+    let connected = node
+        .pool()
+        .connect(address, CONNECT_TIMEOUT, node.now())
+        .await;
     connected.map_err(|error| {
         debug!(
             "forward: cannot connect to {}: {error}",
--- /dev/null
+++ b/programs/pb-proxy/src/gateway.rs
@@ -0,0 +1,129 @@
+//! The proxy on a platform: requests are placed by the dispatcher on the leader of control.
+//!
+//! Unlike the proxy of service files, which asks stewards among the proxies, a gateway takes its
+//! configuration as one [`Publication`](persimmonbend_core::publication::Publication) and speaks to
+//! clients and upstreams in the words of a [`Dialect`].
+
+pub mod checks;
+pub mod clients;
+pub mod desk;
+pub mod dialect;
+pub mod exchange;
+pub mod forward;
+pub mod meters;
+pub mod record;
+pub mod settings;
+pub mod state;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Context;
+use compio::runtime::spawn;
+use compio::time::timeout;
+use persimmonbend_app::http::Limits;
+use persimmonbend_app::http::Server;
+use persimmonbend_app::stop::Stop;
+use persimmonbend_core::clock::System;
+use tracing::info;
+use tracing::warn;
+
+use crate::gateway::checks::Checks;
+use crate::gateway::clients::Clients;
+use crate::gateway::dialect::Dialect;
+use crate::gateway::meters::Report;
+use crate::gateway::settings::Settings;
+use crate::gateway::state::State;
+
+/// Time between two sweeps of idle connections.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time kept between the end of the last request and the end of the grace period.
+const GRACE_MARGIN: Duration = Duration::from_millis(150);
+
+/// Runs a gateway until `stop` is asked for and its last request has ended.
+///
+/// # Errors
+///
+/// Returns an error when an address cannot be bound.
+pub async fn run(settings: Settings, dialect: Rc<dyn Dialect>, stop: Stop) -> anyhow::Result<()> {
+    let clients = bind(settings.clients).await?;
+    let checks = bind(settings.checks).await?;
+    let metrics = match settings.metrics {
+        Some(address) => Some(bind(address).await?),
+        None => None,
+    };
+    info!(
+        host = settings.host,
+        zone = settings.zone,
+        clients = %settings.clients,
+        seeds = ?settings.seeds.borrow(),
+        trusted_network = settings.secret.is_open(),
+        "started"
+    );
+    let grace = settings.grace;
+    let state = Rc::new(State::new(settings, dialect, Rc::new(System), stop));
+    let ended = Stop::new();
+    let mut background = vec![
+        spawn(desk::run(Rc::clone(&state))),
+        spawn(sweep(Rc::clone(&state))),
+        spawn(checks.serve(Rc::new(Checks::new(Rc::clone(&state))), ended.clone())),
+    ];
+    if let Some(metrics) = metrics {
+        let report = Rc::new(Report::new(Rc::clone(&state)));
+        background.push(spawn(metrics.serve(report, ended.clone())));
+    }
+    let closing = spawn(close_after_notice(Rc::clone(&state)));
+    let serving = clients.serve(
+        Rc::new(Clients::new(Rc::clone(&state))),
+        state.closing().clone(),
+    );
+    let until_grace = async {
+        state.stop().asked().await;
+        compio::time::sleep(grace.saturating_sub(GRACE_MARGIN)).await;
+    };
+    futures_util::pin_mut!(serving, until_grace);
+    let _ = futures_util::future::select(serving, until_grace).await;
+    if state.running().get() > 0 {
+        warn!(running = state.running().get(), "stopped_with_requests");
+    }
+    state.desk().say_bye();
+    compio::time::sleep(LAST_WORDS).await;
+    drop(closing);
+    drop(background);
+    info!(host = state.settings().host, "stopped");
+    Ok(())
+}
+
+/// Time for the last frames to leave.
+const LAST_WORDS: Duration = Duration::from_millis(20);
+
+async fn bind(address: SocketAddr) -> anyhow::Result<Server> {
+    let server = Server::bind(address).await;
+    let server = server.with_context(|| format!("cannot listen on {address}"))?;
+    Ok(server.limits(Limits {
+        linger: Duration::from_millis(200),
+        ..Limits::default()
+    }))
+}
+
+async fn sweep(state: Rc<State>) {
+    loop {
+        compio::time::sleep(SWEEP_INTERVAL).await;
+        state.pool().sweep(state.now());
+    }
+}
+
+/// Closes the clients' port once the balancer has had time to notice that the host is not ready.
+async fn close_after_notice(state: Rc<State>) {
+    state.stop().asked().await;
+    let notice = state.settings().notice;
+    info!(
+        running = state.running().get(),
+        notice_ms = u64::try_from(notice.as_millis()).unwrap_or(u64::MAX),
+        "stopping"
+    );
+    let _ = timeout(notice, std::future::pending::<()>()).await;
+    state.closing().ask();
+}
--- /dev/null
+++ b/programs/pb-proxy/src/gateway/checks.rs
@@ -0,0 +1,41 @@
+//! The port for the balancer's checks.
+
+use std::rc::Rc;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use persimmonbend_app::http;
+use persimmonbend_app::http::Body;
+use persimmonbend_app::http::Handler;
+use serde_json::json;
+
+use crate::gateway::state::State;
+
+/// Answers the balancer, and operators who want the state.
+#[derive(Debug)]
+pub struct Checks {
+    state: Rc<State>,
+}
+
+impl Checks {
+    /// Creates the handler of a gateway.
+    #[must_use]
+    pub const fn new(state: Rc<State>) -> Self {
+        Self { state }
+    }
+}
+
+impl Handler for Checks {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let (head, _) = request.into_parts();
+        if self.state.dialect().is_ready_check(&head) {
+            let status = if self.state.is_ready() { 200 } else { 503 };
+            return http::json(status, &json!({ "ready": status == 200 }));
+        }
+        match head.uri.path() {
+            "/dump" => http::json(200, &self.state.dump()),
+            _ => http::json(404, &json!({ "error": "there is no such page" })),
+        }
+    }
+}
--- /dev/null
+++ b/programs/pb-proxy/src/gateway/clients.rs
@@ -0,0 +1,226 @@
+//! The clients' port: from a request to its whole answer or a truthful refusal.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use compio::time::timeout;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::http::request::Parts;
+use persimmonbend_app::http;
+use persimmonbend_app::http::Body;
+use persimmonbend_app::http::Handler;
+use persimmonbend_app::http::Limits;
+use persimmonbend_core::error::Kind;
+use persimmonbend_core::id::RouteId;
+use persimmonbend_core::id::TenantId;
+use persimmonbend_core::publication;
+use persimmonbend_core::publication::Route;
+
+use crate::callers;
+use crate::gateway::dialect::Asked;
+use crate::gateway::dialect::Key;
+use crate::gateway::forward;
+use crate::gateway::forward::Failure;
+use crate::gateway::forward::Plan;
+use crate::gateway::record::Record;
+use crate::gateway::state::InForce;
+use crate::gateway::state::State;
+
+/// Time before a deadline at which the client is answered, so that the answer still reaches it.
+const ANSWER_MARGIN: Duration = Duration::from_millis(30);
+
+/// Largest body that is held, in bytes; a host has 160 MB or more and a few dozen clients.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Connections of clients at a time; upstreams and files need descriptors too.
+const MAX_CLIENTS: usize = 2_500;
+
+/// Room that a request head needs in the read buffer beyond what the limits allow.
+const HEAD_ROOM_BYTES: usize = 4 * 1024;
+
+/// Answers clients.
+#[derive(Debug)]
+pub struct Clients {
+    state: Rc<State>,
+}
+
+/// Where a request goes.
+struct Target {
+    name: RouteId,
+    route: Route,
+    tenant: Option<TenantId>,
+}
+
+impl Clients {
+    /// Creates the handler of a gateway.
+    #[must_use]
+    pub const fn new(state: Rc<State>) -> Self {
+        Self { state }
+    }
+
+    async fn run(
+        &self,
+        head: Parts,
+        body: Incoming,
+        asked: &Asked,
+        record: &Record,
+    ) -> Result<Response<Body>, Failure> {
+        let in_force = self.state.in_force();
+        if in_force.publication.version == 0 {
+            return Err(Failure::from(Kind::NotReady));
+        }
+        let limits = in_force.publication.limits;
+        check_head(&head, limits.head_bytes)?;
+        let target = self.target(&in_force, &head, asked)?;
+        record.note_route(&target.name, target.tenant.as_ref());
+        let wait = asked.patience.unwrap_or(target.route.timeout);
+        let wait = wait.min(target.route.timeout);
+        let deadline = record.arrived() + wait.saturating_sub(ANSWER_MARGIN);
+        let limit = limits.body_bytes.min(MAX_BODY_BYTES);
+        let body = self.read(body, limit, deadline).await?;
+        let service = target.route.pick(self.state.draw()).cloned();
+        let service = service.ok_or_else(|| Failure::from(Kind::NoUpstream))?;
+        let plan = Plan {
+            route_name: target.name,
+            route: target.route,
+            service,
+            tenant: target.tenant,
+            head: callers::forwarded(head),
+            body,
+            deadline,
+        };
+        forward::send(&self.state, &plan, asked, record).await
+    }
+
+    fn target(&self, in_force: &InForce, head: &Parts, asked: &Asked) -> Result<Target, Failure> {
+        let host = host(head).ok_or_else(|| Failure::from(Kind::Malformed))?;
+        let name = in_force.table.find(host, head.uri.path());
+        let found = name.and_then(|name| in_force.publication.routes.get_key_value(name));
+        let Some((name, route)) = found else {
+            return Err(self.unless_behind(Kind::UnknownRoute));
+        };
+        let tenant = if route.open {
+            None
+        } else {
+            Some(self.tenant(in_force, asked)?)
+        };
+        Ok(Target {
+            name: name.clone(),
+            route: route.clone(),
+            tenant,
+        })
+    }
+
+    fn tenant(&self, in_force: &InForce, asked: &Asked) -> Result<TenantId, Failure> {
+        match &asked.key {
+            Key::Missing if in_force.publication.tenants.is_empty() => Ok(TenantId::new()),
+            Key::Missing => Err(Failure::from(Kind::KeyMissing)),
+            Key::Malformed => Err(Failure::from(Kind::KeyUnknown)),
+            Key::Presented(digest) => {
+                let tenant = in_force.keys.get(digest);
+                let tenant = tenant.cloned();
+                tenant.ok_or_else(|| self.unless_behind(Kind::KeyUnknown))
+            }
+        }
+    }
+
+    /// Returns the refusal of what the publication in force does not hold; a host that may have
+    /// missed a newer one cannot say so.
+    fn unless_behind(&self, kind: Kind) -> Failure {
+        if self.state.is_current() {
+            Failure::from(kind)
+        } else {
+            Failure::from(Kind::OutOfTouch)
+        }
+    }
+
+    async fn read(
+        &self,
+        body: Incoming,
+        limit: usize,
+        deadline: Instant,
+    ) -> Result<Bytes, Failure> {
+        let left = deadline.saturating_duration_since(self.state.now());
+        let reading = Limited::new(body, limit).collect();
+        let collected = timeout(left, reading).await;
+        let collected = collected.map_err(|_| Failure::from(Kind::BodyTimeout))?;
+        match collected {
+            Ok(body) => Ok(body.to_bytes()),
+            Err(error) if error.is::<LengthLimitError>() => Err(Failure::from(Kind::BodyTooLarge)),
+            Err(_) => Err(Failure::from(Kind::BodyTruncated)),
+        }
+    }
+}
+
+impl Handler for Clients {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        let asked = self.state.dialect().read(&head.headers);
+        let name = asked.id.clone().unwrap_or_default();
+        let record = Record::new(&self.state, name);
+        let outcome = self.run(head, body, &asked, &record).await;
+        let mut response = match outcome {
+            Ok(response) => {
+                record.end(Ok(response.status().as_u16()));
+                response
+            }
+            Err(failure) => {
+                record.end(Err(failure.kind));
+                let dialect = self.state.dialect();
+                dialect.refuse(&asked, failure.kind, failure.retry_after)
+            }
+        };
+        if self.state.stop().is_asked() {
+            http::say_last(&mut response);
+        }
+        response
+    }
+
+    fn limits(&self) -> Option<Limits> {
+        let limits = self.state.in_force().publication.limits;
+        Some(Limits {
+            head_buffer_bytes: limits.head_bytes + HEAD_ROOM_BYTES,
+            head_timeout: limits.head_timeout,
+            idle_timeout: limits.idle_timeout,
+            close_cancels: true,
+            connections: MAX_CLIENTS,
+            ..Limits::default()
+        })
+    }
+}
+
+/// Returns the host that a request names, unless it names none or several.
+fn host(head: &Parts) -> Option<&str> {
+    if let Some(authority) = head.uri.authority() {
+        return Some(authority.as_str());
+    }
+    let mut hosts = head.headers.get_all(HOST).iter();
+    let host = hosts.next()?.to_str().ok()?;
+    hosts.next().is_none().then_some(host)
+}
+
+fn check_head(head: &Parts, limit: usize) -> Result<(), Failure> {
+    if callers::head_bytes(head) > limit {
+        return Err(Failure::from(Kind::HeadTooLarge));
+    }
+    let framed_twice = has_both_framings(&head.headers);
+    let path = head.uri.path();
+    if !path.starts_with('/') || publication::has_dot_segment(path) || framed_twice {
+        return Err(Failure::from(Kind::Malformed));
+    }
+    Ok(())
+}
+
+fn has_both_framings(headers: &HeaderMap) -> bool {
+    let has = |name| headers.contains_key(name);
+    has(hyper::header::CONTENT_LENGTH) && has(hyper::header::TRANSFER_ENCODING)
+}
--- /dev/null
+++ b/programs/pb-proxy/src/gateway/desk/reservation.rs
@@ -0,0 +1,121 @@
+//! A slot that this host uses, given back when dropped.
+
+use std::cell::Cell;
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use persimmonbend_core::dispatch::End;
+use persimmonbend_core::health::Sign;
+use persimmonbend_core::id::UpstreamId;
+use persimmonbend_core::roster::Entry;
+use persimmonbend_core::roster::Number;
+use persimmonbend_wire::dispatch;
+use persimmonbend_wire::dispatch::Frame;
+
+use crate::gateway::state::State;
+
+/// A slot of an upstream.
+pub struct Reservation {
+    state: Rc<State>,
+    number: u32,
+    upstream: Number,
+    entry: Option<Entry>,
+    patience: Option<Duration>,
+    started: Instant,
+    ended: Cell<bool>,
+}
+
+impl Reservation {
+    pub(super) fn new(
+        state: &Rc<State>,
+        number: u32,
+        upstream: Number,
+        patience: Option<Duration>,
+    ) -> Self {
+        Self {
+            state: Rc::clone(state),
+            number,
+            upstream,
+            entry: None,
+            patience,
+            started: state.now(),
+            ended: Cell::new(false),
+        }
+    }
+
+    #[must_use]
+    pub(super) fn at(mut self, entry: Entry) -> Self {
+        self.entry = Some(entry);
+        self
+    }
+
+    /// Returns the number of the upstream.
+    #[must_use]
+    pub const fn upstream(&self) -> Number {
+        self.upstream
+    }
+
+    /// Returns the name of the upstream.
+    #[must_use]
+    pub fn id(&self) -> UpstreamId {
+        let entry = self.entry.as_ref();
+        entry.map_or_else(String::new, |entry| entry.announcement.id.clone())
+    }
+
+    /// Returns the address of the upstream.
+    #[must_use]
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.entry.as_ref().map(|entry| entry.announcement.address)
+    }
+
+    /// Returns the time after which another attempt is better than further waiting.
+    #[must_use]
+    pub const fn patience(&self) -> Option<Duration> {
+        self.patience
+    }
+
+    /// Gives the slot back and tells how the attempt ended; a second call does nothing.
+    pub fn end(&self, sign: Sign, bytes: usize) {
+        if self.ended.replace(true) {
+            return;
+        }
+        let now = self.state.now();
+        let end = End {
+            sign,
+            latency: now.saturating_duration_since(self.started),
+            bytes: u32::try_from(bytes).unwrap_or(u32::MAX),
+        };
+        let desk = self.state.desk();
+        desk.uses.borrow_mut().remove(&self.number);
+        if let Some(link) = desk.link.borrow().as_ref() {
+            link.send(Frame::Release {
+                number: self.number,
+                sign: dispatch::sign_code(sign),
+                latency_ms: dispatch::millis(end.latency),
+                bytes: end.bytes,
+            });
+        }
+        let ticket = desk.ticket(self.number);
+        let answers = desk.local.borrow_mut().release(&ticket, &end, now);
+        desk.deliver(answers);
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.end(Sign::Cancelled, 0);
+    }
+}
+
+impl fmt::Debug for Reservation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("Reservation")
+            .field("number", &self.number)
+            .field("upstream", &self.upstream)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/programs/pb-proxy/src/gateway/meters.rs
@@ -0,0 +1,115 @@
+//! Counters and latency histograms, served as text in the Prometheus format.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use persimmonbend_app::http;
+use persimmonbend_app::http::Body;
+use persimmonbend_app::http::Handler;
+use persimmonbend_app::meters::Counters;
+use persimmonbend_app::meters::Gauge;
+use persimmonbend_app::meters::Histogram;
+use persimmonbend_app::meters::Registry;
+use persimmonbend_core::error::Kind;
+
+use crate::gateway::state::State;
+
+/// Upper bounds of the buckets of latencies in seconds, from a near answer to a long timeout.
+const BUCKETS: [f64; 12] = [
+    0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 30.0,
+];
+
+/// Counters and histograms of one gateway.
+#[derive(Debug)]
+pub struct Meters {
+    registry: Registry,
+    requests: Counters,
+    attempts: Counters,
+    seconds: Histogram,
+    running: Gauge,
+    version: Gauge,
+    linked: Gauge,
+}
+
+impl Meters {
+    /// Creates meters that have counted nothing.
+    #[must_use]
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        Self {
+            requests: registry.counters(
+                "requests_total",
+                "Requests by how they ended: a status of an upstream or the code of an error.",
+                "outcome",
+            ),
+            attempts: registry.counters(
+                "attempts_total",
+                "Attempts at upstreams by how they ended.",
+                "outcome",
+            ),
+            seconds: registry.histogram(
+                "request_seconds",
+                "Time from a request's arrival to its answer, in seconds.",
+                &BUCKETS,
+            ),
+            running: registry.gauge("requests_running", "Requests that run now."),
+            version: registry.gauge("publication_version", "Version of the publication in force."),
+            linked: registry.gauge("control_heard", "1 while the leader of control is heard."),
+            registry,
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn count_request(&self, outcome: Result<u16, Kind>, took: Duration) {
+        match outcome {
+            Ok(status) => self.requests.add(&status.to_string()),
+            Err(kind) => self.requests.add(kind.answer().code),
+        }
+        self.seconds.observe(took.as_secs_f64());
+    }
+
+    /// Counts a request whose client left.
+    pub fn count_left(&self) {
+        self.requests.add("client_left");
+    }
+
+    /// Counts the end of an attempt.
+    pub fn count_attempt(&self, outcome: &str) {
+        self.attempts.add(outcome);
+    }
+}
+
+impl Default for Meters {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Serves the meters of a gateway.
+#[derive(Debug)]
+pub struct Report {
+    state: Rc<State>,
+}
+
+impl Report {
+    /// Creates the handler of a gateway.
+    #[must_use]
+    pub const fn new(state: Rc<State>) -> Self {
+        Self { state }
+    }
+}
+
+impl Handler for Report {
+    async fn handle(self: Rc<Self>, _request: Request<Incoming>) -> Response<Body> {
+        let meters = self.state.meters();
+        let running = u32::try_from(self.state.running().get()).unwrap_or(u32::MAX);
+        meters.running.set(f64::from(running));
+        #[allow(clippy::cast_precision_loss)]
+        meters.version.set(self.state.version() as f64);
+        meters.linked.set(f64::from(u8::from(self.state.is_current())));
+        http::answer(200, "text/plain; version=0.0.4", meters.registry.text())
+    }
+}
--- /dev/null
+++ b/programs/pb-proxy/src/gateway/record.rs
@@ -0,0 +1,114 @@
+//! What is noted of one request, from its arrival to its end.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Instant;
+
+use persimmonbend_core::error::Kind;
+use persimmonbend_core::id::RouteId;
+use persimmonbend_core::id::TenantId;
+use persimmonbend_wire::dispatch;
+use tracing::info;
+
+use crate::gateway::state::State;
+
+/// Notes one request; a record that is dropped before its end says that the client left.
+#[derive(Debug)]
+pub struct Record {
+    state: Rc<State>,
+    request: String,
+    arrived: Instant,
+    route: RefCell<RouteId>,
+    tenant: RefCell<Option<TenantId>>,
+    attempts: Cell<u32>,
+    ended: Cell<bool>,
+}
+
+impl Record {
+    /// Starts to note a request.
+    #[must_use]
+    pub fn new(state: &Rc<State>, request: String) -> Self {
+        state.running().set(state.running().get() + 1);
+        Self {
+            state: Rc::clone(state),
+            request,
+            arrived: state.now(),
+            route: RefCell::default(),
+            tenant: RefCell::default(),
+            attempts: Cell::new(0),
+            ended: Cell::new(false),
+        }
+    }
+
+    /// Returns the name of the request.
+    #[must_use]
+    pub fn request(&self) -> &str {
+        &self.request
+    }
+
+    /// Returns when the request arrived.
+    #[must_use]
+    pub const fn arrived(&self) -> Instant {
+        self.arrived
+    }
+
+    /// Notes where the request goes and for whom.
+    pub fn note_route(&self, route: &RouteId, tenant: Option<&TenantId>) {
+        self.route.borrow_mut().clone_from(route);
+        *self.tenant.borrow_mut() = tenant.cloned();
+    }
+
+    /// Notes how an attempt ended.
+    pub fn note_attempt(&self, upstream: &str, outcome: &str, took_ms: u32) {
+        self.attempts.set(self.attempts.get() + 1);
+        self.state.meters().count_attempt(outcome);
+        info!(
+            request = self.request,
+            upstream,
+            outcome,
+            took_ms,
+            attempt = self.attempts.get(),
+            "attempt_ended"
+        );
+    }
+
+    /// Notes the end of the request.
+    pub fn end(&self, outcome: Result<u16, Kind>) {
+        self.ended.set(true);
+        let took = self.state.now().saturating_duration_since(self.arrived);
+        self.state.meters().count_request(outcome, took);
+        let (status, error) = match outcome {
+            Ok(status) => (status, None),
+            Err(kind) => (kind.answer().status, Some(kind.answer().code)),
+        };
+        info!(
+            request = self.request,
+            route = *self.route.borrow(),
+            tenant = *self.tenant.borrow(),
+            version = self.state.version(),
+            status,
+            error,
+            attempts = self.attempts.get(),
+            took_ms = dispatch::millis(took),
+            "request_ended"
+        );
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        self.state.running().set(self.state.running().get().saturating_sub(1));
+        if !self.ended.get() {
+            self.state.meters().count_left();
+            let took = self.state.now().saturating_duration_since(self.arrived);
+            info!(
+                request = self.request,
+                route = *self.route.borrow(),
+                attempts = self.attempts.get(),
+                took_ms = dispatch::millis(took),
+                "client_left"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -0,0 +1,282 @@
+//! What the parts of a gateway share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::cell::RefMut;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use persimmonbend_app::stop::Stop;
+use persimmonbend_core::clock::Clock;
+use persimmonbend_core::id::TenantId;
+use persimmonbend_core::key::Digest;
+use persimmonbend_core::publication::Delta;
+use persimmonbend_core::publication::Publication;
+use persimmonbend_core::publication::Table;
+use persimmonbend_core::publication::Version;
+use persimmonbend_core::roster::Entry;
+use persimmonbend_core::roster::Number;
+use persimmonbend_core::upstream::Stage;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+use tracing::info;
+
+use crate::gateway::desk::Desk;
+use crate::gateway::dialect::Dialect;
+use crate::gateway::meters::Meters;
+use crate::gateway::settings::Settings;
+use crate::pool::Pool;
+
+/// Connections to one upstream, idle ones and those in use; a few hundred hosts share what an
+/// upstream takes.
+const CONNECTIONS_MAX: u32 = 4;
+
+/// Time without control after which this host no longer says that it is ready.
+const READY_WITHOUT_CONTROL: Duration = Duration::from_secs(4);
+
+/// Time without control after which routes and keys that are not known here may exist.
+const CURRENT: Duration = Duration::from_millis(1_500);
+
+/// A publication with what is looked up in it.
+#[derive(Debug, Default)]
+pub struct InForce {
+    /// The publication.
+    pub publication: Rc<Publication>,
+    /// Routes by host and prefix.
+    pub table: Table,
+    /// Tenants by the digests of their keys.
+    pub keys: BTreeMap<Digest, TenantId>,
+}
+
+impl From<Publication> for InForce {
+    fn from(publication: Publication) -> Self {
+        Self {
+            table: Table::from(&publication),
+            keys: publication.keys(),
+            publication: Rc::new(publication),
+        }
+    }
+}
+
+/// One gateway.
+pub struct State {
+    settings: Settings,
+    dialect: Rc<dyn Dialect>,
+    clock: Rc<dyn Clock>,
+    in_force: RefCell<Rc<InForce>>,
+    upstreams: RefCell<BTreeMap<Number, Entry>>,
+    desk: Desk,
+    pool: Pool,
+    meters: Meters,
+    rng: RefCell<ChaCha8Rng>,
+    running: Cell<usize>,
+    stop: Stop,
+    closing: Stop,
+}
+
+impl State {
+    /// Creates a gateway that has no configuration yet.
+    #[must_use]
+    pub fn new(
+        settings: Settings,
+        dialect: Rc<dyn Dialect>,
+        clock: Rc<dyn Clock>,
+        stop: Stop,
+    ) -> Self {
+        Self {
+            desk: Desk::new(&settings),
+            dialect,
+            clock,
+            in_force: RefCell::default(),
+            upstreams: RefCell::default(),
+            pool: Pool::new(CONNECTIONS_MAX),
+            meters: Meters::new(),
+            rng: RefCell::new(ChaCha8Rng::from_rng(&mut rand::rng())),
+            running: Cell::new(0),
+            settings,
+            stop,
+            closing: Stop::new(),
+        }
+    }
+
+    /// Returns the settings.
+    #[must_use]
+    pub const fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Returns the platform's way of speaking.
+    #[must_use]
+    pub fn dialect(&self) -> &dyn Dialect {
+        &*self.dialect
+    }
+
+    /// Returns the monotonic time.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Returns the publication in force.
+    #[must_use]
+    pub fn in_force(&self) -> Rc<InForce> {
+        Rc::clone(&self.in_force.borrow())
+    }
+
+    /// Returns the link to the dispatcher.
+    #[must_use]
+    pub const fn desk(&self) -> &Desk {
+        &self.desk
+    }
+
+    /// Returns the connections to upstreams.
+    #[must_use]
+    pub const fn pool(&self) -> &Pool {
+        &self.pool
+    }
+
+    /// Returns the counters and histograms.
+    #[must_use]
+    pub const fn meters(&self) -> &Meters {
+        &self.meters
+    }
+
+    /// Returns the stop that was asked for.
+    #[must_use]
+    pub const fn stop(&self) -> &Stop {
+        &self.stop
+    }
+
+    /// Returns the stop of the clients' port, which follows after the notice period.
+    #[must_use]
+    pub const fn closing(&self) -> &Stop {
+        &self.closing
+    }
+
+    /// Returns the count of requests that are running.
+    #[must_use]
+    pub const fn running(&self) -> &Cell<usize> {
+        &self.running
+    }
+
+    /// Returns a draw from 0 up to 1.
+    #[must_use]
+    pub fn draw(&self) -> f64 {
+        self.rng().random()
+    }
+
+    /// Returns the random generator; the borrow must not be held over an await.
+    pub fn rng(&self) -> RefMut<'_, ChaCha8Rng> {
+        self.rng.borrow_mut()
+    }
+
+    /// Returns an upstream that takes requests.
+    #[must_use]
+    pub fn upstream(&self, number: Number) -> Option<Entry> {
+        let upstreams = self.upstreams.borrow();
+        let entry = upstreams.get(&number)?;
+        entry
+            .announcement
+            .stage
+            .takes_requests()
+            .then(|| entry.clone())
+    }
+
+    /// Returns whether the balancer may send new clients here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let configured = self.in_force.borrow().publication.version > 0;
+        configured && !self.stop.is_asked() && self.desk.is_heard(READY_WITHOUT_CONTROL, self.now())
+    }
+
+    /// Returns whether the publication in force is known to be the newest one.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        self.desk.is_heard(CURRENT, self.now())
+    }
+
+    /// Returns the version of the publication in force, 0 before the first one.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.in_force.borrow().publication.version
+    }
+
+    /// Puts a change of the publication in force; returns whether it led on from what was there.
+    #[must_use]
+    pub fn publish(&self, delta: Delta) -> bool {
+        let current = self.in_force();
+        let blank = Publication::default();
+        let from = delta.from;
+        let base = if from == 0 {
+            &blank
+        } else {
+            &*current.publication
+        };
+        let Some(publication) = delta.apply(base) else {
+            return false;
+        };
+        let version = publication.version;
+        if version <= self.version() {
+            return true;
+        }
+        let in_force = Rc::new(InForce::from(publication));
+        self.desk.publish(Rc::clone(&in_force.publication));
+        *self.in_force.borrow_mut() = in_force;
+        info!(version, from, "publication_in_force");
+        true
+    }
+
+    /// Takes in upstreams; `whole` tells that there are no others.
+    pub fn enrol(&self, entries: Vec<Entry>, whole: bool) {
+        let mut upstreams = self.upstreams.borrow_mut();
+        if whole {
+            let named: Vec<Number> = entries.iter().map(|entry| entry.number).collect();
+            let gone = upstreams.extract_if(.., |number, _| !named.contains(number));
+            for (_, mut entry) in gone.collect::<Vec<_>>() {
+                entry.announcement.stage = Stage::Left;
+                self.desk.enrol(&entry, self.now());
+            }
+        }
+        for entry in entries {
+            self.desk.enrol(&entry, self.now());
+            if entry.announcement.stage == Stage::Left {
+                upstreams.remove(&entry.number);
+                self.pool.forget(entry.announcement.address);
+            } else {
+                upstreams.insert(entry.number, entry);
+            }
+        }
+    }
+
+    /// Returns the state for operators, without secrets.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        let in_force = self.in_force();
+        json!({
+            "host": self.settings.host,
+            "zone": self.settings.zone,
+            "ready": self.is_ready(),
+            "current": self.is_current(),
+            "stopping": self.stop.is_asked(),
+            "running": self.running.get(),
+            "version": in_force.publication.version,
+            "routes": in_force.publication.routes.len(),
+            "upstreams": self.upstreams.borrow().values().collect::<Vec<_>>(),
+            "desk": self.desk.status(self.now()),
+        })
+    }
+}
+
+impl fmt::Debug for State {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("State")
+            .field("host", &self.settings.host)
+            .finish_non_exhaustive()
+    }
+}
--- a/programs/pb-proxy/src/lib.rs
+++ b/programs/pb-proxy/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod control;
 pub mod explain;
 pub mod forward;
+pub mod gateway;
 pub mod gossip;
 pub mod links;
 pub mod metrics;
--- a/programs/pb-proxy/src/pool.rs
+++ b/programs/pb-proxy/src/pool.rs
@@ -19,9 +19,6 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 
-/// Time that a new connection may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Time after which an idle connection is closed.
 const IDLE_LIFETIME: Duration = Duration::from_secs(20);
 
@@ -115,11 +112,16 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when the upstream does not accept in time.
-    pub async fn connect(&self, address: SocketAddr, now: Instant) -> std::io::Result<Connection> {
+    /// Returns an error when the upstream does not accept within `limit`.
+    pub async fn connect(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+        now: Instant,
+    ) -> std::io::Result<Connection> {
         self.make_room(address);
         let place = Place::new(&self.open, address);
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        let stream = timeout(limit, TcpStream::connect(address))
             .await
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
         let _ = stream.set_nodelay(true);
--- a/programs/pb-proxy/src/slots/server.rs
+++ b/programs/pb-proxy/src/slots/server.rs
@@ -19,7 +19,7 @@
 use persimmonbend_core::steward::Release;
 use persimmonbend_core::steward::Ticket;
 use persimmonbend_wire::error::Error;
-use persimmonbend_wire::listener::SlotsHandler;
+use persimmonbend_wire::listener::Handler;
 use persimmonbend_wire::slots::Frame;
 use persimmonbend_wire::slots::channel;
 use persimmonbend_wire::slots::channel::Receiver;
@@ -44,7 +44,7 @@
 
 /// Returns the handler of slot connections.
 #[must_use]
-pub fn handler(node: Rc<Node>) -> SlotsHandler {
+pub fn handler(node: Rc<Node>) -> Handler {
     Rc::new(move |stream, from| {
         spawn(serve(Rc::clone(&node), stream, from)).detach();
     })
