--- a/crates/wire/src/channel.rs
+++ b/crates/wire/src/channel.rs
@@ -240,6 +240,8 @@
         loop {
             let mut buffer = std::mem::take(&mut self.buffer);
             buffer.clear();
+            // A call that was given up before has taken the buffer with it.
+            buffer.reserve(READ_BYTES);
             let BufResult(result, buffer) = self.stream.read(buffer).await;
             let length = result?;
             meter::add_received(length);
--- a/programs/pb-proxy/src/gateway/desk/link.rs
+++ b/programs/pb-proxy/src/gateway/desk/link.rs
@@ -150,25 +150,28 @@
     let mut beat = state.now();
     state.desk().heard.set(Some(beat));
     loop {
-        let now = state.now();
-        if now.saturating_duration_since(beat) >= BEAT_INTERVAL {
-            beat = now;
-            sender.send(Frame::Beat { hosts: 0 });
-            state.desk().tick(state);
-        }
-        match timeout(BEAT_INTERVAL, receiver.next()).await {
-            Ok(Ok(frames)) => {
-                state.desk().heard.set(Some(state.now()));
-                if let Err(error) = take(state, sender, frames, whole) {
-                    return error;
-                }
+        let mut next = Box::pin(receiver.next());
+        let frames = loop {
+            let now = state.now();
+            if now.saturating_duration_since(beat) >= BEAT_INTERVAL {
+                beat = now;
+                sender.send(Frame::Beat { hosts: 0 });
+                state.desk().tick(state);
             }
-            Ok(Err(error)) => return error,
-            Err(_) if !sender.is_open() => return Error::Timeout,
-            Err(_) if !state.desk().is_heard(LEADER_SILENCE, state.now()) => {
-                return Error::Timeout;
+            match timeout(BEAT_INTERVAL, &mut next).await {
+                Ok(Ok(frames)) => break frames,
+                Ok(Err(error)) => return error,
+                Err(_) if !sender.is_open() => return Error::Timeout,
+                Err(_) if !state.desk().is_heard(LEADER_SILENCE, state.now()) => {
+                    return Error::Timeout;
+                }
+                Err(_) => {}
             }
-            Err(_) => {}
+        };
+        drop(next);
+        state.desk().heard.set(Some(state.now()));
+        if let Err(error) = take(state, sender, frames, whole) {
+            return error;
         }
     }
 }
