--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -27,10 +27,14 @@
 const LATE: f64 = 1.25;
 
 /// Credit that a KiB between zones costs; between the prices of the two deployments.
-const TRANSFER_PER_KIB: f64 = 0.05;
+const TRANSFER_PER_KIB: f64 = 0.06;
 
-/// Credit given to an upstream that was not used for [`REST`], which spreads equal choices.
-const REST_CREDIT: f64 = 0.03;
+/// Credit given to an upstream that was not used for [`REST`]: it spreads equal choices, and what
+/// is learnt of it serves the requests that follow.
+const REST_CREDIT: f64 = 0.1;
+
+/// Credit given to an upstream that was never used; one that nobody tries is of no use.
+const FIRST_CREDIT: f64 = 0.4;
 const REST: Duration = Duration::from_secs(4);
 
 /// Credit that the last free slot of an upstream costs.
@@ -83,6 +87,9 @@
 }
 
 fn rest(place: &Place, now: Instant) -> f64 {
-    let rested = place.granted.map_or(REST, |at| now.saturating_duration_since(at));
+    let Some(granted) = place.granted else {
+        return FIRST_CREDIT;
+    };
+    let rested = now.saturating_duration_since(granted);
     REST_CREDIT * rested.min(REST).as_secs_f64() / REST.as_secs_f64()
 }
