feat: hosts keep what the leader suspects, and wait for the next one

Change: beats carry the suspects, hosts hand them to the next leader; a request without a token waits for the next leader for part of its objective; first tokens as far as operators tolerate; requests refused by quota earn repeats too.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -48,6 +48,7 @@
 use crate::id::RouteId;
 use crate::id::ServiceId;
 use crate::publication::Publication;
+use crate::publication::Quota;
 use crate::publication::Route;
 use crate::roster::Entry;
 use crate::roster::Number;
@@ -93,10 +94,43 @@
 pub enum First {
     /// This part of its burst; an earlier dispatcher may have given the rest.
     Part(f64),
-    /// So many tokens; hosts on their own draw theirs, so that together they start with few.
-    Tokens(f64),
+    /// One token where the draw falls into the host's share of what operators tolerate beyond the
+    /// quota, and a part of one elsewhere.
+    Drawn {
+        /// What operators tolerate.
+        tolerance: Tolerance,
+        /// A random number of the host, from 0 up to 1.
+        draw: f64,
+    },
 }
 
+/// What operators tolerate beyond a quota, over the whole fleet.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Tolerance {
+    /// Time over which requests are counted.
+    pub window: Duration,
+    /// Part of the quota in such a time.
+    pub part: f64,
+    /// Requests beyond that part.
+    pub slack: f64,
+}
+
+impl Tolerance {
+    /// Returns the requests beyond a quota that are tolerated in one window.
+    #[must_use]
+    pub fn of(&self, quota: &Quota) -> f64 {
+        let window = self.window.as_secs_f64() * quota.per_second;
+        self.slack + self.part * (window + quota.burst)
+    }
+}
+
+/// Part of the tolerance that hosts on their own may use at first; the rest covers what the last
+/// dispatcher has just given.
+const TOLERANCE_USED: f64 = 0.8;
+
+/// Tokens of a host that draws none: the next one flows in before long.
+const NEARLY_ONE: f64 = 0.6;
+
 /// A slot in use.
 #[derive(Debug, Clone)]
 struct Hold {
@@ -258,6 +292,26 @@
         Some(place.belief.grey(now))
     }
 
+    /// Returns the upstreams that are more likely grey than not.
+    #[must_use]
+    pub fn suspects(&self, now: Instant) -> Vec<Number> {
+        let places = self.pools.values().flat_map(|pool| &pool.places);
+        let suspects = places.filter(|(_, place)| place.belief.is_suspect(now));
+        suspects.map(|(number, _)| *number).collect()
+    }
+
+    /// Takes over which upstreams another dispatcher suspects; `all` tells that its word goes
+    /// before what was observed here.
+    pub fn take_over(&mut self, suspects: &[Number], all: bool, now: Instant) {
+        for pool in self.pools.values_mut() {
+            for (number, place) in &mut pool.places {
+                if all || !place.belief.is_observed() {
+                    place.belief.take_over(suspects.contains(number), now);
+                }
+            }
+        }
+    }
+
     /// Returns the load and the belief of every upstream, for operators.
     #[must_use]
     pub fn dump(&self, now: Instant) -> Vec<Load> {
@@ -313,9 +367,6 @@
         let Some(route) = route.filter(|route| route.leads_to(&ask.service)) else {
             return vec![refused(ask.ticket, Kind::RouteChanged, RETRY_LEAST)];
         };
-        if let Err(wait) = self.admit(&ask, now) {
-            return vec![refused(ask.ticket, Kind::RateExceeded, wait)];
-        }
         let bounds = self.repeats();
         let pool = self.pools.entry(ask.service.clone());
         let pool = pool.or_insert_with(|| Pool::new(&bounds));
@@ -324,6 +375,9 @@
         } else if !pool.repeats.spend() {
             return vec![refused(ask.ticket, Kind::RepeatsSpent, RETRY_LEAST)];
         }
+        if let Err(wait) = self.admit(&ask, now) {
+            return vec![refused(ask.ticket, Kind::RateExceeded, wait)];
+        }
         let priority = self.priority(&ask, route);
         let pool = self.pools.get(&ask.service);
         if pool.is_some_and(|pool| pool.ahead(priority) == 0)
@@ -386,7 +440,10 @@
             burst: quota.burst * self.share,
             first: match self.policy.first {
                 First::Part(part) => quota.burst * self.share * part,
-                First::Tokens(tokens) => tokens,
+                First::Drawn { tolerance, draw } => {
+                    let chance = tolerance.of(&quota) * TOLERANCE_USED * self.share;
+                    if draw < chance { 1.0 } else { NEARLY_ONE }
+                }
             },
         };
         self.quotas.take(tenant, account, now)
--- a/crates/core/src/dispatch/belief.rs
+++ b/crates/core/src/dispatch/belief.rs
@@ -35,11 +35,20 @@
 /// A host that cannot connect may itself be the one that is cut off.
 const RATIO_UNREACHABLE: f64 = 3.0;
 
+/// Probability that is taken over from another dispatcher for a suspect, and for all others.
+const TOLD_SUSPECT: f64 = 0.85;
+const TOLD_SOUND: f64 = 0.08;
+
+/// Probability from which on an upstream is a suspect.
+const SUSPECT: f64 = 0.5;
+
 /// What is believed of one upstream.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Belief {
     grey: f64,
     at: Instant,
+    /// Whether an outcome was observed here.
+    observed: bool,
 }
 
 impl Belief {
@@ -49,6 +58,7 @@
         Self {
             grey: PRIOR,
             at: now,
+            observed: false,
         }
     }
 
@@ -67,6 +77,24 @@
         grey * FAIL_GREY + (1.0 - grey) * FAIL_SOUND
     }
 
+    /// Returns whether the upstream is more likely grey than not.
+    #[must_use]
+    pub fn is_suspect(&self, now: Instant) -> bool {
+        self.grey(now) >= SUSPECT
+    }
+
+    /// Returns whether an outcome was observed here.
+    #[must_use]
+    pub const fn is_observed(&self) -> bool {
+        self.observed
+    }
+
+    /// Takes over what another dispatcher believes.
+    pub const fn take_over(&mut self, suspect: bool, now: Instant) {
+        self.grey = if suspect { TOLD_SUSPECT } else { TOLD_SOUND };
+        self.at = now;
+    }
+
     /// Takes in how an attempt ended.
     pub fn observe(&mut self, sign: Sign, now: Instant) {
         let ratio = match sign {
@@ -91,5 +119,6 @@
         let odds = grey / (1.0 - grey) * ratio;
         self.grey = (odds / (1.0 + odds)).clamp(LEAST, MOST);
         self.at = now;
+        self.observed = true;
     }
 }
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -114,11 +114,17 @@
     Published(Box<Delta>),
     /// Upstreams that are new or changed.
     Upstreams(Vec<Entry>),
-    /// Says that the sender is there; the leader tells how many hosts share the quotas.
+    /// Says that the leader is there.
     Beat {
-        /// Hosts of the fleet, 0 in a beat of a host.
+        /// Hosts that share the quotas.
         hosts: u32,
+        /// Upstreams that are likely grey.
+        suspects: Vec<Number>,
     },
+    /// Says that the host is there.
+    Here,
+    /// Tells a new leader which upstreams the last one suspected.
+    Suspects(Vec<Number>),
     /// The host stops by plan.
     Bye,
 }
--- a/programs/pb-control/src/desk/reign.rs
+++ b/programs/pb-control/src/desk/reign.rs
@@ -205,7 +205,11 @@
                 sender.close();
                 answers
             }
-            Frame::Beat { .. } => Vec::new(),
+            Frame::Here => Vec::new(),
+            Frame::Suspects(suspects) => {
+                self.dispatcher.take_over(&suspects, false, now);
+                Vec::new()
+            }
             other => {
                 warn!(host, frame = ?other, "frame_unexpected");
                 Vec::new()
@@ -255,10 +259,12 @@
         self.send(answers);
         self.push(now);
         let hosts = u32::try_from(self.dispatcher.hosts()).unwrap_or(u32::MAX);
+        let suspects = self.dispatcher.suspects(now);
         for link in self.links.values_mut() {
             if now.saturating_duration_since(link.beat) >= BEAT_INTERVAL {
                 link.beat = now;
-                link.sender.send(Frame::Beat { hosts });
+                let suspects = suspects.clone();
+                link.sender.send(Frame::Beat { hosts, suspects });
             }
         }
     }
--- a/programs/pb-proxy/src/gateway/desk.rs
+++ b/programs/pb-proxy/src/gateway/desk.rs
@@ -64,9 +64,8 @@
 /// Part of a quota's and a budget's share that hosts on their own use.
 const OWN_SHARE: f64 = 0.8;
 
-/// Tokens that a host on its own finds at most for a tenant it has not served so before; half of
-/// the hosts find a whole one.
-const MOST_FIRST_TOKENS: f64 = 2.0;
+/// Part of its objective for which a request that finds no token here waits for the next leader.
+const WAIT_PART: f64 = 0.6;
 
 /// Longest time after which a request comes back that this host refused on its own; another host
 /// may have a token left, and the next leader is there within a second or two.
@@ -90,6 +89,8 @@
     pub arrived: Instant,
     /// When the answer is due.
     pub deadline: Instant,
+    /// Time within which an answer earns its full credit.
+    pub objective: Duration,
     /// Upstreams that have been sent the request.
     pub attempts: u32,
     /// Whether an upstream was handed the request before.
@@ -137,6 +138,9 @@
     heard: Cell<Option<Instant>>,
     doubted: Cell<Option<Instant>>,
     doubts: Event,
+    linked: Event,
+    /// Upstreams that the leader last suspected.
+    suspects: RefCell<Option<Vec<Number>>>,
     known: RefCell<Vec<SocketAddr>>,
     local: RefCell<Dispatcher>,
     hosts: Cell<u32>,
@@ -152,7 +156,10 @@
         let mut local = Dispatcher::new(Policy {
             repeats: settings.repeats,
             silence: Duration::MAX,
-            first: First::Tokens(draw * MOST_FIRST_TOKENS),
+            first: First::Drawn {
+                tolerance: settings.tolerance,
+                draw,
+            },
         });
         local.set_share(OWN_SHARE / f64::from(UNKNOWN_HOSTS));
         Self {
@@ -162,6 +169,8 @@
             heard: Cell::new(None),
             doubted: Cell::new(None),
             doubts: Event::new(),
+            linked: Event::new(),
+            suspects: RefCell::new(None),
             known: RefCell::default(),
             local: RefCell::new(local),
             hosts: Cell::new(UNKNOWN_HOSTS),
@@ -219,28 +228,44 @@
     /// Returns why there is none and when to come back.
     pub async fn reserve(state: &Rc<State>, need: &Need) -> Result<Reservation, Refusal> {
         let desk = state.desk();
-        let asked = desk.usable_link(state.now());
-        if let Some(link) = asked {
+        let until = need.arrived + need.objective.mul_f64(WAIT_PART);
+        loop {
+            if let Some(link) = desk.usable_link(state.now()) {
+                let number = desk.number();
+                if let Some(decision) = desk.ask(state, &link, number, need).await {
+                    return desk.settle(state, need, number, decision, true);
+                }
+                warn!(request = need.request, number, "dispatcher_silent");
+                desk.doubted.set(Some(state.now()));
+                desk.doubts.notify(usize::MAX);
+            }
             let number = desk.number();
-            if let Some(decision) = desk.ask(state, &link, number, need).await {
-                return desk.settle(state, need, number, decision, true);
+            let decision = desk.decide_alone(state, need, number).await;
+            let Decision::Refused { kind, retry_after } = decision else {
+                return desk.settle(state, need, number, decision, false);
+            };
+            let left = until.saturating_duration_since(state.now());
+            if kind != Kind::RateExceeded || left.is_zero() {
+                return desk.settle(state, need, number, decision, false);
             }
-            warn!(request = need.request, number, "dispatcher_silent");
-            desk.doubted.set(Some(state.now()));
-            desk.doubts.notify(usize::MAX);
+            // The next leader has the whole quota, and is there within a second or two.
+            let linked = desk.linked.listen();
+            let _ = timeout(retry_after.min(left), linked).await;
         }
-        let number = desk.number();
-        let mut receiver = desk.register(number);
-        let ask = desk.own_ask(number, need);
-        let answers = desk.local.borrow_mut().reserve(ask, state.now());
-        desk.deliver(answers);
-        let decision = desk.wait(state, &mut receiver, need).await;
-        desk.waiting.borrow_mut().remove(&number);
-        let late = Decision::Refused {
+    }
+
+    /// Places a request by what this host knows itself.
+    async fn decide_alone(&self, state: &State, need: &Need, number: u32) -> Decision {
+        let mut receiver = self.register(number);
+        let _waiting = Waiting { desk: self, number };
+        let ask = self.own_ask(number, need);
+        let answers = self.local.borrow_mut().reserve(ask, state.now());
+        self.deliver(answers);
+        let decision = self.wait(state, &mut receiver, need).await;
+        decision.unwrap_or(Decision::Refused {
             kind: Kind::Overloaded,
             retry_after: ASK_TIMEOUT,
-        };
-        desk.settle(state, need, number, decision.unwrap_or(late), false)
+        })
     }
 
     /// Returns the link unless the dispatcher left the last ask unanswered.
--- a/programs/pb-proxy/src/gateway/desk/link.rs
+++ b/programs/pb-proxy/src/gateway/desk/link.rs
@@ -3,12 +3,14 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use compio::runtime::spawn;
 use compio::time::timeout;
 use futures_util::future::Either;
 use futures_util::future::select;
 use persimmonbend_core::dispatch::Decision;
+use persimmonbend_core::roster::Number;
 use persimmonbend_wire::dispatch;
 use persimmonbend_wire::dispatch::Frame;
 use persimmonbend_wire::dispatch::Receiver;
@@ -160,7 +162,7 @@
             let now = state.now();
             if now.saturating_duration_since(beat) >= BEAT_INTERVAL {
                 beat = now;
-                sender.send(Frame::Beat { hosts: 0 });
+                sender.send(Frame::Here);
                 state.desk().tick(state);
             }
             let doubted = state.desk().doubts.listen();
@@ -201,7 +203,10 @@
                 }
             }
             Frame::Upstreams(entries) => state.enrol(entries, std::mem::take(whole)),
-            Frame::Beat { hosts } => state.desk().note_hosts(hosts),
+            Frame::Beat { hosts, suspects } => {
+                state.desk().note_hosts(hosts);
+                state.desk().note_suspects(suspects, state.now());
+            }
             other => state.desk().take(sender, other)?,
         }
     }
@@ -220,8 +225,12 @@
         for (number, used) in self.uses.borrow().iter() {
             sender.send(desk::hold(*number, used));
         }
+        if let Some(suspects) = &*self.suspects.borrow() {
+            sender.send(Frame::Suspects(suspects.clone()));
+        }
         self.doubted.set(None);
         *self.link.borrow_mut() = Some(sender.clone());
+        self.linked.notify(usize::MAX);
     }
 
     /// Gives up the link; the requests that wait for an answer decide on their own.
@@ -236,6 +245,11 @@
         self.local.borrow_mut().set_share(share);
     }
 
+    fn note_suspects(&self, suspects: Vec<Number>, now: Instant) {
+        self.local.borrow_mut().take_over(&suspects, true, now);
+        *self.suspects.borrow_mut() = Some(suspects);
+    }
+
     fn tick(&self, state: &State) {
         let answers = self.local.borrow_mut().tick(state.now());
         self.deliver(answers);
--- a/programs/pb-proxy/src/gateway/forward.rs
+++ b/programs/pb-proxy/src/gateway/forward.rs
@@ -38,8 +38,8 @@
 /// Time that must be left for another attempt.
 const LEAST_LEFT: Duration = Duration::from_millis(40);
 
-/// Time after which a request comes back that an upstream shed.
-const SHED_RETRY: Duration = Duration::from_millis(300);
+/// Time after which a request comes back that an upstream shed: it may find another one.
+const SHED_RETRY: Duration = Duration::from_millis(120);
 
 /// A request that is ready to be sent.
 #[derive(Debug)]
@@ -150,6 +150,7 @@
             tenant: plan.tenant.clone().filter(|tenant| !tenant.is_empty()),
             arrived: record.arrived(),
             deadline: plan.deadline,
+            objective: plan.route.objective,
             attempts: self.attempts,
             repeat: self.handed,
             avoid: self.avoid.clone(),
--- a/programs/pb-proxy/src/gateway/settings.rs
+++ b/programs/pb-proxy/src/gateway/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use persimmonbend_core::dispatch::Bounds;
+use persimmonbend_core::dispatch::Tolerance;
 use persimmonbend_core::id::HostId;
 use persimmonbend_core::id::Zone;
 use persimmonbend_wire::handshake::Secret;
@@ -36,6 +37,6 @@
     pub notice: Duration,
     /// Repeats that operators allow for each service over the whole fleet.
     pub repeats: Bounds,
-    /// Silence after which an upstream counts as missing.
-    pub silence: Duration,
+    /// What operators tolerate beyond the quotas of tenants.
+    pub tolerance: Tolerance,
 }
