--- a/crates/app/src/http.rs
+++ b/crates/app/src/http.rs
@@ -71,6 +71,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Origin(pub SocketAddr);
 
+/// Marks a request whose head states the length of its body in two ways.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TwoLengths;
+
 /// Answers requests.
 pub trait Handler {
     /// Answers one request.
@@ -206,8 +210,10 @@
         let stop = closing.clone();
         let activity = Rc::clone(&running);
         request.extensions_mut().insert(Origin(from));
+        if activity.begin() {
+            request.extensions_mut().insert(TwoLengths);
+        }
         async move {
-            activity.begin();
             let mut response = handler.handle(request).await;
             activity.end(Instant::now());
             if stop.is_asked() {
@@ -252,9 +258,8 @@
     let pause = limits.head_timeout.min(limits.idle_timeout);
     loop {
         compio::time::sleep(pause).await;
-        let over = |since: Option<Instant>, limit| {
-            since.is_some_and(|since| since.elapsed() >= limit)
-        };
+        let over =
+            |since: Option<Instant>, limit| since.is_some_and(|since| since.elapsed() >= limit);
         if over(activity.head_since(), limits.head_timeout)
             || over(activity.idle_since(), limits.idle_timeout)
         {
--- a/crates/app/src/http/watched.rs
+++ b/crates/app/src/http/watched.rs
@@ -42,6 +42,8 @@
     running: Cell<bool>,
     idle_since: Cell<Instant>,
     head_since: Cell<Option<Instant>>,
+    /// The head that is being read, as far as no request was running when it came.
+    head: RefCell<Vec<u8>>,
 }
 
 impl Activity {
@@ -55,13 +57,19 @@
             running: Cell::new(false),
             idle_since: Cell::new(now),
             head_since: Cell::new(None),
+            head: RefCell::new(Vec::new()),
         }
     }
 
-    /// Notes that a request has been read and runs.
-    pub fn begin(&self) {
+    /// Notes that a request has been read and runs; returns whether its head states the length of
+    /// its body in two ways.
+    ///
+    /// hyper drops one of the two without a word. The head of a request that was sent behind
+    /// another one is not looked at.
+    pub fn begin(&self) -> bool {
         self.running.set(true);
         self.head_since.set(None);
+        states_two_lengths(&self.head.take())
     }
 
     /// Notes that the request has been answered.
@@ -93,6 +101,16 @@
         }
     }
 
+    fn note_head(&self, bytes: &[u8]) {
+        if self.head_since.get().is_none() {
+            self.head_since.set(Some(Instant::now()));
+        }
+        let mut head = self.head.borrow_mut();
+        if head.len() < MAX_AHEAD {
+            head.extend_from_slice(bytes);
+        }
+    }
+
     fn wake(&self) {
         if let Some(waker) = self.waker.borrow_mut().take() {
             waker.wake();
@@ -139,10 +157,10 @@
         let (front, _) = ahead.as_slices();
         let length = front.len().min(buffer.remaining());
         buffer.put_slice(&front[..length]);
-        ahead.drain(..length);
-        if !self.activity.running.get() && self.activity.head_since.get().is_none() {
-            self.activity.head_since.set(Some(Instant::now()));
+        if !self.activity.running.get() {
+            self.activity.note_head(&front[..length]);
         }
+        ahead.drain(..length);
         self.activity.drained.notify(usize::MAX);
         Poll::Ready(Ok(()))
     }
@@ -166,6 +184,14 @@
     }
 }
 
+/// Returns whether a head has both a length and a transfer coding.
+fn states_two_lengths(bytes: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(bytes).to_ascii_lowercase();
+    let head = text.split("\r\n\r\n").next().unwrap_or_default();
+    let has = |name: &str| head.lines().any(|line| line.starts_with(name));
+    has("content-length:") && has("transfer-encoding:")
+}
+
 async fn read_ahead(mut stream: TcpStream, activity: Rc<Activity>) {
     let mut buffer = Vec::with_capacity(READ_BYTES);
     loop {
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -248,7 +248,10 @@
             return Vec::new();
         }
         let service = announcement.service.clone();
-        let moved = self.homes.get(&entry.number).is_some_and(|home| *home != service);
+        let moved = self
+            .homes
+            .get(&entry.number)
+            .is_some_and(|home| *home != service);
         if moved {
             self.dismiss(entry.number);
         }
@@ -343,7 +346,10 @@
     /// Returns the requests that are known to run on an upstream.
     #[must_use]
     pub fn running(&self, number: Number) -> u32 {
-        let pool = self.homes.get(&number).and_then(|home| self.pools.get(home));
+        let pool = self
+            .homes
+            .get(&number)
+            .and_then(|home| self.pools.get(home));
         let place = pool.and_then(|pool| pool.places.get(&number));
         place.map_or(0, |place| place.running)
     }
@@ -447,7 +453,11 @@
         let Some(quota) = known.and_then(|known| known.quota) else {
             return Ok(());
         };
-        let lost = self.hosts.values().filter(|host| host.lost.is_some()).count();
+        let lost = self
+            .hosts
+            .values()
+            .filter(|host| host.lost.is_some())
+            .count();
         let all = self.hosts.len().max(1);
         let kept = 1.0 - lost as f64 / all as f64;
         let account = Account {
@@ -534,7 +544,8 @@
             place.granted = Some(now);
         }
         let route = self.publication.routes.get(&ask.route);
-        let last = route.is_none_or(|route| !route.idempotent || ask.attempts + 1 >= route.attempts);
+        let last =
+            route.is_none_or(|route| !route.idempotent || ask.attempts + 1 >= route.attempts);
         let hold = Hold {
             service: ask.service,
             upstream,
--- a/crates/core/src/dispatch/health.rs
+++ b/crates/core/src/dispatch/health.rs
@@ -38,11 +38,7 @@
         match sign {
             Sign::Answered => self.count(0.0, now),
             Sign::Cancelled | Sign::Moved => {}
-            Sign::Failed
-            | Sign::Truncated
-            | Sign::TimedOut
-            | Sign::Unreachable
-            | Sign::Shed => {
+            Sign::Failed | Sign::Truncated | Sign::TimedOut | Sign::Unreachable | Sign::Shed => {
                 if last {
                     self.count(1.0, now);
                 }
--- a/crates/core/src/dispatch/place.rs
+++ b/crates/core/src/dispatch/place.rs
@@ -84,14 +84,22 @@
     /// Returns how long a request of a route is expected to take here, in seconds.
     #[must_use]
     pub fn expected(&self, timing: &Timing, now: Instant) -> f64 {
-        let cold = if self.stage == Stage::Starting { COLD } else { 1.0 };
+        let cold = if self.stage == Stage::Starting {
+            COLD
+        } else {
+            1.0
+        };
         let crowd = f64::from(self.running) / f64::from(self.slots.max(1));
         timing.mean() * self.speed(now) * cold * (1.0 + CROWD * crowd)
     }
 
     /// Takes in the latency of an answer to a request of a route.
     pub fn observe(&mut self, latency: Duration, timing: &Timing, now: Instant) {
-        let cold = if self.stage == Stage::Starting { COLD } else { 1.0 };
+        let cold = if self.stage == Stage::Starting {
+            COLD
+        } else {
+            1.0
+        };
         let relative = latency.as_secs_f64() / (timing.mean() * cold).max(f64::EPSILON);
         let relative = relative.clamp(SPEED_LEAST, SPEED_MOST);
         let speed = self.speed(now);
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -81,7 +81,10 @@
     /// Returns how many asks wait that go before a new one of `priority`.
     #[must_use]
     pub fn ahead(&self, priority: Priority) -> usize {
-        self.waiting.range(..=priority).map(|(_, queue)| queue.len()).sum()
+        self.waiting
+            .range(..=priority)
+            .map(|(_, queue)| queue.len())
+            .sum()
     }
 
     /// Returns how many asks wait.
--- a/crates/core/src/publication.rs
+++ b/crates/core/src/publication.rs
@@ -16,8 +16,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-pub use delta::Delta;
 pub use delta::Changes;
+pub use delta::Delta;
 pub use route::Part;
 pub use route::Priority;
 pub use route::Route;
--- a/crates/core/src/publication/delta.rs
+++ b/crates/core/src/publication/delta.rs
@@ -67,7 +67,9 @@
     K: Ord + Clone + Into<String>,
     T: Clone + PartialEq,
 {
-    let put = new.iter().filter(|(name, item)| old.get(*name) != Some(*item));
+    let put = new
+        .iter()
+        .filter(|(name, item)| old.get(*name) != Some(*item));
     let put = put.map(|(name, item)| (name.clone().into(), Some(item.clone())));
     let gone = old.keys().filter(|name| !new.contains_key(*name));
     let gone = gone.map(|name| (name.clone().into(), None));
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -63,7 +63,10 @@
     /// Returns what would become of an announcement.
     #[must_use]
     pub fn judge(&self, announcement: &Announcement) -> Reception {
-        let known = self.entries.get(&announcement.id).map(|one| &one.announcement);
+        let known = self
+            .entries
+            .get(&announcement.id)
+            .map(|one| &one.announcement);
         if let Some(known) = known {
             let same = known.incarnation == announcement.incarnation;
             let final_word = same && known.stage == Stage::Left;
--- a/crates/core/tests/dispatch/grey.rs
+++ b/crates/core/tests/dispatch/grey.rs
@@ -40,7 +40,9 @@
 
 /// Plays 13 upstreams of which three in ten are grey for nine seconds at a time.
 fn play(seed: u64, per_second: f64, millis: u32, blind: bool) -> Tally {
-    let zones = ["a", "a", "a", "a", "b", "b", "b", "b", "c", "c", "c", "d", "d"];
+    let zones = [
+        "a", "a", "a", "a", "b", "b", "b", "b", "c", "c", "c", "d", "d",
+    ];
     let mut world = World::new(&zones);
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut grey: BTreeSet<Number> = BTreeSet::new();
@@ -60,7 +62,11 @@
         flights = left;
         for flight in due {
             tally.failed += u32::from(flight.sign == Sign::Failed);
-            let took = if flight.sign == Sign::Failed { STEP } else { RUN };
+            let took = if flight.sign == Sign::Failed {
+                STEP
+            } else {
+                RUN
+            };
             // A blind dispatcher learns nothing, for comparison.
             let sign = if blind { Sign::Cancelled } else { flight.sign };
             world.release(&flight.ticket, sign, took);
@@ -79,7 +85,11 @@
             tally.failed += 1;
             continue;
         };
-        let fails = if grey.contains(&upstream) { GREY_FAILS } else { SOUND_FAILS };
+        let fails = if grey.contains(&upstream) {
+            GREY_FAILS
+        } else {
+            SOUND_FAILS
+        };
         let failed = rng.random_bool(fails);
         flights.push(Flight {
             due: at + if failed { 1 } else { 240 },
@@ -109,7 +119,11 @@
         blind.asked += one.asked;
         blind.failed += one.failed;
     }
-    println!("with beliefs {:.4}, without {:.4}", share(&known), share(&blind));
+    println!(
+        "with beliefs {:.4}, without {:.4}",
+        share(&known),
+        share(&blind)
+    );
     assert!(share(&known) < 0.045, "{known:?}");
     assert!(share(&blind) > 0.15, "{blind:?}");
 }
@@ -158,7 +172,10 @@
         world.pass(Duration::from_millis(50));
     }
     assert_ne!(sound, suspect);
-    assert!(first.contains_key(AGAIN) && !first.contains_key(ONCE), "{first:?}");
+    assert!(
+        first.contains_key(AGAIN) && !first.contains_key(ONCE),
+        "{first:?}"
+    );
 }
 
 #[test]
@@ -256,7 +273,9 @@
         world.release(&ticket, sign, Duration::from_millis(30));
         let lately = failing.iter().filter(|one| **one + 2_000 > at).count();
         if at > 4_000 && lately > 5 {
-            let used = last.iter().filter(|(one, at_last)| **one > 2 && **at_last + 2_000 > at);
+            let used = last
+                .iter()
+                .filter(|(one, at_last)| **one > 2 && **at_last + 2_000 > at);
             assert!(used.count() >= 6, "at {at}: {last:?}");
         }
     }
--- a/crates/core/tests/dispatch/limits.rs
+++ b/crates/core/tests/dispatch/limits.rs
@@ -152,7 +152,13 @@
     ask.service = "another".to_owned();
     let decision = world.reserve(ask);
     assert!(
-        matches!(decision, Decision::Refused { kind: Kind::RouteChanged, .. }),
+        matches!(
+            decision,
+            Decision::Refused {
+                kind: Kind::RouteChanged,
+                ..
+            }
+        ),
         "{decision:?}"
     );
 }
--- a/crates/core/tests/dispatch/queueing.rs
+++ b/crates/core/tests/dispatch/queueing.rs
@@ -104,7 +104,10 @@
     };
     assert!(matches!(
         answer.decision,
-        Decision::Refused { kind: Kind::Overloaded, .. }
+        Decision::Refused {
+            kind: Kind::Overloaded,
+            ..
+        }
     ));
     assert_eq!(world.dispatcher.queued(crate::world::SERVICE), 0);
 }
@@ -139,7 +142,10 @@
         patience
     };
     let first = patience(&mut world, AGAIN, 0).unwrap();
-    assert!(first > RUN * 3 && first < Duration::from_millis(1_600), "{first:?}");
+    assert!(
+        first > RUN * 3 && first < Duration::from_millis(1_600),
+        "{first:?}"
+    );
     assert_eq!(patience(&mut world, AGAIN, 1), None);
     assert_eq!(patience(&mut world, ONCE, 0), None);
 }
--- a/crates/core/tests/publication.rs
+++ b/crates/core/tests/publication.rs
@@ -34,7 +34,9 @@
 
 fn publication(version: u64, routes: &[(&str, Route)]) -> Publication {
     let services = ["herd", "tags"].map(|name| (name.to_owned(), Service::default()));
-    let routes = routes.iter().map(|(name, route)| ((*name).to_owned(), route.clone()));
+    let routes = routes
+        .iter()
+        .map(|(name, route)| ((*name).to_owned(), route.clone()));
     Publication {
         version,
         routes: routes.collect(),
@@ -50,7 +52,10 @@
         &[
             ("all", route("farm.example", "/", &[("herd", 1.0)])),
             ("herd", route("farm.example", "/herd/", &[("herd", 1.0)])),
-            ("deep", route("farm.example", "/herd/old/", &[("herd", 1.0)])),
+            (
+                "deep",
+                route("farm.example", "/herd/old/", &[("herd", 1.0)]),
+            ),
             ("other", route("lab.example", "/herd/", &[("herd", 1.0)])),
         ],
     );
@@ -75,7 +80,15 @@
 
 #[test]
 fn dot_segments_are_seen_plain_and_encoded() {
-    for path in ["/open/../closed", "/a/./b", "/a/%2e%2E/b", "/a/.%2e", "/a%2f..%2fb", "/a/..\\b", "/.."] {
+    for path in [
+        "/open/../closed",
+        "/a/./b",
+        "/a/%2e%2E/b",
+        "/a/.%2e",
+        "/a%2f..%2fb",
+        "/a/..\\b",
+        "/..",
+    ] {
         assert!(has_dot_segment(path), "{path}");
     }
     for path in ["/open/closed", "/a/..b/c", "/a/b.c", "/...", "/a/%2e%2e%2e"] {
@@ -131,7 +144,11 @@
 fn drawn(version: u64, choices: &[(u8, u8)]) -> Publication {
     let mut one = publication(version, &[]);
     for (name, content) in choices {
-        let made = route("h", &format!("/{content}/"), &[("herd", f64::from(*content))]);
+        let made = route(
+            "h",
+            &format!("/{content}/"),
+            &[("herd", f64::from(*content))],
+        );
         one.routes.insert(format!("r{}", name % 8), made);
         let mut tenant = Tenant::default();
         tenant.keys.insert(Digest::of(&format!("key {content}")));
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -34,9 +34,18 @@
     let renewal = said("u", 1, 5, 11, Stage::Ready);
     assert_eq!(roster.judge(&renewal), Reception::Renewal);
     assert!(roster.take(&renewal).is_empty());
-    assert_eq!(roster.judge(&said("u", 1, 5, 9, Stage::Draining)), Reception::Outdated);
-    assert_eq!(roster.judge(&said("u", 1, 4, 99, Stage::Ready)), Reception::Outdated);
-    assert_eq!(roster.judge(&said("u", 1, 5, 12, Stage::Draining)), Reception::News);
+    assert_eq!(
+        roster.judge(&said("u", 1, 5, 9, Stage::Draining)),
+        Reception::Outdated
+    );
+    assert_eq!(
+        roster.judge(&said("u", 1, 4, 99, Stage::Ready)),
+        Reception::Outdated
+    );
+    assert_eq!(
+        roster.judge(&said("u", 1, 5, 12, Stage::Draining)),
+        Reception::News
+    );
 }
 
 #[test]
@@ -46,7 +55,10 @@
     let number = roster.get("u").unwrap().number;
     assert!(roster.part("u").is_some());
     assert!(roster.part("u").is_none());
-    assert_eq!(roster.judge(&said("u", 1, 5, 7, Stage::Ready)), Reception::Outdated);
+    assert_eq!(
+        roster.judge(&said("u", 1, 5, 7, Stage::Ready)),
+        Reception::Outdated
+    );
     assert_eq!(roster.take(&said("u", 1, 6, 1, Stage::Ready)).len(), 1);
     assert_eq!(stage(&roster, "u"), Some(Stage::Ready));
     assert_ne!(roster.get("u").unwrap().number, number);
@@ -58,12 +70,21 @@
     let mut roster = Roster::default();
     roster.take(&said("old", 1, 5, 1, Stage::Ready));
     let changed = roster.take(&said("new", 1, 9, 1, Stage::Ready));
-    let ids: Vec<&str> = changed.iter().map(|one| one.announcement.id.as_str()).collect();
+    let ids: Vec<&str> = changed
+        .iter()
+        .map(|one| one.announcement.id.as_str())
+        .collect();
     assert_eq!(ids, ["old", "new"]);
     assert_eq!(stage(&roster, "old"), Some(Stage::Left));
     // A heartbeat of the old one that was held up by a partition.
-    assert_eq!(roster.judge(&said("older", 1, 4, 50, Stage::Ready)), Reception::Outdated);
-    assert_eq!(roster.judge(&said("old", 1, 5, 50, Stage::Ready)), Reception::Outdated);
+    assert_eq!(
+        roster.judge(&said("older", 1, 4, 50, Stage::Ready)),
+        Reception::Outdated
+    );
+    assert_eq!(
+        roster.judge(&said("old", 1, 5, 50, Stage::Ready)),
+        Reception::Outdated
+    );
     assert_eq!(stage(&roster, "new"), Some(Stage::Ready));
 }
 
--- a/crates/replica/src/replica/tend.rs
+++ b/crates/replica/src/replica/tend.rs
@@ -48,7 +48,10 @@
     /// Makes a learner a voter, after it has removed a voter that is silent where there are enough.
     fn promotion(&self, wanted: usize) -> Option<Change> {
         let members = self.log.members();
-        let mut learners = members.list().iter().filter(|one| one.role == Role::Learner);
+        let mut learners = members
+            .list()
+            .iter()
+            .filter(|one| one.role == Role::Learner);
         let learner = learners.find(|one| self.has_caught_up(&one.id))?;
         if members.voters().count() < wanted {
             return Some(Change::Promote {
@@ -67,9 +70,8 @@
 
     fn lost_learner(&self) -> Option<Change> {
         let members = self.log.members().list().iter();
-        let lost = |one: &&Member| {
-            one.role == Role::Learner && self.is_silent(&one.id, LEARNER_SILENCE)
-        };
+        let lost =
+            |one: &&Member| one.role == Role::Learner && self.is_silent(&one.id, LEARNER_SILENCE);
         let id = members.into_iter().find(lost)?.id.clone();
         Some(Change::Remove { id })
     }
@@ -79,7 +81,8 @@
         let now = self.clock.now();
         let members = self.log.members();
         let recent = self.applicants.values();
-        let recent = recent.filter(move |one| now.saturating_duration_since(one.heard) < APPLICATION_AGE);
+        let recent =
+            recent.filter(move |one| now.saturating_duration_since(one.heard) < APPLICATION_AGE);
         let ids = recent.map(|one| &one.id);
         ids.filter(|id| members.get(id).is_none())
     }
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -116,7 +116,7 @@
     Upstreams(Vec<Entry>),
     /// Says that the leader is there.
     Beat {
-        /// Hosts that share the quotas.
+        /// Hosts that share the quotas, 0 while they are not known yet.
         hosts: u32,
         /// Upstreams that are likely grey.
         suspects: Vec<Number>,
--- a/programs/pb-control/src/desk.rs
+++ b/programs/pb-control/src/desk.rs
@@ -121,7 +121,9 @@
 
     fn control_addresses(&self) -> Vec<SocketAddr> {
         let members = self.node.member_addresses();
-        let addresses = members.iter().filter_map(|(_, address)| address.parse().ok());
+        let addresses = members
+            .iter()
+            .filter_map(|(_, address)| address.parse().ok());
         addresses.collect()
     }
 
@@ -141,7 +143,12 @@
             Err(_) => return Error::Timeout,
         };
         let mut frames = first.into_iter();
-        let Some(Frame::Hello { host, zone, version }) = frames.next() else {
+        let Some(Frame::Hello {
+            host,
+            zone,
+            version,
+        }) = frames.next()
+        else {
             return Error::Malformed("the first frame is no greeting".to_owned());
         };
         if !self.welcome(&host, &zone, version, sender) {
@@ -187,7 +194,9 @@
             term: self.node.term(),
             control,
         });
-        let entries = self.node.read(|machine| machine.roster().entries().cloned().collect());
+        let entries = self
+            .node
+            .read(|machine| machine.roster().entries().cloned().collect());
         reign.join(host, zone, version, entries, sender, now);
         true
     }
--- a/programs/pb-control/src/desk/reign.rs
+++ b/programs/pb-control/src/desk/reign.rs
@@ -37,6 +37,10 @@
 /// few bytes.
 const PUSH_PAUSE: Duration = Duration::from_millis(100);
 
+/// Age of a reign from which on its hosts are counted; before, they have not all joined, and a
+/// host that took the number for whole would use more than its part of a quota.
+const SETTLED: Duration = Duration::from_secs(2);
+
 /// Time between two beats to a host.
 const BEAT_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -54,6 +58,7 @@
 /// The state of one reign.
 #[derive(Debug)]
 pub struct Reign {
+    began: Instant,
     dispatcher: Dispatcher,
     publication: Rc<Publication>,
     links: BTreeMap<HostId, Link>,
@@ -76,6 +81,7 @@
             dispatcher.enrol(entry, now);
         }
         Self {
+            began: now,
             dispatcher,
             publication,
             links: BTreeMap::new(),
@@ -146,7 +152,10 @@
 
     /// Gives up a host whose connection ended, unless a later one has replaced it.
     pub fn lose(&mut self, host: &str, sender: &Sender, now: Instant) {
-        let own = self.links.get(host).is_some_and(|link| link.sender.is(sender));
+        let own = self
+            .links
+            .get(host)
+            .is_some_and(|link| link.sender.is(sender));
         if !own {
             return;
         }
@@ -258,7 +267,9 @@
         let answers = self.dispatcher.tick(now);
         self.send(answers);
         self.push(now);
-        let hosts = u32::try_from(self.dispatcher.hosts()).unwrap_or(u32::MAX);
+        let settled = now.saturating_duration_since(self.began) >= SETTLED;
+        let hosts = if settled { self.dispatcher.hosts() } else { 0 };
+        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
         let suspects = self.dispatcher.suspects(now);
         for link in self.links.values_mut() {
             if now.saturating_duration_since(link.beat) >= BEAT_INTERVAL {
--- a/programs/pb-proxy/src/callers.rs
+++ b/programs/pb-proxy/src/callers.rs
@@ -21,7 +21,9 @@
 use persimmonbend_app::http;
 use persimmonbend_app::http::Body;
 use persimmonbend_app::http::Handler;
+use persimmonbend_app::http::TwoLengths;
 use persimmonbend_core::error::Kind;
+use persimmonbend_core::publication;
 use persimmonbend_core::route::Target;
 use rand::RngExt;
 
@@ -156,7 +158,9 @@
     if head_bytes(head) > MAX_HEAD_BYTES {
         return Err(Kind::HeadTooLarge);
     }
-    if !target.starts_with('/') || auth::in_target(target) {
+    let framed_twice = head.extensions.get::<TwoLengths>().is_some();
+    let dots = publication::has_dot_segment(head.uri.path());
+    if !target.starts_with('/') || auth::in_target(target) || framed_twice || dots {
         return Err(Kind::Malformed);
     }
     Ok(())
--- a/programs/pb-proxy/src/gateway/clients.rs
+++ b/programs/pb-proxy/src/gateway/clients.rs
@@ -9,9 +9,9 @@
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
-use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
@@ -19,6 +19,7 @@
 use persimmonbend_app::http::Body;
 use persimmonbend_app::http::Handler;
 use persimmonbend_app::http::Limits;
+use persimmonbend_app::http::TwoLengths;
 use persimmonbend_core::error::Kind;
 use persimmonbend_core::id::RouteId;
 use persimmonbend_core::id::TenantId;
@@ -149,6 +150,10 @@
         limit: usize,
         deadline: Instant,
     ) -> Result<Bytes, Failure> {
+        // A stated length says at once that the body is too large.
+        if body.size_hint().lower() > limit as u64 {
+            return Err(Failure::from(Kind::BodyTooLarge));
+        }
         let left = deadline.saturating_duration_since(self.state.now());
         let reading = Limited::new(body, limit).collect();
         let collected = timeout(left, reading).await;
@@ -212,15 +217,10 @@
     if callers::head_bytes(head) > limit {
         return Err(Failure::from(Kind::HeadTooLarge));
     }
-    let framed_twice = has_both_framings(&head.headers);
+    let framed_twice = head.extensions.get::<TwoLengths>().is_some();
     let path = head.uri.path();
     if !path.starts_with('/') || publication::has_dot_segment(path) || framed_twice {
         return Err(Failure::from(Kind::Malformed));
     }
     Ok(())
 }
-
-fn has_both_framings(headers: &HeaderMap) -> bool {
-    let has = |name| headers.contains_key(name);
-    has(hyper::header::CONTENT_LENGTH) && has(hyper::header::TRANSFER_ENCODING)
-}
--- a/programs/pb-proxy/src/gateway/desk/link.rs
+++ b/programs/pb-proxy/src/gateway/desk/link.rs
@@ -240,8 +240,11 @@
     }
 
     fn note_hosts(&self, hosts: u32) {
-        self.hosts.set(hosts.max(1));
-        let share = OWN_SHARE / f64::from(hosts.max(1));
+        if hosts == 0 {
+            return;
+        }
+        self.hosts.set(hosts);
+        let share = OWN_SHARE / f64::from(hosts);
         self.local.borrow_mut().set_share(share);
     }
 
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -121,12 +121,7 @@
 }
 
 /// Sends a request to the upstream of a reservation.
-pub async fn run(
-    state: &Rc<State>,
-    plan: &Plan,
-    asked: &Asked,
-    reservation: Reservation,
-) -> Reply {
+pub async fn run(state: &Rc<State>, plan: &Plan, asked: &Asked, reservation: Reservation) -> Reply {
     let Some(address) = reservation.address() else {
         return Reply::Fault(Fault::unsent(Sign::Cancelled));
     };
@@ -138,13 +133,12 @@
         }
     };
     let left = plan.deadline.saturating_duration_since(state.now());
-    let limit = reservation.patience().map_or(left, |patience| patience.min(left));
+    let limit = reservation
+        .patience()
+        .map_or(left, |patience| patience.min(left));
     let sending = exchange(state, plan, asked, &reservation, connection, left);
     let result = timeout(limit, sending).await;
-    let result = result.unwrap_or(Err(Fault::unknown(
-        Kind::UpstreamTimeout,
-        Sign::TimedOut,
-    )));
+    let result = result.unwrap_or(Err(Fault::unknown(Kind::UpstreamTimeout, Sign::TimedOut)));
     match result {
         Ok(answer) => answer.finish(state, plan, address, reservation),
         Err(fault) => {
--- a/programs/pb-proxy/src/gateway/meters.rs
+++ b/programs/pb-proxy/src/gateway/meters.rs
@@ -56,7 +56,10 @@
                 &BUCKETS,
             ),
             running: registry.gauge("requests_running", "Requests that run now."),
-            version: registry.gauge("publication_version", "Version of the publication in force."),
+            version: registry.gauge(
+                "publication_version",
+                "Version of the publication in force.",
+            ),
             linked: registry.gauge("control_heard", "1 while the leader of control is heard."),
             registry,
         }
@@ -109,7 +112,9 @@
         meters.running.set(f64::from(running));
         #[allow(clippy::cast_precision_loss)]
         meters.version.set(self.state.version() as f64);
-        meters.linked.set(f64::from(u8::from(self.state.is_current())));
+        meters
+            .linked
+            .set(f64::from(u8::from(self.state.is_current())));
         http::answer(200, "text/plain; version=0.0.4", meters.registry.text())
     }
 }
--- a/programs/pb-proxy/src/gateway/record.rs
+++ b/programs/pb-proxy/src/gateway/record.rs
@@ -98,7 +98,9 @@
 
 impl Drop for Record {
     fn drop(&mut self) {
-        self.state.running().set(self.state.running().get().saturating_sub(1));
+        self.state
+            .running()
+            .set(self.state.running().get().saturating_sub(1));
         if !self.ended.get() {
             self.state.meters().count_left();
             let took = self.state.now().saturating_duration_since(self.arrived);
