--- a/crates/app/src/http.rs
+++ b/crates/app/src/http.rs
@@ -273,7 +273,7 @@
     if limits.close_cancels {
         activity.closed().await;
     } else {
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 }
 
--- a/crates/core/tests/dispatch/queueing.rs
+++ b/crates/core/tests/dispatch/queueing.rs
@@ -19,11 +19,13 @@
 fn full() -> (World, Vec<Ticket>) {
     let mut world = World::new(&["a"]);
     for _ in 0..20 {
-        let (ticket, _) = world.place(ONCE).unwrap();
+        let (ticket, _) = world.place(ONCE).expect("a free slot");
         world.pass(RUN);
         world.release(&ticket, Sign::Answered, RUN);
     }
-    let held = (0..3).map(|_| world.place(ONCE).unwrap().0).collect();
+    let held = (0..3)
+        .map(|_| world.place(ONCE).expect("a free slot").0)
+        .collect();
     (world, held)
 }
 
--- a/crates/core/tests/dispatch/world.rs
+++ b/crates/core/tests/dispatch/world.rs
@@ -71,7 +71,11 @@
             announcement: Announcement {
                 id: format!("u{number}"),
                 service: SERVICE.to_owned(),
-                address: ([10, 0, 0, 1], u16::try_from(number).unwrap()).into(),
+                address: (
+                    [10, 0, 0, 1],
+                    u16::try_from(number).expect("a small number"),
+                )
+                    .into(),
                 zone: zone.to_owned(),
                 slots: 3,
                 incarnation: 1,
@@ -106,7 +110,7 @@
         let ticket = ask.ticket.clone();
         let answers = self.dispatcher.reserve(ask, self.now);
         let own = answers.into_iter().find(|answer| answer.ticket == ticket);
-        own.unwrap().decision
+        own.expect("an answer").decision
     }
 
     /// Asks for a request of a route and returns its ticket and the upstream that it is granted.
--- a/crates/replica/tests/tending.rs
+++ b/crates/replica/tests/tending.rs
@@ -95,7 +95,7 @@
         let contents = kept.borrow().clone();
         let memory = Box::new(Memory(Rc::clone(kept)));
         let clock: Rc<Manual> = Rc::clone(&self.clock);
-        let replica = Replica::new(settings, contents, memory, clock).unwrap();
+        let replica = Replica::new(settings, contents, memory, clock).expect("a sound disk");
         self.running.insert(host.to_owned(), replica);
     }
 
@@ -119,7 +119,7 @@
                     let _ = replica.change(&change);
                 }
                 replica.tick();
-                messages.extend(replica.flush().unwrap().messages);
+                messages.extend(replica.flush().expect("a sound disk").messages);
             }
             for message in messages {
                 if let Some(replica) = self.running.get_mut(&message.to) {
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -177,7 +177,7 @@
 
 impl Encode<Frame> for Codec {
     fn encode(&mut self, frame: &Frame, bytes: &mut Vec<u8>) -> Result<(), Error> {
-        let body = postcard::to_stdvec(frame).map_err(malformed)?;
+        let body = postcard::to_stdvec(frame).map_err(|error| malformed(&error))?;
         if body.len() > MAX_FRAME_BYTES {
             return Err(Error::Malformed(format!("a frame of {} bytes", body.len())));
         }
@@ -201,7 +201,7 @@
             let Some((body, after)) = after.split_at_checked(length) else {
                 break;
             };
-            frames.push(postcard::from_bytes(body).map_err(malformed)?);
+            frames.push(postcard::from_bytes(body).map_err(|error| malformed(&error))?);
             rest = after;
         }
         let used = self.buffer.len() - rest.len();
@@ -246,6 +246,6 @@
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
 
-fn malformed(error: postcard::Error) -> Error {
+fn malformed(error: &postcard::Error) -> Error {
     Error::Malformed(error.to_string())
 }
--- a/programs/pb-control/src/desk.rs
+++ b/programs/pb-control/src/desk.rs
@@ -57,13 +57,13 @@
     #[must_use]
     pub fn new(node: Rc<Node>, clock: Rc<dyn Clock>, policy: Policy) -> Rc<Self> {
         let desk = Rc::new(Self {
-            node: Rc::clone(&node),
+            node,
             clock,
             policy,
             reign: RefCell::new(None),
         });
         let observer: Rc<dyn Observer> = Rc::new(Watcher(Rc::clone(&desk)));
-        node.observe(observer);
+        desk.node.observe(observer);
         desk
     }
 
