feat(control): large commands of the log are compressed; requests wait for a host's first configuration

Ruled out: the upstreams' roster, which is a few KB a host. Budgets of repeats of leaders that follow one another would have exceeded what operators allow (test in dispatch/limits.rs); the first leader of a fleet begins with a full one.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -93,6 +93,8 @@
     pub silence: Duration,
     /// What a tenant finds when it is first seen.
     pub first: First,
+    /// Whether no other dispatcher of the fleet came before this one.
+    pub is_first: bool,
     /// Share of a service's upstreams that stay in use while some of its requests fail.
     pub floor: f64,
 }
@@ -134,7 +136,7 @@
 
 /// Part of the tolerance that hosts on their own may use at first; the rest covers what the last
 /// dispatcher has just given.
-const TOLERANCE_USED: f64 = 0.8;
+const TOLERANCE_USED: f64 = 0.6;
 
 /// Tokens of a host that draws none: the next one flows in before long.
 const NEARLY_ONE: f64 = 0.6;
@@ -257,8 +259,9 @@
         }
         self.homes.insert(entry.number, service.clone());
         let bounds = self.repeats();
+        let first = self.policy.is_first;
         let pool = self.pools.entry(service.clone());
-        let pool = pool.or_insert_with(|| Pool::new(&bounds, now));
+        let pool = pool.or_insert_with(|| Pool::new(Repeats::new(&bounds, first), now));
         match pool.places.get_mut(&entry.number) {
             Some(place) => place.update(announcement),
             None => pool.add(entry.number, Place::new(announcement, now)),
@@ -386,8 +389,9 @@
             return vec![refused(ask.ticket, Kind::RouteChanged, RETRY_LEAST)];
         };
         let bounds = self.repeats();
+        let first = self.policy.is_first;
         let pool = self.pools.entry(ask.service.clone());
-        let pool = pool.or_insert_with(|| Pool::new(&bounds, now));
+        let pool = pool.or_insert_with(|| Pool::new(Repeats::new(&bounds, first), now));
         if !ask.repeat {
             pool.repeats.earn(&bounds);
         } else if !pool.repeats.spend() {
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -9,7 +9,6 @@
 use crate::dispatch::cost::Subject;
 use crate::dispatch::health::Health;
 use crate::dispatch::place::Place;
-use crate::dispatch::repeats;
 use crate::dispatch::repeats::Repeats;
 use crate::id::Zone;
 use crate::publication::Priority;
@@ -54,11 +53,11 @@
 impl Pool {
     /// Creates a pool without upstreams.
     #[must_use]
-    pub fn new(bounds: &repeats::Bounds, now: Instant) -> Self {
+    pub fn new(repeats: Repeats, now: Instant) -> Self {
         Self {
             places: BTreeMap::new(),
             waiting: BTreeMap::new(),
-            repeats: Repeats::new(bounds),
+            repeats,
             health: Health::new(now),
             slot_time: Estimate::new(),
             zones: BTreeMap::new(),
--- a/crates/core/src/dispatch/repeats.rs
+++ b/crates/core/src/dispatch/repeats.rs
@@ -1,8 +1,13 @@
 //! The budget of repeats of one service over the whole fleet.
 
-/// Part of what operators allow that is handed out here; the rest is room for hosts that place
-/// requests on their own while the dispatcher is away.
-const OWN_PART: f64 = 0.8;
+/// Part of the share of requests that is handed out.
+const RATIO_PART: f64 = 0.9;
+
+/// Part of what may come at once that a budget holds at most, and at its start. Leaders that follow
+/// one another within one window each begin a budget of their own; together they stay within what
+/// operators allow.
+const MOST_PART: f64 = 0.6;
+const FIRST_PART: f64 = 0.15;
 
 /// What operators allow beyond the first send of each request.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -30,18 +35,19 @@
 }
 
 impl Repeats {
-    /// Creates a full budget.
+    /// Creates the budget of a new dispatcher, the `first` of its fleet or a later one.
     #[must_use]
-    pub fn new(bounds: &Bounds) -> Self {
+    pub fn new(bounds: &Bounds, first: bool) -> Self {
+        let part = if first { MOST_PART } else { FIRST_PART };
         Self {
-            left: bounds.extra * OWN_PART,
+            left: bounds.extra * part,
         }
     }
 
     /// Adds the share of one request.
     pub fn earn(&mut self, bounds: &Bounds) {
-        let most = bounds.extra * OWN_PART;
-        self.left = (self.left + bounds.ratio * OWN_PART).min(most);
+        let most = bounds.extra * MOST_PART;
+        self.left = (self.left + bounds.ratio * RATIO_PART).min(most);
     }
 
     /// Takes one repeat and returns whether there was one.
--- a/crates/core/tests/dispatch/limits.rs
+++ b/crates/core/tests/dispatch/limits.rs
@@ -162,3 +162,28 @@
         "{decision:?}"
     );
 }
+
+#[test]
+fn leaders_that_follow_one_another_stay_within_the_budget_of_repeats() {
+    // Of one window of ten seconds: a leader with a full budget, and two that came after it.
+    let mut repeats = 0;
+    for requests in [400, 75, 75] {
+        let mut world = World::new(&["a"; 20]);
+        for _ in 0..requests {
+            let (ticket, _) = world.place(AGAIN).unwrap();
+            world.release(&ticket, Sign::Answered, Duration::from_millis(5));
+        }
+        loop {
+            let mut ask = world.ask(AGAIN);
+            ask.repeat = true;
+            let ticket = ask.ticket.clone();
+            if !matches!(world.reserve(ask), Decision::Granted { .. }) {
+                break;
+            }
+            repeats += 1;
+            world.release(&ticket, Sign::Answered, Duration::from_millis(5));
+        }
+    }
+    // 150 requests in the window earn a fifth each, beside the 20 that may come at once.
+    assert!(repeats <= 20 + 150 / 5, "{repeats}");
+}
--- a/crates/core/tests/dispatch/world.rs
+++ b/crates/core/tests/dispatch/world.rs
@@ -145,6 +145,7 @@
         },
         silence: Duration::from_secs(5),
         first: First::Part(1.0),
+        is_first: false,
         floor: 0.7,
     }
 }
--- a/programs/pb-control/src/desk.rs
+++ b/programs/pb-control/src/desk.rs
@@ -15,6 +15,7 @@
 use compio::runtime::spawn;
 use compio::time::timeout;
 use persimmonbend_core::clock::Clock;
+use persimmonbend_core::dispatch::First;
 use persimmonbend_core::dispatch::Policy;
 use persimmonbend_core::machine::Reply;
 use persimmonbend_core::roster::Reception;
@@ -41,6 +42,9 @@
 /// Time that a host has for its first frame.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Term of the first leader that a fleet has.
+const FIRST_TERM: u64 = 1;
+
 /// Time that an answer has to leave before its connection is closed.
 const LAST_WORD: Duration = Duration::from_millis(200);
 
@@ -215,14 +219,28 @@
 
     fn begin(&self, term: u64) {
         let now = self.clock.now();
+        let policy = self.policy(term);
         let reign = self.node.read(|machine| {
             let publication = Rc::clone(&machine.published().publication);
-            Reign::new(self.policy, publication, machine.roster(), now)
+            Reign::new(policy, publication, machine.roster(), now)
         });
         info!(term, "desk_opened");
         *self.reign.borrow_mut() = Some(reign);
     }
 
+    /// Returns how the leader of a term places requests: the first one of a fleet has no predecessor
+    /// that may have spent quotas and budgets.
+    fn policy(&self, term: u64) -> Policy {
+        if term > FIRST_TERM {
+            return self.policy;
+        }
+        Policy {
+            first: First::Part(1.0),
+            is_first: true,
+            ..self.policy
+        }
+    }
+
     fn end(&self, term: u64) {
         if let Some(reign) = self.reign.borrow_mut().take() {
             info!(term, hosts = reign.hosts(), "desk_closed");
--- a/programs/pb-control/src/node.rs
+++ b/programs/pb-control/src/node.rs
@@ -3,6 +3,7 @@
 mod applied;
 mod hosts;
 mod proposals;
+pub mod record;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -219,7 +220,7 @@
     ///
     /// Returns an error when this replica does not lead or cannot commit the command.
     pub async fn propose(&self, command: Command) -> Result<Reply, Error> {
-        let record = serde_json::to_vec(&command).map_err(|error| {
+        let record = record::write(&command).map_err(|error| {
             let reason = error.to_string();
             Error::Invalid(reason)
         })?;
@@ -428,7 +429,7 @@
     fn apply(&self, entry: &Entry) -> anyhow::Result<()> {
         let reply = match &entry.payload {
             Payload::Command(record) => {
-                let command = serde_json::from_slice(record).context("unreadable command")?;
+                let command = record::read(record)?;
                 self.applied.borrow_mut().apply(&command)
             }
             Payload::Empty | Payload::Members(_) => Reply::Applied,
--- a/programs/pb-control/src/settings.rs
+++ b/programs/pb-control/src/settings.rs
@@ -26,6 +26,7 @@
     },
     silence: Duration::from_secs(6),
     first: First::Part(0.5),
+    is_first: false,
     floor: 0.7,
 };
 
--- a/programs/pb-proxy/src/gateway/clients.rs
+++ b/programs/pb-proxy/src/gateway/clients.rs
@@ -39,6 +39,10 @@
 /// Time before a deadline at which the client is answered, so that the answer still reaches it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
 
+/// Longest time that a request waits for the first publication of a host that has just started;
+/// after a restart of the whole fleet a leader is there within about a second.
+const START_WAIT: Duration = Duration::from_millis(1_500);
+
 /// Largest body that is held, in bytes; a host has 160 MB or more and a few dozen clients.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
@@ -75,7 +79,9 @@
         asked: &Asked,
         record: &Record,
     ) -> Result<Response<Body>, Failure> {
-        let in_force = self.state.in_force();
+        let patience = asked.patience.unwrap_or(START_WAIT) / 2;
+        let limit = START_WAIT.min(patience);
+        let in_force = self.state.wait_for_publication(limit).await;
         if in_force.publication.version == 0 {
             return Err(Failure::from(Kind::NotReady));
         }
--- a/programs/pb-proxy/src/gateway/desk.rs
+++ b/programs/pb-proxy/src/gateway/desk.rs
@@ -160,6 +160,7 @@
                 tolerance: settings.tolerance,
                 draw,
             },
+            is_first: false,
             floor: settings.floor,
         });
         local.set_share(OWN_SHARE / f64::from(UNKNOWN_HOSTS));
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use event_listener::Event;
 use persimmonbend_app::stop::Stop;
 use persimmonbend_core::clock::Clock;
 use persimmonbend_core::id::TenantId;
@@ -69,6 +70,7 @@
     dialect: Rc<dyn Dialect>,
     clock: Rc<dyn Clock>,
     in_force: RefCell<Rc<InForce>>,
+    configured: Event,
     upstreams: RefCell<BTreeMap<Number, Entry>>,
     desk: Desk,
     pool: Pool,
@@ -94,6 +96,7 @@
             dialect,
             clock,
             in_force: RefCell::default(),
+            configured: Event::new(),
             upstreams: RefCell::default(),
             pool: Pool::new(CONNECTIONS_MAX),
             meters: Meters::new(),
@@ -129,6 +132,15 @@
         Rc::clone(&self.in_force.borrow())
     }
 
+    /// Waits until there is a publication, at most for `limit`; returns the one in force.
+    pub async fn wait_for_publication(&self, limit: Duration) -> Rc<InForce> {
+        if self.version() == 0 {
+            let listener = self.configured.listen();
+            let _ = compio::time::timeout(limit, listener).await;
+        }
+        self.in_force()
+    }
+
     /// Returns the link to the dispatcher.
     #[must_use]
     pub const fn desk(&self) -> &Desk {
@@ -228,6 +240,7 @@
         let in_force = Rc::new(InForce::from(publication));
         self.desk.publish(Rc::clone(&in_force.publication));
         *self.in_force.borrow_mut() = in_force;
+        self.configured.notify(usize::MAX);
         info!(version, from, "publication_in_force");
         true
     }
