--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -672,8 +672,11 @@
         let Some(place) = pool.places.get_mut(&hold.upstream) else {
             return;
         };
-        pool.health.observe(end.sign, hold.last, now);
-        place.belief.observe(end.sign, now);
+        let own_doing = end.sign == Sign::TimedOut && timing.is_too_short();
+        if !own_doing {
+            pool.health.observe(end.sign, hold.last, now);
+            place.belief.observe(end.sign, now);
+        }
         match end.sign {
             Sign::Answered => {
                 place.observe(end.latency, &timing, now);
@@ -681,6 +684,10 @@
                 timing.observe(end);
                 self.timings.insert(hold.route.clone(), timing);
             }
+            Sign::TimedOut => {
+                timing.observe_timeout();
+                self.timings.insert(hold.route.clone(), timing);
+            }
             Sign::Unreachable => {
                 let pair = (host.to_owned(), hold.upstream);
                 self.pairs.insert(pair, now + PAIR_PAUSE);
@@ -701,6 +708,9 @@
                 continue;
             };
             let timing = self.timing(&hold.route, route);
+            if timing.is_too_short() {
+                continue;
+            }
             let pool = self.pools.get(&hold.service);
             let place = pool.and_then(|pool| pool.places.get(&hold.upstream));
             let Some(place) = place else {
--- a/crates/core/src/dispatch/timing.rs
+++ b/crates/core/src/dispatch/timing.rs
@@ -13,6 +13,12 @@
 /// Mean time that is taken for a route before its first answer: a third of its objective.
 const UNKNOWN_SHARE: f64 = 0.33;
 
+/// Share of one outcome in the share of attempts that time out.
+const TIMEOUT_GAIN: f64 = 0.2;
+
+/// Share of attempts that time out from which on a timeout is the route's own doing.
+const OWN_TIMEOUTS: f64 = 0.5;
+
 /// Bytes in a KiB.
 const KIB: f64 = 1024.0;
 
@@ -21,6 +27,7 @@
 pub struct Timing {
     mean: f64,
     bytes: f64,
+    timeouts: f64,
     known: bool,
 }
 
@@ -31,6 +38,7 @@
         Self {
             mean: objective.as_secs_f64() * UNKNOWN_SHARE,
             bytes: 0.0,
+            timeouts: 0.0,
             known: false,
         }
     }
@@ -47,8 +55,21 @@
         self.bytes / KIB
     }
 
+    /// Returns whether so many attempts time out wherever they run that a timeout says nothing about
+    /// an upstream: the route allows less time than its requests take.
+    #[must_use]
+    pub fn is_too_short(&self) -> bool {
+        self.timeouts >= OWN_TIMEOUTS
+    }
+
+    /// Takes in an attempt that timed out.
+    pub fn observe_timeout(&mut self) {
+        self.timeouts += (1.0 - self.timeouts) * TIMEOUT_GAIN;
+    }
+
     /// Takes in an answered attempt.
     pub fn observe(&mut self, end: &End) {
+        self.timeouts -= self.timeouts * TIMEOUT_GAIN;
         let latency = end.latency.as_secs_f64();
         let bytes = f64::from(end.bytes);
         if !self.known {
--- a/crates/core/tests/dispatch/grey.rs
+++ b/crates/core/tests/dispatch/grey.rs
@@ -305,3 +305,29 @@
     next.dispatcher.take_over(&[1, 2, 3], false, next.now);
     assert!(next.dispatcher.suspects(next.now).len() < 3);
 }
+
+#[test]
+fn a_route_that_allows_too_little_time_blames_no_upstream() {
+    let mut world = World::new(&["a", "a"]);
+    let short = Duration::from_millis(400);
+    for _ in 0..12 {
+        let Some((ticket, _)) = world.place(AGAIN) else {
+            panic!("there are free slots");
+        };
+        world.pass(short);
+        world.release(&ticket, Sign::TimedOut, short);
+    }
+    for _ in 0..6 {
+        let (ticket, _) = world.place(AGAIN).unwrap();
+        world.pass(short);
+        world.release(&ticket, Sign::TimedOut, short);
+    }
+    // The last few timeouts moved nothing; the beliefs drift back.
+    let before = world.dispatcher.grey(1, world.now).unwrap();
+    for _ in 0..6 {
+        let (ticket, _) = world.place(AGAIN).unwrap();
+        world.pass(short);
+        world.release(&ticket, Sign::TimedOut, short);
+    }
+    assert!(world.dispatcher.grey(1, world.now).unwrap() < before);
+}
--- a/programs/pb-control/tests/record.rs
+++ b/programs/pb-control/tests/record.rs
@@ -29,7 +29,12 @@
         assert_eq!(record::read(&written).unwrap(), command);
     }
     let written = record::write(&publish(&large)).unwrap();
-    assert!(written.len() * 10 < large.len(), "{} of {}", written.len(), large.len());
+    assert!(
+        written.len() * 10 < large.len(),
+        "{} of {}",
+        written.len(),
+        large.len()
+    );
 }
 
 #[test]
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -133,11 +133,8 @@
         }
     };
     let left = plan.deadline.saturating_duration_since(state.now());
-    let limit = reservation
-        .patience()
-        .map_or(left, |patience| patience.min(left));
     let sending = exchange(state, plan, asked, &reservation, connection, left);
-    let result = timeout(limit, sending).await;
+    let result = timeout(left, sending).await;
     let result = result.unwrap_or(Err(Fault::unknown(Kind::UpstreamTimeout, Sign::TimedOut)));
     match result {
         Ok(answer) => answer.finish(state, plan, address, reservation),
