fix(core): the floor counts only upstreams that failed none for two seconds

Cause, read from the logs of an incident: on one service a fifth of all attempts went to upstreams that the dispatcher suspected, in part since the floor forced them and its own failures kept it in force. Change: an upstream that failed within two seconds does not count for the floor, and what is there for the floor does not count as trouble.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -150,10 +150,20 @@
     since: Instant,
     /// Whether no other attempt may follow.
     last: bool,
+    /// Whether it is there for the floor only.
+    forced: bool,
     /// Times that it has counted as late.
     late: u32,
 }
 
+/// An upstream that was chosen for a request.
+#[derive(Debug, Clone, Copy)]
+struct Choice {
+    upstream: Number,
+    /// Whether it was chosen to keep the floor, and not for its cost.
+    forced: bool,
+}
+
 /// A host of the fleet as the dispatcher knows it.
 #[derive(Debug, Clone, Copy)]
 struct Host {
@@ -376,6 +386,7 @@
             route: report.route,
             since: now,
             last: false,
+            forced: false,
             late: 0,
         };
         self.held.insert(report.ticket, hold);
@@ -403,9 +414,9 @@
         let priority = self.priority(&ask, route);
         let pool = self.pools.get(&ask.service);
         if pool.is_some_and(|pool| pool.ahead(priority) == 0)
-            && let Some(upstream) = self.choose(&ask, now)
+            && let Some(choice) = self.choose(&ask, now)
         {
-            return vec![self.grant(ask, upstream, now)];
+            return vec![self.grant(ask, choice, now)];
         }
         if let Some((kind, wait)) = self.hopeless(&ask, priority, now) {
             self.give_back(&ask);
@@ -503,7 +514,7 @@
         own.unwrap_or(route.priority)
     }
 
-    fn choose(&mut self, ask: &Ask, now: Instant) -> Option<Number> {
+    fn choose(&mut self, ask: &Ask, now: Instant) -> Option<Choice> {
         let publication = Rc::clone(&self.publication);
         let route = publication.routes.get(&ask.route)?;
         let timing = self.timing(&ask.route, route);
@@ -522,14 +533,23 @@
         let fresh = |number: Number| !ask.avoid.contains(&number);
         let reachable = |number: Number| fresh(number) && !paused.contains(&number);
         if pool.is_below_floor(self.policy.floor, now) {
-            let idle = |number: Number| reachable(number) && !pool.is_in_use(number, now);
-            let chosen = pool.cheapest(&subject, silence, now, idle);
-            if chosen.is_some() {
-                return chosen;
+            let idle = |number: Number| {
+                let counts = pool.counts_for_floor(number, now) && reachable(number);
+                counts && !pool.is_in_use(number, now)
+            };
+            if let Some(upstream) = pool.cheapest(&subject, silence, now, idle) {
+                return Some(Choice {
+                    upstream,
+                    forced: true,
+                });
             }
         }
         let chosen = pool.cheapest(&subject, silence, now, reachable);
-        chosen.or_else(|| pool.cheapest(&subject, silence, now, fresh))
+        let chosen = chosen.or_else(|| pool.cheapest(&subject, silence, now, fresh));
+        chosen.map(|upstream| Choice {
+            upstream,
+            forced: false,
+        })
     }
 
     fn paused(&self, host: &str, now: Instant) -> BTreeSet<Number> {
@@ -541,7 +561,8 @@
             .collect()
     }
 
-    fn grant(&mut self, ask: Ask, upstream: Number, now: Instant) -> Answer {
+    fn grant(&mut self, ask: Ask, choice: Choice, now: Instant) -> Answer {
+        let Choice { upstream, forced } = choice;
         let patience = self.patience(&ask, upstream, now);
         if let Some(place) = self.place_mut(upstream) {
             place.running += 1;
@@ -556,6 +577,7 @@
             route: ask.route,
             since: now,
             last,
+            forced,
             late: 0,
         };
         self.held.insert(ask.ticket.clone(), hold);
@@ -620,8 +642,8 @@
         };
         let mut waiting = std::mem::take(&mut pool.waiting);
         for queue in waiting.values_mut() {
-            while let Some((ask, upstream)) = queue.take(|ask| self.choose(ask, now)) {
-                answers.push(self.grant(ask, upstream, now));
+            while let Some((ask, choice)) = queue.take(|ask| self.choose(ask, now)) {
+                answers.push(self.grant(ask, choice, now));
             }
         }
         waiting.retain(|_, queue| !queue.is_empty());
@@ -674,8 +696,11 @@
         };
         let own_doing = end.sign == Sign::TimedOut && timing.is_too_short();
         if !own_doing {
-            pool.health.observe(end.sign, hold.last, now);
-            place.belief.observe(end.sign, now);
+            // What the floor itself costs must not keep it in force.
+            if !hold.forced {
+                pool.health.observe(end.sign, hold.last, now);
+            }
+            place.observe_end(end.sign, now);
         }
         match end.sign {
             Sign::Answered => {
--- a/crates/core/src/dispatch/place.rs
+++ b/crates/core/src/dispatch/place.rs
@@ -5,6 +5,7 @@
 
 use crate::dispatch::belief::Belief;
 use crate::dispatch::timing::Timing;
+use crate::health::Sign;
 use crate::id::Zone;
 use crate::upstream::Announcement;
 use crate::upstream::Stage;
@@ -38,6 +39,8 @@
     pub belief: Belief,
     /// When it was last granted.
     pub granted: Option<Instant>,
+    /// When it last failed a request.
+    pub failed: Option<Instant>,
     /// When it was last heard from.
     pub heard: Instant,
     stage: Stage,
@@ -55,6 +58,7 @@
             running: 0,
             belief: Belief::new(now),
             granted: None,
+            failed: None,
             heard: now,
             stage: announcement.stage,
             speed: 1.0,
@@ -93,6 +97,14 @@
         timing.mean() * self.speed(now) * cold * (1.0 + CROWD * crowd)
     }
 
+    /// Takes in how an attempt ended.
+    pub fn observe_end(&mut self, sign: Sign, now: Instant) {
+        self.belief.observe(sign, now);
+        if matches!(sign, Sign::Failed | Sign::Truncated | Sign::TimedOut) {
+            self.failed = Some(now);
+        }
+    }
+
     /// Takes in the latency of an answer to a request of a route.
     pub fn observe(&mut self, latency: Duration, timing: &Timing, now: Instant) {
         let cold = if self.stage == Stage::Starting {
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -29,6 +29,9 @@
 /// seconds.
 const IN_USE: Duration = Duration::from_millis(1_500);
 
+/// Time after a failure in which an upstream does not count for the floor.
+const UNSOUND: Duration = Duration::from_secs(2);
+
 /// Share beyond the floor that is kept in use, since some that are used may turn out not to be
 /// sound.
 const FLOOR_MARGIN: f64 = 0.08;
@@ -110,15 +113,25 @@
         if !self.health.is_troubled(now) {
             return false;
         }
-        let open = self.places.iter().filter(|(_, place)| place.is_open());
         let (mut all, mut used) = (0.0, 0.0);
-        for (number, _) in open {
-            all += 1.0;
-            used += f64::from(u8::from(self.is_in_use(*number, now)));
+        for number in self.places.keys() {
+            if self.counts_for_floor(*number, now) {
+                all += 1.0;
+                used += f64::from(u8::from(self.is_in_use(*number, now)));
+            }
         }
         used < (floor + FLOOR_MARGIN).min(1.0) * all
     }
 
+    /// Returns whether an upstream is open and has failed no request lately.
+    #[must_use]
+    pub fn counts_for_floor(&self, number: Number, now: Instant) -> bool {
+        self.places.get(&number).is_some_and(|place| {
+            let lately = |at| now.saturating_duration_since(at) < UNSOUND;
+            place.is_open() && !place.failed.is_some_and(lately)
+        })
+    }
+
     /// Returns whether an upstream got a request lately.
     #[must_use]
     pub fn is_in_use(&self, number: Number, now: Instant) -> bool {
