--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -15,7 +15,9 @@
 mod belief;
 mod cost;
 mod health;
+mod learning;
 mod place;
+mod placing;
 mod pool;
 mod quotas;
 mod repeats;
@@ -45,44 +47,24 @@
 pub use timing::Timing;
 
 use crate::error::Kind;
-use crate::health::Sign;
 use crate::id::HostId;
 use crate::id::RouteId;
 use crate::id::ServiceId;
 use crate::publication::Publication;
 use crate::publication::Quota;
-use crate::publication::Route;
 use crate::roster::Entry;
 use crate::roster::Number;
 use crate::steward::Ticket;
 use crate::upstream::Stage;
 
-/// Asks of one service that wait at a time.
-const MAX_WAITING: usize = 4_096;
-
-/// Multiple of the expected time after which a running attempt counts as late, and again after
-/// twice as much.
-const LATE_FACTOR: f64 = 3.0;
-
-/// Times that one attempt can count as late.
-const LATE_MOST: u32 = 2;
-
 /// Least time after which a running attempt counts as late.
 const LATE_LEAST: Duration = Duration::from_millis(200);
 
-/// Multiple of the expected time after which another attempt is better than further waiting; one
-/// request in a hundred takes some three times as long as most.
-const PATIENCE_FACTOR: f64 = 4.0;
-
-/// Time for which a host that could not connect to an upstream is sent elsewhere.
-const PAIR_PAUSE: Duration = Duration::from_secs(4);
-
 /// Time for which the share of a host that fell silent is withheld from tenants' quotas.
 const SHARE_HELD: Duration = Duration::from_secs(30);
 
-/// Shortest and longest time after which a refused request is told to come back.
+/// Shortest time after which a refused request is told to come back.
 const RETRY_LEAST: Duration = Duration::from_millis(150);
-const RETRY_MOST: Duration = Duration::from_secs(2);
 
 /// Settings of a dispatcher.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -507,256 +489,6 @@
         }
     }
 
-    fn priority(&self, ask: &Ask, route: &Route) -> u32 {
-        let tenant = ask.tenant.as_ref();
-        let tenant = tenant.and_then(|tenant| self.publication.tenants.get(tenant));
-        let own = tenant.and_then(|tenant| tenant.priority);
-        own.unwrap_or(route.priority)
-    }
-
-    fn choose(&mut self, ask: &Ask, now: Instant) -> Option<Choice> {
-        let publication = Rc::clone(&self.publication);
-        let route = publication.routes.get(&ask.route)?;
-        let timing = self.timing(&ask.route, route);
-        let subject = Subject {
-            zone: &ask.zone,
-            idempotent: route.idempotent,
-            spare: ask.attempts + 1 < route.attempts,
-            left: left(ask, route, now).as_secs_f64(),
-            timing: &timing,
-        };
-        let silence = self.policy.silence;
-        let paused: BTreeSet<Number> = self.paused(&ask.ticket.host, now);
-        let pool = self.pools.get_mut(&ask.service)?;
-        pool.turn_on();
-        let pool = &*pool;
-        let fresh = |number: Number| !ask.avoid.contains(&number);
-        let reachable = |number: Number| fresh(number) && !paused.contains(&number);
-        if pool.is_below_floor(self.policy.floor, now) {
-            let idle = |number: Number| {
-                let counts = pool.counts_for_floor(number, now) && reachable(number);
-                counts && !pool.is_in_use(number, now)
-            };
-            if let Some(upstream) = pool.cheapest(&subject, silence, now, idle) {
-                return Some(Choice {
-                    upstream,
-                    forced: true,
-                });
-            }
-        }
-        let chosen = pool.cheapest(&subject, silence, now, reachable);
-        let chosen = chosen.or_else(|| pool.cheapest(&subject, silence, now, fresh));
-        chosen.map(|upstream| Choice {
-            upstream,
-            forced: false,
-        })
-    }
-
-    fn paused(&self, host: &str, now: Instant) -> BTreeSet<Number> {
-        let first = (host.to_owned(), Number::MIN);
-        let last = (host.to_owned(), Number::MAX);
-        let own = self.pairs.range(first..=last);
-        own.filter(|(_, until)| now < **until)
-            .map(|((_, number), _)| *number)
-            .collect()
-    }
-
-    fn grant(&mut self, ask: Ask, choice: Choice, now: Instant) -> Answer {
-        let Choice { upstream, forced } = choice;
-        let patience = self.patience(&ask, upstream, now);
-        if let Some(place) = self.place_mut(upstream) {
-            place.running += 1;
-            place.granted = Some(now);
-        }
-        let route = self.publication.routes.get(&ask.route);
-        let last =
-            route.is_none_or(|route| !route.idempotent || ask.attempts + 1 >= route.attempts);
-        let hold = Hold {
-            service: ask.service,
-            upstream,
-            route: ask.route,
-            since: now,
-            last,
-            forced,
-            late: 0,
-        };
-        self.held.insert(ask.ticket.clone(), hold);
-        Answer {
-            ticket: ask.ticket,
-            decision: Decision::Granted { upstream, patience },
-        }
-    }
-
-    /// Returns how long a request that may be repeated waits for an answer before it is sent
-    /// elsewhere; `None` when no attempt could follow in time.
-    fn patience(&self, ask: &Ask, upstream: Number, now: Instant) -> Option<Duration> {
-        let route = self.publication.routes.get(&ask.route)?;
-        if !route.idempotent || ask.attempts + 1 >= route.attempts {
-            return None;
-        }
-        let timing = self.timing(&ask.route, route);
-        let place = self.pools.get(&ask.service)?.places.get(&upstream)?;
-        let expected = place.expected(&timing, now).max(timing.mean());
-        let patience = Duration::from_secs_f64(expected * PATIENCE_FACTOR).max(LATE_LEAST);
-        let again = Duration::from_secs_f64(timing.mean());
-        (now + patience + again < ask.deadline).then_some(patience)
-    }
-
-    /// Returns why an ask should not wait, and when it makes sense to come back.
-    fn hopeless(&self, ask: &Ask, priority: u32, now: Instant) -> Option<(Kind, Duration)> {
-        let pool = self.pools.get(&ask.service)?;
-        let capacity = pool.capacity(now);
-        if capacity == 0 {
-            return Some((Kind::NoUpstream, RETRY_LEAST * 2));
-        }
-        let ahead = u32::try_from(pool.ahead(priority)).unwrap_or(u32::MAX);
-        let slot_time = pool.slot_time.mean();
-        let wait = slot_time.saturating_mul(ahead.saturating_add(1)) / capacity;
-        let route = self.publication.routes.get(&ask.route)?;
-        let run = Duration::from_secs_f64(self.timing(&ask.route, route).mean());
-        let full = pool.queued() >= MAX_WAITING;
-        let late = now + wait + run > ask.deadline;
-        (full || late).then_some((Kind::Overloaded, wait.clamp(RETRY_LEAST, RETRY_MOST)))
-    }
-
-    fn enqueue(&mut self, ask: Ask, priority: u32) -> Vec<Answer> {
-        let Some(pool) = self.pools.get_mut(&ask.service) else {
-            return Vec::new();
-        };
-        let answer = Answer {
-            ticket: ask.ticket.clone(),
-            decision: Decision::Queued,
-        };
-        let cost = pool.slot_time.mean();
-        let tenant = ask.tenant.clone().unwrap_or_default();
-        let queue = pool.waiting.entry(priority).or_default();
-        queue.push(&tenant, cost, ask);
-        vec![answer]
-    }
-
-    /// Places the asks of a service that wait, as far as there are free slots.
-    fn serve(&mut self, service: &str, now: Instant) -> Vec<Answer> {
-        let mut answers = Vec::new();
-        let Some(pool) = self.pools.get_mut(service) else {
-            return answers;
-        };
-        let mut waiting = std::mem::take(&mut pool.waiting);
-        for queue in waiting.values_mut() {
-            while let Some((ask, choice)) = queue.take(|ask| self.choose(ask, now)) {
-                answers.push(self.grant(ask, choice, now));
-            }
-        }
-        waiting.retain(|_, queue| !queue.is_empty());
-        if let Some(pool) = self.pools.get_mut(service) {
-            pool.waiting = waiting;
-        }
-        answers
-    }
-
-    /// Refuses the asks of a service that cannot be answered in time any more.
-    fn expire(&mut self, service: &str, now: Instant) -> Vec<Answer> {
-        let Some(pool) = self.pools.get_mut(service) else {
-            return Vec::new();
-        };
-        let mut waiting = std::mem::take(&mut pool.waiting);
-        let mut late = Vec::new();
-        for queue in waiting.values_mut() {
-            late.extend(queue.remove_if(|ask| self.is_late(ask, now)));
-        }
-        if let Some(pool) = self.pools.get_mut(service) {
-            pool.waiting = waiting;
-        }
-        for ask in &late {
-            self.give_back(ask);
-        }
-        let refuse = |ask: Ask| refused(ask.ticket, Kind::Overloaded, RETRY_LEAST);
-        late.into_iter().map(refuse).collect()
-    }
-
-    /// Returns whether an ask that waits could no longer be answered by a sound upstream.
-    fn is_late(&self, ask: &Ask, now: Instant) -> bool {
-        let Some(route) = self.publication.routes.get(&ask.route) else {
-            return true;
-        };
-        let run = Duration::from_secs_f64(self.timing(&ask.route, route).mean() / 2.0);
-        now + run > ask.deadline
-    }
-
-    fn learn(&mut self, host: &str, hold: &Hold, end: &End, now: Instant) {
-        let publication = Rc::clone(&self.publication);
-        let Some(route) = publication.routes.get(&hold.route) else {
-            return;
-        };
-        let mut timing = self.timing(&hold.route, route);
-        let Some(pool) = self.pools.get_mut(&hold.service) else {
-            return;
-        };
-        let Some(place) = pool.places.get_mut(&hold.upstream) else {
-            return;
-        };
-        let own_doing = end.sign == Sign::TimedOut && timing.is_too_short();
-        if !own_doing {
-            // What the floor itself costs must not keep it in force.
-            if !hold.forced {
-                pool.health.observe(end.sign, hold.last, now);
-            }
-            place.observe_end(end.sign, now);
-        }
-        match end.sign {
-            Sign::Answered => {
-                place.observe(end.latency, &timing, now);
-                pool.slot_time.observe(end.latency);
-                timing.observe(end);
-                self.timings.insert(hold.route.clone(), timing);
-            }
-            Sign::TimedOut => {
-                timing.observe_timeout();
-                self.timings.insert(hold.route.clone(), timing);
-            }
-            Sign::Unreachable => {
-                let pair = (host.to_owned(), hold.upstream);
-                self.pairs.insert(pair, now + PAIR_PAUSE);
-            }
-            Sign::Moved => self.dismiss(hold.upstream),
-            _ => {}
-        }
-    }
-
-    fn note_late(&mut self, now: Instant) {
-        let publication = Rc::clone(&self.publication);
-        let mut late = Vec::new();
-        for (ticket, hold) in &self.held {
-            if hold.late >= LATE_MOST {
-                continue;
-            }
-            let Some(route) = publication.routes.get(&hold.route) else {
-                continue;
-            };
-            let timing = self.timing(&hold.route, route);
-            if timing.is_too_short() {
-                continue;
-            }
-            let pool = self.pools.get(&hold.service);
-            let place = pool.and_then(|pool| pool.places.get(&hold.upstream));
-            let Some(place) = place else {
-                continue;
-            };
-            let expected = place.expected(&timing, now) * LATE_FACTOR;
-            let limit = Duration::from_secs_f64(expected).max(LATE_LEAST) * (hold.late + 1);
-            if now.saturating_duration_since(hold.since) > limit {
-                late.push((ticket.clone(), hold.upstream));
-            }
-        }
-        for (ticket, upstream) in late {
-            if let Some(hold) = self.held.get_mut(&ticket) {
-                hold.late += 1;
-            }
-            if let Some(place) = self.place_mut(upstream) {
-                place.belief.observe_late(now);
-            }
-        }
-    }
-
     fn give_up(&mut self, host: &str, now: Instant) -> Vec<Answer> {
         let own = |ticket: &&Ticket| ticket.host == host;
         let tickets: Vec<Ticket> = self.held.keys().filter(own).cloned().collect();
@@ -769,18 +501,6 @@
         served.flatten().collect()
     }
 
-    fn withdraw<F: Fn(&Ask) -> bool>(&mut self, leaves: F) {
-        let mut withdrawn = Vec::new();
-        for pool in self.pools.values_mut() {
-            for queue in pool.waiting.values_mut() {
-                withdrawn.extend(queue.remove_if(&leaves));
-            }
-        }
-        for ask in &withdrawn {
-            self.give_back(ask);
-        }
-    }
-
     fn free(&mut self, ticket: &Ticket) -> Option<Hold> {
         let hold = self.held.remove(ticket)?;
         if let Some(place) = self.place_mut(hold.upstream) {
@@ -801,21 +521,6 @@
         let pool = self.pools.get_mut(self.homes.get(&number)?)?;
         pool.places.get_mut(&number)
     }
-
-    fn timing(&self, name: &str, route: &Route) -> Timing {
-        let known = self.timings.get(name).copied();
-        known.unwrap_or_else(|| Timing::new(route.objective))
-    }
-}
-
-/// Returns what is left of the objective of an ask, or of its deadline once that has passed.
-fn left(ask: &Ask, route: &Route, now: Instant) -> Duration {
-    let objective = ask.arrived + route.objective;
-    let left = objective.min(ask.deadline).saturating_duration_since(now);
-    if left.is_zero() {
-        return ask.deadline.saturating_duration_since(now);
-    }
-    left
 }
 
 const fn refused(ticket: Ticket, kind: Kind, retry_after: Duration) -> Answer {
