feat(core): filings wait for a sound slot rather than take a suspect's

Change: a request that cannot be repeated waits for a sound upstream for up to 0.4 of its objective.

--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -19,6 +19,10 @@
 use crate::publication::Route;
 use crate::roster::Number;
 
+/// Part of its objective for which a request that cannot be repeated waits for a slot of a sound
+/// upstream, rather than take a free one of a suspect.
+const SOUND_WAIT_PART: f64 = 0.4;
+
 /// Asks of one service that wait at a time.
 const MAX_WAITING: usize = 4_096;
 
@@ -69,6 +73,11 @@
         }
         let chosen = pool.cheapest(&subject, silence, now, reachable);
         let chosen = chosen.or_else(|| pool.cheapest(&subject, silence, now, fresh));
+        let waited = now.saturating_duration_since(ask.arrived);
+        let patient = waited < route.objective.mul_f64(SOUND_WAIT_PART);
+        let repairable = subject.idempotent && subject.spare;
+        let worth_a_wait = patient && !repairable && pool.has_sound(now);
+        let chosen = chosen.filter(|number| !worth_a_wait || !pool.is_suspect(*number, now));
         chosen.map(|upstream| Choice {
             upstream,
             forced: false,
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -144,6 +144,20 @@
         self.cursor = self.cursor.wrapping_add(1);
     }
 
+    /// Returns whether an upstream is more likely grey than not.
+    #[must_use]
+    pub fn is_suspect(&self, number: Number, now: Instant) -> bool {
+        let place = self.places.get(&number);
+        place.is_some_and(|place| place.belief.is_suspect(now))
+    }
+
+    /// Returns whether some open upstream is likely sound.
+    #[must_use]
+    pub fn has_sound(&self, now: Instant) -> bool {
+        let mut open = self.places.values().filter(|place| place.is_open());
+        open.any(|place| !place.belief.is_suspect(now))
+    }
+
     /// Returns the upstream of least expected cost that has a free slot and that `allowed` holds
     /// for.
     #[must_use]
--- a/crates/core/tests/dispatch/grey.rs
+++ b/crates/core/tests/dispatch/grey.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use persimmonbend_core::dispatch::Decision;
 use persimmonbend_core::health::Sign;
 use persimmonbend_core::roster::Number;
 use persimmonbend_core::steward::Ticket;
@@ -54,8 +55,9 @@
             grey = drawn.collect();
         }
         world.pass(STEP);
+        let mut answers = Vec::new();
         if at % 50 == 0 {
-            world.dispatcher.tick(world.now);
+            answers.extend(world.dispatcher.tick(world.now));
         }
         let (due, left): (Vec<Flight>, Vec<Flight>) =
             flights.into_iter().partition(|flight| flight.due <= at);
@@ -69,35 +71,41 @@
             };
             // A blind dispatcher learns nothing, for comparison.
             let sign = if blind { Sign::Cancelled } else { flight.sign };
-            world.release(&flight.ticket, sign, took);
+            answers.extend(world.release(&flight.ticket, sign, took));
             assert!(world.dispatcher.running(flight.upstream) <= 3);
         }
-        if !rng.random_bool(per_second / 1_000.0) {
-            continue;
+        if rng.random_bool(per_second / 1_000.0) {
+            tally.asked += 1;
+            let mut ask = world.ask(ONCE);
+            ask.zone = ["a", "b", "c", "d"][rng.random_range(0..4)].to_owned();
+            answers.extend(world.dispatcher.reserve(ask, world.now));
+        }
+        for answer in answers {
+            let upstream = match answer.decision {
+                Decision::Granted { upstream, .. } => upstream,
+                Decision::Queued => continue,
+                Decision::Refused { .. } => {
+                    tally.failed += 1;
+                    continue;
+                }
+            };
+            let fails = if grey.contains(&upstream) {
+                GREY_FAILS
+            } else {
+                SOUND_FAILS
+            };
+            let failed = rng.random_bool(fails);
+            flights.push(Flight {
+                due: at + if failed { 1 } else { 240 },
+                ticket: answer.ticket,
+                upstream,
+                sign: if failed { Sign::Failed } else { Sign::Answered },
+            });
         }
-        tally.asked += 1;
-        let zone = ["a", "b", "c", "d"][rng.random_range(0..4)];
-        let mut ask = world.ask(ONCE);
-        ask.zone = zone.to_owned();
-        let ticket = ask.ticket.clone();
-        let persimmonbend_core::dispatch::Decision::Granted { upstream, .. } = world.reserve(ask)
-        else {
-            tally.failed += 1;
-            continue;
-        };
-        let fails = if grey.contains(&upstream) {
-            GREY_FAILS
-        } else {
-            SOUND_FAILS
-        };
-        let failed = rng.random_bool(fails);
-        flights.push(Flight {
-            due: at + if failed { 1 } else { 240 },
-            ticket,
-            upstream,
-            sign: if failed { Sign::Failed } else { Sign::Answered },
-        });
     }
+    // What still waits counts as failed.
+    let waiting = world.dispatcher.queued(crate::world::SERVICE);
+    tally.failed += u32::try_from(waiting).expect("a small number");
     tally
 }
 
@@ -212,7 +220,7 @@
     ask.ticket.host = "host-2".to_owned();
     let decision = world.reserve(ask);
     assert!(
-        matches!(decision, persimmonbend_core::dispatch::Decision::Granted { upstream, .. } if upstream == unreachable),
+        matches!(decision, Decision::Granted { upstream, .. } if upstream == unreachable),
         "{decision:?}"
     );
 }
@@ -336,3 +344,52 @@
     }
     assert!(world.dispatcher.grey(1, world.now).unwrap() < before);
 }
+
+#[test]
+fn a_filing_waits_for_a_sound_upstream_rather_than_take_a_suspect_slot() {
+    let mut world = World::new(&["a", "a"]);
+    for _ in 0..20 {
+        let (ticket, _) = world.place(ONCE).unwrap();
+        world.pass(RUN);
+        world.release(&ticket, Sign::Answered, RUN);
+    }
+    let (ticket, suspect) = world.place(ONCE).unwrap();
+    let (again, same) = world.place(ONCE).unwrap();
+    let (third, last) = world.place(ONCE).unwrap();
+    for (ticket, upstream) in [(ticket, suspect), (again, same), (third, last)] {
+        let sign = if upstream == suspect {
+            Sign::Failed
+        } else {
+            Sign::Answered
+        };
+        world.release(&ticket, sign, STEP);
+    }
+    assert_eq!(world.dispatcher.suspects(world.now), [suspect]);
+    let held: Vec<Ticket> = (0..3).map(|_| world.place(ONCE).unwrap().0).collect();
+    // The sound one is full. A filing waits for it, a read may try the suspect.
+    let ask = world.ask(ONCE);
+    let waiting = ask.ticket.clone();
+    assert_eq!(world.reserve(ask), Decision::Queued);
+    let ask = world.ask(AGAIN);
+    assert!(matches!(
+        world.reserve(ask),
+        Decision::Granted { .. } | Decision::Queued
+    ));
+    let answers = world.release(&held[0], Sign::Answered, RUN);
+    let own = answers
+        .iter()
+        .find(|answer| answer.ticket == waiting)
+        .unwrap();
+    assert!(
+        matches!(own.decision, Decision::Granted { upstream, .. } if upstream != suspect),
+        "{own:?}"
+    );
+    // One that has waited for long takes what there is.
+    let ask = world.ask(ONCE);
+    let late = ask.ticket.clone();
+    assert_eq!(world.reserve(ask), Decision::Queued);
+    world.pass(Duration::from_millis(450));
+    let answers = world.dispatcher.tick(world.now);
+    let own = answers.iter().find(|answer| answer.ticket == late).unwrap();
+    assert!(matches!(own.decision, Decision::Granted { .. }), "{own:?}");
+}
