--- a/programs/pb-proxy/src/gateway.rs
+++ b/programs/pb-proxy/src/gateway.rs
@@ -96,6 +96,9 @@
     Ok(())
 }
 
+/// Time after the notice period in which requests are still read that were sent before it ended.
+pub(crate) const LINGER: Duration = Duration::from_millis(200);
+
 /// Time for the last frames to leave.
 const LAST_WORDS: Duration = Duration::from_millis(20);
 
@@ -103,7 +106,7 @@
     let server = Server::bind(address).await;
     let server = server.with_context(|| format!("cannot listen on {address}"))?;
     Ok(server.limits(Limits {
-        linger: Duration::from_millis(200),
+        linger: LINGER,
         ..Limits::default()
     }))
 }
--- a/programs/pb-proxy/src/gateway/clients.rs
+++ b/programs/pb-proxy/src/gateway/clients.rs
@@ -27,6 +27,7 @@
 use persimmonbend_core::publication::Route;
 
 use crate::callers;
+use crate::gateway::LINGER;
 use crate::gateway::dialect::Asked;
 use crate::gateway::dialect::Key;
 use crate::gateway::forward;
@@ -204,6 +205,7 @@
             idle_timeout: limits.idle_timeout,
             close_cancels: true,
             connections: MAX_CLIENTS,
+            linger: LINGER,
             ..Limits::default()
         })
     }
