--- a/programs/pb-proxy/src/gateway/clients.rs
+++ b/programs/pb-proxy/src/gateway/clients.rs
@@ -206,7 +206,6 @@
             close_cancels: true,
             connections: MAX_CLIENTS,
             linger: LINGER,
-            ..Limits::default()
         })
     }
 }
