--- a/programs/pb-proxy/src/gateway/clients.rs
+++ b/programs/pb-proxy/src/gateway/clients.rs
@@ -119,7 +119,7 @@
         let tenant = if route.open {
             None
         } else {
-            Some(self.tenant(in_force, asked)?)
+            self.tenant(in_force, asked)?
         };
         Ok(Target {
             name: name.clone(),
@@ -128,15 +128,17 @@
         })
     }
 
-    fn tenant(&self, in_force: &InForce, asked: &Asked) -> Result<TenantId, Failure> {
+    /// Returns the tenant of a request to a route that needs a key; there is none where the
+    /// publication knows no tenants at all.
+    fn tenant(&self, in_force: &InForce, asked: &Asked) -> Result<Option<TenantId>, Failure> {
         match &asked.key {
-            Key::Missing if in_force.publication.tenants.is_empty() => Ok(TenantId::new()),
+            Key::Missing if in_force.publication.tenants.is_empty() => Ok(None),
             Key::Missing => Err(Failure::from(Kind::KeyMissing)),
             Key::Malformed => Err(Failure::from(Kind::KeyUnknown)),
             Key::Presented(digest) => {
-                let tenant = in_force.keys.get(digest);
-                let tenant = tenant.cloned();
-                tenant.ok_or_else(|| self.unless_behind(Kind::KeyUnknown))
+                let tenant = in_force.keys.get(digest).cloned();
+                let known = tenant.ok_or_else(|| self.unless_behind(Kind::KeyUnknown))?;
+                Ok(Some(known))
             }
         }
     }
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -201,7 +201,7 @@
     let told = Told {
         left,
         upstream: &reservation.id(),
-        tenant: plan.tenant.as_ref().filter(|tenant| !tenant.is_empty()),
+        tenant: plan.tenant.as_ref(),
     };
     state.dialect().tell(request.headers_mut(), &told);
     request
--- a/programs/pb-proxy/src/gateway/forward.rs
+++ b/programs/pb-proxy/src/gateway/forward.rs
@@ -246,7 +246,7 @@
             request: record.request().to_owned(),
             route: plan.route_name.clone(),
             service: plan.service.clone(),
-            tenant: plan.tenant.clone().filter(|tenant| !tenant.is_empty()),
+            tenant: plan.tenant.clone(),
             arrived: record.arrived(),
             deadline: plan.deadline,
             objective: plan.route.objective,
