--- a/crates/core/src/dispatch/repeats.rs
+++ b/crates/core/src/dispatch/repeats.rs
@@ -18,16 +18,6 @@
     pub extra: f64,
 }
 
-impl Default for Bounds {
-    /// Returns a tenth of the requests and twenty at once, as the proxies' own budget.
-    fn default() -> Self {
-        Self {
-            ratio: 0.1,
-            extra: 20.0,
-        }
-    }
-}
-
 /// Repeats that are left.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Repeats {
