fix: large changes reach hosts on narrow links; a replica outlives its full disk

A replica with a full disk ended its process, three times.

Change: changes and upstreams are packed once for all hosts, a write is timed by its progress, a host is told of a large change before it comes and calls nothing unknown until then. A replica whose storage fails or that was removed begins anew in its process, once the storage works.

--- a/crates/wire/src/channel.rs
+++ b/crates/wire/src/channel.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use compio::BufResult;
+use compio::buf::IntoInner;
+use compio::buf::IoBuf;
 use compio::io::AsyncRead;
-use compio::io::AsyncWriteExt;
+use compio::io::AsyncWrite;
 use compio::net::TcpStream;
 use compio::time::timeout;
 use event_listener::Event;
@@ -19,7 +21,8 @@
 /// Frames that wait to be written.
 const MAX_WAITING: usize = 8_192;
 
-/// Time that one write may take.
+/// Time within which a connection must take some bytes of a write; a large frame takes several
+/// seconds over a narrow link.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Bytes read at a time.
@@ -198,17 +201,29 @@
                     warn!("wire: dropped a frame: {error}");
                 }
             }
-            let length = bytes.len();
-            let writing = timeout(WRITE_TIMEOUT, self.stream.write_all(bytes));
-            let BufResult(result, buffer) = writing.await.map_err(|_| Error::Timeout)?;
-            result?;
-            bytes = buffer;
+            bytes = self.write(bytes).await?;
+        }
+        Ok(())
+    }
+
+    /// Writes all bytes and returns their buffer.
+    async fn write(&mut self, mut bytes: Vec<u8>) -> Result<Vec<u8>, Error> {
+        let mut done = 0;
+        while done < bytes.len() {
+            let writing = timeout(WRITE_TIMEOUT, self.stream.write(bytes.slice(done..)));
+            let BufResult(result, rest) = writing.await.map_err(|_| Error::Timeout)?;
+            let length = result?;
+            if length == 0 {
+                return Err(Error::Io(std::io::ErrorKind::WriteZero.into()));
+            }
+            bytes = rest.into_inner();
+            done += length;
             self.shared
                 .written
                 .set(self.shared.written.get() + length as u64);
             meter::add_sent(length);
         }
-        Ok(())
+        Ok(bytes)
     }
 
     async fn next(&self) -> Option<Vec<F>> {
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -6,6 +6,8 @@
 //! Frames are postcard behind a length, many to a write, since each of them is a few bytes and a
 //! call by capnp-rpc takes some two hundred.
 
+mod packed;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -25,6 +27,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use packed::Packed;
+
 use crate::channel;
 use crate::channel::Decode;
 use crate::channel::Encode;
@@ -111,9 +115,14 @@
         bytes: u32,
     },
     /// Changes of the configuration.
-    Published(Box<Delta>),
+    Published(Packed<Delta>),
+    /// Says that changes up to this version follow, for which a narrow link takes its time.
+    Announced {
+        /// Version that the changes lead to.
+        version: Version,
+    },
     /// Upstreams that are new or changed.
-    Upstreams(Vec<Entry>),
+    Upstreams(Packed<Vec<Entry>>),
     /// Says that the leader is there.
     Beat {
         /// Hosts that share the quotas, 0 while they are not known yet.
--- /dev/null
+++ b/crates/wire/tests/dispatch.rs
@@ -0,0 +1,105 @@
+//! Frames between hosts and the dispatcher.
+
+use std::time::Duration;
+
+use compio::BufResult;
+use compio::io::AsyncRead;
+use compio::net::TcpListener;
+use compio::net::TcpStream;
+use compio::runtime::spawn;
+use persimmonbend_core::publication::Delta;
+use persimmonbend_core::publication::Part;
+use persimmonbend_core::publication::Publication;
+use persimmonbend_core::publication::Route;
+use persimmonbend_wire::channel::Decode;
+use persimmonbend_wire::channel::Encode;
+use persimmonbend_wire::dispatch;
+use persimmonbend_wire::dispatch::Codec;
+use persimmonbend_wire::dispatch::Frame;
+use persimmonbend_wire::dispatch::Packed;
+
+/// Routes of a large change.
+const ROUTES: usize = 1_500;
+
+fn large() -> Publication {
+    let mut publication = Publication {
+        version: 9,
+        ..Publication::default()
+    };
+    for number in 0..ROUTES {
+        let route = Route {
+            host: "farm.example".to_owned(),
+            prefix: format!("/r{:07x}/", number * 7_919),
+            idempotent: true,
+            timeout: Duration::from_millis(2_500),
+            objective: Duration::from_secs(1),
+            priority: 2,
+            parts: vec![Part {
+                service: "herd".to_owned(),
+                weight: 1.0,
+            }],
+            attempts: 2,
+            open: false,
+        };
+        publication.routes.insert(format!("r-{number:07x}"), route);
+    }
+    publication
+}
+
+#[test]
+fn a_large_change_travels_in_a_few_bytes_a_route() {
+    let publication = large();
+    let delta = Delta::between(&Publication::default(), &publication);
+    let packed = Packed::new(&delta).unwrap();
+    let mut bytes = Vec::new();
+    Codec::default()
+        .encode(&Frame::Published(packed), &mut bytes)
+        .unwrap();
+    assert!(bytes.len() < ROUTES * 24, "{} bytes", bytes.len());
+    let frames = Codec::default().feed(&bytes).unwrap();
+    let [Frame::Published(packed)] = frames.as_slice() else {
+        panic!("{frames:?}");
+    };
+    assert_eq!(packed.open().unwrap(), delta);
+}
+
+#[test]
+fn what_is_no_change_is_malformed() {
+    let packed = Packed::new(&"neither routes nor services".to_owned()).unwrap();
+    let bytes = postcard::to_stdvec(&packed).unwrap();
+    let packed: Packed<Delta> = postcard::from_bytes(&bytes).unwrap();
+    assert!(packed.open().is_err());
+}
+
+/// Bytes that no socket buffer of the two ends takes at once.
+const LARGE: usize = 24 * 1024 * 1024;
+
+#[compio::test]
+async fn a_large_frame_may_take_seconds_over_a_narrow_link() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let reading = spawn(async move {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let mut total = 0;
+        while total < LARGE {
+            let BufResult(result, _) = stream.read(Vec::with_capacity(1024 * 1024)).await;
+            let length = result.unwrap();
+            if length == 0 {
+                break;
+            }
+            total += length;
+            compio::time::sleep(Duration::from_millis(100)).await;
+        }
+        total
+    });
+    let (stream, _) = listener.accept().await.unwrap();
+    let (sender, writer, _receiver) = dispatch::split(stream);
+    let _writing = spawn(writer.run());
+    sender.send(Frame::Hello {
+        host: "h".repeat(LARGE),
+        zone: "z".to_owned(),
+        version: 0,
+    });
+    let total = reading.await.unwrap();
+    assert!(total >= LARGE, "the link ended after {total} bytes");
+}
--- a/programs/pb-control/src/desk.rs
+++ b/programs/pb-control/src/desk.rs
@@ -198,10 +198,9 @@
             term: self.node.term(),
             control,
         });
-        let entries = self
-            .node
-            .read(|machine| machine.roster().entries().cloned().collect());
-        reign.join(host, zone, version, entries, sender, now);
+        self.node.read(|machine| {
+            reign.join(host, zone, version, machine.roster(), sender, now);
+        });
         true
     }
 
--- a/programs/pb-control/src/desk/reign.rs
+++ b/programs/pb-control/src/desk/reign.rs
@@ -27,8 +27,10 @@
 use persimmonbend_core::upstream::Stage;
 use persimmonbend_wire::dispatch;
 use persimmonbend_wire::dispatch::Frame;
+use persimmonbend_wire::dispatch::Packed;
 use persimmonbend_wire::dispatch::Reserve;
 use persimmonbend_wire::dispatch::Sender;
+use serde::Serialize;
 use serde_json::json;
 use tracing::info;
 use tracing::warn;
@@ -37,6 +39,10 @@
 /// few bytes.
 const PUSH_PAUSE: Duration = Duration::from_millis(100);
 
+/// Bytes of a change from which on hosts are told beforehand that it comes: the narrowest links
+/// take a tenth of a second for them.
+const NARROW_BYTES: usize = 16 * 1024;
+
 /// Age of a reign from which on its hosts are counted; before, they have not all joined, and a
 /// host that took the number for whole would use more than its part of a quota.
 const SETTLED: Duration = Duration::from_secs(2);
@@ -64,6 +70,10 @@
     links: BTreeMap<HostId, Link>,
     /// Latest announcement of each upstream.
     latest: BTreeMap<UpstreamId, (Incarnation, u64)>,
+    /// Changes that lead to the publication in force, by the version that they apply to.
+    deltas: BTreeMap<Version, Packed<Delta>>,
+    /// All upstreams as hosts that join are told of them, until one changes.
+    roster: Option<Packed<Vec<Entry>>>,
 }
 
 impl Reign {
@@ -86,6 +96,8 @@
             publication,
             links: BTreeMap::new(),
             latest: BTreeMap::new(),
+            deltas: BTreeMap::new(),
+            roster: None,
         }
     }
 
@@ -122,7 +134,7 @@
         host: &str,
         zone: &str,
         version: Version,
-        entries: Vec<Entry>,
+        roster: &Roster,
         sender: &Sender,
         now: Instant,
     ) {
@@ -142,7 +154,9 @@
             pushed: now.checked_sub(PUSH_PAUSE).unwrap_or(now),
             beat: now,
         };
-        sender.send(Frame::Upstreams(entries));
+        if let Some(upstreams) = self.packed_roster(roster) {
+            sender.send(Frame::Upstreams(upstreams));
+        }
         if let Some(old) = self.links.insert(host.to_owned(), link) {
             old.sender.close();
         }
@@ -232,6 +246,7 @@
         info!(version = publication.version, "publication_in_force");
         self.dispatcher.publish(Rc::clone(&publication));
         self.publication = publication;
+        self.deltas.clear();
         self.push(now);
     }
 
@@ -257,8 +272,12 @@
             let answers = self.dispatcher.enrol(entry, now);
             self.send(answers);
         }
+        self.roster = None;
+        let Some(changed) = packed(&changed.to_vec()) else {
+            return;
+        };
         for link in self.links.values() {
-            link.sender.send(Frame::Upstreams(changed.to_vec()));
+            link.sender.send(Frame::Upstreams(changed.clone()));
         }
     }
 
@@ -318,18 +337,39 @@
     }
 
     fn push(&mut self, now: Instant) {
+        let version = self.publication.version;
         for link in self.links.values_mut() {
-            let behind = link.sent.version < self.publication.version;
+            let behind = link.sent.version < version;
             if !behind || now.saturating_duration_since(link.pushed) < PUSH_PAUSE {
                 continue;
             }
-            let delta = Delta::between(&link.sent, &self.publication);
-            link.sender.send(Frame::Published(Box::new(delta)));
+            let from = link.sent.version;
+            if !self.deltas.contains_key(&from) {
+                let delta = Delta::between(&link.sent, &self.publication);
+                self.deltas
+                    .extend(packed(&delta).map(|delta| (from, delta)));
+            }
+            let Some(delta) = self.deltas.get(&from) else {
+                continue;
+            };
+            if delta.size() > NARROW_BYTES {
+                link.sender.send(Frame::Announced { version });
+            }
+            link.sender.send(Frame::Published(delta.clone()));
             link.sent = Rc::clone(&self.publication);
             link.pushed = now;
         }
     }
 
+    /// Returns all upstreams as hosts that join are told of them.
+    fn packed_roster(&mut self, roster: &Roster) -> Option<Packed<Vec<Entry>>> {
+        if self.roster.is_none() {
+            let entries = roster.entries().cloned().collect();
+            self.roster = packed(&entries);
+        }
+        self.roster.clone()
+    }
+
     fn send(&self, answers: Vec<Answer>) {
         for answer in answers {
             let Answer { ticket, decision } = answer;
@@ -357,3 +397,11 @@
         }
     }
 }
+
+/// Packs what goes to hosts; one that cannot be encoded is not sent.
+fn packed<T: Serialize>(value: &T) -> Option<Packed<T>> {
+    let packed = Packed::new(value);
+    packed
+        .inspect_err(|error| warn!(error = %error, "frame_not_packed"))
+        .ok()
+}
--- a/programs/pb-control/src/lib.rs
+++ b/programs/pb-control/src/lib.rs
@@ -28,6 +28,7 @@
 use persimmonbend_core::clock::System;
 use persimmonbend_wire::listener::Listener;
 use persimmonbend_wire::listener::Roles;
+use tracing::warn;
 
 use crate::desk::Desk;
 use crate::issuer::Issuer;
@@ -36,6 +37,7 @@
 use crate::port::Dialect;
 use crate::port::Port;
 use crate::records::Records;
+use crate::replication::REOPEN_PAUSE;
 use crate::replication::Replication;
 use crate::settings::Settings;
 
@@ -91,6 +93,24 @@
     serve(socket, settings, Some(front), stop, |_| ()).await
 }
 
+/// Opens the replica, once its storage can be used.
+async fn open(settings: &Settings, clock: &Rc<dyn Clock>) -> anyhow::Result<Node> {
+    let mut told = false;
+    loop {
+        match Node::open(settings, Rc::clone(clock)) {
+            Ok(node) => return Ok(node),
+            Err(halt) if halt.passes() => {
+                if !told {
+                    warn!(reason = %halt, "storage_lost");
+                }
+                told = true;
+                compio::time::sleep(REOPEN_PAUSE).await;
+            }
+            Err(halt) => return Err(halt.into()),
+        }
+    }
+}
+
 async fn serve<B>(
     socket: TcpListener,
     settings: Settings,
@@ -102,7 +122,10 @@
     B: FnOnce(SocketAddr),
 {
     let clock: Rc<dyn Clock> = Rc::new(System);
-    let node = Rc::new(Node::open(&settings, Rc::clone(&clock))?);
+    let Some(node) = stop.until(open(&settings, &clock)).await else {
+        return Ok(());
+    };
+    let node = Rc::new(node?);
     let desk = Desk::new(Rc::clone(&node), clock, settings.policy);
     let issuer = Issuer::new(Rc::clone(&node), Rc::new(System), settings.seats);
     let records = Records::new(Rc::clone(&node), Rc::new(System));
--- a/programs/pb-control/src/node.rs
+++ b/programs/pb-control/src/node.rs
@@ -2,19 +2,18 @@
 
 mod applied;
 mod hosts;
+pub mod opener;
 mod proposals;
 pub mod record;
 
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use anyhow::Context;
-use anyhow::bail;
 use event_listener::Event;
 use futures_channel::oneshot;
 use log::debug;
@@ -30,13 +29,14 @@
 use persimmonbend_core::machine::Reply;
 use persimmonbend_replica::entry::Entry;
 use persimmonbend_replica::entry::Payload;
-use persimmonbend_replica::files::Files;
 use persimmonbend_replica::members::Change;
 use persimmonbend_replica::members::Refusal;
 use persimmonbend_replica::message::Message;
 use persimmonbend_replica::replica::Output;
 use persimmonbend_replica::replica::Replica;
 use persimmonbend_replica::settings;
+use persimmonbend_replica::storage::Contents;
+use persimmonbend_replica::storage::Storage;
 use persimmonbend_wire::update::Update;
 use serde_json::json;
 
@@ -47,6 +47,9 @@
 use crate::node::applied::Applied;
 use crate::node::hosts::Hosts;
 pub use crate::node::hosts::Sighting;
+use crate::node::opener::Folder;
+pub use crate::node::opener::Halt;
+use crate::node::opener::Opener;
 use crate::node::proposals::Proposals;
 use crate::settings::Settings;
 
@@ -75,7 +78,8 @@
 #[derive(Debug)]
 pub struct Node {
     host: HostId,
-    folder: PathBuf,
+    opener: Box<dyn Opener>,
+    protocol: RefCell<settings::Settings>,
     clock: Rc<dyn Clock>,
     replica: RefCell<Replica>,
     applied: RefCell<Applied>,
@@ -96,20 +100,28 @@
     /// # Errors
     ///
     /// Returns an error when the folder cannot be used or is damaged.
-    pub fn open(settings: &Settings, clock: Rc<dyn Clock>) -> anyhow::Result<Self> {
-        let folder = &settings.data;
-        let opened = Files::open(folder, &settings.host, rand::random());
-        let (files, contents) =
-            opened.with_context(|| format!("cannot use {}", folder.display()))?;
-        let replica = Replica::new(
-            protocol(settings),
-            contents,
-            Box::new(files),
-            Rc::clone(&clock),
-        )?;
+    pub fn open(settings: &Settings, clock: Rc<dyn Clock>) -> Result<Self, Halt> {
+        let folder = Folder::new(&settings.data, &settings.host);
+        Self::open_with(Box::new(folder), settings, clock)
+    }
+
+    /// Restores what the storage of an opener holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the storage cannot be used or is damaged.
+    pub fn open_with(
+        opener: Box<dyn Opener>,
+        settings: &Settings,
+        clock: Rc<dyn Clock>,
+    ) -> Result<Self, Halt> {
+        let protocol = protocol(settings);
+        let (storage, contents) = opener.open().map_err(Halt::Storage)?;
+        let replica = restore(storage, contents, protocol.clone(), &clock)?;
         let node = Self {
             host: settings.host.clone(),
-            folder: folder.clone(),
+            opener,
+            protocol: RefCell::new(protocol),
             clock,
             replica: RefCell::new(replica),
             applied: RefCell::new(Applied::new()),
@@ -126,6 +138,25 @@
         Ok(node)
     }
 
+    /// Begins anew with what the storage holds, after a [`Halt`] that passes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the storage cannot be used yet or is damaged.
+    pub fn reopen(&self) -> Result<(), Halt> {
+        let protocol = self.protocol.borrow().clone();
+        let (mut storage, contents) = self.opener.open().map_err(Halt::Storage)?;
+        // After a failed sync the system may hold bytes that never reach the disk.
+        let rewritten = storage.replace(&contents.snapshot, &contents.records);
+        rewritten.map_err(Halt::Storage)?;
+        let replica = restore(storage, contents, protocol, &self.clock)?;
+        *self.replica.borrow_mut() = replica;
+        *self.applied.borrow_mut() = Applied::new();
+        self.changed.notify(usize::MAX);
+        self.work.notify(usize::MAX);
+        Ok(())
+    }
+
     /// Returns the present time of the replica's clock.
     #[must_use]
     pub fn now(&self) -> Instant {
@@ -330,8 +361,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when the disk failed or a command cannot be read; the replica must stop.
-    pub fn advance(&self) -> anyhow::Result<Vec<Message>> {
+    /// Returns why the replica takes no part in the log any more.
+    pub fn advance(&self) -> Result<Vec<Message>, Halt> {
         let flushed = {
             let mut replica = self.replica.borrow_mut();
             replica.tick();
@@ -341,15 +372,18 @@
             Ok(output) => output,
             Err(error) => {
                 self.tell_leadership();
-                return Err(error).context("the replica stopped");
+                return Err(Halt::Storage(error));
             }
         };
         if self.replica.borrow().is_removed() {
-            Files::discard(&self.folder).context("the data folder cannot be emptied")?;
-            bail!("this replica was removed from the log; its data folder was emptied");
+            self.tell_leadership();
+            self.opener.discard().map_err(Halt::Storage)?;
+            // An emptied replica must not found a second log.
+            self.protocol.borrow_mut().founder = false;
+            return Err(Halt::Removed);
         }
-        let messages = self.take(output)?;
-        self.compact()?;
+        let messages = self.take(output).map_err(Halt::Unreadable)?;
+        self.compact().map_err(Halt::Unreadable)?;
         self.tell_leadership();
         Ok(messages)
     }
@@ -502,6 +536,18 @@
     }
 }
 
+/// Creates a replica from what its storage holds.
+fn restore(
+    storage: Box<dyn Storage>,
+    contents: Contents,
+    mut protocol: settings::Settings,
+    clock: &Rc<dyn Clock>,
+) -> Result<Replica, Halt> {
+    protocol.seed = rand::random();
+    let replica = Replica::new(protocol, contents, storage, Rc::clone(clock));
+    replica.map_err(Halt::Storage)
+}
+
 fn protocol(settings: &Settings) -> settings::Settings {
     let own = settings
         .replicas
--- a/programs/pb-control/src/replication.rs
+++ b/programs/pb-control/src/replication.rs
@@ -8,8 +8,11 @@
 
 use persimmonbend_core::id::HostId;
 use persimmonbend_replica::message::Message;
+use tracing::info;
+use tracing::warn;
 
 use crate::links::Links;
+use crate::node::Halt;
 use crate::node::Node;
 
 /// Time between two looks at the clock.
@@ -18,6 +21,9 @@
 /// Time between two reports of hosts to one caller.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time between two attempts to open a storage that failed; a full or faulty disk lasts for seconds.
+pub(crate) const REOPEN_PAUSE: Duration = Duration::from_millis(100);
+
 /// Moves messages between the replica and the others.
 pub struct Replication {
     node: Rc<Node>,
@@ -36,21 +42,43 @@
         }
     }
 
-    /// Runs until the disk fails or the future is dropped.
+    /// Runs until the future is dropped; a replica whose storage failed or that was removed begins
+    /// anew.
     ///
     /// # Errors
     ///
-    /// Returns the error of the disk.
+    /// Returns an error when the storage is damaged or what it holds cannot be read.
     pub async fn run(&self) -> anyhow::Result<()> {
         loop {
             self.node.tend_members();
-            for message in self.node.advance()? {
-                self.links.send(message);
+            match self.node.advance() {
+                Ok(messages) => {
+                    for message in messages {
+                        self.links.send(message);
+                    }
+                }
+                Err(halt) => self.recover(halt).await?,
             }
             let _ = compio::time::timeout(TICK, self.node.worked()).await;
         }
     }
 
+    /// Waits until the replica can begin anew.
+    async fn recover(&self, mut halt: Halt) -> anyhow::Result<()> {
+        warn!(reason = %halt, "storage_lost");
+        while halt.passes() {
+            compio::time::sleep(REOPEN_PAUSE).await;
+            match self.node.reopen() {
+                Ok(()) => {
+                    info!(revision = self.node.revision(), "storage_regained");
+                    return Ok(());
+                }
+                Err(next) => halt = next,
+            }
+        }
+        Err(halt.into())
+    }
+
     /// Takes in a batch of another replica and returns a report of hosts now and then.
     ///
     /// # Errors
--- a/programs/pb-proxy/src/gateway/desk/link.rs
+++ b/programs/pb-proxy/src/gateway/desk/link.rs
@@ -197,12 +197,13 @@
     for frame in frames {
         match frame {
             Frame::Published(delta) => {
-                if !state.publish(*delta) {
+                if !state.publish(delta.open()?) {
                     let text = "a change that does not lead on from the version in force";
                     return Err(Error::Malformed(text.to_owned()));
                 }
             }
-            Frame::Upstreams(entries) => state.enrol(entries, std::mem::take(whole)),
+            Frame::Announced { version } => state.note_announced(version),
+            Frame::Upstreams(entries) => state.enrol(entries.open()?, std::mem::take(whole)),
             Frame::Beat { hosts, suspects } => {
                 state.desk().note_hosts(hosts);
                 state.desk().note_suspects(suspects, state.now());
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::cell::RefMut;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
@@ -70,6 +71,8 @@
     dialect: Rc<dyn Dialect>,
     clock: Rc<dyn Clock>,
     in_force: RefCell<Rc<InForce>>,
+    /// Newest version that the leader told of.
+    announced: Cell<Version>,
     configured: Event,
     upstreams: RefCell<BTreeMap<Number, Entry>>,
     desk: Desk,
@@ -96,6 +99,7 @@
             dialect,
             clock,
             in_force: RefCell::default(),
+            announced: Cell::new(0),
             configured: Event::new(),
             upstreams: RefCell::default(),
             pool: Pool::new(CONNECTIONS_MAX),
@@ -210,7 +214,12 @@
     /// Returns whether the publication in force is known to be the newest one.
     #[must_use]
     pub fn is_current(&self) -> bool {
-        self.desk.is_heard(CURRENT, self.now())
+        self.version() >= self.announced.get() && self.desk.is_heard(CURRENT, self.now())
+    }
+
+    /// Notes that changes up to a version are on their way.
+    pub fn note_announced(&self, version: Version) {
+        self.announced.set(self.announced.get().max(version));
     }
 
     /// Returns the version of the publication in force, 0 before the first one.
@@ -249,7 +258,7 @@
     pub fn enrol(&self, entries: Vec<Entry>, whole: bool) {
         let mut upstreams = self.upstreams.borrow_mut();
         if whole {
-            let named: Vec<Number> = entries.iter().map(|entry| entry.number).collect();
+            let named: BTreeSet<Number> = entries.iter().map(|entry| entry.number).collect();
             let gone = upstreams.extract_if(.., |number, _| !named.contains(number));
             for (_, mut entry) in gone.collect::<Vec<_>>() {
                 entry.announcement.stage = Stage::Left;
