perf: hosts hear of the next leader at once; a later leader begins with what is tolerated

After the loss of all power 122 requests were refused as over their rate: tenants found a quarter of their burst.

Change: a replica keeps a greeting for up to 350 ms until a leader is known; hosts leave out the leader that they lost. After a restart replicas poll as soon as the lease is over. A later leader begins each tenant with 0.4 of what operators tolerate beyond its quota; hosts on their own draw from 0.5 of it (0.6 before).

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -86,6 +86,9 @@
 pub enum First {
     /// This part of its burst; an earlier dispatcher may have given the rest.
     Part(f64),
+    /// What operators tolerate beyond the quota, as far as hosts on their own leave of it; an
+    /// earlier dispatcher may have given the whole quota.
+    Tolerated(Tolerance),
     /// One token where the draw falls into the host's share of what operators tolerate beyond the
     /// quota, and a part of one elsewhere.
     Drawn {
@@ -118,7 +121,11 @@
 
 /// Part of the tolerance that hosts on their own may use at first; the rest covers what the last
 /// dispatcher has just given.
-const TOLERANCE_USED: f64 = 0.6;
+const TOLERANCE_USED: f64 = 0.5;
+
+/// Part of the tolerance that a later dispatcher begins with. Two of them within one window stay
+/// within it unless a tenant sends several times its quota meanwhile.
+const TOLERANCE_FIRST: f64 = 0.4;
 
 /// Tokens of a host that draws none: the next one flows in before long.
 const NEARLY_ONE: f64 = 0.6;
@@ -462,6 +469,10 @@
             burst: quota.burst * self.share,
             first: match self.policy.first {
                 First::Part(part) => quota.burst * self.share * part,
+                First::Tolerated(tolerance) => {
+                    let spare = tolerance.of(&quota) * TOLERANCE_FIRST;
+                    spare.min(quota.burst) * self.share
+                }
                 First::Drawn { tolerance, draw } => {
                     let chance = tolerance.of(&quota) * TOLERANCE_USED * self.share;
                     if draw < chance { 1.0 } else { NEARLY_ONE }
--- a/crates/core/tests/dispatch/limits.rs
+++ b/crates/core/tests/dispatch/limits.rs
@@ -5,13 +5,18 @@
 
 use persimmonbend_check::properties;
 use persimmonbend_core::dispatch::Decision;
+use persimmonbend_core::dispatch::First;
+use persimmonbend_core::dispatch::Policy;
+use persimmonbend_core::dispatch::Tolerance;
 use persimmonbend_core::error::Kind;
 use persimmonbend_core::health::Sign;
+use persimmonbend_core::publication::Quota;
 use persimmonbend_core::upstream::Stage;
 
 use crate::world::AGAIN;
 use crate::world::ONCE;
 use crate::world::World;
+use crate::world::policy;
 
 const WINDOW: Duration = Duration::from_secs(5);
 
@@ -93,6 +98,34 @@
     }
 }
 
+/// Requests of a tenant that a new dispatcher places at once.
+fn placed_at_once(first: First, per_second: f64, burst: f64) -> usize {
+    let policy = Policy { first, ..policy() };
+    let mut world = World::with(policy, &["a"; 100]);
+    world.limit(per_second, burst);
+    (0..200).filter(|_| world.place(AGAIN).is_some()).count()
+}
+
+#[test]
+fn a_later_dispatcher_begins_with_what_is_tolerated_beyond_quotas() {
+    let tolerance = Tolerance {
+        window: WINDOW,
+        part: 0.1,
+        slack: 20.0,
+    };
+    let first = First::Tolerated(tolerance);
+    // Beyond 10 a second and a burst of 10, 26 requests are tolerated in 5 s.
+    assert_eq!(placed_at_once(first, 10.0, 10.0), 10);
+    assert_eq!(placed_at_once(first, 10.0, 6.0), 6);
+    let large = tolerance.of(&Quota {
+        per_second: 40.0,
+        burst: 40.0,
+    });
+    let placed = placed_at_once(first, 40.0, 40.0) as f64;
+    assert!(placed < large / 2.0, "{placed} of {large} tolerated");
+    assert!(placed > large / 3.0, "{placed} of {large} tolerated");
+}
+
 #[test]
 fn lost_hosts_keep_their_part_of_a_quota() {
     let mut world = World::new(&["a"; 20]);
--- a/crates/core/tests/dispatch/world.rs
+++ b/crates/core/tests/dispatch/world.rs
@@ -46,9 +46,14 @@
 impl World {
     /// Creates a service with upstreams in these zones, three slots each.
     pub fn new(zones: &[&str]) -> Self {
+        Self::with(policy(), zones)
+    }
+
+    /// Creates such a service for a dispatcher with a policy.
+    pub fn with(policy: Policy, zones: &[&str]) -> Self {
         let now = Instant::now();
         let mut world = Self {
-            dispatcher: Dispatcher::new(policy()),
+            dispatcher: Dispatcher::new(policy),
             now,
             next: 0,
         };
--- a/crates/replica/src/replica/election.rs
+++ b/crates/replica/src/replica/election.rs
@@ -22,8 +22,9 @@
     pub(super) fn wait_out_forgotten_lease(&mut self, now: Instant) {
         let alone = self.log.members().voters().all(|voter| voter == &self.id);
         if !alone && self.hard.term > 0 {
-            self.granted_until = Some(now + self.settings.limits.lease);
-            self.reset_deadline(now);
+            let until = now + self.settings.limits.lease;
+            self.granted_until = Some(until);
+            self.deadline = until + self.poll_pause();
         }
     }
 
@@ -43,8 +44,7 @@
 
     /// Starts to ask whether an election could be won.
     pub(super) fn start_poll(&mut self, now: Instant) {
-        let longest = self.settings.limits.election;
-        self.deadline = now + self.random(longest / 4, longest);
+        self.deadline = now + self.poll_pause();
         if !self.may_campaign() {
             // The answers tell a learner that was removed while it was away.
             self.ask_voters(&Body::Poll(self.log.last()));
@@ -128,6 +128,8 @@
     }
 
     fn start_vote(&mut self) {
+        let longest = self.settings.limits.election;
+        self.deadline = self.clock.now() + self.random(longest / 2, longest);
         self.set_hard(Hard {
             term: self.hard.term + 1,
             vote: Some(self.id.clone()),
@@ -192,6 +194,13 @@
         granted || self.leads_with_lease()
     }
 
+    /// Returns the time until the next poll; one costs a few bytes and changes nothing, and all
+    /// others may still wait out a lease when the first one comes.
+    fn poll_pause(&mut self) -> Duration {
+        let longest = self.settings.limits.election;
+        self.random(longest / 8, longest / 3)
+    }
+
     fn random(&mut self, shortest: Duration, longest: Duration) -> Duration {
         self.rng.random_range(shortest..longest)
     }
--- a/crates/replica/tests/tending.rs
+++ b/crates/replica/tests/tending.rs
@@ -52,11 +52,16 @@
 
 impl Fleet {
     fn found() -> Self {
+        Self::found_with(0)
+    }
+
+    /// Founds a log with replicas whose random numbers follow from `seed`.
+    fn found_with(seed: u64) -> Self {
         let mut fleet = Self {
             clock: Rc::new(Manual::new()),
             running: BTreeMap::new(),
             kept: BTreeMap::new(),
-            next_storage: 0,
+            next_storage: seed,
         };
         for host in FOUNDERS {
             fleet.start(host, &FOUNDERS, true);
@@ -325,3 +330,22 @@
     let leader = fleet.leader().unwrap();
     assert!(leader.due_change().is_none());
 }
+
+#[test]
+fn replicas_that_all_restart_lead_again_soon_after_the_lease() {
+    for seed in (0..4_000).step_by(100) {
+        let mut fleet = Fleet::found_with(seed);
+        fleet.run(Duration::from_secs(3));
+        assert!(fleet.commit_one());
+        for host in FOUNDERS {
+            fleet.stop(host);
+        }
+        for host in FOUNDERS {
+            fleet.start(host, &FOUNDERS, false);
+            fleet.run(Duration::from_millis(120));
+        }
+        // The second one waits out a lease of 500 ms until 620 ms; one poll and one vote follow.
+        fleet.run(Duration::from_millis(480));
+        assert!(fleet.leader().is_some(), "seed {seed}");
+    }
+}
--- a/programs/pb-control/src/desk.rs
+++ b/programs/pb-control/src/desk.rs
@@ -42,6 +42,16 @@
 /// Time that a host has for its first frame.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which a host that greets is kept waiting while no leader is known; hosts give up a
+/// greeting after 500 ms.
+const LEADER_WAIT: Duration = Duration::from_millis(350);
+
+/// Silence of a leader up to which hosts are sent to it: two of its heartbeats and a little.
+const LEADER_AGE: Duration = Duration::from_millis(300);
+
+/// Time between two looks for a leader meanwhile.
+const LEADER_LOOK: Duration = Duration::from_millis(10);
+
 /// Term of the first leader that a fleet has.
 const FIRST_TERM: u64 = 1;
 
@@ -155,13 +165,13 @@
         else {
             return Error::Malformed("the first frame is no greeting".to_owned());
         };
+        self.wait_for_leader().await;
         if !self.welcome(&host, &zone, version, sender) {
-            let leader = self.node.leader_hint();
             sender.send(Frame::Elsewhere {
-                leader: leader.parse().ok(),
+                leader: self.node.leader_within(LEADER_AGE),
                 control: self.control_addresses(),
             });
-            return Error::NotLeader(leader);
+            return Error::NotLeader(self.node.leader_hint());
         }
         self.take(&host, sender, frames.collect());
         let error = loop {
@@ -184,6 +194,16 @@
         error
     }
 
+    /// Waits until a leader is known, so that hosts hear of the next one at once; they need not
+    /// ask again and again meanwhile.
+    async fn wait_for_leader(&self) {
+        let until = self.clock.now() + LEADER_WAIT;
+        let is_known = || self.node.is_leader() || self.node.leader_within(LEADER_AGE).is_some();
+        while !is_known() && self.clock.now() < until {
+            compio::time::sleep(LEADER_LOOK).await;
+        }
+    }
+
     fn welcome(&self, host: &str, zone: &str, version: u64, sender: &Sender) -> bool {
         if !self.node.is_leader() {
             return false;
--- a/programs/pb-control/src/node.rs
+++ b/programs/pb-control/src/node.rs
@@ -62,9 +62,6 @@
 /// Time after the leader was heard for which a follower serves the configuration.
 const CURRENT: Duration = Duration::from_secs(2);
 
-/// Time after a leader was heard for which callers are sent to it.
-const HINT_AGE: Duration = Duration::from_millis(600);
-
 /// Entries after which the log is replaced by a snapshot.
 const COMPACT_ENTRIES: usize = 4_096;
 
@@ -215,15 +212,15 @@
         replica.leader_address().unwrap_or_default().to_owned()
     }
 
-    /// Returns the address of the leader if it was heard lately and is another replica.
+    /// Returns the address of the leader if it was heard within `age` and is another replica.
     #[must_use]
-    pub fn fresh_leader_hint(&self) -> Option<SocketAddr> {
+    pub fn leader_within(&self, age: Duration) -> Option<SocketAddr> {
         let replica = self.replica.borrow();
         let heard = replica.heard()?;
-        let age = self.clock.now().saturating_duration_since(heard);
+        let silent = self.clock.now().saturating_duration_since(heard);
         let address = replica.leader_address()?.parse().ok()?;
         let other = replica.leader_address() != Some(replica.address());
-        (age < HINT_AGE && other).then_some(address)
+        (silent < age && other).then_some(address)
     }
 
     /// Fails on a replica that does not lead.
--- a/programs/pb-control/src/port.rs
+++ b/programs/pb-control/src/port.rs
@@ -38,6 +38,9 @@
 /// Time for a body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time after a leader was heard for which callers are sent to it.
+const HINT_AGE: Duration = Duration::from_millis(600);
+
 /// What a call asks for.
 #[derive(Debug)]
 pub enum Call {
@@ -214,7 +217,7 @@
     }
 
     fn elsewhere(&self) -> Outcome {
-        let hint: Option<SocketAddr> = self.node.fresh_leader_hint();
+        let hint: Option<SocketAddr> = self.node.leader_within(HINT_AGE);
         hint.map_or(Outcome::Unavailable, |leader| {
             Outcome::Elsewhere(SocketAddr::new(leader.ip(), self.address.port()))
         })
--- /dev/null
+++ b/programs/pb-control/tests/greeting.rs
@@ -0,0 +1,157 @@
+//! What a host hears that greets a replica while nobody leads.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use compio::runtime::spawn;
+use pb_control::settings::Replica;
+use pb_control::settings::Settings;
+use persimmonbend_app::stop::Stop;
+use persimmonbend_core::dispatch::Bounds;
+use persimmonbend_core::dispatch::First;
+use persimmonbend_core::dispatch::Policy;
+use persimmonbend_replica::settings::Limits;
+use persimmonbend_wire::dispatch;
+use persimmonbend_wire::dispatch::Frame;
+use persimmonbend_wire::handshake::Purpose;
+use persimmonbend_wire::handshake::Secret;
+use persimmonbend_wire::link;
+
+const HOSTS: [&str; 3] = ["control-1", "control-2", "control-3"];
+
+/// Shortest time for which a host is kept waiting while no leader is known.
+const LEAST_WAIT: Duration = Duration::from_millis(200);
+
+/// Time after which hosts give up a greeting.
+const MOST_WAIT: Duration = Duration::from_millis(500);
+
+/// Time within which hosts hear of a new leader that they wait for.
+const NOTICE: Duration = Duration::from_millis(100);
+
+fn sockets() -> Vec<TcpListener> {
+    let bind = |_| TcpListener::bind("127.0.0.1:0").unwrap();
+    HOSTS.iter().map(bind).collect()
+}
+
+fn folder(host: &str, test: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("pb-greeting-{}-{test}", std::process::id()));
+    folder.join(host)
+}
+
+fn start(at: usize, addresses: &[SocketAddr], socket: TcpListener, test: &str, stop: &Stop) {
+    let replicas = HOSTS.iter().zip(addresses).map(|(host, address)| Replica {
+        host: (*host).to_owned(),
+        address: *address,
+    });
+    let settings = Settings {
+        host: HOSTS[at].to_owned(),
+        listen: addresses[at],
+        data: folder(HOSTS[at], test),
+        secret: Secret::open(),
+        seats: 1,
+        replicas: replicas.collect(),
+        founder: true,
+        voters: None,
+        policy: Policy {
+            repeats: Bounds {
+                ratio: 0.1,
+                extra: 1.0,
+            },
+            silence: Duration::from_secs(6),
+            first: First::Part(1.0),
+            is_first: true,
+            floor: 0.7,
+        },
+        limits: Limits::default(),
+    };
+    let stop = stop.clone();
+    spawn(async move {
+        pb_control::run_on(socket, settings, stop, |_| ())
+            .await
+            .unwrap();
+    })
+    .detach();
+}
+
+async fn greet(host: &str, address: SocketAddr) -> (Frame, Duration) {
+    let stream = link::dial(address, &Secret::open(), Purpose::Dispatch)
+        .await
+        .unwrap();
+    let (sender, writer, mut receiver) = dispatch::split(stream);
+    let _writing = spawn(writer.run());
+    let since = Instant::now();
+    sender.send(Frame::Hello {
+        host: host.to_owned(),
+        zone: "east".to_owned(),
+        version: 0,
+    });
+    let frames = receiver.next().await.unwrap();
+    (frames.into_iter().next().unwrap(), since.elapsed())
+}
+
+#[compio::test]
+async fn a_host_is_kept_waiting_while_no_leader_is_known() {
+    let mut sockets = sockets();
+    let addresses: Vec<SocketAddr> = sockets
+        .iter()
+        .map(|socket| socket.local_addr().unwrap())
+        .collect();
+    let stop = Stop::new();
+    start(0, &addresses, sockets.remove(0), "alone", &stop);
+    compio::time::sleep(Duration::from_millis(50)).await;
+    let (frame, waited) = greet("proxy-1", addresses[0]).await;
+    assert!(
+        matches!(frame, Frame::Elsewhere { leader: None, .. }),
+        "{frame:?}"
+    );
+    assert!(waited > LEAST_WAIT, "answered after {waited:?}");
+    assert!(waited < MOST_WAIT, "answered after {waited:?}");
+    stop.ask();
+}
+
+#[compio::test]
+async fn a_host_that_waits_hears_of_the_leader_at_once() {
+    let sockets = sockets();
+    let addresses: Vec<SocketAddr> = sockets
+        .iter()
+        .map(|socket| socket.local_addr().unwrap())
+        .collect();
+    let stop = Stop::new();
+    for (at, socket) in sockets.into_iter().enumerate() {
+        start(at, &addresses, socket, "all", &stop);
+    }
+    let led = Rc::new(std::cell::Cell::new(None));
+    let watching = {
+        let led = Rc::clone(&led);
+        let addresses = addresses.clone();
+        spawn(async move {
+            let deadline = Instant::now() + Duration::from_secs(10);
+            while Instant::now() < deadline {
+                for address in &addresses {
+                    if let (Frame::Welcome { .. }, _) = greet("watcher", *address).await {
+                        led.set(Some(Instant::now()));
+                        return;
+                    }
+                }
+            }
+        })
+    };
+    // Greets one replica only, as a host that knows no other one.
+    let known = loop {
+        match greet("proxy-1", addresses[0]).await.0 {
+            Frame::Welcome { .. }
+            | Frame::Elsewhere {
+                leader: Some(_), ..
+            } => break Instant::now(),
+            _ => {}
+        }
+    };
+    watching.await.unwrap();
+    let led = led.get().expect("a leader within ten seconds");
+    assert!(known < led + NOTICE, "told {:?} after", known - led);
+    stop.ask();
+}
--- a/programs/pb-proxy/src/gateway/desk/link.rs
+++ b/programs/pb-proxy/src/gateway/desk/link.rs
@@ -27,8 +27,11 @@
 use crate::gateway::desk::OWN_SHARE;
 use crate::gateway::state::State;
 
-/// Time for a connection to a replica with its first answer.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for a connection to a replica, which takes one or two milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time for the first answer of a replica, which waits a while for a leader to be known.
+const GREETING_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Pause before the next replica is tried; it doubles from the shortest to the longest.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(40);
@@ -49,10 +52,11 @@
 /// Keeps a link to the leader until the future is dropped.
 pub async fn run(state: Rc<State>) {
     let mut hint = None;
+    let mut lost = None;
     let mut turn: usize = state.rng().random_range(0..MAX_KNOWN);
     let mut pause = SHORTEST_PAUSE;
     loop {
-        let target = hint.take().or_else(|| next(&state, &mut turn));
+        let target = hint.take().or_else(|| next(&state, lost, &mut turn));
         let Some(target) = target else {
             compio::time::sleep(LONGEST_PAUSE).await;
             continue;
@@ -62,8 +66,12 @@
                 hint = leader.filter(|leader| *leader != target);
                 hint.is_some()
             }
-            Ended::Unreachable => false,
+            Ended::Unreachable => {
+                lost = None;
+                false
+            }
             Ended::Lost(error) => {
+                lost = Some(target);
                 warn!(leader = %target, error = %error, "control_lost");
                 true
             }
@@ -86,13 +94,19 @@
 }
 
 /// Returns the next replica to try, of those that are known and those of the settings.
-fn next(state: &State, turn: &mut usize) -> Option<SocketAddr> {
+///
+/// The leader that was `lost` last is left out where there are others: it may be frozen or cut
+/// off, and where it leads again the others say so.
+fn next(state: &State, lost: Option<SocketAddr>, turn: &mut usize) -> Option<SocketAddr> {
     let mut all = state.desk().known.borrow().clone();
     for seed in state.settings().seeds.borrow().iter() {
         if !all.contains(seed) {
             all.push(*seed);
         }
     }
+    if all.len() > 1 {
+        all.retain(|address| Some(*address) != lost);
+    }
     *turn = turn.wrapping_add(1);
     let index = *turn % all.len().max(1);
     all.get(index).copied()
@@ -110,7 +124,7 @@
         zone: state.settings().zone.clone(),
         version: state.version(),
     });
-    let ended = match timeout(CONNECT_TIMEOUT, receiver.next()).await {
+    let ended = match timeout(GREETING_TIMEOUT, receiver.next()).await {
         Ok(Ok(frames)) => attend(state, &sender, &mut receiver, frames).await,
         _ => Ended::Unreachable,
     };
