feat(proxy): hosts that are cut off from control are relayed by others

Change: the leader names hosts that relay, and a host that two replicas in a row did not answer asks them to pass its link on. A host relays only over a link of its own. The relayed host tries the leader directly every two seconds.

--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -52,11 +52,15 @@
         zone: Zone,
         /// Version of the publication that it has, 0 for none.
         version: Version,
+        /// Address at which it relays links of hosts that cannot reach the leader, if it does.
+        relay: Option<SocketAddr>,
     },
     /// The first frame of the leader.
     Welcome {
         /// Term that it leads.
         term: Term,
+        /// Address of the leader, which a host that came over a relay does not know.
+        leader: Option<SocketAddr>,
         /// Addresses of all control replicas.
         control: Vec<SocketAddr>,
     },
@@ -130,6 +134,8 @@
         /// Upstreams that are likely grey.
         suspects: Vec<Number>,
     },
+    /// Hosts that relay links to the leader.
+    Relays(Vec<SocketAddr>),
     /// Says that the host is there.
     Here,
     /// Tells a new leader which upstreams the last one suspected.
--- a/crates/wire/tests/dispatch.rs
+++ b/crates/wire/tests/dispatch.rs
@@ -99,6 +99,7 @@
         host: "h".repeat(LARGE),
         zone: "z".to_owned(),
         version: 0,
+        relay: None,
     });
     let total = reading.await.unwrap();
     assert!(total >= LARGE, "the link ended after {total} bytes");
--- a/programs/pb-control/src/desk.rs
+++ b/programs/pb-control/src/desk.rs
@@ -28,6 +28,7 @@
 use persimmonbend_wire::listener;
 use tracing::info;
 
+use crate::desk::reign::Guest;
 use crate::desk::reign::Reign;
 use crate::leadership::Leadership;
 use crate::leadership::Observer;
@@ -161,12 +162,19 @@
             host,
             zone,
             version,
+            relay,
         }) = frames.next()
         else {
             return Error::Malformed("the first frame is no greeting".to_owned());
         };
         self.wait_for_leader().await;
-        if !self.welcome(&host, &zone, version, sender) {
+        let guest = Guest {
+            host: host.clone(),
+            zone,
+            version,
+            relay,
+        };
+        if !self.welcome(guest, sender) {
             sender.send(Frame::Elsewhere {
                 leader: self.node.leader_within(LEADER_AGE),
                 control: self.control_addresses(),
@@ -204,7 +212,7 @@
         }
     }
 
-    fn welcome(&self, host: &str, zone: &str, version: u64, sender: &Sender) -> bool {
+    fn welcome(&self, guest: Guest, sender: &Sender) -> bool {
         if !self.node.is_leader() {
             return false;
         }
@@ -216,10 +224,11 @@
         };
         sender.send(Frame::Welcome {
             term: self.node.term(),
+            leader: self.node.leader_hint().parse().ok(),
             control,
         });
         self.node.read(|machine| {
-            reign.join(host, zone, version, machine.roster(), sender, now);
+            reign.join(guest, machine.roster(), sender, now);
         });
         true
     }
--- a/programs/pb-control/src/desk/reign.rs
+++ b/programs/pb-control/src/desk/reign.rs
@@ -1,6 +1,7 @@
 //! What a leader keeps for the hosts that it serves.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -50,11 +51,34 @@
 /// Time between two beats to a host.
 const BEAT_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time between two lists of relays to one host.
+const RELAYS_INTERVAL: Duration = Duration::from_secs(20);
+
+/// Relays that a host is told of: one of them has a path where nine hosts in ten are cut off.
+const RELAYS: usize = 32;
+
+/// A host that greets.
+#[derive(Debug)]
+pub struct Guest {
+    /// Its name.
+    pub host: HostId,
+    /// Zone that it runs in.
+    pub zone: Zone,
+    /// Version of the publication that it has.
+    pub version: Version,
+    /// Address at which it relays links.
+    pub relay: Option<SocketAddr>,
+}
+
 /// A connected host.
 #[derive(Debug)]
 struct Link {
     sender: Sender,
     zone: Zone,
+    /// Address at which it relays links.
+    relay: Option<SocketAddr>,
+    /// When it was last told of relays.
+    relays_told: Option<Instant>,
     /// Publication that the host has.
     sent: Rc<Publication>,
     pushed: Instant,
@@ -129,18 +153,16 @@
     }
 
     /// Takes in a host and tells it what it does not know.
-    pub fn join(
-        &mut self,
-        host: &str,
-        zone: &str,
-        version: Version,
-        roster: &Roster,
-        sender: &Sender,
-        now: Instant,
-    ) {
-        let answers = self.dispatcher.part(host, now);
+    pub fn join(&mut self, guest: Guest, roster: &Roster, sender: &Sender, now: Instant) {
+        let Guest {
+            host,
+            zone,
+            version,
+            relay,
+        } = guest;
+        let answers = self.dispatcher.part(&host, now);
         self.send(answers);
-        self.dispatcher.join(host);
+        self.dispatcher.join(&host);
         let current = version == self.publication.version;
         let sent = if current {
             Rc::clone(&self.publication)
@@ -149,7 +171,9 @@
         };
         let link = Link {
             sender: sender.clone(),
-            zone: zone.to_owned(),
+            zone,
+            relay,
+            relays_told: None,
             sent,
             pushed: now.checked_sub(PUSH_PAUSE).unwrap_or(now),
             beat: now,
@@ -157,11 +181,11 @@
         if let Some(upstreams) = self.packed_roster(roster) {
             sender.send(Frame::Upstreams(upstreams));
         }
-        if let Some(old) = self.links.insert(host.to_owned(), link) {
+        if let Some(old) = self.links.insert(host.clone(), link) {
             old.sender.close();
         }
         self.push(now);
-        info!(host, zone, version, hosts = self.links.len(), "host_joined");
+        info!(host, version, hosts = self.links.len(), "host_joined");
     }
 
     /// Gives up a host whose connection ended, unless a later one has replaced it.
@@ -290,6 +314,9 @@
         let hosts = if settled { self.dispatcher.hosts() } else { 0 };
         let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
         let suspects = self.dispatcher.suspects(now);
+        if settled {
+            self.tell_relays(now);
+        }
         for link in self.links.values_mut() {
             if now.saturating_duration_since(link.beat) >= BEAT_INTERVAL {
                 link.beat = now;
@@ -361,6 +388,28 @@
         }
     }
 
+    /// Tells hosts whom they may ask to relay their link should they be cut off from the leader.
+    fn tell_relays(&mut self, now: Instant) {
+        let due = |link: &Link| {
+            let told = link.relays_told;
+            told.is_none_or(|at| now.saturating_duration_since(at) >= RELAYS_INTERVAL)
+        };
+        if !self.links.values().any(due) {
+            return;
+        }
+        let all: Vec<SocketAddr> = self.links.values().filter_map(|link| link.relay).collect();
+        // Hosts are sorted by name, so steps of equal size reach every zone.
+        let step = all.len().div_ceil(RELAYS).max(1);
+        for (first, link) in self.links.values_mut().enumerate() {
+            if due(link) {
+                link.relays_told = Some(now);
+                let some = all.iter().cycle().skip(first % all.len().max(1));
+                let some = some.step_by(step).take(all.len() / step).copied();
+                link.sender.send(Frame::Relays(some.collect()));
+            }
+        }
+    }
+
     /// Returns all upstreams as hosts that join are told of them.
     fn packed_roster(&mut self, roster: &Roster) -> Option<Packed<Vec<Entry>>> {
         if self.roster.is_none() {
--- a/programs/pb-control/tests/greeting.rs
+++ b/programs/pb-control/tests/greeting.rs
@@ -88,6 +88,7 @@
         host: host.to_owned(),
         zone: "east".to_owned(),
         version: 0,
+        relay: None,
     });
     let frames = receiver.next().await.unwrap();
     (frames.into_iter().next().unwrap(), since.elapsed())
--- a/programs/pb-proxy/src/gateway.rs
+++ b/programs/pb-proxy/src/gateway.rs
@@ -12,6 +12,7 @@
 pub mod forward;
 pub mod meters;
 pub mod record;
+pub mod relay;
 pub mod settings;
 pub mod state;
 
@@ -26,6 +27,7 @@
 use persimmonbend_app::http::Server;
 use persimmonbend_app::stop::Stop;
 use persimmonbend_core::clock::System;
+use persimmonbend_wire::listener::Listener;
 use tracing::info;
 use tracing::warn;
 
@@ -54,6 +56,8 @@
         Some(address) => Some(bind(address).await?),
         None => None,
     };
+    let relay = Listener::bind(settings.relay, settings.secret.clone()).await;
+    let relay = relay.with_context(|| format!("cannot listen on {}", settings.relay))?;
     info!(
         host = settings.host,
         zone = settings.zone,
@@ -68,6 +72,7 @@
     let mut background = vec![
         spawn(desk::run(Rc::clone(&state))),
         spawn(sweep(Rc::clone(&state))),
+        spawn(relay.dispatch(relay::handler(&state)).serve()),
         spawn(checks.serve(Rc::new(Checks::new(Rc::clone(&state))), ended.clone())),
     ];
     if let Some(metrics) = metrics {
--- a/programs/pb-proxy/src/gateway/desk.rs
+++ b/programs/pb-proxy/src/gateway/desk.rs
@@ -142,6 +142,10 @@
     /// Upstreams that the leader last suspected.
     suspects: RefCell<Option<Vec<Number>>>,
     known: RefCell<Vec<SocketAddr>>,
+    /// The leader, while this host has a link to it that no other host relays.
+    leader: Cell<Option<SocketAddr>>,
+    /// Hosts that relay links to the leader.
+    relays: RefCell<Vec<SocketAddr>>,
     local: RefCell<Dispatcher>,
     hosts: Cell<u32>,
     waiting: RefCell<BTreeMap<u32, UnboundedSender<Decision>>>,
@@ -174,6 +178,8 @@
             linked: Event::new(),
             suspects: RefCell::new(None),
             known: RefCell::default(),
+            leader: Cell::new(None),
+            relays: RefCell::default(),
             local: RefCell::new(local),
             hosts: Cell::new(UNKNOWN_HOSTS),
             waiting: RefCell::default(),
@@ -189,6 +195,12 @@
         heard.is_some_and(|heard| now.saturating_duration_since(heard) < age)
     }
 
+    /// Returns the leader that this host has a link to, unless another host relays it.
+    #[must_use]
+    pub const fn leader(&self) -> Option<SocketAddr> {
+        self.leader.get()
+    }
+
     /// Takes note of the publication in force.
     pub fn publish(&self, publication: Rc<Publication>) {
         self.local.borrow_mut().publish(publication);
--- a/programs/pb-proxy/src/gateway/desk/link.rs
+++ b/programs/pb-proxy/src/gateway/desk/link.rs
@@ -49,30 +49,55 @@
 /// Control replicas that are remembered.
 const MAX_KNOWN: usize = 64;
 
+/// Replicas in a row that were not reached before another host is asked to relay the link.
+const RELAY_AFTER: u32 = 2;
+
+/// Hosts that are asked before the replicas are tried again; one that cannot help says so at once.
+const RELAY_TRIES: u32 = 8;
+
+/// Time between two attempts to reach the leader without the relay.
+const DIRECT_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Keeps a link to the leader until the future is dropped.
 pub async fn run(state: Rc<State>) {
     let mut hint = None;
     let mut lost = None;
+    let mut missed = 0;
     let mut turn: usize = state.rng().random_range(0..MAX_KNOWN);
     let mut pause = SHORTEST_PAUSE;
     loop {
-        let target = hint.take().or_else(|| next(&state, lost, &mut turn));
+        let relay = (missed >= RELAY_AFTER).then(|| any_relay(&state)).flatten();
+        let direct = || hint.take().or_else(|| next(&state, lost, &mut turn));
+        let target = relay.or_else(direct);
         let Some(target) = target else {
             compio::time::sleep(LONGEST_PAUSE).await;
             continue;
         };
-        let was_linked = match follow(&state, target).await {
+        let was_linked = match follow(&state, target, relay.is_some()).await {
             Ended::Elsewhere(leader) => {
                 hint = leader.filter(|leader| *leader != target);
+                if hint.is_none() {
+                    missed = 0;
+                }
                 hint.is_some()
             }
             Ended::Unreachable => {
                 lost = None;
-                false
+                missed += 1;
+                if missed > RELAY_AFTER + RELAY_TRIES {
+                    missed = RELAY_AFTER - 1;
+                }
+                relay.is_some() && missed > RELAY_AFTER
+            }
+            Ended::Direct(leader) => {
+                missed = 0;
+                hint = Some(leader);
+                true
             }
             Ended::Lost(error) => {
+                missed = if relay.is_some() { RELAY_AFTER } else { 0 };
                 lost = Some(target);
-                warn!(leader = %target, error = %error, "control_lost");
+                warn!(leader = %target, relayed = relay.is_some(), error = %error, "control_lost");
                 true
             }
         };
@@ -90,9 +115,19 @@
 enum Ended {
     Elsewhere(Option<SocketAddr>),
     Unreachable,
+    /// The leader can be reached without the relay again.
+    Direct(SocketAddr),
     Lost(Error),
 }
 
+fn any_relay(state: &State) -> Option<SocketAddr> {
+    let relays = state.desk().relays.borrow();
+    let own = state.settings().relay;
+    let others: Vec<_> = relays.iter().filter(|relay| **relay != own).collect();
+    let index = state.rng().random_range(0..others.len().max(1));
+    others.get(index).map(|relay| **relay)
+}
+
 /// Returns the next replica to try, of those that are known and those of the settings.
 ///
 /// The leader that was `lost` last is left out where there are others: it may be frozen or cut
@@ -112,7 +147,7 @@
     all.get(index).copied()
 }
 
-async fn follow(state: &Rc<State>, target: SocketAddr) -> Ended {
+async fn follow(state: &Rc<State>, target: SocketAddr, relayed: bool) -> Ended {
     let dialing = link::dial(target, &state.settings().secret, Purpose::Dispatch);
     let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, dialing).await else {
         return Ended::Unreachable;
@@ -123,9 +158,10 @@
         host: state.settings().host.clone(),
         zone: state.settings().zone.clone(),
         version: state.version(),
+        relay: Some(state.settings().relay),
     });
     let ended = match timeout(GREETING_TIMEOUT, receiver.next()).await {
-        Ok(Ok(frames)) => attend(state, &sender, &mut receiver, frames).await,
+        Ok(Ok(frames)) => attend(state, &sender, &mut receiver, frames, relayed).await,
         _ => Ended::Unreachable,
     };
     sender.close();
@@ -138,28 +174,55 @@
     sender: &Sender,
     receiver: &mut Receiver,
     first: Vec<Frame>,
+    relayed: bool,
 ) -> Ended {
     let mut frames = first.into_iter();
-    match frames.next() {
-        Some(Frame::Welcome { term, control }) => {
+    let leader = match frames.next() {
+        Some(Frame::Welcome {
+            term,
+            leader,
+            control,
+        }) => {
             state.desk().learn(&control);
-            info!(term, version = state.version(), "control_linked");
+            info!(term, relayed, version = state.version(), "control_linked");
+            leader
         }
         Some(Frame::Elsewhere { leader, control }) => {
             state.desk().learn(&control);
             return Ended::Elsewhere(leader);
         }
         _ => return Ended::Unreachable,
-    }
+    };
     let mut whole = true;
     let result = take(state, sender, frames.collect(), &mut whole);
     if let Err(error) = result {
         return Ended::Lost(error);
     }
     state.desk().open(sender);
-    let error = listen(state, sender, receiver, &mut whole).await;
+    state.desk().leader.set(leader.filter(|_| !relayed));
+    let listening = listen(state, sender, receiver, &mut whole);
+    let reaching = reach(state, leader.filter(|_| relayed));
+    let ended = match select(Box::pin(listening), Box::pin(reaching)).await {
+        Either::Left((error, _)) => Ended::Lost(error),
+        Either::Right((leader, _)) => Ended::Direct(leader),
+    };
+    state.desk().leader.set(None);
     state.desk().close();
-    Ended::Lost(error)
+    ended
+}
+
+/// Waits until a leader that another host relays can be reached directly.
+async fn reach(state: &Rc<State>, leader: Option<SocketAddr>) -> SocketAddr {
+    let Some(leader) = leader else {
+        return std::future::pending().await;
+    };
+    loop {
+        compio::time::sleep(DIRECT_INTERVAL).await;
+        let dialing = link::dial(leader, &state.settings().secret, Purpose::Dispatch);
+        if let Ok(Ok(_)) = timeout(CONNECT_TIMEOUT, dialing).await {
+            return leader;
+        }
+    }
 }
 
 async fn listen(
@@ -216,6 +279,7 @@
                     return Err(Error::Malformed(text.to_owned()));
                 }
             }
+            Frame::Relays(relays) => *state.desk().relays.borrow_mut() = relays,
             Frame::Announced { version } => state.note_announced(version),
             Frame::Upstreams(entries) => state.enrol(entries.open()?, std::mem::take(whole)),
             Frame::Beat { hosts, suspects } => {
--- /dev/null
+++ b/programs/pb-proxy/src/gateway/relay.rs
@@ -0,0 +1,90 @@
+//! Relays the links of hosts that are cut off from the leader of control.
+//!
+//! A host that no replica answers asks one of the hosts that the leader last named. One that has a
+//! link of its own to the leader opens a second one and passes the bytes on, both ways; the leader
+//! then serves the other host as if it had come itself. A host that is relayed relays nobody.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::BufResult;
+use compio::io::AsyncRead;
+use compio::io::AsyncWriteExt;
+use compio::net::TcpStream;
+use compio::runtime::spawn;
+use compio::time::timeout;
+use futures_util::future::select;
+use persimmonbend_wire::error::Error;
+use persimmonbend_wire::handshake::Purpose;
+use persimmonbend_wire::link;
+use persimmonbend_wire::listener;
+use tracing::info;
+
+use crate::gateway::state::State;
+
+/// Time for a connection to the leader.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Links that one host relays at a time: where nine hosts in ten are cut off, each of the others
+/// carries nine links.
+const MAX_RELAYED: usize = 32;
+
+/// Bytes passed on at a time.
+const PIECE_BYTES: usize = 16 * 1024;
+
+/// Returns the handler of connections that hosts ask to be relayed.
+pub fn handler(state: &Rc<State>) -> listener::Handler {
+    let state = Rc::clone(state);
+    let relayed = Rc::new(Cell::new(0));
+    Rc::new(move |stream, from| {
+        if relayed.get() >= MAX_RELAYED || state.stop().is_asked() {
+            return;
+        }
+        let Some(leader) = state.desk().leader() else {
+            return;
+        };
+        relayed.set(relayed.get() + 1);
+        let state = Rc::clone(&state);
+        let relayed = Rc::clone(&relayed);
+        spawn(async move {
+            let reason = relay(&state, stream, leader).await;
+            relayed.set(relayed.get() - 1);
+            info!(peer = %from, %leader, reason = %reason, "relay_ended");
+        })
+        .detach();
+    })
+}
+
+async fn relay(state: &State, host: TcpStream, leader: SocketAddr) -> Error {
+    let dialing = link::dial(leader, &state.settings().secret, Purpose::Dispatch);
+    let control = match timeout(CONNECT_TIMEOUT, dialing).await {
+        Ok(Ok(control)) => control,
+        Ok(Err(error)) => return error,
+        Err(_) => return Error::Timeout,
+    };
+    let up = pass(host.clone(), control.clone());
+    let down = pass(control, host);
+    let (error, _) = select(Box::pin(up), Box::pin(down)).await.factor_first();
+    error
+}
+
+/// Passes bytes on until one of the two ends fails or closes.
+async fn pass(mut from: TcpStream, mut to: TcpStream) -> Error {
+    let mut buffer = Vec::with_capacity(PIECE_BYTES);
+    loop {
+        buffer.clear();
+        let BufResult(result, read) = from.read(buffer).await;
+        match result {
+            Ok(length) if length > 0 => {}
+            Ok(_) => return Error::Io(std::io::ErrorKind::UnexpectedEof.into()),
+            Err(error) => return error.into(),
+        }
+        let BufResult(result, written) = to.write_all(read).await;
+        if let Err(error) = result {
+            return error.into();
+        }
+        buffer = written;
+    }
+}
--- a/programs/pb-proxy/src/gateway/settings.rs
+++ b/programs/pb-proxy/src/gateway/settings.rs
@@ -27,6 +27,8 @@
     pub checks: SocketAddr,
     /// Address for counters and histograms, if they are served.
     pub metrics: Option<SocketAddr>,
+    /// Address at which links of hosts that cannot reach the leader are relayed.
+    pub relay: SocketAddr,
     /// Control replicas to begin with.
     pub seeds: Seeds,
     /// Fleet secret.
