feat(proxy): a deputy places requests for its cell while control is away

Change: hosts that find neither the leader nor one that relays turn to the first of their cell that is in the same position. It places their requests with the shares of all of them together, however many deputies there are. Requests at a deputy wait for the next token as they do at a host on its own.

--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -6,6 +6,7 @@
 //! Frames are postcard behind a length, many to a write, since each of them is a few bytes and a
 //! call by capnp-rpc takes some two hundred.
 
+mod hosts;
 mod packed;
 
 use std::net::SocketAddr;
@@ -27,6 +28,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use hosts::Hosts;
 pub use packed::Packed;
 
 use crate::channel;
@@ -54,6 +56,8 @@
         version: Version,
         /// Address at which it relays links of hosts that cannot reach the leader, if it does.
         relay: Option<SocketAddr>,
+        /// Whether a host that cannot reach the leader either may place requests meanwhile.
+        deputy: bool,
     },
     /// The first frame of the leader.
     Welcome {
--- /dev/null
+++ b/crates/wire/src/dispatch/hosts.rs
@@ -0,0 +1,256 @@
+//! The links of the hosts that one dispatcher serves.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use persimmonbend_core::dispatch::Answer;
+use persimmonbend_core::dispatch::Ask;
+use persimmonbend_core::dispatch::Decision;
+use persimmonbend_core::dispatch::Dispatcher;
+use persimmonbend_core::dispatch::End;
+use persimmonbend_core::dispatch::Report;
+use persimmonbend_core::id::HostId;
+use persimmonbend_core::id::Zone;
+use persimmonbend_core::steward::Ticket;
+use tracing::info;
+use tracing::warn;
+
+use crate::dispatch;
+use crate::dispatch::Frame;
+use crate::dispatch::Reserve;
+use crate::dispatch::Sender;
+
+/// Time between two beats to a host.
+const BEAT_INTERVAL: Duration = Duration::from_millis(400);
+
+/// A dispatcher with the hosts that ask it.
+#[derive(Debug)]
+pub struct Hosts {
+    dispatcher: Dispatcher,
+    links: BTreeMap<HostId, Link>,
+}
+
+#[derive(Debug)]
+struct Link {
+    sender: Sender,
+    zone: Zone,
+    beat: Instant,
+}
+
+impl Hosts {
+    /// Creates a dispatcher that no host is connected to.
+    #[must_use]
+    pub const fn new(dispatcher: Dispatcher) -> Self {
+        Self {
+            dispatcher,
+            links: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the dispatcher.
+    #[must_use]
+    pub const fn dispatcher(&self) -> &Dispatcher {
+        &self.dispatcher
+    }
+
+    /// Returns the dispatcher to change it; what it answers goes to [`Hosts::send`].
+    pub const fn dispatcher_mut(&mut self) -> &mut Dispatcher {
+        &mut self.dispatcher
+    }
+
+    /// Returns the number of connected hosts.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.links.len()
+    }
+
+    /// Returns whether no host is connected.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.links.is_empty()
+    }
+
+    /// Returns the names of the connected hosts.
+    pub fn names(&self) -> impl Iterator<Item = &HostId> {
+        self.links.keys()
+    }
+
+    /// Closes all connections.
+    pub fn close(&self) {
+        for link in self.links.values() {
+            link.sender.close();
+        }
+    }
+
+    /// Takes in a host; what it reserved over an earlier connection is void.
+    pub fn join(&mut self, host: &str, zone: Zone, sender: &Sender, now: Instant) {
+        let answers = self.dispatcher.part(host, now);
+        self.send(answers);
+        self.dispatcher.join(host);
+        let link = Link {
+            sender: sender.clone(),
+            zone,
+            beat: now,
+        };
+        if let Some(old) = self.links.insert(host.to_owned(), link) {
+            old.sender.close();
+        }
+    }
+
+    /// Gives up a host whose connection ended, unless a later one has replaced it; returns whether
+    /// it did.
+    pub fn lose(&mut self, host: &str, sender: &Sender, now: Instant) -> bool {
+        let link = self.links.get(host);
+        if !link.is_some_and(|link| link.sender.is(sender)) {
+            return false;
+        }
+        self.links.remove(host);
+        info!(host, hosts = self.links.len(), "host_lost");
+        let answers = self.dispatcher.lose(host, now);
+        self.send(answers);
+        true
+    }
+
+    /// Takes in a frame of a host.
+    pub fn take(&mut self, host: &str, sender: &Sender, frame: Frame, now: Instant) {
+        let ticket = |number| Ticket {
+            host: host.to_owned(),
+            number,
+        };
+        let answers = match frame {
+            Frame::Reserve(reserve) => self.reserve(host, reserve, now),
+            Frame::Release {
+                number,
+                sign,
+                latency_ms,
+                bytes,
+            } => match dispatch::sign(sign) {
+                Ok(sign) => {
+                    let end = End {
+                        sign,
+                        latency: Duration::from_millis(u64::from(latency_ms)),
+                        bytes,
+                    };
+                    self.dispatcher.release(&ticket(number), &end, now)
+                }
+                Err(error) => {
+                    warn!(host, error = %error, "frame_refused");
+                    sender.close();
+                    Vec::new()
+                }
+            },
+            Frame::Hold {
+                number,
+                service,
+                upstream,
+                route,
+            } => {
+                let report = Report {
+                    ticket: ticket(number),
+                    service,
+                    upstream,
+                    route,
+                };
+                self.dispatcher.hold(report, now);
+                Vec::new()
+            }
+            Frame::Bye => {
+                let answers = self.dispatcher.part(host, now);
+                self.links.remove(host);
+                sender.close();
+                answers
+            }
+            Frame::Here => Vec::new(),
+            Frame::Suspects(suspects) => {
+                self.dispatcher.take_over(&suspects, false, now);
+                Vec::new()
+            }
+            other => {
+                warn!(host, frame = ?other, "frame_unexpected");
+                Vec::new()
+            }
+        };
+        self.send(answers);
+    }
+
+    /// Lets time pass; `hosts` is the number that share the quotas, 0 while it is not known.
+    pub fn tick(&mut self, hosts: u32, now: Instant) {
+        let answers = self.dispatcher.tick(now);
+        self.send(answers);
+        let suspects = self.dispatcher.suspects(now);
+        for link in self.links.values_mut() {
+            if now.saturating_duration_since(link.beat) >= BEAT_INTERVAL {
+                link.beat = now;
+                let suspects = suspects.clone();
+                link.sender.send(Frame::Beat { hosts, suspects });
+            }
+        }
+    }
+
+    /// Sends a frame to all hosts.
+    pub fn tell_all(&self, frame: &Frame) {
+        for link in self.links.values() {
+            link.sender.send(frame.clone());
+        }
+    }
+
+    /// Sends a frame to a host, if it is connected.
+    pub fn tell(&self, host: &str, frame: Frame) {
+        if let Some(link) = self.links.get(host) {
+            link.sender.send(frame);
+        }
+    }
+
+    /// Sends answers of the dispatcher to the hosts that wait for them.
+    pub fn send(&self, answers: Vec<Answer>) {
+        for answer in answers {
+            let Answer { ticket, decision } = answer;
+            let frame = frame(&ticket, decision);
+            self.tell(&ticket.host, frame);
+        }
+    }
+
+    fn reserve(&mut self, host: &str, reserve: Reserve, now: Instant) -> Vec<Answer> {
+        let zone = self.links.get(host).map(|link| link.zone.clone());
+        let waited = Duration::from_millis(u64::from(reserve.waited_ms));
+        let left = Duration::from_millis(u64::from(reserve.left_ms));
+        let ask = Ask {
+            ticket: Ticket {
+                host: host.to_owned(),
+                number: reserve.number,
+            },
+            zone: zone.unwrap_or_default(),
+            route: reserve.route,
+            service: reserve.service,
+            tenant: reserve.tenant,
+            arrived: now.checked_sub(waited).unwrap_or(now),
+            deadline: now + left,
+            attempts: u32::from(reserve.attempts),
+            repeat: reserve.repeat,
+            avoid: reserve.avoid,
+        };
+        self.dispatcher.reserve(ask, now)
+    }
+}
+
+fn frame(ticket: &Ticket, decision: Decision) -> Frame {
+    let number = ticket.number;
+    match decision {
+        Decision::Granted { upstream, patience } => Frame::Granted {
+            number,
+            upstream,
+            patience_ms: patience.map_or(0, dispatch::millis),
+        },
+        Decision::Queued => Frame::Queued { number },
+        Decision::Refused { kind, retry_after } => {
+            let after_ms = dispatch::millis(retry_after);
+            info!(host = %ticket.host, number, kind = %kind, after_ms, "ask_refused");
+            Frame::Refused {
+                number,
+                kind: dispatch::kind_code(kind),
+                after_ms,
+            }
+        }
+    }
+}
--- a/crates/wire/tests/dispatch.rs
+++ b/crates/wire/tests/dispatch.rs
@@ -50,24 +50,25 @@
 fn a_large_change_travels_in_a_few_bytes_a_route() {
     let publication = large();
     let delta = Delta::between(&Publication::default(), &publication);
-    let packed = Packed::new(&delta).unwrap();
+    let packed = Packed::new(&delta).expect("the stand-ins work");
     let mut bytes = Vec::new();
     Codec::default()
         .encode(&Frame::Published(packed), &mut bytes)
-        .unwrap();
+        .expect("the stand-ins work");
     assert!(bytes.len() < ROUTES * 24, "{} bytes", bytes.len());
-    let frames = Codec::default().feed(&bytes).unwrap();
+    let frames = Codec::default().feed(&bytes).expect("the stand-ins work");
     let [Frame::Published(packed)] = frames.as_slice() else {
         panic!("{frames:?}");
     };
-    assert_eq!(packed.open().unwrap(), delta);
+    assert_eq!(packed.open().expect("the stand-ins work"), delta);
 }
 
 #[test]
 fn what_is_no_change_is_malformed() {
-    let packed = Packed::new(&"neither routes nor services".to_owned()).unwrap();
-    let bytes = postcard::to_stdvec(&packed).unwrap();
-    let packed: Packed<Delta> = postcard::from_bytes(&bytes).unwrap();
+    let packed =
+        Packed::new(&"neither routes nor services".to_owned()).expect("the stand-ins work");
+    let bytes = postcard::to_stdvec(&packed).expect("the stand-ins work");
+    let packed: Packed<Delta> = postcard::from_bytes(&bytes).expect("the stand-ins work");
     assert!(packed.open().is_err());
 }
 
@@ -76,14 +77,18 @@
 
 #[compio::test]
 async fn a_large_frame_may_take_seconds_over_a_narrow_link() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("the stand-ins work");
+    let address = listener.local_addr().expect("the stand-ins work");
     let reading = spawn(async move {
-        let mut stream = TcpStream::connect(address).await.unwrap();
+        let mut stream = TcpStream::connect(address)
+            .await
+            .expect("the stand-ins work");
         let mut total = 0;
         while total < LARGE {
             let BufResult(result, _) = stream.read(Vec::with_capacity(1024 * 1024)).await;
-            let length = result.unwrap();
+            let length = result.expect("the stand-ins work");
             if length == 0 {
                 break;
             }
@@ -92,7 +97,7 @@
         }
         total
     });
-    let (stream, _) = listener.accept().await.unwrap();
+    let (stream, _) = listener.accept().await.expect("the stand-ins work");
     let (sender, writer, _receiver) = dispatch::split(stream);
     let _writing = spawn(writer.run());
     sender.send(Frame::Hello {
@@ -100,7 +105,8 @@
         zone: "z".to_owned(),
         version: 0,
         relay: None,
+        deputy: false,
     });
-    let total = reading.await.unwrap();
+    let total = reading.await.expect("the stand-ins work");
     assert!(total >= LARGE, "the link ended after {total} bytes");
 }
--- a/programs/pb-control/src/desk.rs
+++ b/programs/pb-control/src/desk.rs
@@ -163,6 +163,7 @@
             zone,
             version,
             relay,
+            deputy: _,
         }) = frames.next()
         else {
             return Error::Malformed("the first frame is no greeting".to_owned());
--- a/programs/pb-control/tests/greeting.rs
+++ b/programs/pb-control/tests/greeting.rs
@@ -33,7 +33,7 @@
 const NOTICE: Duration = Duration::from_millis(100);
 
 fn sockets() -> Vec<TcpListener> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0").unwrap();
+    let bind = |_| TcpListener::bind("127.0.0.1:0").expect("the stand-ins work");
     HOSTS.iter().map(bind).collect()
 }
 
@@ -72,7 +72,7 @@
     spawn(async move {
         pb_control::run_on(socket, settings, stop, |_| ())
             .await
-            .unwrap();
+            .expect("the stand-ins work");
     })
     .detach();
 }
@@ -80,7 +80,7 @@
 async fn greet(host: &str, address: SocketAddr) -> (Frame, Duration) {
     let stream = link::dial(address, &Secret::open(), Purpose::Dispatch)
         .await
-        .unwrap();
+        .expect("the stand-ins work");
     let (sender, writer, mut receiver) = dispatch::split(stream);
     let _writing = spawn(writer.run());
     let since = Instant::now();
@@ -89,9 +89,13 @@
         zone: "east".to_owned(),
         version: 0,
         relay: None,
+        deputy: false,
     });
-    let frames = receiver.next().await.unwrap();
-    (frames.into_iter().next().unwrap(), since.elapsed())
+    let frames = receiver.next().await.expect("the stand-ins work");
+    (
+        frames.into_iter().next().expect("the stand-ins work"),
+        since.elapsed(),
+    )
 }
 
 #[compio::test]
@@ -99,7 +103,7 @@
     let mut sockets = sockets();
     let addresses: Vec<SocketAddr> = sockets
         .iter()
-        .map(|socket| socket.local_addr().unwrap())
+        .map(|socket| socket.local_addr().expect("the stand-ins work"))
         .collect();
     let stop = Stop::new();
     start(0, &addresses, sockets.remove(0), "alone", &stop);
@@ -119,7 +123,7 @@
     let sockets = sockets();
     let addresses: Vec<SocketAddr> = sockets
         .iter()
-        .map(|socket| socket.local_addr().unwrap())
+        .map(|socket| socket.local_addr().expect("the stand-ins work"))
         .collect();
     let stop = Stop::new();
     for (at, socket) in sockets.into_iter().enumerate() {
@@ -151,7 +155,7 @@
             _ => {}
         }
     };
-    watching.await.unwrap();
+    watching.await.expect("the stand-ins work");
     let led = led.get().expect("a leader within ten seconds");
     assert!(known < led + NOTICE, "told {:?} after", known - led);
     stop.ask();
--- a/programs/pb-proxy/src/gateway.rs
+++ b/programs/pb-proxy/src/gateway.rs
@@ -6,6 +6,7 @@
 
 pub mod checks;
 pub mod clients;
+pub mod deputy;
 pub mod desk;
 pub mod dialect;
 pub mod exchange;
@@ -33,6 +34,7 @@
 
 use crate::gateway::checks::Checks;
 use crate::gateway::clients::Clients;
+use crate::gateway::deputy::Deputy;
 use crate::gateway::dialect::Dialect;
 use crate::gateway::meters::Report;
 use crate::gateway::settings::Settings;
@@ -68,11 +70,16 @@
     );
     let grace = settings.grace;
     let state = Rc::new(State::new(settings, dialect, Rc::new(System), stop));
+    let deputy = Rc::new(Deputy::default());
     let ended = Stop::new();
     let mut background = vec![
         spawn(desk::run(Rc::clone(&state))),
         spawn(sweep(Rc::clone(&state))),
-        spawn(relay.dispatch(relay::handler(&state)).serve()),
+        spawn(relay.dispatch(relay::handler(&state, &deputy)).serve()),
+        spawn({
+            let state = Rc::clone(&state);
+            async move { deputy.run(&state).await }
+        }),
         spawn(checks.serve(Rc::new(Checks::new(Rc::clone(&state))), ended.clone())),
     ];
     if let Some(metrics) = metrics {
--- /dev/null
+++ b/programs/pb-proxy/src/gateway/deputy.rs
@@ -0,0 +1,159 @@
+//! Places the requests of other hosts while control is away.
+//!
+//! Hosts that reach neither the leader nor a host that relays to it turn to the first of their cell
+//! that is in the same position. Each brings its share of the quotas and budgets, so that a deputy
+//! with `k` of `n` hosts hands out `k / n` of them, however many deputies there are. A deputy sends
+//! its hosts away as soon as it has a link to the leader again.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::TcpStream;
+use compio::runtime::spawn;
+use compio::time::timeout;
+use persimmonbend_core::dispatch::Dispatcher;
+use persimmonbend_core::dispatch::First;
+use persimmonbend_core::dispatch::Policy;
+use persimmonbend_wire::dispatch;
+use persimmonbend_wire::dispatch::Frame;
+use persimmonbend_wire::dispatch::Hosts;
+use persimmonbend_wire::dispatch::Receiver;
+use persimmonbend_wire::dispatch::Sender;
+use persimmonbend_wire::error::Error;
+use tracing::info;
+
+use crate::gateway::state::State;
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time that a host has for its first frame.
+const HELLO_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Silence after which a host counts as lost; hosts say something every 400 ms.
+const HOST_SILENCE: Duration = Duration::from_secs(2);
+
+/// Part of what operators tolerate beyond quotas that tenants find at a deputy; hosts on their own
+/// and the next leader use the rest.
+const TOLERANCE_PART: f64 = 0.5;
+
+/// The hosts that this one places requests for.
+#[derive(Debug, Default)]
+pub struct Deputy {
+    hosts: RefCell<Option<Hosts>>,
+}
+
+impl Deputy {
+    /// Does what is due until the future is dropped.
+    pub async fn run(&self, state: &State) {
+        loop {
+            compio::time::sleep(TICK).await;
+            let mut hosts = self.hosts.borrow_mut();
+            let Some(serving) = hosts.as_mut() else {
+                continue;
+            };
+            if !state.desk().is_away() || serving.is_empty() {
+                info!(hosts = serving.len(), "deputy_closed");
+                serving.close();
+                *hosts = None;
+                continue;
+            }
+            let share = state.desk().share(serving.len());
+            serving.dispatcher_mut().set_share(share);
+            serving.tick(0, state.now());
+        }
+    }
+
+    /// Serves a connection of a host that asks for a deputy.
+    pub async fn serve(&self, state: &State, stream: TcpStream, from: SocketAddr) {
+        let (sender, writer, receiver) = dispatch::split(stream);
+        let writing = spawn(writer.run());
+        let reason = self.attend(state, &sender, receiver).await;
+        info!(peer = %from, reason = %reason, "host_link_ended");
+        sender.close();
+        drop(writing);
+    }
+
+    async fn attend(&self, state: &State, sender: &Sender, mut receiver: Receiver) -> Error {
+        let first = match timeout(HELLO_TIMEOUT, receiver.next()).await {
+            Ok(Ok(frames)) => frames,
+            Ok(Err(error)) => return error,
+            Err(_) => return Error::Timeout,
+        };
+        let mut frames = first.into_iter();
+        let Some(Frame::Hello {
+            host,
+            zone,
+            deputy: true,
+            ..
+        }) = frames.next()
+        else {
+            return Error::Role;
+        };
+        if !state.desk().is_away() {
+            return Error::Role;
+        }
+        let now = state.now();
+        sender.send(Frame::Welcome {
+            term: 0,
+            leader: None,
+            control: Vec::new(),
+        });
+        self.with(state, |hosts| {
+            hosts.join(&host, zone, sender, now);
+            info!(host, hosts = hosts.len(), "deputy_joined");
+        });
+        let mut waiting = frames.collect();
+        let error = loop {
+            let now = state.now();
+            self.with(state, |hosts| {
+                for frame in std::mem::take(&mut waiting) {
+                    hosts.take(&host, sender, frame, now);
+                }
+            });
+            let next = timeout(HOST_SILENCE, receiver.next()).await;
+            match next {
+                Ok(Ok(frames)) if sender.is_open() => waiting = frames,
+                Ok(Ok(_)) => break Error::Role,
+                Ok(Err(error)) => break error,
+                Err(_) => break Error::Timeout,
+            }
+        };
+        let now = state.now();
+        if let Some(hosts) = self.hosts.borrow_mut().as_mut() {
+            hosts.lose(&host, sender, now);
+        }
+        error
+    }
+
+    fn with<F: FnOnce(&mut Hosts)>(&self, state: &State, change: F) {
+        let mut hosts = self.hosts.borrow_mut();
+        change(hosts.get_or_insert_with(|| Hosts::new(dispatcher(state))));
+    }
+}
+
+/// Creates a dispatcher that begins with what this host knows.
+fn dispatcher(state: &State) -> Dispatcher {
+    let settings = state.settings();
+    let now = state.now();
+    let mut tolerance = settings.tolerance;
+    tolerance.part *= TOLERANCE_PART;
+    tolerance.slack *= TOLERANCE_PART;
+    let mut dispatcher = Dispatcher::new(Policy {
+        repeats: settings.repeats,
+        silence: Duration::MAX,
+        first: First::Tolerated(tolerance),
+        is_first: false,
+        floor: settings.floor,
+    });
+    dispatcher.set_share(state.desk().share(1));
+    dispatcher.publish(Rc::clone(&state.in_force().publication));
+    for entry in state.upstreams() {
+        dispatcher.enrol(&entry, now);
+    }
+    dispatcher.take_over(&state.desk().suspects(), true, now);
+    info!(version = state.version(), "deputy_opened");
+    dispatcher
+}
--- a/programs/pb-proxy/src/gateway/desk.rs
+++ b/programs/pb-proxy/src/gateway/desk.rs
@@ -7,6 +7,7 @@
 
 mod link;
 mod reservation;
+mod search;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -135,7 +136,14 @@
     host: HostId,
     zone: Zone,
     link: RefCell<Option<Sender>>,
+    /// When whoever is linked was last heard.
     heard: Cell<Option<Instant>>,
+    /// When a leader was last heard.
+    led: Cell<Option<Instant>>,
+    /// Whether the link goes to a host that stands in for the leader.
+    deputised: Cell<bool>,
+    /// Whether replicas of control are asked in vain.
+    away: Cell<bool>,
     doubted: Cell<Option<Instant>>,
     doubts: Event,
     linked: Event,
@@ -147,6 +155,7 @@
     /// Hosts that relay links to the leader.
     relays: RefCell<Vec<SocketAddr>>,
     local: RefCell<Dispatcher>,
+    /// Hosts of the fleet as the leader last said, 0 before it did.
     hosts: Cell<u32>,
     waiting: RefCell<BTreeMap<u32, UnboundedSender<Decision>>>,
     uses: RefCell<BTreeMap<u32, Use>>,
@@ -173,6 +182,9 @@
             zone: settings.zone.clone(),
             link: RefCell::new(None),
             heard: Cell::new(None),
+            led: Cell::new(None),
+            deputised: Cell::new(false),
+            away: Cell::new(false),
             doubted: Cell::new(None),
             doubts: Event::new(),
             linked: Event::new(),
@@ -181,7 +193,7 @@
             leader: Cell::new(None),
             relays: RefCell::default(),
             local: RefCell::new(local),
-            hosts: Cell::new(UNKNOWN_HOSTS),
+            hosts: Cell::new(0),
             waiting: RefCell::default(),
             uses: RefCell::default(),
             next: Cell::new(0),
@@ -191,8 +203,43 @@
     /// Returns whether the leader was heard within `age`.
     #[must_use]
     pub fn is_heard(&self, age: Duration, now: Instant) -> bool {
-        let heard = self.heard.get();
-        heard.is_some_and(|heard| now.saturating_duration_since(heard) < age)
+        let led = self.led.get();
+        led.is_some_and(|led| now.saturating_duration_since(led) < age)
+    }
+
+    /// Returns whether replicas of control are asked in vain.
+    #[must_use]
+    pub const fn is_away(&self) -> bool {
+        self.away.get()
+    }
+
+    /// Returns the part of quotas and budgets that so many hosts on their own use together.
+    #[must_use]
+    pub fn share(&self, hosts: usize) -> f64 {
+        let known = match self.hosts.get() {
+            0 => UNKNOWN_HOSTS,
+            known => known,
+        };
+        let all = f64::from(known).max(hosts as f64);
+        OWN_SHARE * hosts as f64 / all
+    }
+
+    /// Returns the upstreams that the leader last suspected.
+    #[must_use]
+    pub fn suspects(&self) -> Vec<Number> {
+        self.suspects.borrow().clone().unwrap_or_default()
+    }
+
+    /// Returns the replicas of control that are known.
+    #[must_use]
+    pub fn replicas(&self) -> Vec<SocketAddr> {
+        self.known.borrow().clone()
+    }
+
+    /// Returns the hosts that may help while the leader cannot be reached.
+    #[must_use]
+    pub fn relays(&self) -> Vec<SocketAddr> {
+        self.relays.borrow().clone()
     }
 
     /// Returns the leader that this host has a link to, unless another host relays it.
@@ -246,8 +293,16 @@
         loop {
             if let Some(link) = desk.usable_link(state.now()) {
                 let number = desk.number();
-                if let Some(decision) = desk.ask(state, &link, number, need).await {
-                    return desk.settle(state, need, number, decision, true);
+                let decision = desk.ask(state, &link, number, need).await;
+                if let Some(decision) = decision {
+                    if !desk.deputised.get() {
+                        return desk.settle(state, need, number, decision, true);
+                    }
+                    let waiting = desk.wait_for_token(state, until, decision).await;
+                    if !waiting {
+                        return desk.settle(state, need, number, decision, true);
+                    }
+                    continue;
                 }
                 warn!(request = need.request, number, "dispatcher_silent");
                 desk.doubted.set(Some(state.now()));
@@ -255,19 +310,31 @@
             }
             let number = desk.number();
             let decision = desk.decide_alone(state, need, number).await;
-            let Decision::Refused { kind, retry_after } = decision else {
-                return desk.settle(state, need, number, decision, false);
-            };
-            let left = until.saturating_duration_since(state.now());
-            if kind != Kind::RateExceeded || left.is_zero() {
+            if !desk.wait_for_token(state, until, decision).await {
                 return desk.settle(state, need, number, decision, false);
             }
-            // The next leader has the whole quota, and is there within a second or two.
-            let linked = desk.linked.listen();
-            let _ = timeout(retry_after.min(left), linked).await;
         }
     }
 
+    /// Waits for the next leader, which has the whole quota, or for the next token, where a part of
+    /// the quota is used up; returns whether it is worth to ask again.
+    async fn wait_for_token(&self, state: &State, until: Instant, decision: Decision) -> bool {
+        let left = until.saturating_duration_since(state.now());
+        let Decision::Refused {
+            kind: Kind::RateExceeded,
+            retry_after,
+        } = decision
+        else {
+            return false;
+        };
+        if left.is_zero() {
+            return false;
+        }
+        let linked = self.linked.listen();
+        let _ = timeout(retry_after.min(left), linked).await;
+        true
+    }
+
     /// Places a request by what this host knows itself.
     async fn decide_alone(&self, state: &State, need: &Need, number: u32) -> Decision {
         let mut receiver = self.register(number);
@@ -351,15 +418,18 @@
         decision: Decision,
         asked: bool,
     ) -> Result<Reservation, Refusal> {
+        let deputy = asked && self.deputised.get();
+        let led = asked && !deputy;
         let Decision::Granted { upstream, patience } = decision else {
             let mut refusal = refusal(decision);
-            if !asked {
+            if !led {
                 refusal = refusal.on_own();
             }
             info!(
                 request = need.request,
                 number,
-                asked,
+                asked = led,
+                deputy,
                 kind = %refusal.kind,
                 retry_after_ms = dispatch::millis(refusal.retry_after),
                 "not_placed"
@@ -390,7 +460,8 @@
         info!(
             request = need.request,
             number,
-            asked,
+            asked = led,
+            deputy,
             upstream = %said.id,
             zone = %said.zone,
             attempt = need.attempts + 1,
--- a/programs/pb-proxy/src/gateway/desk/link.rs
+++ b/programs/pb-proxy/src/gateway/desk/link.rs
@@ -24,7 +24,9 @@
 
 use crate::gateway::desk;
 use crate::gateway::desk::Desk;
-use crate::gateway::desk::OWN_SHARE;
+use crate::gateway::desk::search::Search;
+use crate::gateway::desk::search::Target;
+use crate::gateway::desk::search::any_relay;
 use crate::gateway::state::State;
 
 /// Time for a connection to a replica, which takes one or two milliseconds.
@@ -33,10 +35,6 @@
 /// Time for the first answer of a replica, which waits a while for a leader to be known.
 const GREETING_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Pause before the next replica is tried; it doubles from the shortest to the longest.
-const SHORTEST_PAUSE: Duration = Duration::from_millis(40);
-const LONGEST_PAUSE: Duration = Duration::from_millis(400);
-
 /// Time between two signs of life of this host.
 const BEAT_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -49,124 +47,74 @@
 /// Control replicas that are remembered.
 const MAX_KNOWN: usize = 64;
 
-/// Replicas in a row that were not reached before another host is asked to relay the link.
-const RELAY_AFTER: u32 = 2;
-
-/// Hosts that are asked before the replicas are tried again; one that cannot help says so at once.
-const RELAY_TRIES: u32 = 8;
-
-/// Time between two attempts to reach the leader without the relay.
-const DIRECT_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between two attempts to reach the leader where another host stands in for it.
+const DIRECT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Keeps a link to the leader until the future is dropped.
+/// Keeps a link to the leader, or to a host that helps, until the future is dropped.
 pub async fn run(state: Rc<State>) {
-    let mut hint = None;
-    let mut lost = None;
-    let mut missed = 0;
-    let mut turn: usize = state.rng().random_range(0..MAX_KNOWN);
-    let mut pause = SHORTEST_PAUSE;
+    let mut search = Search::new(state.rng().random_range(0..MAX_KNOWN));
     loop {
-        let relay = (missed >= RELAY_AFTER).then(|| any_relay(&state)).flatten();
-        let direct = || hint.take().or_else(|| next(&state, lost, &mut turn));
-        let target = relay.or_else(direct);
-        let Some(target) = target else {
-            compio::time::sleep(LONGEST_PAUSE).await;
-            continue;
-        };
-        let was_linked = match follow(&state, target, relay.is_some()).await {
-            Ended::Elsewhere(leader) => {
-                hint = leader.filter(|leader| *leader != target);
-                if hint.is_none() {
-                    missed = 0;
-                }
-                hint.is_some()
-            }
-            Ended::Unreachable => {
-                lost = None;
-                missed += 1;
-                if missed > RELAY_AFTER + RELAY_TRIES {
-                    missed = RELAY_AFTER - 1;
+        if let Some(target) = search.next(&state) {
+            match follow(&state, target).await {
+                Ended::Elsewhere(leader) => search.note_elsewhere(target, leader),
+                Ended::Unreachable => search.note_missed(),
+                Ended::Better(better) => search.note_better(better),
+                Ended::Lost(error) => {
+                    match target {
+                        Target::Deputy(deputy) => warn!(%deputy, error = %error, "deputy_lost"),
+                        _ => warn!(target = ?target, error = %error, "control_lost"),
+                    }
+                    search.note_lost(target);
                 }
-                relay.is_some() && missed > RELAY_AFTER
             }
-            Ended::Direct(leader) => {
-                missed = 0;
-                hint = Some(leader);
-                true
-            }
-            Ended::Lost(error) => {
-                missed = if relay.is_some() { RELAY_AFTER } else { 0 };
-                lost = Some(target);
-                warn!(leader = %target, relayed = relay.is_some(), error = %error, "control_lost");
-                true
-            }
-        };
-        pause = if was_linked {
-            SHORTEST_PAUSE
-        } else {
-            (pause * 2).min(LONGEST_PAUSE)
-        };
-        let jitter = state.rng().random_range(0.5..1.0);
-        compio::time::sleep(pause.mul_f64(jitter)).await;
+        }
+        if search.is_away() {
+            state.desk().away.set(true);
+        }
+        let pause = search.pause(&state);
+        compio::time::sleep(pause).await;
     }
 }
 
-/// Why a replica is no longer followed.
+/// Why one is no longer followed.
 enum Ended {
     Elsewhere(Option<SocketAddr>),
     Unreachable,
-    /// The leader can be reached without the relay again.
-    Direct(SocketAddr),
+    /// One that helps better can be reached.
+    Better(Target),
     Lost(Error),
 }
 
-fn any_relay(state: &State) -> Option<SocketAddr> {
-    let relays = state.desk().relays.borrow();
-    let own = state.settings().relay;
-    let others: Vec<_> = relays.iter().filter(|relay| **relay != own).collect();
-    let index = state.rng().random_range(0..others.len().max(1));
-    others.get(index).map(|relay| **relay)
-}
-
-/// Returns the next replica to try, of those that are known and those of the settings.
-///
-/// The leader that was `lost` last is left out where there are others: it may be frozen or cut
-/// off, and where it leads again the others say so.
-fn next(state: &State, lost: Option<SocketAddr>, turn: &mut usize) -> Option<SocketAddr> {
-    let mut all = state.desk().known.borrow().clone();
-    for seed in state.settings().seeds.borrow().iter() {
-        if !all.contains(seed) {
-            all.push(*seed);
-        }
-    }
-    if all.len() > 1 {
-        all.retain(|address| Some(*address) != lost);
-    }
-    *turn = turn.wrapping_add(1);
-    let index = *turn % all.len().max(1);
-    all.get(index).copied()
-}
-
-async fn follow(state: &Rc<State>, target: SocketAddr, relayed: bool) -> Ended {
-    let dialing = link::dial(target, &state.settings().secret, Purpose::Dispatch);
-    let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, dialing).await else {
+async fn follow(state: &Rc<State>, target: Target) -> Ended {
+    let Some((sender, mut receiver, frames)) = greet(state, target).await else {
         return Ended::Unreachable;
     };
+    let ended = attend(state, &sender, &mut receiver, frames, target).await;
+    sender.close();
+    ended
+}
+
+/// Connects to a target and greets it; returns the link with the first frames that come back.
+async fn greet(state: &State, target: Target) -> Option<(Sender, Receiver, Vec<Frame>)> {
+    let settings = state.settings();
+    let dialing = link::dial(target.address(), &settings.secret, Purpose::Dispatch);
+    let stream = timeout(CONNECT_TIMEOUT, dialing).await.ok()?.ok()?;
     let (sender, writer, mut receiver) = dispatch::split(stream);
-    let writing = spawn(writer.run());
+    spawn(writer.run()).detach();
     sender.send(Frame::Hello {
-        host: state.settings().host.clone(),
-        zone: state.settings().zone.clone(),
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
         version: state.version(),
-        relay: Some(state.settings().relay),
+        relay: Some(settings.relay),
+        deputy: matches!(target, Target::Deputy(_)),
     });
-    let ended = match timeout(GREETING_TIMEOUT, receiver.next()).await {
-        Ok(Ok(frames)) => attend(state, &sender, &mut receiver, frames, relayed).await,
-        _ => Ended::Unreachable,
-    };
-    sender.close();
-    drop(writing);
-    ended
+    match timeout(GREETING_TIMEOUT, receiver.next()).await {
+        Ok(Ok(frames)) => Some((sender, receiver, frames)),
+        _ => {
+            sender.close();
+            None
+        }
+    }
 }
 
 async fn attend(
@@ -174,7 +122,7 @@
     sender: &Sender,
     receiver: &mut Receiver,
     first: Vec<Frame>,
-    relayed: bool,
+    target: Target,
 ) -> Ended {
     let mut frames = first.into_iter();
     let leader = match frames.next() {
@@ -184,7 +132,11 @@
             control,
         }) => {
             state.desk().learn(&control);
-            info!(term, relayed, version = state.version(), "control_linked");
+            let version = state.version();
+            match target {
+                Target::Deputy(deputy) => info!(%deputy, version, "deputy_linked"),
+                _ => info!(term, target = ?target, version, "control_linked"),
+            }
             leader
         }
         Some(Frame::Elsewhere { leader, control }) => {
@@ -198,33 +150,50 @@
     if let Err(error) = result {
         return Ended::Lost(error);
     }
-    state.desk().open(sender);
-    state.desk().leader.set(leader.filter(|_| !relayed));
+    state.desk().open(sender, target, leader);
     let listening = listen(state, sender, receiver, &mut whole);
-    let reaching = reach(state, leader.filter(|_| relayed));
+    let reaching = reach(state, target, leader);
     let ended = match select(Box::pin(listening), Box::pin(reaching)).await {
         Either::Left((error, _)) => Ended::Lost(error),
-        Either::Right((leader, _)) => Ended::Direct(leader),
+        Either::Right((better, _)) => Ended::Better(better),
     };
-    state.desk().leader.set(None);
     state.desk().close();
     ended
 }
 
-/// Waits until a leader that another host relays can be reached directly.
-async fn reach(state: &Rc<State>, leader: Option<SocketAddr>) -> SocketAddr {
-    let Some(leader) = leader else {
-        return std::future::pending().await;
-    };
+/// Waits until one that helps better than `target` can be reached.
+async fn reach(state: &State, target: Target, leader: Option<SocketAddr>) -> Target {
     loop {
         compio::time::sleep(DIRECT_INTERVAL).await;
-        let dialing = link::dial(leader, &state.settings().secret, Purpose::Dispatch);
-        if let Ok(Ok(_)) = timeout(CONNECT_TIMEOUT, dialing).await {
-            return leader;
+        let better = match target {
+            Target::Replica(_) => None,
+            Target::Relay(_) => leader.map(Target::Replica),
+            Target::Deputy(_) => any_relay(state).map(Target::Relay),
+        };
+        if let Some(better) = better
+            && leads(state, better).await
+        {
+            return better;
+        }
+        if matches!(target, Target::Deputy(_)) {
+            for replica in state.desk().replicas() {
+                if leads(state, Target::Replica(replica)).await {
+                    return Target::Replica(replica);
+                }
+            }
         }
     }
 }
 
+/// Returns whether the leader answers there.
+async fn leads(state: &State, target: Target) -> bool {
+    let greeted = greet(state, target).await;
+    greeted.is_some_and(|(sender, _, frames)| {
+        sender.close();
+        matches!(frames.first(), Some(Frame::Welcome { .. }))
+    })
+}
+
 async fn listen(
     state: &Rc<State>,
     sender: &Sender,
@@ -232,7 +201,7 @@
     whole: &mut bool,
 ) -> Error {
     let mut beat = state.now();
-    state.desk().heard.set(Some(beat));
+    state.desk().hear(beat);
     loop {
         let mut next = Box::pin(receiver.next());
         let frames = loop {
@@ -247,18 +216,18 @@
             match timeout(BEAT_INTERVAL, event).await {
                 Ok(Either::Left((Ok(frames), _))) => break frames,
                 Ok(Either::Left((Err(error), _))) => return error,
-                Ok(Either::Right(_)) if !state.desk().is_heard(DOUBTED_SILENCE, state.now()) => {
+                Ok(Either::Right(_)) if !state.desk().is_linked(DOUBTED_SILENCE, state.now()) => {
                     return Error::Timeout;
                 }
                 Err(_) if !sender.is_open() => return Error::Timeout,
-                Err(_) if !state.desk().is_heard(LEADER_SILENCE, state.now()) => {
+                Err(_) if !state.desk().is_linked(LEADER_SILENCE, state.now()) => {
                     return Error::Timeout;
                 }
                 Ok(Either::Right(_)) | Err(_) => {}
             }
         };
         drop(next);
-        state.desk().heard.set(Some(state.now()));
+        state.desk().hear(state.now());
         if let Err(error) = take(state, sender, frames, whole) {
             return error;
         }
@@ -300,7 +269,15 @@
         }
     }
 
-    fn open(&self, sender: &Sender) {
+    /// Takes the link to `target`, behind which a leader stands unless it is a deputy.
+    fn open(&self, sender: &Sender, target: Target, leader: Option<SocketAddr>) {
+        let is_deputy = matches!(target, Target::Deputy(_));
+        let direct = matches!(target, Target::Replica(_));
+        self.leader.set(leader.filter(|_| direct));
+        self.deputised.set(is_deputy);
+        if !is_deputy {
+            self.away.set(false);
+        }
         for (number, used) in self.uses.borrow().iter() {
             sender.send(desk::hold(*number, used));
         }
@@ -312,8 +289,24 @@
         self.linked.notify(usize::MAX);
     }
 
+    /// Notes a sign of life of the leader or of the host that stands in for it.
+    fn hear(&self, now: Instant) {
+        self.heard.set(Some(now));
+        if !self.deputised.get() {
+            self.led.set(Some(now));
+        }
+    }
+
+    /// Returns whether whoever is linked was heard within `age`.
+    fn is_linked(&self, age: Duration, now: Instant) -> bool {
+        let heard = self.heard.get();
+        heard.is_some_and(|heard| now.saturating_duration_since(heard) < age)
+    }
+
     /// Gives up the link; the requests that wait for an answer decide on their own.
     fn close(&self) {
+        self.leader.set(None);
+        self.deputised.set(false);
         *self.link.borrow_mut() = None;
         self.waiting.borrow_mut().clear();
     }
@@ -323,8 +316,7 @@
             return;
         }
         self.hosts.set(hosts);
-        let share = OWN_SHARE / f64::from(hosts);
-        self.local.borrow_mut().set_share(share);
+        self.local.borrow_mut().set_share(self.share(1));
     }
 
     fn note_suspects(&self, suspects: Vec<Number>, now: Instant) {
--- a/programs/pb-proxy/src/gateway/relay.rs
+++ b/programs/pb-proxy/src/gateway/relay.rs
@@ -1,8 +1,9 @@
-//! Relays the links of hosts that are cut off from the leader of control.
+//! Helps hosts that are cut off from the leader of control.
 //!
 //! A host that no replica answers asks one of the hosts that the leader last named. One that has a
 //! link of its own to the leader opens a second one and passes the bytes on, both ways; the leader
-//! then serves the other host as if it had come itself. A host that is relayed relays nobody.
+//! then serves the other host as if it had come itself. A host that is relayed relays nobody. One
+//! that cannot reach control either may be asked to stand in for the leader, see [`Deputy`].
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
 use persimmonbend_wire::listener;
 use tracing::info;
 
+use crate::gateway::deputy::Deputy;
 use crate::gateway::state::State;
 
 /// Time for a connection to the leader.
@@ -34,19 +36,24 @@
 /// Bytes passed on at a time.
 const PIECE_BYTES: usize = 16 * 1024;
 
-/// Returns the handler of connections that hosts ask to be relayed.
-pub fn handler(state: &Rc<State>) -> listener::Handler {
+/// Returns the handler of connections of hosts that ask for help.
+pub fn handler(state: &Rc<State>, deputy: &Rc<Deputy>) -> listener::Handler {
     let state = Rc::clone(state);
+    let deputy = Rc::clone(deputy);
     let relayed = Rc::new(Cell::new(0));
     Rc::new(move |stream, from| {
         if relayed.get() >= MAX_RELAYED || state.stop().is_asked() {
             return;
         }
+        let state = Rc::clone(&state);
         let Some(leader) = state.desk().leader() else {
+            if state.desk().is_away() {
+                let deputy = Rc::clone(&deputy);
+                spawn(async move { deputy.serve(&state, stream, from).await }).detach();
+            }
             return;
         };
         relayed.set(relayed.get() + 1);
-        let state = Rc::clone(&state);
         let relayed = Rc::clone(&relayed);
         spawn(async move {
             let reason = relay(&state, stream, leader).await;
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -192,6 +192,12 @@
         self.rng.borrow_mut()
     }
 
+    /// Returns all upstreams.
+    #[must_use]
+    pub fn upstreams(&self) -> Vec<Entry> {
+        self.upstreams.borrow().values().cloned().collect()
+    }
+
     /// Returns an upstream that takes requests.
     #[must_use]
     pub fn upstream(&self, number: Number) -> Option<Entry> {
