--- a/crates/replica/src/message.rs
+++ b/crates/replica/src/message.rs
@@ -110,6 +110,10 @@
     Contacts(Vec<Contact>),
     /// Tells a replica that it was removed from the members.
     Removed,
+    /// Asks a follower to lead in the place of the leader, which stops.
+    Succeed,
+    /// Asks for a vote, at the word of the last leader.
+    Succession(Position),
 }
 
 /// A replica that can be asked to be taken in.
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -8,6 +8,7 @@
 mod election;
 mod follow;
 mod founding;
+mod handover;
 mod lead;
 mod status;
 mod tend;
@@ -263,6 +264,7 @@
             Body::Removed => self.removed = true,
             Body::Poll(last) => self.on_poll(&message.from, message.term, last),
             Body::Vote(last) => self.on_vote(message.from, message.term, last),
+            Body::Succession(last) => self.on_succession(message.from, message.term, last),
             body => self.receive_in_term(message.from, message.term, body),
         }
     }
@@ -321,6 +323,7 @@
         let current = term == self.hard.term;
         match body {
             Body::PollReply { term, granted } => self.on_poll_reply(from, term, granted),
+            Body::Succeed if current => self.on_succeed(&from),
             Body::VoteReply { granted } if current => self.on_vote_reply(from, granted),
             Body::Append(append) if current => self.on_append(from, append),
             Body::Install(install) if current => self.on_install(from, install),
--- a/crates/replica/src/replica/election.rs
+++ b/crates/replica/src/replica/election.rs
@@ -123,11 +123,11 @@
             return;
         };
         if self.is_quorum(polls) {
-            self.start_vote();
+            self.start_vote(&Body::Vote(self.log.last()));
         }
     }
 
-    fn start_vote(&mut self) {
+    pub(super) fn start_vote(&mut self, ask: &Body) {
         let longest = self.settings.limits.election;
         self.deadline = self.clock.now() + self.random(longest / 2, longest);
         self.set_hard(Hard {
@@ -135,7 +135,7 @@
             vote: Some(self.id.clone()),
         });
         self.role = Role::Candidate(vec![self.id.clone()]);
-        self.ask_voters(&Body::Vote(self.log.last()));
+        self.ask_voters(ask);
         self.count_votes();
     }
 
@@ -179,7 +179,7 @@
     ///
     /// The removed one may be the only one left that holds its removal; the others then need it
     /// to win an election among themselves.
-    fn may_campaign(&self) -> bool {
+    pub(super) fn may_campaign(&self) -> bool {
         let committed = self.log.members_at(self.commit);
         self.log.members().is_voter(&self.id) || committed.is_voter(&self.id)
     }
--- /dev/null
+++ b/crates/replica/src/replica/handover.rs
@@ -0,0 +1,58 @@
+//! Hand-over of leadership by a leader that stops.
+//!
+//! The leader gives up its lease and asks the follower that holds most of the log to lead. Voters
+//! grant such a candidate their votes though they granted the old leader a lease, since that one
+//! said itself that it does not use it any more.
+
+use log::info;
+
+use crate::id::Id;
+use crate::id::Term;
+use crate::message::Body;
+use crate::message::Position;
+use crate::replica::Replica;
+use crate::replica::Role;
+
+impl Replica {
+    /// Gives up leadership in favour of another voter; returns whether there was one to ask.
+    ///
+    /// What is proposed and not committed by then may be lost, as with any change of leader.
+    pub fn hand_over(&mut self) -> bool {
+        let Some(successor) = self.successor() else {
+            return false;
+        };
+        info!("replica: hands over to {}", successor.host);
+        self.follow(None);
+        self.reset_deadline(self.clock.now());
+        self.send(successor, Body::Succeed);
+        true
+    }
+
+    /// Stands for election at the word of the leader that this replica follows.
+    pub(super) fn on_succeed(&mut self, from: &Id) {
+        if self.leader.as_ref() != Some(from) || !self.may_campaign() {
+            return;
+        }
+        self.granted_until = None;
+        self.start_vote(&Body::Succession(self.log.last()));
+    }
+
+    /// Votes for a candidate that the last leader named, whatever lease that one was granted.
+    pub(super) fn on_succession(&mut self, from: Id, term: Term, last: Position) {
+        if term > self.hard.term {
+            self.granted_until = None;
+        }
+        self.on_vote(from, term, last);
+    }
+
+    /// Returns the voter that holds most of the log, at least all that is committed.
+    fn successor(&self) -> Option<Id> {
+        let Role::Leader(lead) = &self.role else {
+            return None;
+        };
+        let others = self.log.members().voters().filter(|id| **id != self.id);
+        let held = |id: &&Id| lead.follower(id).map_or(0, |follower| follower.matched);
+        let most = others.max_by_key(held)?;
+        (held(&most) >= self.commit).then(|| most.clone())
+    }
+}
--- /dev/null
+++ b/crates/replica/tests/elections.rs
@@ -0,0 +1,288 @@
+//! Directed schedules of one replica among two others that the test speaks for.
+
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use persimmonbend_core::clock::Manual;
+use persimmonbend_replica::entry::Entry;
+use persimmonbend_replica::entry::Payload;
+use persimmonbend_replica::id::Id;
+use persimmonbend_replica::id::Index;
+use persimmonbend_replica::id::Term;
+use persimmonbend_replica::members::Member;
+use persimmonbend_replica::members::Members;
+use persimmonbend_replica::members::Role;
+use persimmonbend_replica::message::Append;
+use persimmonbend_replica::message::Body;
+use persimmonbend_replica::message::Message;
+use persimmonbend_replica::message::Position;
+use persimmonbend_replica::message::Progress;
+use persimmonbend_replica::replica::Replica;
+use persimmonbend_replica::settings::Limits;
+use persimmonbend_replica::settings::Settings;
+use persimmonbend_replica::storage::Contents;
+use persimmonbend_replica::storage::Hard;
+use persimmonbend_replica::storage::Record;
+use persimmonbend_replica::storage::Snapshot;
+use persimmonbend_replica::storage::Storage;
+
+const STEP: Duration = Duration::from_millis(10);
+const LEASE: Duration = Duration::from_millis(500);
+
+#[derive(Debug)]
+struct Memory(Rc<RefCell<Contents>>);
+
+impl Storage for Memory {
+    fn write(&mut self, records: &[Record]) -> io::Result<()> {
+        self.0.borrow_mut().records.extend_from_slice(records);
+        Ok(())
+    }
+
+    fn replace(&mut self, snapshot: &Snapshot, records: &[Record]) -> io::Result<()> {
+        let mut contents = self.0.borrow_mut();
+        contents.snapshot = snapshot.clone();
+        contents.records = records.to_vec();
+        Ok(())
+    }
+}
+
+fn id(host: &str) -> Id {
+    Id {
+        host: host.to_owned(),
+        storage: 1,
+    }
+}
+
+/// The replica `a` of the voters `a`, `b` and `c`.
+struct One {
+    clock: Rc<Manual>,
+    kept: Rc<RefCell<Contents>>,
+    replica: Replica,
+}
+
+impl One {
+    /// Starts with a log whose entries have these terms, in the last of them.
+    fn with(terms: &[Term]) -> Self {
+        let member = |host: &&str| Member {
+            id: id(host),
+            address: (*host).to_owned(),
+            role: Role::Voter,
+        };
+        let snapshot = Snapshot {
+            index: 1,
+            term: 1,
+            members: Members::new(["a", "b", "c"].iter().map(member).collect()),
+            data: Vec::new(),
+        };
+        let entries = (2..).zip(terms).map(|(index, term)| entry(index, *term));
+        let term = terms.last().copied().unwrap_or(1);
+        let hard = Record::Hard(Hard { term, vote: None });
+        let records = std::iter::once(hard).chain(entries.map(Record::Entry));
+        let kept = Rc::new(RefCell::new(Contents {
+            id: id("a"),
+            snapshot,
+            records: records.collect(),
+        }));
+        Self::start(kept, Rc::new(Manual::new()))
+    }
+
+    fn start(kept: Rc<RefCell<Contents>>, clock: Rc<Manual>) -> Self {
+        let settings = Settings {
+            address: "a".to_owned(),
+            peers: Vec::new(),
+            founder: false,
+            voters: None,
+            limits: Limits {
+                lease: LEASE,
+                ..Limits::default()
+            },
+            seed: 7,
+        };
+        let contents = kept.borrow().clone();
+        let memory = Box::new(Memory(Rc::clone(&kept)));
+        let shared: Rc<Manual> = Rc::clone(&clock);
+        let replica = Replica::new(settings, contents, memory, shared).expect("a sound disk");
+        Self {
+            clock,
+            kept,
+            replica,
+        }
+    }
+
+    /// Ends the process and starts it on what was synced.
+    fn restart(self) -> Self {
+        Self::start(self.kept, self.clock)
+    }
+
+    fn hear(&mut self, from: &str, term: Term, body: Body) -> Vec<Body> {
+        self.replica.receive(Message {
+            from: id(from),
+            to: "a".to_owned(),
+            storage: Some(1),
+            term,
+            body,
+        });
+        self.flush()
+    }
+
+    fn flush(&mut self) -> Vec<Body> {
+        let output = self.replica.flush().expect("a sound disk");
+        output.messages.into_iter().map(|one| one.body).collect()
+    }
+
+    fn pass(&mut self, time: Duration) -> Vec<Body> {
+        let mut said = Vec::new();
+        for _ in 0..time.as_millis() / STEP.as_millis() {
+            self.clock.advance(STEP);
+            self.replica.tick();
+            said.extend(self.flush());
+        }
+        said
+    }
+
+    /// Lets the replica win an election with the vote of `b`; returns its term.
+    fn win(&mut self) -> Term {
+        self.pass(Duration::from_secs(2));
+        let term = self.replica.term() + 1;
+        let granted = true;
+        self.hear("b", term - 1, Body::PollReply { term, granted });
+        self.hear("b", term, Body::VoteReply { granted });
+        term
+    }
+}
+
+fn entry(index: Index, term: Term) -> Entry {
+    Entry {
+        term,
+        index,
+        payload: Payload::Command(format!("{term}/{index}").into_bytes()),
+    }
+}
+
+fn heartbeat(previous: Position) -> Body {
+    Body::Append(Append {
+        round: 1,
+        previous,
+        entries: Vec::new(),
+        commit: previous.index,
+    })
+}
+
+const fn at(index: Index, term: Term) -> Position {
+    Position { index, term }
+}
+
+fn grants(said: &[Body]) -> bool {
+    let granted = |body: &&Body| matches!(body, Body::VoteReply { granted: true });
+    said.iter().any(|body| granted(&body))
+}
+
+#[test]
+fn a_replica_that_restarts_keeps_the_lease_that_it_granted() {
+    let mut one = One::with(&[1]);
+    one.pass(Duration::from_secs(1));
+    one.hear("b", 2, heartbeat(at(2, 1)));
+    let mut one = one.restart();
+    assert!(!grants(&one.hear("c", 3, Body::Vote(at(2, 1)))));
+    let polled = one.hear("c", 3, Body::Poll(at(2, 1)));
+    assert!(polled.contains(&Body::PollReply {
+        term: 4,
+        granted: false
+    }));
+    one.clock.advance(LEASE);
+    assert!(grants(&one.hear("c", 3, Body::Vote(at(2, 1)))));
+}
+
+#[test]
+fn a_candidate_whose_log_is_behind_gets_no_vote() {
+    let behind = [at(2, 2), at(3, 1), at(9, 1), at(1, 1)];
+    for last in behind {
+        let mut one = One::with(&[1, 2]);
+        one.clock.advance(LEASE * 2);
+        assert!(!grants(&one.hear("b", 5, Body::Vote(last))), "{last:?}");
+    }
+    for last in [at(3, 2), at(4, 2), at(2, 3)] {
+        let mut one = One::with(&[1, 2]);
+        one.clock.advance(LEASE * 2);
+        assert!(grants(&one.hear("b", 5, Body::Vote(last))), "{last:?}");
+    }
+}
+
+#[test]
+fn a_vote_that_was_granted_is_remembered_over_a_restart() {
+    let mut one = One::with(&[1]);
+    one.clock.advance(LEASE * 2);
+    assert!(grants(&one.hear("b", 4, Body::Vote(at(2, 1)))));
+    let mut one = one.restart();
+    one.clock.advance(LEASE * 2);
+    assert!(!grants(&one.hear("c", 4, Body::Vote(at(2, 1)))));
+    assert!(grants(&one.hear("b", 4, Body::Vote(at(2, 1)))));
+    assert!(grants(&one.hear("c", 5, Body::Vote(at(2, 1)))));
+}
+
+#[test]
+fn entries_of_earlier_terms_are_committed_by_one_of_the_present_term_only() {
+    let mut one = One::with(&[1, 2]);
+    let term = one.win();
+    assert!(term > 2);
+    let reply = |index| Body::Reply {
+        round: 0,
+        progress: Progress::Matched(index),
+    };
+    // A majority holds the entry of term 2, but a leader of term 3 could still replace it.
+    one.hear("b", term, reply(3));
+    assert!(one.replica.commit() < 3);
+    one.hear("b", term, reply(4));
+    assert_eq!(one.replica.commit(), 4);
+}
+
+#[test]
+fn a_leader_that_stops_hands_over_to_the_voter_that_holds_most() {
+    let mut one = One::with(&[1]);
+    let term = one.win();
+    let reply = |index| Body::Reply {
+        round: 0,
+        progress: Progress::Matched(index),
+    };
+    one.hear("c", term, reply(3));
+    assert!(one.replica.is_leading());
+    assert!(one.replica.hand_over());
+    assert!(!one.replica.is_leading());
+    assert!(one.flush().contains(&Body::Succeed));
+    // It grants its successor a vote at once.
+    assert!(grants(&one.hear(
+        "c",
+        term + 1,
+        Body::Succession(at(3, term))
+    )));
+}
+
+#[test]
+fn a_successor_stands_for_election_at_once_and_is_voted_for_in_spite_of_the_lease() {
+    let mut one = One::with(&[1]);
+    one.pass(Duration::from_secs(1));
+    one.hear("b", 2, heartbeat(at(2, 1)));
+    let said = one.hear("b", 2, Body::Succeed);
+    assert!(said.contains(&Body::Succession(at(2, 1))), "{said:?}");
+    assert_eq!(one.replica.term(), 3);
+
+    let mut other = One::with(&[1]);
+    other.pass(Duration::from_secs(1));
+    other.hear("b", 2, heartbeat(at(2, 1)));
+    assert!(!grants(&other.hear("c", 3, Body::Vote(at(2, 1)))));
+    // One whose log is behind is not voted for all the same.
+    assert!(!grants(&other.hear("c", 4, Body::Succession(at(1, 1)))));
+    assert!(grants(&other.hear("c", 5, Body::Succession(at(2, 1)))));
+}
+
+#[test]
+fn only_the_leader_that_is_followed_can_name_a_successor() {
+    let mut one = One::with(&[1]);
+    one.pass(Duration::from_secs(1));
+    one.hear("b", 2, heartbeat(at(2, 1)));
+    let said = one.hear("c", 2, Body::Succeed);
+    assert!(said.is_empty(), "{said:?}");
+    assert_eq!(one.replica.term(), 2);
+}
--- a/programs/pb-control/src/lib.rs
+++ b/programs/pb-control/src/lib.rs
@@ -170,14 +170,19 @@
         .serve()
         .fuse();
     let replicating = replication.run().fuse();
+    pin_mut!(serving);
     let work = async {
-        pin_mut!(serving, replicating);
+        pin_mut!(replicating);
         select! {
             () = serving => Ok(()),
             result = replicating => result,
         }
     };
-    let result = stop.until(work).await.unwrap_or(Ok(()));
+    let result = stop.until(work).await;
+    if result.is_none() {
+        replication.hand_over().await;
+    }
+    let result = result.unwrap_or(Ok(()));
     drop(background);
     info!("control: {} stopped", settings.host);
     result
--- a/programs/pb-control/src/node.rs
+++ b/programs/pb-control/src/node.rs
@@ -385,6 +385,13 @@
         Ok(messages)
     }
 
+    /// Gives up leadership, if this replica leads; returns whether another one was asked to lead.
+    pub fn hand_over(&self) -> bool {
+        let asked = self.replica.borrow_mut().hand_over();
+        self.work.notify(usize::MAX);
+        asked
+    }
+
     /// Proposes the change of members that is due, if one is; the next follows once it is
     /// committed.
     pub fn tend_members(&self) {
--- a/programs/pb-control/src/replication.rs
+++ b/programs/pb-control/src/replication.rs
@@ -21,6 +21,9 @@
 /// Time between two reports of hosts to one caller.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time that a stopping replica goes on after it handed over: the successor needs its vote.
+const HAND_OVER_TIME: Duration = Duration::from_millis(200);
+
 /// Time between two attempts to open a storage that failed; a full or faulty disk lasts for seconds.
 pub(crate) const REOPEN_PAUSE: Duration = Duration::from_millis(100);
 
@@ -63,6 +66,28 @@
         }
     }
 
+    /// Hands leadership over before a planned stop, so that nobody has to wait out the lease.
+    pub async fn hand_over(&self) {
+        if !self.node.hand_over() {
+            return;
+        }
+        let steps = HAND_OVER_TIME.as_millis() / TICK.as_millis();
+        for _ in 0..steps {
+            match self.node.advance() {
+                Ok(messages) => {
+                    for message in messages {
+                        self.links.send(message);
+                    }
+                }
+                Err(halt) => {
+                    warn!(reason = %halt, "hand_over_failed");
+                    return;
+                }
+            }
+            compio::time::sleep(TICK).await;
+        }
+    }
+
     /// Waits until the replica can begin anew.
     async fn recover(&self, mut halt: Halt) -> anyhow::Result<()> {
         warn!(reason = %halt, "storage_lost");
