fix: a host that missed a version opens its link anew; hosts leave their deputy as soon as a leader is known

Change: beats tell the version in force. A host that hears twice of a version that did not come, logs publication_missed and links anew, which brings it what it lacks; it calls nothing unknown meanwhile. Behind a deputy replicas are asked every 100 ms, not every second: hosts were back one second after the leader.

--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -135,6 +135,8 @@
     Beat {
         /// Hosts that share the quotas, 0 while they are not known yet.
         hosts: u32,
+        /// Version of the publication in force, 0 where that is not known.
+        version: Version,
         /// Upstreams that are likely grey.
         suspects: Vec<Number>,
     },
--- a/crates/wire/src/dispatch/hosts.rs
+++ b/crates/wire/src/dispatch/hosts.rs
@@ -12,6 +12,7 @@
 use persimmonbend_core::dispatch::Report;
 use persimmonbend_core::id::HostId;
 use persimmonbend_core::id::Zone;
+use persimmonbend_core::publication::Version;
 use persimmonbend_core::steward::Ticket;
 use tracing::info;
 use tracing::warn;
@@ -174,8 +175,9 @@
         self.send(answers);
     }
 
-    /// Lets time pass; `hosts` is the number that share the quotas, 0 while it is not known.
-    pub fn tick(&mut self, hosts: u32, now: Instant) {
+    /// Lets time pass; `hosts` is the number that share the quotas and `version` the one in force,
+    /// each 0 while it is not known.
+    pub fn tick(&mut self, hosts: u32, version: Version, now: Instant) {
         let answers = self.dispatcher.tick(now);
         self.send(answers);
         let suspects = self.dispatcher.suspects(now);
@@ -183,7 +185,11 @@
             if now.saturating_duration_since(link.beat) >= BEAT_INTERVAL {
                 link.beat = now;
                 let suspects = suspects.clone();
-                link.sender.send(Frame::Beat { hosts, suspects });
+                link.sender.send(Frame::Beat {
+                    hosts,
+                    version,
+                    suspects,
+                });
             }
         }
     }
--- a/programs/pb-control/src/desk/reign.rs
+++ b/programs/pb-control/src/desk/reign.rs
@@ -232,8 +232,8 @@
         } else {
             0
         };
-        self.hosts
-            .tick(u32::try_from(hosts).unwrap_or(u32::MAX), now);
+        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+        self.hosts.tick(hosts, self.publication.version, now);
         if settled {
             self.tell_relays(now);
         }
--- a/programs/pb-proxy/src/gateway/deputy.rs
+++ b/programs/pb-proxy/src/gateway/deputy.rs
@@ -62,7 +62,7 @@
             }
             let share = state.desk().share(serving.len());
             serving.dispatcher_mut().set_share(share);
-            serving.tick(0, state.now());
+            serving.tick(0, 0, state.now());
         }
     }
 
--- a/programs/pb-proxy/src/gateway/desk.rs
+++ b/programs/pb-proxy/src/gateway/desk.rs
@@ -38,6 +38,7 @@
 use persimmonbend_core::id::TenantId;
 use persimmonbend_core::id::Zone;
 use persimmonbend_core::publication::Publication;
+use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Entry;
 use persimmonbend_core::roster::Number;
 use persimmonbend_core::steward::Ticket;
@@ -144,6 +145,8 @@
     deputised: Cell<bool>,
     /// Whether replicas of control are asked in vain.
     away: Cell<bool>,
+    /// Version of this host when the last beat told of a newer one.
+    behind: Cell<Option<Version>>,
     doubted: Cell<Option<Instant>>,
     doubts: Event,
     linked: Event,
@@ -185,6 +188,7 @@
             led: Cell::new(None),
             deputised: Cell::new(false),
             away: Cell::new(false),
+            behind: Cell::new(None),
             doubted: Cell::new(None),
             doubts: Event::new(),
             linked: Event::new(),
--- a/programs/pb-proxy/src/gateway/desk/link.rs
+++ b/programs/pb-proxy/src/gateway/desk/link.rs
@@ -10,6 +10,7 @@
 use futures_util::future::Either;
 use futures_util::future::select;
 use persimmonbend_core::dispatch::Decision;
+use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Number;
 use persimmonbend_wire::dispatch;
 use persimmonbend_wire::dispatch::Frame;
@@ -27,6 +28,7 @@
 use crate::gateway::desk::search::Search;
 use crate::gateway::desk::search::Target;
 use crate::gateway::desk::search::any_relay;
+use crate::gateway::desk::search::replicas;
 use crate::gateway::state::State;
 
 /// Time for a connection to a replica, which takes one or two milliseconds.
@@ -50,6 +52,9 @@
 /// Time between two attempts to reach the leader where another host stands in for it.
 const DIRECT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between two rounds of looking for a leader from behind a deputy.
+const DEPUTY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Keeps a link to the leader, or to a host that helps, until the future is dropped.
 pub async fn run(state: Rc<State>) {
     let mut search = Search::new(state.rng().random_range(0..MAX_KNOWN));
@@ -145,6 +150,7 @@
         }
         _ => return Ended::Unreachable,
     };
+    state.desk().behind.set(None);
     let mut whole = true;
     let result = take(state, sender, frames.collect(), &mut whole);
     if let Err(error) = result {
@@ -164,22 +170,24 @@
 /// Waits until one that helps better than `target` can be reached.
 async fn reach(state: &State, target: Target, leader: Option<SocketAddr>) -> Target {
     loop {
-        compio::time::sleep(DIRECT_INTERVAL).await;
         let better = match target {
-            Target::Replica(_) => None,
-            Target::Relay(_) => leader.map(Target::Replica),
-            Target::Deputy(_) => any_relay(state).map(Target::Relay),
+            Target::Replica(_) => return std::future::pending().await,
+            Target::Relay(_) => {
+                compio::time::sleep(DIRECT_INTERVAL).await;
+                leader.map(Target::Replica).into_iter().collect()
+            }
+            // A replica that knows no leader yet answers as soon as there is one.
+            Target::Deputy(_) => {
+                compio::time::sleep(DEPUTY_INTERVAL).await;
+                let replicas = replicas(state).into_iter().map(Target::Replica);
+                replicas
+                    .chain(any_relay(state).map(Target::Relay))
+                    .collect::<Vec<_>>()
+            }
         };
-        if let Some(better) = better
-            && leads(state, better).await
-        {
-            return better;
-        }
-        if matches!(target, Target::Deputy(_)) {
-            for replica in state.desk().replicas() {
-                if leads(state, Target::Replica(replica)).await {
-                    return Target::Replica(replica);
-                }
+        for one in better {
+            if leads(state, one).await {
+                return one;
             }
         }
     }
@@ -251,7 +259,17 @@
             Frame::Relays(relays) => *state.desk().relays.borrow_mut() = relays,
             Frame::Announced { version } => state.note_announced(version),
             Frame::Upstreams(entries) => state.enrol(entries.open()?, std::mem::take(whole)),
-            Frame::Beat { hosts, suspects } => {
+            Frame::Beat {
+                hosts,
+                version,
+                suspects,
+            } => {
+                state.note_announced(version);
+                if state.desk().has_missed(version, state.version()) {
+                    warn!(version, own = state.version(), "publication_missed");
+                    let text = "two beats with a version that did not come".to_owned();
+                    return Err(Error::Malformed(text));
+                }
                 state.desk().note_hosts(hosts);
                 state.desk().note_suspects(suspects, state.now());
             }
@@ -311,6 +329,14 @@
         self.waiting.borrow_mut().clear();
     }
 
+    /// Returns whether two beats in a row told of a newer version than this host has: changes are
+    /// sent before the beat that tells of them, but for a pause of 100 ms.
+    fn has_missed(&self, version: Version, own: Version) -> bool {
+        let behind = (version > own).then_some(own);
+        let before = self.behind.replace(behind);
+        behind.is_some() && before == behind
+    }
+
     fn note_hosts(&self, hosts: u32) {
         if hosts == 0 {
             return;
--- a/programs/pb-proxy/src/gateway/desk/search.rs
+++ b/programs/pb-proxy/src/gateway/desk/search.rs
@@ -164,12 +164,7 @@
     /// The leader that was lost last is left out where there are others: it may be frozen or cut
     /// off, and where it leads again the others say so.
     fn replica(&mut self, state: &State) -> Option<SocketAddr> {
-        let mut all = state.desk().replicas();
-        for seed in state.settings().seeds.borrow().iter() {
-            if !all.contains(seed) {
-                all.push(*seed);
-            }
-        }
+        let mut all = replicas(state);
         if all.len() > 1 {
             all.retain(|address| Some(*address) != self.lost);
         }
@@ -179,6 +174,17 @@
     }
 }
 
+/// Returns the replicas that are known and those of the settings.
+pub fn replicas(state: &State) -> Vec<SocketAddr> {
+    let mut all = state.desk().replicas();
+    for seed in state.settings().seeds.borrow().iter() {
+        if !all.contains(seed) {
+            all.push(*seed);
+        }
+    }
+    all
+}
+
 /// Returns another host that the leader named.
 pub fn any_relay(state: &State) -> Option<SocketAddr> {
     let own = state.settings().relay;
