--- a/crates/wire/src/dispatch/hosts.rs
+++ b/crates/wire/src/dispatch/hosts.rs
@@ -102,8 +102,7 @@
     /// Gives up a host whose connection ended, unless a later one has replaced it; returns whether
     /// it did.
     pub fn lose(&mut self, host: &str, sender: &Sender, now: Instant) -> bool {
-        let link = self.links.get(host);
-        if !link.is_some_and(|link| link.sender.is(sender)) {
+        if !self.is_current(host, sender) {
             return false;
         }
         self.links.remove(host);
@@ -113,8 +112,18 @@
         true
     }
 
-    /// Takes in a frame of a host.
+    /// Returns whether a connection is the present one of a host.
+    #[must_use]
+    pub fn is_current(&self, host: &str, sender: &Sender) -> bool {
+        let link = self.links.get(host);
+        link.is_some_and(|link| link.sender.is(sender))
+    }
+
+    /// Takes in a frame of a host, unless a later connection has replaced the one that it came by.
     pub fn take(&mut self, host: &str, sender: &Sender, frame: Frame, now: Instant) {
+        if !self.is_current(host, sender) {
+            return;
+        }
         let ticket = |number| Ticket {
             host: host.to_owned(),
             number,
--- /dev/null
+++ b/crates/wire/tests/hosts.rs
@@ -0,0 +1,62 @@
+//! Hosts that connect to a dispatcher once more while frames of an earlier connection arrive.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use compio::net::TcpListener;
+use compio::net::TcpStream;
+use persimmonbend_core::dispatch::Bounds;
+use persimmonbend_core::dispatch::Dispatcher;
+use persimmonbend_core::dispatch::First;
+use persimmonbend_core::dispatch::Policy;
+use persimmonbend_core::publication::Publication;
+use persimmonbend_wire::dispatch;
+use persimmonbend_wire::dispatch::Frame;
+use persimmonbend_wire::dispatch::Hosts;
+use persimmonbend_wire::dispatch::Sender;
+
+const HOST: &str = "host-1";
+
+fn hosts() -> Hosts {
+    let mut dispatcher = Dispatcher::new(Policy {
+        repeats: Bounds {
+            ratio: 0.1,
+            extra: 1.0,
+        },
+        silence: Duration::MAX,
+        first: First::Part(1.0),
+        is_first: true,
+        floor: 0.7,
+    });
+    dispatcher.publish(Rc::new(Publication::default()));
+    Hosts::new(dispatcher)
+}
+
+/// Returns a sender on a connection that nobody reads.
+async fn sender() -> Sender {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a free address");
+    let address = listener.local_addr().expect("an address");
+    let stream = TcpStream::connect(address).await.expect("a connection");
+    dispatch::split(stream).0
+}
+
+#[compio::test]
+async fn the_farewell_of_an_earlier_connection_costs_the_later_one_nothing() {
+    let mut hosts = hosts();
+    let (early, late) = (sender().await, sender().await);
+    let now = Instant::now();
+    hosts.join(HOST, "a".to_owned(), &early, now);
+    hosts.join(HOST, "a".to_owned(), &late, now);
+    assert!(!early.is_open() && late.is_open());
+
+    hosts.take(HOST, &early, Frame::Bye, now);
+    assert!(!hosts.lose(HOST, &early, now));
+    assert_eq!(hosts.len(), 1);
+    assert!(hosts.is_current(HOST, &late) && late.is_open());
+
+    hosts.take(HOST, &late, Frame::Bye, now);
+    assert!(hosts.is_empty() && !late.is_open());
+}
--- a/programs/pb-control/src/desk/reign.rs
+++ b/programs/pb-control/src/desk/reign.rs
@@ -178,7 +178,7 @@
 
     /// Takes in a frame of a host.
     pub fn take(&mut self, host: &str, sender: &Sender, frame: Frame, now: Instant) {
-        if matches!(frame, Frame::Bye) {
+        if matches!(frame, Frame::Bye) && self.hosts.is_current(host, sender) {
             self.subscribers.remove(host);
         }
         self.hosts.take(host, sender, frame, now);
