fix(wire): bytes of a large frame are a sign of life

A change that took more than a second over a narrow link cost the link, since only whole frames counted, and came again from its start. Test: a version whose bytes come every 150 ms; it fails before.

--- a/crates/wire/src/channel.rs
+++ b/crates/wire/src/channel.rs
@@ -87,6 +87,7 @@
     stream: TcpStream,
     decoder: D,
     buffer: Vec<u8>,
+    received: Rc<Cell<u64>>,
 }
 
 /// Writes the queued frames to a connection.
@@ -123,6 +124,7 @@
         stream,
         decoder,
         buffer: Vec::with_capacity(READ_BYTES),
+        received: Rc::default(),
     };
     (sender, writer, receiver)
 }
@@ -242,6 +244,12 @@
 }
 
 impl<D> Receiver<D> {
+    /// Returns the count of bytes received so far, which goes on while a frame arrives.
+    #[must_use]
+    pub fn received(&self) -> Rc<Cell<u64>> {
+        Rc::clone(&self.received)
+    }
+
     /// Waits for the next frames.
     ///
     /// # Errors
@@ -260,6 +268,7 @@
             let BufResult(result, buffer) = self.stream.read(buffer).await;
             let length = result?;
             meter::add_received(length);
+            self.received.set(self.received.get() + length as u64);
             let frames = self.decoder.feed(&buffer[..length])?;
             self.buffer = buffer;
             if length == 0 {
--- a/programs/pb-proxy/src/gateway/desk/link.rs
+++ b/programs/pb-proxy/src/gateway/desk/link.rs
@@ -210,6 +210,8 @@
 ) -> Error {
     let mut beat = state.now();
     state.desk().hear(beat);
+    let received = receiver.received();
+    let mut before = received.get();
     loop {
         let mut next = Box::pin(receiver.next());
         let frames = loop {
@@ -219,6 +221,11 @@
                 sender.send(Frame::Here);
                 state.desk().tick(state);
             }
+            // A large frame takes several seconds over a narrow link.
+            if received.get() > before {
+                before = received.get();
+                state.desk().heard.set(Some(now));
+            }
             let doubted = state.desk().doubts.listen();
             let event = select(&mut next, doubted);
             match timeout(BEAT_INTERVAL, event).await {
