fix(core): three leaders within one window stay within what is tolerated beyond a quota

Cause: leaders were restarted, restarted and paused, and lost within five seconds; each began the tenant with 0.4 of the tolerance, and hosts on their own drew from 0.5 of it. Now 0.26 and 0.2, and a host that loses its link starts its own accounts anew. The test of a later dispatcher now holds three of them and the hosts together, which is stricter than the bound of a half for one.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -121,11 +121,11 @@
 
 /// Part of the tolerance that hosts on their own may use at first; the rest covers what the last
 /// dispatcher has just given.
-const TOLERANCE_USED: f64 = 0.5;
+const TOLERANCE_USED: f64 = 0.2;
 
-/// Part of the tolerance that a later dispatcher begins with. Two of them within one window stay
-/// within it unless a tenant sends several times its quota meanwhile.
-const TOLERANCE_FIRST: f64 = 0.4;
+/// Part of the tolerance that a later dispatcher begins with: three of them within one window stay
+/// within it, with what hosts on their own use.
+const TOLERANCE_FIRST: f64 = 0.26;
 
 /// Tokens of a host that draws none: the next one flows in before long.
 const NEARLY_ONE: f64 = 0.6;
@@ -268,6 +268,11 @@
         self.serve(&service, now)
     }
 
+    /// Starts all tenants anew: another dispatcher has spent from their quotas since.
+    pub fn forget_accounts(&mut self) {
+        self.quotas.retain(|_| false);
+    }
+
     /// Notes that an upstream was heard from.
     pub fn hear(&mut self, number: Number, now: Instant) {
         if let Some(place) = self.place_mut(number) {
--- a/crates/core/tests/dispatch/limits.rs
+++ b/crates/core/tests/dispatch/limits.rs
@@ -115,15 +115,19 @@
     };
     let first = First::Tolerated(tolerance);
     // Beyond 10 a second and a burst of 10, 26 requests are tolerated in 5 s.
-    assert_eq!(placed_at_once(first, 10.0, 10.0), 10);
+    assert_eq!(placed_at_once(first, 10.0, 10.0), 6);
     assert_eq!(placed_at_once(first, 10.0, 6.0), 6);
     let large = tolerance.of(&Quota {
         per_second: 40.0,
         burst: 40.0,
     });
     let placed = placed_at_once(first, 40.0, 40.0) as f64;
-    assert!(placed < large / 2.0, "{placed} of {large} tolerated");
-    assert!(placed > large / 3.0, "{placed} of {large} tolerated");
+    // Three in one window stay within it, and hosts on their own use a fifth.
+    assert!(
+        3.0 * placed + large / 5.0 <= large,
+        "{placed} of {large} tolerated"
+    );
+    assert!(placed > large / 5.0, "{placed} of {large} tolerated");
 }
 
 #[test]
--- a/programs/pb-proxy/src/gateway/desk/link.rs
+++ b/programs/pb-proxy/src/gateway/desk/link.rs
@@ -332,6 +332,7 @@
     fn close(&self) {
         self.leader.set(None);
         self.deputised.set(false);
+        self.local.borrow_mut().forget_accounts();
         *self.link.borrow_mut() = None;
         self.waiting.borrow_mut().clear();
     }
