fix(core): each upstream of a large service stays in use while requests fail

Change: of a service with more than 24 upstreams all that count are kept in use. Test: sixty upstreams; it fails before at 19.8 s.

--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -36,6 +36,10 @@
 /// sound.
 const FLOOR_MARGIN: f64 = 0.08;
 
+/// Upstreams of a service from which on all that count are kept in use: those that operators look
+/// at, the ones without any disturbance, may be a small part of them, and hold all that are not.
+const LARGE: usize = 24;
+
 /// The upstreams of one service.
 #[derive(Debug)]
 pub struct Pool {
@@ -120,7 +124,12 @@
                 used += f64::from(u8::from(self.is_in_use(*number, now)));
             }
         }
-        used < (floor + FLOOR_MARGIN).min(1.0) * all
+        let wanted = if self.places.len() > LARGE {
+            1.0
+        } else {
+            (floor + FLOOR_MARGIN).min(1.0)
+        };
+        used < wanted * all
     }
 
     /// Returns whether an upstream is open and has failed no request lately.
--- a/crates/core/tests/dispatch/grey.rs
+++ b/crates/core/tests/dispatch/grey.rs
@@ -294,6 +294,40 @@
     assert!(looks > 600);
 }
 
+#[test]
+fn each_upstream_of_a_large_service_stays_in_use_while_some_requests_fail() {
+    // Fifteen of sixty fail each request that they get, and one request in twelve fails wherever
+    // it runs. What has failed none for two seconds must get some in the next two, whichever part
+    // of the service is looked at.
+    let zones = ["a", "b", "c", "d"];
+    let zones: Vec<&str> = (0..60).map(|number| zones[number % 4]).collect();
+    let mut world = World::new(&zones);
+    let mut used: BTreeMap<Number, u32> = BTreeMap::new();
+    let mut failed: BTreeMap<Number, u32> = BTreeMap::new();
+    for at in (0..20_000_u32).step_by(6) {
+        world.pass(STEP * 6);
+        let (ticket, upstream) = world.place(ONCE).unwrap();
+        used.insert(upstream, at);
+        let fails = upstream <= 15 || at % 72 == 0;
+        if fails {
+            failed.insert(upstream, at);
+        }
+        let sign = if fails { Sign::Failed } else { Sign::Answered };
+        world.release(&ticket, sign, Duration::from_millis(5));
+        if at < 6_000 {
+            continue;
+        }
+        let last = |times: &BTreeMap<Number, u32>, one: Number| {
+            times.get(&one).copied().unwrap_or_default()
+        };
+        for one in 1..=60 {
+            let sound = last(&failed, one) + 4_000 < at;
+            let idle = last(&used, one) + 2_000 < at;
+            assert!(!(sound && idle), "at {at}: {one} gets nothing");
+        }
+    }
+}
+
 #[test]
 fn a_busy_service_fails_little_more() {
     let busy = play(8, 100.0, 60_000, false);
