--- a/programs/pb-control/src/replication.rs
+++ b/programs/pb-control/src/replication.rs
@@ -54,13 +54,8 @@
     pub async fn run(&self) -> anyhow::Result<()> {
         loop {
             self.node.tend_members();
-            match self.node.advance() {
-                Ok(messages) => {
-                    for message in messages {
-                        self.links.send(message);
-                    }
-                }
-                Err(halt) => self.recover(halt).await?,
+            if let Err(halt) = self.step() {
+                self.recover(halt).await?;
             }
             let _ = compio::time::timeout(TICK, self.node.worked()).await;
         }
@@ -73,21 +68,22 @@
         }
         let steps = HAND_OVER_TIME.as_millis() / TICK.as_millis();
         for _ in 0..steps {
-            match self.node.advance() {
-                Ok(messages) => {
-                    for message in messages {
-                        self.links.send(message);
-                    }
-                }
-                Err(halt) => {
-                    warn!(reason = %halt, "hand_over_failed");
-                    return;
-                }
+            if let Err(halt) = self.step() {
+                warn!(reason = %halt, "hand_over_failed");
+                return;
             }
             compio::time::sleep(TICK).await;
         }
     }
 
+    /// Lets the replica do what is due and sends what it says.
+    fn step(&self) -> Result<(), Halt> {
+        for message in self.node.advance()? {
+            self.links.send(message);
+        }
+        Ok(())
+    }
+
     /// Waits until the replica can begin anew.
     async fn recover(&self, mut halt: Halt) -> anyhow::Result<()> {
         warn!(reason = %halt, "storage_lost");
