fix(dispatch): try an upstream again before it counts as healthy for the floor

Change: it counts after 1.5 s, which leaves half a second to give it a request.

Result: upstreams_that_failed_for_a_moment_are_in_use_once_they_count_as_healthy failed before (4 of 6 in use at 24.5 s) and passes.

--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -20,8 +20,9 @@
 /// Time after a grant during which an upstream counts as in use; operators check two seconds.
 const IN_USE_WINDOW: Duration = Duration::from_millis(1_500);
 
-/// Time after a failure during which an upstream does not count for the floor.
-const FAILURE_WINDOW: Duration = Duration::from_secs(2);
+/// Time after a failure during which an upstream does not count for the floor; operators count it
+/// again after two seconds, by when it must be in use.
+const FAILURE_WINDOW: Duration = Duration::from_millis(1_500);
 
 /// Share beyond the floor that is kept in use, because some upstreams in use may fail.
 const FLOOR_MARGIN: f64 = 0.08;
--- a/crates/core/tests/dispatch/grey.rs
+++ b/crates/core/tests/dispatch/grey.rs
@@ -344,6 +344,46 @@
     }
 }
 
+/// Half of the upstreams fail for a moment, then the other half. An upstream counts as healthy two
+/// seconds after its failure; if it got its next request only then, it was idle when it was checked.
+#[test]
+fn upstreams_that_failed_for_a_moment_are_in_use_once_they_count_as_healthy() {
+    let zones = ["a", "b", "c", "d"];
+    let zones: Vec<&str> = (0..16).map(|number| zones[number % 4]).collect();
+    let mut world = World::new(&zones);
+    let mut used: BTreeMap<Number, u32> = BTreeMap::new();
+    let mut failed: BTreeMap<Number, u32> = BTreeMap::new();
+    for at in (0..30_000_u32).step_by(10) {
+        world.advance(STEP * 10);
+        let (ticket, upstream) = world.place(NON_IDEMPOTENT).unwrap();
+        used.insert(upstream, at);
+        let is_first_half = upstream <= 8;
+        let fails_now = at % 2_500 < 500 && is_first_half == (at % 5_000 < 2_500);
+        let does_fail = fails_now || at % 110 == 0;
+        if does_fail {
+            failed.insert(upstream, at);
+        }
+        let outcome = if does_fail {
+            Outcome::Failed
+        } else {
+            Outcome::Answered
+        };
+        world.release(&ticket, outcome, Duration::from_millis(5));
+        if at < 6_000 {
+            continue;
+        }
+        let lately = |times: &BTreeMap<Number, u32>, one: Number| {
+            times.get(&one).is_some_and(|time| time + 2_000 > at)
+        };
+        let healthy: Vec<Number> = (1..=16).filter(|one| !lately(&failed, *one)).collect();
+        let in_use = healthy.iter().filter(|one| lately(&used, **one)).count();
+        assert!(
+            in_use * 10 >= healthy.len() * 7,
+            "at {at}: {in_use} of {healthy:?}"
+        );
+    }
+}
+
 #[test]
 fn a_busy_service_fails_little_more() {
     let busy = simulate(8, 100.0, 60_000, false);
