feat(wire): send suspects as differences in the leader's heartbeats

Cause: each heartbeat to a host named all suspects, every 400 ms; with 432 upstreams of which a quarter are suspects that is 200 bytes a heartbeat and 220 KB/s for 442 hosts, most of it between zones.

Change: a heartbeat names the upstreams that became suspects or ceased to be, since the last one on the same connection; the first one names all. Builds before and after this change cannot serve one another.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -331,7 +331,7 @@
 
     /// Returns the upstreams that are more likely grey than not.
     #[must_use]
-    pub fn suspects(&self, now: Instant) -> Vec<Number> {
+    pub fn suspects(&self, now: Instant) -> BTreeSet<Number> {
         let upstreams = self.pools.values().flat_map(Pool::upstreams);
         let suspects = upstreams.filter(|(_, state)| state.belief.is_suspect(now));
         suspects.map(|(number, _)| number).collect()
@@ -340,8 +340,12 @@
     /// Adopts the suspects of another dispatcher for upstreams without an outcome observed here.
     ///
     /// With `overrides_observed`, they replace the beliefs about all other upstreams too.
-    pub fn adopt_suspects(&mut self, suspects: &[Number], overrides_observed: bool, now: Instant) {
-        let suspects: BTreeSet<Number> = suspects.iter().copied().collect();
+    pub fn adopt_suspects(
+        &mut self,
+        suspects: &BTreeSet<Number>,
+        overrides_observed: bool,
+        now: Instant,
+    ) {
         for pool in self.pools.values_mut() {
             pool.change_all(now, |number, state| {
                 if overrides_observed || !state.belief.is_observed() {
--- a/crates/core/tests/dispatch/grey.rs
+++ b/crates/core/tests/dispatch/grey.rs
@@ -396,7 +396,7 @@
     let (ticket, suspect) = world.place(NON_IDEMPOTENT).unwrap();
     world.release(&ticket, Outcome::Failed, STEP);
     let suspects = world.dispatcher.suspects(world.now);
-    assert_eq!(suspects, [suspect]);
+    assert_eq!(suspects, BTreeSet::from([suspect]));
     let mut next = World::new(&["a", "a", "a"]);
     next.dispatcher.adopt_suspects(&suspects, false, next.now);
     for _ in 0..3 {
@@ -405,7 +405,8 @@
         next.release(&ticket, Outcome::Answered, RUN_TIME);
     }
     // Own observations override the suspects of the earlier dispatcher.
-    next.dispatcher.adopt_suspects(&[1, 2, 3], false, next.now);
+    next.dispatcher
+        .adopt_suspects(&BTreeSet::from([1, 2, 3]), false, next.now);
     assert!(next.dispatcher.suspects(next.now).len() < 3);
 }
 
@@ -454,7 +455,10 @@
         };
         world.release(&ticket, outcome, STEP);
     }
-    assert_eq!(world.dispatcher.suspects(world.now), [suspect]);
+    assert_eq!(
+        world.dispatcher.suspects(world.now),
+        BTreeSet::from([suspect])
+    );
     let held: Vec<Ticket> = (0..3)
         .map(|_| world.place(NON_IDEMPOTENT).unwrap().0)
         .collect();
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -141,8 +141,10 @@
         hosts: u32,
         /// Version of the publication in force, 0 while unknown.
         version: Version,
-        /// Upstreams that are probably grey.
-        suspects: Vec<Number>,
+        /// Upstreams that became suspects since the last heartbeat on this connection.
+        suspected: Vec<Number>,
+        /// Upstreams that are no suspects any more.
+        cleared: Vec<Number>,
     },
     /// Addresses of the hosts that relay links to the leader.
     Relays(Vec<SocketAddr>),
--- a/crates/wire/src/dispatch/hosts.rs
+++ b/crates/wire/src/dispatch/hosts.rs
@@ -1,6 +1,8 @@
 //! Links between a dispatcher and the hosts that it serves.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,6 +15,7 @@
 use persimmonbend_core::id::HostId;
 use persimmonbend_core::id::Zone;
 use persimmonbend_core::publication::Version;
+use persimmonbend_core::roster::Number;
 use persimmonbend_core::steward::Ticket;
 use tracing::info;
 use tracing::warn;
@@ -37,6 +40,8 @@
     sender: Sender,
     zone: Zone,
     last_heartbeat: Instant,
+    /// Suspects that the host was told of.
+    suspects: Rc<BTreeSet<Number>>,
 }
 
 impl Hosts {
@@ -94,6 +99,7 @@
             sender: sender.clone(),
             zone,
             last_heartbeat: now,
+            suspects: Rc::default(),
         };
         if let Some(previous) = self.links.insert(host.to_owned(), link) {
             previous.sender.close();
@@ -174,6 +180,7 @@
             }
             Frame::HostHeartbeat => Vec::new(),
             Frame::Suspects(suspects) => {
+                let suspects = suspects.into_iter().collect();
                 self.dispatcher.adopt_suspects(&suspects, false, now);
                 Vec::new()
             }
@@ -192,15 +199,16 @@
     pub fn tick(&mut self, hosts: u32, version: Version, now: Instant) {
         let answers = self.dispatcher.tick(now);
         self.send(answers);
-        let suspects = self.dispatcher.suspects(now);
+        let suspects = Rc::new(self.dispatcher.suspects(now));
         for link in self.links.values_mut() {
             if now.saturating_duration_since(link.last_heartbeat) >= HEARTBEAT_INTERVAL {
                 link.last_heartbeat = now;
-                let suspects = suspects.clone();
+                let known = std::mem::replace(&mut link.suspects, Rc::clone(&suspects));
                 link.sender.send(Frame::Heartbeat {
                     hosts,
                     version,
-                    suspects,
+                    suspected: suspects.difference(&known).copied().collect(),
+                    cleared: known.difference(&suspects).copied().collect(),
                 });
             }
         }
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -12,6 +12,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -119,7 +120,10 @@
     /// Notifies waiting requests that a link was opened.
     link_opened: Event,
     /// Upstreams that the leader last reported as suspected.
-    suspects: RefCell<Option<Vec<Number>>>,
+    suspects: RefCell<Option<BTreeSet<Number>>>,
+    /// Whether a heartbeat arrived on the link in use, so that the suspects are those of its
+    /// dispatcher.
+    has_suspects_of_link: Cell<bool>,
     /// Control replicas that the leader or another replica last listed.
     replicas: RefCell<Vec<SocketAddr>>,
     /// Address of the leader, while this host has a direct link to it.
@@ -166,6 +170,7 @@
             unanswered: Event::new(),
             link_opened: Event::new(),
             suspects: RefCell::new(None),
+            has_suspects_of_link: Cell::new(false),
             replicas: RefCell::default(),
             direct_leader: Cell::new(None),
             relays: RefCell::default(),
@@ -203,7 +208,7 @@
 
     /// Returns the upstreams that the leader last reported as suspected.
     #[must_use]
-    pub fn suspects(&self) -> Vec<Number> {
+    pub fn suspects(&self) -> BTreeSet<Number> {
         self.suspects.borrow().clone().unwrap_or_default()
     }
 
--- a/programs/pb-proxy/src/gateway/placement/link.rs
+++ b/programs/pb-proxy/src/gateway/placement/link.rs
@@ -1,5 +1,6 @@
 //! Finds the control leader and maintains the link to the leader, a relay or a deputy.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -285,7 +286,8 @@
             Frame::Heartbeat {
                 hosts,
                 version,
-                suspects,
+                suspected,
+                cleared,
             } => {
                 state.note_announced(version);
                 if state
@@ -297,7 +299,8 @@
                     return Err(Error::Malformed(text));
                 }
                 state.placer().note_hosts(hosts);
-                state.placer().note_suspects(suspects, state.now());
+                let placer = state.placer();
+                placer.note_suspects(&suspected, &cleared, state.now());
             }
             other => state.placer().apply_answer(sender, other)?,
         }
@@ -329,8 +332,9 @@
             sender.send(placement::running_frame(*number, slot));
         }
         if let Some(suspects) = &*self.suspects.borrow() {
-            sender.send(Frame::Suspects(suspects.clone()));
+            sender.send(Frame::Suspects(suspects.iter().copied().collect()));
         }
+        self.has_suspects_of_link.set(false);
         self.unanswered_since.set(None);
         *self.link.borrow_mut() = Some(sender.clone());
         self.link_opened.notify(usize::MAX);
@@ -379,11 +383,23 @@
         self.local_dispatcher.borrow_mut().set_share(self.share(1));
     }
 
-    fn note_suspects(&self, suspects: Vec<Number>, now: Instant) {
+    /// Updates the suspects from the changes in a heartbeat; the first heartbeat of a link names all.
+    fn note_suspects(&self, suspected: &[Number], cleared: &[Number], now: Instant) {
+        let mut current = self.suspects.borrow_mut();
+        let suspects = match &mut *current {
+            Some(suspects) if self.has_suspects_of_link.replace(true) => suspects,
+            _ => {
+                self.has_suspects_of_link.set(true);
+                current.insert(BTreeSet::new())
+            }
+        };
+        suspects.extend(suspected);
+        for number in cleared {
+            suspects.remove(number);
+        }
         self.local_dispatcher
             .borrow_mut()
-            .adopt_suspects(&suspects, true, now);
-        *self.suspects.borrow_mut() = Some(suspects);
+            .adopt_suspects(suspects, true, now);
     }
 
     /// Runs the timers of the local dispatcher.
