fix(proxy): hold the slot of an upstream until a large answer has ended

Cause: the slot of an answer of more than 256 KiB was released when its first part had arrived, so that upstreams that serve downloads got more requests at a time than they run; its connection was never used again.

Change: the rest of a body owns the reservation. It ends as answered, cut off or late at the end of the body, and as cancelled when the client leaves; the connection of a complete body goes back to the pool.

--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -9,8 +9,10 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use compio::time::timeout;
+use futures_util::Stream;
 use futures_util::StreamExt;
 use futures_util::stream;
+use http_body_util::BodyDataStream;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::StreamBody;
@@ -248,10 +250,10 @@
 }
 
 impl Answer {
-    /// Ends the reservation unless the rest is still to be passed on, and returns the result.
+    /// Returns the result; ends the reservation, unless the rest of the body is still to be passed on.
     fn finish(
         mut self,
-        state: &State,
+        state: &Rc<State>,
         plan: &Plan,
         address: SocketAddr,
         reservation: Reservation,
@@ -262,11 +264,24 @@
         } else {
             Outcome::Answered
         };
-        reservation.end(outcome, plan.body.len() + self.buffered.len());
         callers::strip_hop_by_hop(&mut self.head.headers);
+        let bytes = plan.body.len() + self.buffered.len();
         if let Some(rest) = self.rest.take() {
-            return Reply::Answered(self.stream(rest, plan.deadline, reservation));
+            let rest = Rest {
+                state: Rc::clone(state),
+                body: rest.into_data_stream(),
+                connection: self.connection,
+                address,
+                reservation,
+                outcome,
+                bytes,
+                deadline: plan.deadline,
+            };
+            let first = stream::iter([Ok(Frame::data(self.buffered))]);
+            let body = StreamBody::new(first.chain(rest.into_stream()));
+            return Reply::Answered(Response::from_parts(self.head, Box::pin(body)));
         }
+        reservation.end(outcome, bytes);
         if failed {
             let response = Response::from_parts(self.head, http::full(self.buffered));
             return Reply::Failed(response);
@@ -274,23 +289,61 @@
         state.pool().put_back(address, self.connection, state.now());
         Reply::Answered(Response::from_parts(self.head, http::full(self.buffered)))
     }
+}
 
-    /// Returns an answer that streams the rest to the client, and aborts the client's connection if
-    /// the rest is cut off or does not arrive by the deadline.
-    fn stream(self, rest: Incoming, deadline: Instant, reservation: Reservation) -> Response<Body> {
-        let first = stream::iter([Ok(Frame::data(self.buffered))]);
-        let state = (rest.into_data_stream(), self.connection, reservation);
-        let rest = stream::unfold(
-            state,
-            move |(mut rest, connection, reservation)| async move {
-                let left = deadline.saturating_duration_since(Instant::now());
-                let next = match timeout(left, rest.next()).await {
-                    Ok(next) => next?.map(Frame::data).map_err(io::Error::other),
-                    Err(_) => Err(io::ErrorKind::TimedOut.into()),
-                };
-                Some((next, (rest, connection, reservation)))
-            },
-        );
-        Response::from_parts(self.head, Box::pin(StreamBody::new(first.chain(rest))))
+/// The rest of a body, which is read from the upstream only as fast as the client takes it.
+///
+/// The upstream's slot is in use until the end of the body. Dropping the rest, since the client has
+/// left, releases the slot and closes the connection to the upstream.
+struct Rest {
+    state: Rc<State>,
+    body: BodyDataStream<Incoming>,
+    connection: Connection,
+    address: SocketAddr,
+    reservation: Reservation,
+    /// Outcome of the attempt if the body arrives complete.
+    outcome: Outcome,
+    bytes: usize,
+    deadline: Instant,
+}
+
+impl Rest {
+    /// Returns the frames of the body. A body that is cut off or not complete by the deadline ends
+    /// with an error, which aborts the connection of the client.
+    fn into_stream(self) -> impl Stream<Item = io::Result<Frame<Bytes>>> {
+        stream::unfold(Some(self), |rest| async move { rest?.next().await })
+    }
+
+    /// Reads the next frame; returns it with the rest behind it, if the body goes on.
+    async fn next(mut self) -> Option<(io::Result<Frame<Bytes>>, Option<Self>)> {
+        let left = self.deadline.saturating_duration_since(self.state.now());
+        let error = match timeout(left, self.body.next()).await {
+            Ok(Some(Ok(data))) => {
+                self.bytes += data.len();
+                return Some((Ok(Frame::data(data)), Some(self)));
+            }
+            Ok(None) => {
+                self.complete();
+                return None;
+            }
+            Ok(Some(Err(error))) => {
+                self.reservation.end(Outcome::Truncated, self.bytes);
+                io::Error::other(error)
+            }
+            Err(_) => {
+                self.reservation.end(Outcome::TimedOut, self.bytes);
+                io::ErrorKind::TimedOut.into()
+            }
+        };
+        Some((Err(error), None))
+    }
+
+    /// Ends the reservation and keeps the connection for another request.
+    fn complete(self) {
+        self.reservation.end(self.outcome, self.bytes);
+        let now = self.state.now();
+        self.state
+            .pool()
+            .put_back(self.address, self.connection, now);
     }
 }
