feat(control): log the leader's load and the bytes of its frames by purpose

Why: when a leader lost its hosts under load, its log did not show whether it was late, busy or flooded. Every five seconds, and at the end of a term, leader_load names hosts, joins, queued requests, steps of decisions, the longest delay of a timer and the bytes in frames of each purpose; the dump has them too.

--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -37,6 +37,8 @@
 use crate::channel::Decode;
 use crate::channel::Encode;
 use crate::error::Error;
+use crate::meter;
+use crate::meter::Purpose;
 use crate::slots::codes;
 
 /// Longest frame in bytes; the first publication for a host carries all routes, and those of a
@@ -156,6 +158,24 @@
     Stopping,
 }
 
+impl Frame {
+    /// Returns what the frame is for, as it is named in counts of bytes.
+    #[must_use]
+    pub const fn purpose(&self) -> Purpose {
+        match self {
+            Self::Hello { .. } | Self::Welcome { .. } | Self::NotLeader { .. } => "greetings",
+            Self::Reserve(_) => "reservations",
+            Self::Granted { .. } | Self::Queued { .. } | Self::Refused { .. } => "decisions",
+            Self::Release { .. } | Self::Running { .. } => "reports",
+            Self::Published(_) | Self::Announced { .. } => "publications",
+            Self::Upstreams(_) => "upstreams",
+            Self::Heartbeat { .. } => "heartbeats",
+            Self::Relays(_) => "relays",
+            Self::HostHeartbeat | Self::Suspects(_) | Self::Stopping => "host_states",
+        }
+    }
+}
+
 /// A request for an upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reserve {
@@ -212,6 +232,7 @@
         let length = u32::try_from(body.len()).unwrap_or(u32::MAX);
         bytes.extend_from_slice(&length.to_le_bytes());
         bytes.extend_from_slice(&body);
+        meter::add_sent_frame(frame.purpose(), LENGTH_BYTES + body.len());
         Ok(())
     }
 }
@@ -229,7 +250,9 @@
             let Some((body, after)) = after.split_at_checked(length) else {
                 break;
             };
-            frames.push(postcard::from_bytes(body).map_err(|error| malformed(&error))?);
+            let frame: Frame = postcard::from_bytes(body).map_err(|error| malformed(&error))?;
+            meter::add_received_frame(frame.purpose(), LENGTH_BYTES + body.len());
+            frames.push(frame);
             rest = after;
         }
         let used = self.buffer.len() - rest.len();
--- a/crates/wire/src/meter.rs
+++ b/crates/wire/src/meter.rs
@@ -4,6 +4,8 @@
 //! bytes of TCP, without headers.
 
 use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::io;
 use std::pin::Pin;
 use std::task::Context;
@@ -15,8 +17,12 @@
 
 thread_local! {
     static COUNTS: Cell<Counts> = const { Cell::new(Counts::new()) };
+    static FRAMES: RefCell<BTreeMap<Purpose, Counts>> = const { RefCell::new(BTreeMap::new()) };
 }
 
+/// What the bytes of a frame are for, as it is named to operators.
+pub type Purpose = &'static str;
+
 /// Bytes sent and received since the start of the process.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct Counts {
@@ -55,6 +61,22 @@
     COUNTS.set(counts);
 }
 
+/// Returns the counts of the frames of this process, by purpose.
+#[must_use]
+pub fn frames() -> BTreeMap<Purpose, Counts> {
+    FRAMES.with_borrow(Clone::clone)
+}
+
+/// Adds to the count of bytes received in frames of a purpose.
+pub fn add_received_frame(purpose: Purpose, bytes: usize) {
+    FRAMES.with_borrow_mut(|frames| frames.entry(purpose).or_default().received += bytes as u64);
+}
+
+/// Adds to the count of bytes sent in frames of a purpose.
+pub fn add_sent_frame(purpose: Purpose, bytes: usize) {
+    FRAMES.with_borrow_mut(|frames| frames.entry(purpose).or_default().sent += bytes as u64);
+}
+
 /// A stream whose bytes are counted.
 #[derive(Debug)]
 pub struct Metered<S> {
--- a/programs/pb-control/src/dispatch.rs
+++ b/programs/pb-control/src/dispatch.rs
@@ -94,12 +94,16 @@
 
     /// Handles timers until the future is dropped.
     pub async fn run(&self) {
+        let mut before = self.clock.now();
         loop {
             compio::time::sleep(TICK_INTERVAL).await;
             let now = self.clock.now();
+            let late = now.saturating_duration_since(before + TICK_INTERVAL);
             if let Some(state) = self.state.borrow_mut().as_mut() {
+                state.note_delay(late);
                 state.tick(now);
             }
+            before = self.clock.now();
         }
     }
 
@@ -277,7 +281,8 @@
     }
 
     fn end_term(&self, term: u64) {
-        if let Some(state) = self.state.borrow_mut().take() {
+        if let Some(mut state) = self.state.borrow_mut().take() {
+            state.log_load(self.clock.now());
             info!(term, hosts = state.host_count(), "desk_closed");
             state.close();
         }
--- a/programs/pb-control/src/dispatch/state.rs
+++ b/programs/pb-control/src/dispatch/state.rs
@@ -20,10 +20,12 @@
 use persimmonbend_core::roster::Roster;
 use persimmonbend_core::upstream::Announcement;
 use persimmonbend_core::upstream::Stage;
+use persimmonbend_wire::dispatch;
 use persimmonbend_wire::dispatch::Frame;
 use persimmonbend_wire::dispatch::Hosts;
 use persimmonbend_wire::dispatch::Packed;
 use persimmonbend_wire::dispatch::Sender;
+use persimmonbend_wire::meter;
 use serde::Serialize;
 use serde_json::json;
 use tracing::info;
@@ -42,6 +44,9 @@
 /// a quota.
 const HOST_COUNT_DELAY: Duration = Duration::from_secs(2);
 
+/// Time between two log lines on the load of the leader.
+const LOAD_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Time between two lists of relays that are sent to one host.
 const RELAYS_INTERVAL: Duration = Duration::from_secs(20);
 
@@ -90,6 +95,30 @@
     deltas: BTreeMap<Version, Packed<Delta>>,
     /// All upstreams, packed for hosts that connect; `None` after a change.
     roster: Option<Packed<Vec<Entry>>>,
+    load: Load,
+}
+
+/// What the leader had to do since it last logged it.
+#[derive(Debug)]
+struct Load {
+    since: Instant,
+    /// Longest time by which a timer was late.
+    max_delay: Duration,
+    /// Hosts that connected.
+    joins: u32,
+    /// Value of [`Dispatcher::steps`] at `since`.
+    steps: u64,
+}
+
+impl Load {
+    const fn new(since: Instant, steps: u64) -> Self {
+        Self {
+            since,
+            max_delay: Duration::ZERO,
+            joins: 0,
+            steps,
+        }
+    }
 }
 
 impl State {
@@ -114,9 +143,35 @@
             latest_sequences: BTreeMap::new(),
             deltas: BTreeMap::new(),
             roster: None,
+            load: Load::new(now, 0),
         }
     }
 
+    /// Records by how much a timer was late.
+    pub fn note_delay(&mut self, delay: Duration) {
+        self.load.max_delay = self.load.max_delay.max(delay);
+    }
+
+    /// Logs the load since the last call, with the bytes that the process has sent and received in
+    /// frames of each purpose since its start.
+    pub fn log_load(&mut self, now: Instant) {
+        let steps = self.hosts.dispatcher().steps();
+        let queued = self.publication.services.keys();
+        let queued: usize = queued
+            .map(|service| self.hosts.dispatcher().queued(service))
+            .sum();
+        info!(
+            hosts = self.hosts.len(),
+            joins = self.load.joins,
+            queued,
+            steps = steps - self.load.steps,
+            max_delay_ms = dispatch::millis(self.load.max_delay),
+            frames = %json!(meter::frames()),
+            "leader_load"
+        );
+        self.load = Load::new(now, steps);
+    }
+
     /// Returns the number of connected hosts.
     #[must_use]
     pub fn host_count(&self) -> usize {
@@ -154,6 +209,7 @@
             version,
             relay,
         } = hello;
+        self.load.joins += 1;
         self.hosts.connect(&host, zone, sender, now);
         let is_current = version == self.publication.version;
         let sent = if is_current {
@@ -231,6 +287,9 @@
 
     /// Handles timers: pushes, heartbeats, the number of hosts and lists of relays.
     pub fn tick(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.load.since) >= LOAD_INTERVAL {
+            self.log_load(now);
+        }
         self.push(now);
         let are_hosts_counted = now.saturating_duration_since(self.started) >= HOST_COUNT_DELAY;
         let hosts = if are_hosts_counted {
@@ -255,6 +314,7 @@
         json!({
             "version": self.publication.version,
             "hosts": self.hosts.names().collect::<Vec<_>>(),
+            "frames": meter::frames(),
             "queued": queued,
             "upstreams": self.hosts.dispatcher().dump(now),
         })
