fix(dispatch): fetch a large answer from another zone rather than from a grey upstream

Cause: bytes between zones cost 0.06 credits a KiB without bound, so an answer of 90 KB from another zone was reckoned at 5.3 credits, more than any number of failures.

Result: a_large_answer_comes_from_another_zone_if_the_own_one_is_grey failed before and passes.

--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -29,6 +29,10 @@
 /// Cost of a KiB that is sent between zones; lies between the prices of the two deployments.
 const TRANSFER_COST_PER_KIB: f64 = 0.06;
 
+/// Largest cost of the bytes that one request sends between zones. However large an answer is, a
+/// healthy upstream of another zone is better than one that probably fails the request.
+const MAX_TRANSFER_COST: f64 = 0.35;
+
 /// Reduction of the cost of an upstream that was idle for [`FULL_IDLE_TIME`]; spreads load over
 /// equal upstreams and keeps the beliefs about them up to date.
 const IDLE_BONUS: f64 = 0.1;
@@ -54,7 +58,7 @@
     pub zone: &'a str,
     /// Whether the request may run more than once.
     pub is_idempotent: bool,
-    /// Whether another attempt may follow a failure.
+    /// Whether another attempt may follow a failure, and the service has retries to spare.
     pub can_retry: bool,
     /// Time left to the objective, or to the deadline once the objective has passed, in seconds.
     pub time_left: f64,
@@ -85,7 +89,7 @@
     let transfer = if state.zone == attempt.zone {
         0.0
     } else {
-        attempt.timing.kib() * TRANSFER_COST_PER_KIB
+        (attempt.timing.kib() * TRANSFER_COST_PER_KIB).min(MAX_TRANSFER_COST)
     };
     let utilization = f64::from(state.running) / f64::from(state.slots.max(1));
     credit * (failure * loss + (1.0 - failure) * late * LATE_LOSS)
--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -58,10 +58,13 @@
         let publication = Rc::clone(&self.publication);
         let route = publication.routes.get(&request.route)?;
         let timing = self.timing(&request.route, route);
+        let retries = self.retries();
+        let budget = &self.pools.get(&request.service)?.retry_budget;
+        let has_attempt_left = request.attempts + 1 < route.attempts;
         let attempt = Attempt {
             zone: &request.zone,
             is_idempotent: route.idempotent,
-            can_retry: request.attempts + 1 < route.attempts,
+            can_retry: has_attempt_left && !budget.is_scarce(&retries),
             time_left: time_left(request, route, now).as_secs_f64(),
             timing: &timing,
         };
--- a/crates/core/src/dispatch/retries.rs
+++ b/crates/core/src/dispatch/retries.rs
@@ -9,6 +9,9 @@
 const MAX_BURST_SHARE: f64 = 0.6;
 const INITIAL_BURST_SHARE: f64 = 0.15;
 
+/// Share of the burst below which retries are scarce; less than a later dispatcher starts with.
+const SCARCE_BURST_SHARE: f64 = 0.08;
+
 /// Retries that operators allow beyond the first send of each request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Retries {
@@ -44,6 +47,12 @@
         self.tokens = (self.tokens + retries.ratio * RATIO_SHARE).min(max_tokens);
     }
 
+    /// Returns whether so few retries are left that requests should be placed as if they had none.
+    #[must_use]
+    pub fn is_scarce(&self, retries: &Retries) -> bool {
+        self.tokens < retries.burst * SCARCE_BURST_SHARE
+    }
+
     /// Takes one retry and returns whether one was left.
     pub fn withdraw(&mut self) -> bool {
         let is_affordable = self.tokens >= 1.0;
--- a/crates/core/tests/dispatch/grey.rs
+++ b/crates/core/tests/dispatch/grey.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use persimmonbend_core::dispatch::Completion;
 use persimmonbend_core::dispatch::Decision;
 use persimmonbend_core::health::Outcome;
 use persimmonbend_core::roster::Number;
@@ -145,6 +146,34 @@
     assert!(share(&without_beliefs) > 0.15, "{without_beliefs:?}");
 }
 
+/// The bytes of an answer of 90 KB between zones were reckoned as dearer than any number of failures, so
+/// that downloads of a zone whose few upstreams had turned grey failed until these recovered.
+#[test]
+fn a_large_answer_comes_from_another_zone_if_the_own_one_is_grey() {
+    let mut world = World::new(&["a", "b"]);
+    let download = |world: &mut World, outcome: Outcome| {
+        let mut request = world.request(IDEMPOTENT);
+        request.attempts = 1;
+        let ticket = request.ticket.clone();
+        let Decision::Granted { upstream, .. } = world.reserve(request) else {
+            panic!("there are free slots");
+        };
+        world.advance(RUN_TIME);
+        let completion = Completion {
+            outcome,
+            latency: RUN_TIME,
+            bytes: 90_000,
+        };
+        world.dispatcher.release(&ticket, &completion, world.now);
+        upstream
+    };
+    for _ in 0..20 {
+        download(&mut world, Outcome::Answered);
+    }
+    assert_eq!(download(&mut world, Outcome::Failed), 1);
+    assert_eq!(download(&mut world, Outcome::Answered), 2);
+}
+
 #[test]
 fn one_failure_moves_the_next_request_elsewhere() {
     let mut world = World::new(&["a", "a"]);
