feat(control): tell hosts of changed upstreams together

Cause: each change of an upstream was a frame of its own to every host.

Change: changes are collected for 150 ms, packed once and sent to all hosts; an upstream that takes no more requests gets none from the leader at once, a new one is used once hosts know it.

--- a/programs/pb-control/src/dispatch/state.rs
+++ b/programs/pb-control/src/dispatch/state.rs
@@ -35,6 +35,10 @@
 /// sent as one small delta.
 const MIN_PUSH_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time for which changes of upstreams are collected before hosts are told: entries that are packed
+/// together take half the bytes.
+const UPSTREAMS_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Size from which on a delta is announced before it is sent: the narrowest links take a tenth of a
 /// second to transfer it.
 const ANNOUNCED_DELTA_BYTES: usize = 16 * 1024;
@@ -95,6 +99,10 @@
     deltas: BTreeMap<Version, Packed<Delta>>,
     /// All upstreams, packed for hosts that connect; `None` after a change.
     roster: Option<Packed<Vec<Entry>>>,
+    /// Changed upstreams that hosts were not told of yet, by number.
+    changed_upstreams: BTreeMap<Number, Entry>,
+    /// When the oldest of them changed.
+    changed_since: Option<Instant>,
     load: Load,
 }
 
@@ -143,6 +151,8 @@
             latest_sequences: BTreeMap::new(),
             deltas: BTreeMap::new(),
             roster: None,
+            changed_upstreams: BTreeMap::new(),
+            changed_since: None,
             load: Load::new(now, 0),
         }
     }
@@ -256,11 +266,11 @@
         self.push(now);
     }
 
-    /// Updates changed upstreams and sends them to all hosts.
+    /// Updates changed upstreams; hosts are told of all changes of a short time at once.
+    ///
+    /// An upstream that takes no more requests gets none from here on. One that takes requests is
+    /// used once the hosts know it.
     pub fn update_upstreams(&mut self, changed: &[Entry], now: Instant) {
-        if changed.is_empty() {
-            return;
-        }
         for entry in changed {
             let announcement = &entry.announcement;
             info!(
@@ -275,14 +285,37 @@
             if announcement.stage == Stage::Left {
                 self.latest_sequences.remove(&announcement.id);
             }
-            let answers = self.hosts.dispatcher_mut().update_upstream(entry, now);
-            self.hosts.send(answers);
+            if !announcement.stage.takes_requests() {
+                self.update_dispatcher(entry, now);
+            }
+            self.changed_upstreams.insert(entry.number, entry.clone());
+            self.changed_since.get_or_insert(now);
+            self.roster = None;
         }
-        self.roster = None;
-        let Some(changed) = packed(&changed.to_vec()) else {
+    }
+
+    /// Sends the changed upstreams to all hosts once they have been collected for
+    /// [`UPSTREAMS_INTERVAL`].
+    fn send_upstreams(&mut self, now: Instant) {
+        let is_due = |since| now.saturating_duration_since(since) >= UPSTREAMS_INTERVAL;
+        if !self.changed_since.is_some_and(is_due) {
             return;
-        };
-        self.hosts.broadcast(&Frame::Upstreams(changed));
+        }
+        self.changed_since = None;
+        let changed: Vec<Entry> = std::mem::take(&mut self.changed_upstreams)
+            .into_values()
+            .collect();
+        if let Some(changed) = packed(&changed) {
+            self.hosts.broadcast(&Frame::Upstreams(changed));
+        }
+        for entry in &changed {
+            self.update_dispatcher(entry, now);
+        }
+    }
+
+    fn update_dispatcher(&mut self, entry: &Entry, now: Instant) {
+        let answers = self.hosts.dispatcher_mut().update_upstream(entry, now);
+        self.hosts.send(answers);
     }
 
     /// Handles timers: pushes, heartbeats, the number of hosts and lists of relays.
@@ -290,6 +323,7 @@
         if now.saturating_duration_since(self.load.since) >= LOAD_INTERVAL {
             self.log_load(now);
         }
+        self.send_upstreams(now);
         self.push(now);
         let are_hosts_counted = now.saturating_duration_since(self.started) >= HOST_COUNT_DELAY;
         let hosts = if are_hosts_counted {
