feat: hosts take the publication and the upstreams from a replica of their zone

Cause: the leader sent every change to every host.

Change: every replica has a feed of what it has applied; a host follows a replica of its zone over a second link, and subscribes at the leader where there is none, or where the replica lacks what the leader's heartbeats announced 800 ms before. The roster has a revision for that. The leader uses a new upstream after 100 ms, and a host gives back a grant of one that it does not know yet.

--- a/crates/core/src/dispatch/observation.rs
+++ b/crates/core/src/dispatch/observation.rs
@@ -71,6 +71,7 @@
                 self.unreachable_until.insert(pair, now + UNREACHABLE_PAUSE);
             }
             Outcome::Moved => self.remove_upstream(slot.upstream),
+            Outcome::Cancelled => pool.forget_unused(slot.upstream),
             _ => {}
         }
     }
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -130,6 +130,15 @@
         }
     }
 
+    /// Forgets the grant of an upstream that was not used, so that a new one still counts as unused.
+    pub fn forget_unused(&mut self, number: Number) {
+        if let Some(state) = self.upstreams.get_mut(&number)
+            && !state.belief.is_observed()
+        {
+            state.last_granted = None;
+        }
+    }
+
     /// Returns the slots of the upstreams, by what they can take.
     #[must_use]
     pub const fn free(&self) -> &Free {
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -19,6 +19,9 @@
 /// Number of an upstream, assigned at its first announcement and again after each restart.
 pub type Number = u32;
 
+/// Number of changes that a roster has had.
+pub type Revision = u64;
+
 /// Most departed upstreams that are kept, so that a delayed announcement cannot register them
 /// again.
 const MAX_DEPARTED_UPSTREAMS: usize = 1_024;
@@ -48,6 +51,8 @@
 pub struct Roster {
     next: Number,
     entries: BTreeMap<UpstreamId, Entry>,
+    #[serde(default)]
+    revision: Revision,
 }
 
 impl Roster {
@@ -56,6 +61,12 @@
         self.entries.values()
     }
 
+    /// Returns the number of changes so far; equal revisions of one log are equal rosters.
+    #[must_use]
+    pub const fn revision(&self) -> Revision {
+        self.revision
+    }
+
     /// Returns the entry of an upstream.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Entry> {
@@ -105,6 +116,7 @@
             announcement: announcement.clone(),
         };
         self.entries.insert(announcement.id.clone(), entry.clone());
+        self.revision += 1;
         changed.push(entry);
         self.remove_oldest_departed();
         changed
@@ -118,6 +130,7 @@
         }
         entry.announcement.stage = Stage::Left;
         let entry = entry.clone();
+        self.revision += 1;
         self.remove_oldest_departed();
         Some(entry)
     }
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -5,6 +5,11 @@
 //! configuration and the upstreams whenever they change, and answers each reservation under the
 //! number that the host gave it.
 //!
+//! The publication and the upstreams come from a replica in the zone of the host, so that they cross
+//! no zone once for every host. The host opens a second connection to it, with [`Frame::Follow`] as
+//! the first frame; [`Frame::Followed`] answers it. Without such a replica the host asks the leader
+//! for both, with [`Frame::Subscribe`].
+//!
 //! A frame is encoded by postcard and preceded by its length; one write carries all queued frames.
 //! A frame takes a few bytes, where a capnp-rpc call takes about two hundred.
 
@@ -27,6 +32,7 @@
 use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Entry;
 use persimmonbend_core::roster::Number;
+use persimmonbend_core::roster::Revision;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -81,6 +87,31 @@
         /// Addresses of all control replicas.
         control: Vec<SocketAddr>,
     },
+    /// The first frame of a host that follows the publication and the upstreams of a replica.
+    Follow {
+        /// Name of the host.
+        host: HostId,
+        /// Zone of the host.
+        zone: Zone,
+        /// Version of the publication that the host holds, 0 for none.
+        version: Version,
+    },
+    /// The answer of a replica to [`Frame::Follow`].
+    Followed {
+        /// Zone of the replica, if it knows it.
+        zone: Option<Zone>,
+        /// Whether the replica sends its state over this connection.
+        is_accepted: bool,
+        /// Addresses of all control replicas.
+        control: Vec<SocketAddr>,
+    },
+    /// Asks the leader for the publication and the upstreams, and all changes of them.
+    Subscribe {
+        /// Version of the publication that the host holds, 0 for none.
+        version: Version,
+    },
+    /// Ends a subscription, as the host follows a replica.
+    Unsubscribe,
     /// Reports a slot that the host uses without a grant of this dispatcher.
     Running {
         /// Number of the reservation.
@@ -135,14 +166,23 @@
         /// Version of the publication after the change.
         version: Version,
     },
-    /// New and changed upstreams.
-    Upstreams(Packed<Vec<Entry>>),
+    /// Upstreams, all or those that changed.
+    Upstreams {
+        /// Revision of the roster that the host has with these entries.
+        revision: Revision,
+        /// Whether the entries are the whole roster.
+        is_complete: bool,
+        /// The entries.
+        entries: Packed<Vec<Entry>>,
+    },
     /// The heartbeat of the leader or of a deputy.
     Heartbeat {
         /// Number of hosts that share the quotas, 0 while unknown.
         hosts: u32,
         /// Version of the publication in force, 0 while unknown.
         version: Version,
+        /// Revision of the roster, 0 while unknown.
+        revision: Revision,
         /// Upstreams that became suspects since the last heartbeat on this connection.
         suspected: Vec<Number>,
         /// Upstreams that are no suspects any more.
@@ -163,12 +203,18 @@
     #[must_use]
     pub const fn purpose(&self) -> Purpose {
         match self {
-            Self::Hello { .. } | Self::Welcome { .. } | Self::NotLeader { .. } => "greetings",
+            Self::Hello { .. }
+            | Self::Welcome { .. }
+            | Self::NotLeader { .. }
+            | Self::Follow { .. }
+            | Self::Followed { .. }
+            | Self::Subscribe { .. }
+            | Self::Unsubscribe => "greetings",
             Self::Reserve(_) => "reservations",
             Self::Granted { .. } | Self::Queued { .. } | Self::Refused { .. } => "decisions",
             Self::Release { .. } | Self::Running { .. } => "reports",
             Self::Published(_) | Self::Announced { .. } => "publications",
-            Self::Upstreams(_) => "upstreams",
+            Self::Upstreams { .. } => "upstreams",
             Self::Heartbeat { .. } => "heartbeats",
             Self::Relays(_) => "relays",
             Self::HostHeartbeat | Self::Suspects(_) | Self::Stopping => "host_states",
--- a/crates/wire/src/dispatch/hosts.rs
+++ b/crates/wire/src/dispatch/hosts.rs
@@ -16,6 +16,7 @@
 use persimmonbend_core::id::Zone;
 use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Number;
+use persimmonbend_core::roster::Revision;
 use persimmonbend_core::steward::Ticket;
 use tracing::info;
 use tracing::warn;
@@ -195,8 +196,8 @@
     /// Does the periodic work of the dispatcher and sends the heartbeats that are due.
     ///
     /// `hosts` is the number of hosts that share the quotas, `version` that of the publication in
-    /// force; each is 0 while unknown.
-    pub fn tick(&mut self, hosts: u32, version: Version, now: Instant) {
+    /// force and `revision` that of the roster; each is 0 while unknown.
+    pub fn tick(&mut self, hosts: u32, version: Version, revision: Revision, now: Instant) {
         let answers = self.dispatcher.tick(now);
         self.send(answers);
         let suspects = Rc::new(self.dispatcher.suspects(now));
@@ -207,6 +208,7 @@
                 link.sender.send(Frame::Heartbeat {
                     hosts,
                     version,
+                    revision,
                     suspected: suspects.difference(&known).copied().collect(),
                     cleared: known.difference(&suspects).copied().collect(),
                 });
--- a/programs/pb-control/src/dispatch.rs
+++ b/programs/pb-control/src/dispatch.rs
@@ -1,8 +1,8 @@
 //! Dispatch service of the leader and the connections of the hosts that it serves.
 //!
-//! The [`Service`] is active while its replica leads. It sends each host the publication and the
-//! upstreams, then their changes, and answers reservations. When the replica loses leadership, every
-//! connection is closed, so that hosts look for the next leader at once.
+//! While its replica leads, the [`Service`] answers the reservations of hosts. When the replica loses
+//! leadership, their connections are closed, so that hosts look for the next leader at once. On every
+//! replica it sends the publication and the upstreams to the hosts that take them from this one.
 
 mod state;
 
@@ -10,15 +10,20 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use compio::net::TcpStream;
 use compio::runtime::spawn;
 use compio::time::timeout;
+use futures_util::future::Either;
 use persimmonbend_core::clock::Clock;
 use persimmonbend_core::dispatch::Balance;
 use persimmonbend_core::dispatch::Policy;
+use persimmonbend_core::id::Zone;
 use persimmonbend_core::machine::Reply;
+use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Effect;
+use persimmonbend_core::roster::Revision;
 use persimmonbend_core::upstream::Announcement;
 use persimmonbend_wire::dispatch;
 use persimmonbend_wire::dispatch::Frame;
@@ -30,6 +35,7 @@
 
 use crate::dispatch::state::Hello;
 use crate::dispatch::state::State;
+use crate::feed::Feed;
 use crate::leadership::Leadership;
 use crate::leadership::Observer;
 use crate::node::Node;
@@ -50,6 +56,9 @@
 /// Silence of the leader up to which hosts are redirected to it: two heartbeats and some margin.
 const MAX_HOST_REDIRECT_SILENCE: Duration = Duration::from_millis(300);
 
+/// Silence of the leader up to which hosts take the feed of a follower.
+const MAX_FEED_SILENCE: Duration = Duration::from_secs(2);
+
 /// Time between two checks for a leader while a hello waits for one.
 const LEADER_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -64,17 +73,26 @@
     node: Rc<Node>,
     clock: Rc<dyn Clock>,
     policy: Policy,
+    zone: Option<Zone>,
+    feed: RefCell<Feed>,
     state: RefCell<Option<State>>,
 }
 
 impl Service {
     /// Creates the dispatch service of a replica and observes its leadership.
     #[must_use]
-    pub fn new(node: Rc<Node>, clock: Rc<dyn Clock>, policy: Policy) -> Rc<Self> {
+    pub fn new(
+        node: Rc<Node>,
+        clock: Rc<dyn Clock>,
+        policy: Policy,
+        zone: Option<Zone>,
+    ) -> Rc<Self> {
         let service = Rc::new(Self {
+            feed: RefCell::new(node.read(Feed::new)),
             node,
             clock,
             policy,
+            zone,
             state: RefCell::new(None),
         });
         let observer: Rc<dyn Observer> = Rc::new(Forwarder(Rc::clone(&service)));
@@ -99,14 +117,32 @@
             compio::time::sleep(TICK_INTERVAL).await;
             let now = self.clock.now();
             let late = now.saturating_duration_since(before + TICK_INTERVAL);
+            let revision = self.tick_feed(now);
             if let Some(state) = self.state.borrow_mut().as_mut() {
                 state.note_delay(late);
-                state.tick(now);
+                state.tick(revision, now);
             }
             before = self.clock.now();
         }
     }
 
+    /// Sends what is due to the hosts that take the feed, unless this replica may be outdated; returns
+    /// the revision of the roster.
+    fn tick_feed(&self, now: Instant) -> Revision {
+        let mut feed = self.feed.borrow_mut();
+        let hears_leader =
+            self.node.is_leader() || self.node.leader_within(MAX_FEED_SILENCE).is_some();
+        if !hears_leader || !self.node.read(|machine| feed.is_of(machine)) {
+            if feed.len() > 0 {
+                info!(hosts = feed.len(), "feed_closed");
+            }
+            feed.close();
+            *feed = self.node.read(Feed::new);
+        }
+        feed.tick(now);
+        feed.revision()
+    }
+
     /// Returns the effect of an announcement on the roster. Unless the announcement is outdated,
     /// records that its upstream was in contact.
     #[must_use]
@@ -166,23 +202,32 @@
             Err(_) => return Error::Timeout,
         };
         let mut frames = first.into_iter();
-        let Some(Frame::Hello {
-            host,
-            zone,
-            version,
-            relay,
-            deputy: _,
-        }) = frames.next()
-        else {
-            return Error::Malformed("the first frame is not a hello".to_owned());
+        let hello = match frames.next() {
+            Some(Frame::Hello {
+                host,
+                zone,
+                version,
+                relay,
+                deputy: _,
+            }) => Hello {
+                host,
+                zone,
+                version,
+                relay,
+            },
+            Some(Frame::Follow {
+                host,
+                zone,
+                version,
+            }) => {
+                return self
+                    .serve_follower(&host, &zone, version, sender, receiver)
+                    .await;
+            }
+            _ => return Error::Malformed("the first frame is not a hello".to_owned()),
         };
         self.wait_for_leader().await;
-        let hello = Hello {
-            host: host.clone(),
-            zone,
-            version,
-            relay,
-        };
+        let host = hello.host.clone();
         if !self.accept_host(hello, sender) {
             sender.send(Frame::NotLeader {
                 leader: self.node.leader_within(MAX_HOST_REDIRECT_SILENCE),
@@ -205,22 +250,82 @@
             }
         };
         let now = self.clock.now();
+        self.feed.borrow_mut().remove(&host, sender);
         if let Some(state) = self.state.borrow_mut().as_mut() {
             state.disconnect_host(&host, sender, now);
         }
         error
     }
 
+    /// Sends the feed to a host of the zone of this replica until its connection ends.
+    async fn serve_follower(
+        &self,
+        host: &str,
+        zone: &str,
+        version: Version,
+        sender: &Sender,
+        mut receiver: Receiver,
+    ) -> Error {
+        let is_accepted = self.zone.as_deref() == Some(zone) && self.wait_for_feed(version).await;
+        sender.send(Frame::Followed {
+            zone: self.zone.clone(),
+            is_accepted,
+            control: self.control_addresses(),
+        });
+        if !is_accepted {
+            return Error::Role;
+        }
+        self.add_to_feed(host, version, sender);
+        let error = loop {
+            let closed = std::pin::pin!(sender.closed());
+            let next = std::pin::pin!(receiver.next::<Frame>());
+            match futures_util::future::select(closed, next).await {
+                Either::Left(_) => break Error::Role,
+                Either::Right((Err(error), _)) => break error,
+                Either::Right((Ok(_), _)) => {}
+            }
+        };
+        self.feed.borrow_mut().remove(host, sender);
+        error
+    }
+
+    fn add_to_feed(&self, host: &str, version: Version, sender: &Sender) {
+        let now = self.clock.now();
+        let mut feed = self.feed.borrow_mut();
+        self.node
+            .read(|machine| feed.add(host, version, sender, machine, now));
+    }
+
     /// Waits at most [`MAX_LEADER_WAIT`] until a leader is known, so that hosts learn of a new
     /// leader at once and need not send a hello repeatedly.
     async fn wait_for_leader(&self) {
-        let deadline = self.clock.now() + MAX_LEADER_WAIT;
         let is_known = || {
             self.node.is_leader() || self.node.leader_within(MAX_HOST_REDIRECT_SILENCE).is_some()
         };
-        while !is_known() && self.clock.now() < deadline {
+        self.wait_until(is_known).await;
+    }
+
+    /// Waits until this replica has applied what the leader had committed, and holds `version`;
+    /// returns whether it does so in time.
+    async fn wait_for_feed(&self, version: Version) -> bool {
+        let has_it = || {
+            let feed = self.feed.borrow();
+            let is_applied = self.node.read(|machine| feed.is_of(machine));
+            self.node.is_current() && is_applied && version <= feed.version()
+        };
+        self.wait_until(has_it).await
+    }
+
+    /// Waits at most [`MAX_LEADER_WAIT`] until a condition holds; returns whether it does.
+    async fn wait_until<F: Fn() -> bool>(&self, condition: F) -> bool {
+        let deadline = self.clock.now() + MAX_LEADER_WAIT;
+        while !condition() {
+            if self.clock.now() >= deadline {
+                return false;
+            }
             compio::time::sleep(LEADER_POLL_INTERVAL).await;
         }
+        true
     }
 
     fn accept_host(&self, hello: Hello, sender: &Sender) -> bool {
@@ -238,9 +343,7 @@
             leader: self.node.leader_hint().parse().ok(),
             control,
         });
-        self.node.read(|machine| {
-            state.connect_host(hello, machine.roster(), sender, now);
-        });
+        state.connect_host(hello, sender, now);
         true
     }
 
@@ -252,7 +355,11 @@
             return;
         };
         for frame in frames {
-            state.receive_frame(host, sender, frame, now);
+            match frame {
+                Frame::Subscribe { version } => self.add_to_feed(host, version, sender),
+                Frame::Unsubscribe => self.feed.borrow_mut().remove(host, sender),
+                frame => state.receive_frame(host, sender, frame, now),
+            }
         }
     }
 
@@ -288,8 +395,23 @@
         }
     }
 
+    fn update_feed(&self, reply: &Reply, now: Instant) {
+        let mut feed = self.feed.borrow_mut();
+        match reply {
+            Reply::Published {
+                publication: Some(publication),
+            } => feed.publish(Rc::clone(publication), now),
+            Reply::Registered { changed } if !changed.is_empty() => {
+                let revision = self.node.read(|machine| machine.roster().revision());
+                feed.update_upstreams(changed, revision, now);
+            }
+            _ => {}
+        }
+    }
+
     fn command_applied(&self, reply: &Reply) {
         let now = self.clock.now();
+        self.update_feed(reply, now);
         let mut state = self.state.borrow_mut();
         let Some(state) = state.as_mut() else {
             return;
@@ -297,7 +419,7 @@
         match reply {
             Reply::Published {
                 publication: Some(publication),
-            } => state.publish(Rc::clone(publication), now),
+            } => state.publish(Rc::clone(publication)),
             Reply::Registered { changed } => state.update_upstreams(changed, now),
             _ => {}
         }
--- a/programs/pb-control/src/dispatch/state.rs
+++ b/programs/pb-control/src/dispatch/state.rs
@@ -1,6 +1,7 @@
 //! State that the leader keeps for the hosts that it serves, from the start to the end of its term.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,36 +13,25 @@
 use persimmonbend_core::id::Incarnation;
 use persimmonbend_core::id::UpstreamId;
 use persimmonbend_core::id::Zone;
-use persimmonbend_core::publication::Delta;
 use persimmonbend_core::publication::Publication;
 use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Entry;
 use persimmonbend_core::roster::Number;
+use persimmonbend_core::roster::Revision;
 use persimmonbend_core::roster::Roster;
 use persimmonbend_core::upstream::Announcement;
 use persimmonbend_core::upstream::Stage;
 use persimmonbend_wire::dispatch;
 use persimmonbend_wire::dispatch::Frame;
 use persimmonbend_wire::dispatch::Hosts;
-use persimmonbend_wire::dispatch::Packed;
 use persimmonbend_wire::dispatch::Sender;
 use persimmonbend_wire::meter;
-use serde::Serialize;
 use serde_json::json;
 use tracing::info;
-use tracing::warn;
 
-/// Shortest time between two pushes of configuration to one host, so that many changes in a row are
-/// sent as one small delta.
-const MIN_PUSH_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Time for which changes of upstreams are collected before hosts are told: entries that are packed
-/// together take half the bytes.
-const UPSTREAMS_INTERVAL: Duration = Duration::from_millis(150);
-
-/// Size from which on a delta is announced before it is sent: the narrowest links take a tenth of a
-/// second to transfer it.
-const ANNOUNCED_DELTA_BYTES: usize = 16 * 1024;
+/// Time after which the dispatcher uses a new upstream. Hosts are told of it a little later; one that
+/// is granted an upstream before it knows it asks again.
+const NEW_UPSTREAM_DELAY: Duration = Duration::from_millis(100);
 
 /// Time after the start of a term from which on the number of hosts is sent. Not all hosts have
 /// connected before, and a number that is too small would make each host use more than its share of
@@ -73,17 +63,13 @@
     pub relay: Option<SocketAddr>,
 }
 
-/// A connected host with what was last sent to it.
+/// What the leader knows of a connected host.
 #[derive(Debug)]
 struct Subscriber {
     /// Address at which the host relays links, if it does.
     relay: Option<SocketAddr>,
     /// When the host was last sent a list of relays.
     relays_sent: Option<Instant>,
-    /// Publication that the host has.
-    sent: Rc<Publication>,
-    /// When the publication was last pushed to the host.
-    last_push: Instant,
 }
 
 /// State of the leader for one term.
@@ -95,14 +81,8 @@
     subscribers: BTreeMap<HostId, Subscriber>,
     /// Incarnation and sequence of the latest announcement of each upstream.
     latest_sequences: BTreeMap<UpstreamId, (Incarnation, u64)>,
-    /// Deltas to the publication in force, by the version that they start from.
-    deltas: BTreeMap<Version, Packed<Delta>>,
-    /// All upstreams, packed for hosts that connect; `None` after a change.
-    roster: Option<Packed<Vec<Entry>>>,
-    /// Changed upstreams that hosts were not told of yet, by number.
-    changed_upstreams: BTreeMap<Number, Entry>,
-    /// When the oldest of them changed.
-    changed_since: Option<Instant>,
+    /// Changed upstreams that take requests, with the time from which on they are used.
+    upcoming: VecDeque<(Instant, Entry)>,
     load: Load,
 }
 
@@ -149,10 +129,7 @@
             publication,
             subscribers: BTreeMap::new(),
             latest_sequences: BTreeMap::new(),
-            deltas: BTreeMap::new(),
-            roster: None,
-            changed_upstreams: BTreeMap::new(),
-            changed_since: None,
+            upcoming: VecDeque::new(),
             load: Load::new(now, 0),
         }
     }
@@ -211,8 +188,8 @@
         self.hosts.dispatcher_mut().touch_upstream(number, now);
     }
 
-    /// Adds a host and sends it the upstreams, and the publication unless it has the one in force.
-    pub fn connect_host(&mut self, hello: Hello, roster: &Roster, sender: &Sender, now: Instant) {
+    /// Adds a host.
+    pub fn connect_host(&mut self, hello: Hello, sender: &Sender, now: Instant) {
         let Hello {
             host,
             zone,
@@ -221,24 +198,12 @@
         } = hello;
         self.load.joins += 1;
         self.hosts.connect(&host, zone, sender, now);
-        let is_current = version == self.publication.version;
-        let sent = if is_current {
-            Rc::clone(&self.publication)
-        } else {
-            Rc::default()
-        };
+        info!(host, version, hosts = self.hosts.len(), "host_joined");
         let subscriber = Subscriber {
             relay,
             relays_sent: None,
-            sent,
-            last_push: now.checked_sub(MIN_PUSH_INTERVAL).unwrap_or(now),
         };
-        if let Some(upstreams) = self.packed_roster(roster) {
-            sender.send(Frame::Upstreams(upstreams));
-        }
-        self.subscribers.insert(host.clone(), subscriber);
-        self.push(now);
-        info!(host, version, hosts = self.hosts.len(), "host_joined");
+        self.subscribers.insert(host, subscriber);
     }
 
     /// Removes a host whose connection ended, unless a later connection has replaced it.
@@ -256,20 +221,18 @@
         self.hosts.handle(host, sender, frame, now);
     }
 
-    /// Puts a publication in force and pushes it to the hosts.
-    pub fn publish(&mut self, publication: Rc<Publication>, now: Instant) {
+    /// Puts a publication in force.
+    pub fn publish(&mut self, publication: Rc<Publication>) {
         info!(version = publication.version, "publication_in_force");
         let dispatcher = self.hosts.dispatcher_mut();
         dispatcher.publish(Rc::clone(&publication));
         self.publication = publication;
-        self.deltas.clear();
-        self.push(now);
     }
 
-    /// Updates changed upstreams; hosts are told of all changes of a short time at once.
+    /// Notes changed upstreams.
     ///
     /// An upstream that takes no more requests gets none from here on. One that takes requests is
-    /// used once the hosts know it.
+    /// used when the hosts are about to know it.
     pub fn update_upstreams(&mut self, changed: &[Entry], now: Instant) {
         for entry in changed {
             let announcement = &entry.announcement;
@@ -285,31 +248,21 @@
             if announcement.stage == Stage::Left {
                 self.latest_sequences.remove(&announcement.id);
             }
-            if !announcement.stage.takes_requests() {
+            self.upcoming
+                .retain(|(_, other)| other.number != entry.number);
+            if announcement.stage.takes_requests() {
+                let at = now + NEW_UPSTREAM_DELAY;
+                self.upcoming.push_back((at, entry.clone()));
+            } else {
                 self.update_dispatcher(entry, now);
             }
-            self.changed_upstreams.insert(entry.number, entry.clone());
-            self.changed_since.get_or_insert(now);
-            self.roster = None;
         }
     }
 
-    /// Sends the changed upstreams to all hosts once they have been collected for
-    /// [`UPSTREAMS_INTERVAL`].
-    fn send_upstreams(&mut self, now: Instant) {
-        let is_due = |since| now.saturating_duration_since(since) >= UPSTREAMS_INTERVAL;
-        if !self.changed_since.is_some_and(is_due) {
-            return;
-        }
-        self.changed_since = None;
-        let changed: Vec<Entry> = std::mem::take(&mut self.changed_upstreams)
-            .into_values()
-            .collect();
-        if let Some(changed) = packed(&changed) {
-            self.hosts.broadcast(&Frame::Upstreams(changed));
-        }
-        for entry in &changed {
-            self.update_dispatcher(entry, now);
+    /// Lets the dispatcher use the upstreams that are due.
+    fn use_upcoming(&mut self, now: Instant) {
+        while let Some((_, entry)) = self.upcoming.pop_front_if(|(at, _)| *at <= now) {
+            self.update_dispatcher(&entry, now);
         }
     }
 
@@ -318,13 +271,14 @@
         self.hosts.send(answers);
     }
 
-    /// Handles timers: pushes, heartbeats, the number of hosts and lists of relays.
-    pub fn tick(&mut self, now: Instant) {
+    /// Handles timers: heartbeats, the number of hosts and lists of relays.
+    ///
+    /// `revision` is that of the roster.
+    pub fn tick(&mut self, revision: Revision, now: Instant) {
         if now.saturating_duration_since(self.load.since) >= LOAD_INTERVAL {
             self.log_load(now);
         }
-        self.send_upstreams(now);
-        self.push(now);
+        self.use_upcoming(now);
         let are_hosts_counted = now.saturating_duration_since(self.started) >= HOST_COUNT_DELAY;
         let hosts = if are_hosts_counted {
             self.hosts.dispatcher().hosts()
@@ -332,7 +286,8 @@
             0
         };
         let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
-        self.hosts.tick(hosts, self.publication.version, now);
+        let version = self.publication.version;
+        self.hosts.tick(hosts, version, revision, now);
         if are_hosts_counted {
             self.send_relays(now);
         }
@@ -354,32 +309,6 @@
         })
     }
 
-    fn push(&mut self, now: Instant) {
-        let version = self.publication.version;
-        for (host, subscriber) in &mut self.subscribers {
-            let is_behind = subscriber.sent.version < version;
-            if !is_behind || now.saturating_duration_since(subscriber.last_push) < MIN_PUSH_INTERVAL
-            {
-                continue;
-            }
-            let from = subscriber.sent.version;
-            if !self.deltas.contains_key(&from) {
-                let delta = Delta::between(&subscriber.sent, &self.publication);
-                self.deltas
-                    .extend(packed(&delta).map(|delta| (from, delta)));
-            }
-            let Some(delta) = self.deltas.get(&from) else {
-                continue;
-            };
-            if delta.size() > ANNOUNCED_DELTA_BYTES {
-                self.hosts.send_to(host, Frame::Announced { version });
-            }
-            self.hosts.send_to(host, Frame::Published(delta.clone()));
-            subscriber.sent = Rc::clone(&self.publication);
-            subscriber.last_push = now;
-        }
-    }
-
     /// Sends hosts the relays to use when they are cut off from the leader.
     ///
     /// Hosts of one deputy group get the same list, so that they turn to the same deputy.
@@ -409,21 +338,4 @@
             }
         }
     }
-
-    /// Returns all upstreams, packed for hosts that connect.
-    fn packed_roster(&mut self, roster: &Roster) -> Option<Packed<Vec<Entry>>> {
-        if self.roster.is_none() {
-            let entries = roster.entries().cloned().collect();
-            self.roster = packed(&entries);
-        }
-        self.roster.clone()
-    }
-}
-
-/// Packs a value that is sent to hosts; returns `None` and logs a warning if it cannot be encoded.
-fn packed<T: Serialize>(value: &T) -> Option<Packed<T>> {
-    let packed = Packed::new(value);
-    packed
-        .inspect_err(|error| warn!(error = %error, "frame_not_packed"))
-        .ok()
 }
--- a/programs/pb-control/src/lib.rs
+++ b/programs/pb-control/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod api;
 pub mod dispatch;
 pub mod error;
+mod feed;
 pub mod issuer;
 pub mod leadership;
 pub mod links;
@@ -128,7 +129,12 @@
         return Ok(());
     };
     let node = Rc::new(node?);
-    let dispatch = Service::new(Rc::clone(&node), clock, settings.policy);
+    let dispatch = Service::new(
+        Rc::clone(&node),
+        clock,
+        settings.policy,
+        settings.zone.clone(),
+    );
     let issuer = Issuer::new(Rc::clone(&node), Rc::new(System), settings.seats);
     let records = Records::new(Rc::clone(&node), Rc::new(System));
     let listener = Listener::adopt(socket, settings.secret.clone())?;
--- a/programs/pb-control/src/node.rs
+++ b/programs/pb-control/src/node.rs
@@ -448,8 +448,15 @@
         }
     }
 
+    /// Returns whether this replica leads or has heard the leader lately, and has applied what the
+    /// leader had committed by then.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        self.replica.borrow().is_current(MAX_LEADER_SILENCE)
+    }
+
     fn require_current(&self) -> Result<(), Error> {
-        if self.replica.borrow().is_current(MAX_LEADER_SILENCE) {
+        if self.is_current() {
             Ok(())
         } else {
             Err(Error::NotLeader(self.leader_hint()))
--- a/programs/pb-control/src/settings.rs
+++ b/programs/pb-control/src/settings.rs
@@ -11,6 +11,7 @@
 use persimmonbend_core::dispatch::Retries;
 use persimmonbend_core::fault::Faults;
 use persimmonbend_core::id::HostId;
+use persimmonbend_core::id::Zone;
 use persimmonbend_replica::settings::Limits;
 use persimmonbend_wire::handshake::Secret;
 use serde::Deserialize;
@@ -39,6 +40,8 @@
 #[serde(deny_unknown_fields)]
 pub struct File {
     host: String,
+    #[serde(default)]
+    zone: Option<Zone>,
     listen: String,
     data: PathBuf,
     secret_file: PathBuf,
@@ -70,6 +73,9 @@
 pub struct Settings {
     /// Name of this host.
     pub host: HostId,
+    /// Availability zone of this host, if it is known; hosts of the zone take the publication and
+    /// the upstreams from this replica.
+    pub zone: Option<Zone>,
     /// Address for proxies, operators and other replicas.
     pub listen: SocketAddr,
     /// Data folder of this replica.
@@ -104,6 +110,7 @@
         let replicas = check_replicas(&mut faults, &file.host, &file.replicas);
         let settings = listen.zip(secret).map(|(listen, secret)| Self {
             host: file.host,
+            zone: file.zone,
             listen,
             data: file.data,
             secret: Secret::from(secret),
--- a/programs/pb-control/tests/hello.rs
+++ b/programs/pb-control/tests/hello.rs
@@ -52,6 +52,7 @@
     });
     let settings = Settings {
         host: HOSTS[at].to_owned(),
+        zone: None,
         listen: addresses[at],
         data: folder(HOSTS[at], test),
         secret: Secret::open(),
--- a/programs/pb-control/tests/storage.rs
+++ b/programs/pb-control/tests/storage.rs
@@ -90,6 +90,7 @@
 fn settings() -> Settings {
     Settings {
         host: "control-1".to_owned(),
+        zone: None,
         listen: "127.0.0.1:1".parse().expect("a valid address"),
         data: "unused".into(),
         secret: Secret::from("a secret of the test".to_owned()),
--- a/programs/pb-proxy/src/gateway.rs
+++ b/programs/pb-proxy/src/gateway.rs
@@ -10,6 +10,7 @@
 pub mod deputy;
 pub mod dialect;
 pub mod exchange;
+mod feed;
 pub mod forward;
 pub mod meters;
 pub mod placement;
@@ -72,6 +73,7 @@
     let deputy = Rc::new(Deputy::default());
     let ended = Stop::new();
     let mut background = vec![
+        spawn(feed::run(Rc::clone(&state))),
         spawn(placement::run(Rc::clone(&state))),
         spawn(sweep(Rc::clone(&state))),
         spawn(relay.dispatch(relay::handler(&state, &deputy)).serve()),
--- a/programs/pb-proxy/src/gateway/deputy.rs
+++ b/programs/pb-proxy/src/gateway/deputy.rs
@@ -63,7 +63,7 @@
             }
             let share = state.placer().share(serving.len());
             serving.dispatcher_mut().set_share(share);
-            serving.tick(0, 0, state.now());
+            serving.tick(0, 0, 0, state.now());
         }
     }
 
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -34,7 +34,6 @@
 use persimmonbend_core::id::TenantId;
 use persimmonbend_core::id::Zone;
 use persimmonbend_core::publication::Publication;
-use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Entry;
 use persimmonbend_core::roster::Number;
 use persimmonbend_core::steward::Ticket;
@@ -45,6 +44,7 @@
 
 pub use link::run;
 pub use reservation::Reservation;
+pub(in crate::gateway) use search::replicas;
 
 use crate::gateway::settings::Settings;
 
@@ -111,8 +111,8 @@
     /// Whether control counts as unreachable by [`search::Search::is_control_unreachable`], until a
     /// link to the leader is opened, directly or over a relay.
     control_unreachable: Cell<bool>,
-    /// Version in force on this host when the last heartbeat announced a newer one.
-    outdated_version: Cell<Option<Version>>,
+    /// Whether the host asked for the publication and the upstreams on the link in use.
+    is_subscribed: Cell<bool>,
     /// When the dispatcher last failed to answer in time, unless it has answered since.
     unanswered_since: Cell<Option<Instant>>,
     /// Notifies the link that the dispatcher failed to answer in time.
@@ -165,7 +165,7 @@
             leader_last_heard: Cell::new(None),
             via_deputy: Cell::new(false),
             control_unreachable: Cell::new(false),
-            outdated_version: Cell::new(None),
+            is_subscribed: Cell::new(false),
             unanswered_since: Cell::new(None),
             unanswered: Event::new(),
             link_opened: Event::new(),
--- a/programs/pb-proxy/src/gateway/placement/link.rs
+++ b/programs/pb-proxy/src/gateway/placement/link.rs
@@ -13,6 +13,7 @@
 use persimmonbend_core::dispatch::Decision;
 use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Number;
+use persimmonbend_core::roster::Revision;
 use persimmonbend_wire::dispatch;
 use persimmonbend_wire::dispatch::Frame;
 use persimmonbend_wire::dispatch::Receiver;
@@ -24,6 +25,7 @@
 use tracing::info;
 use tracing::warn;
 
+use crate::gateway::feed;
 use crate::gateway::placement;
 use crate::gateway::placement::Placer;
 use crate::gateway::placement::search::Search;
@@ -156,14 +158,15 @@
         }
         _ => return Ended::Unreachable,
     };
-    state.placer().outdated_version.set(None);
-    let mut initial = true;
-    let result = apply_frames(state, sender, frames.collect(), &mut initial);
+    state.feed().begin_link();
+    state.placer().open_link(sender, target, leader);
+    state.placer().subscribe(state);
+    let result = apply_frames(state, sender, frames.collect());
     if let Err(error) = result {
+        state.placer().close_link();
         return Ended::Lost(error);
     }
-    state.placer().open_link(sender, target, leader);
-    let receiving = receive(state, sender, receiver, &mut initial);
+    let receiving = receive(state, sender, receiver);
     let finding = find_better(state, target, leader);
     let ended = match select(Box::pin(receiving), Box::pin(finding)).await {
         Either::Left((error, _)) => Ended::Lost(error),
@@ -209,12 +212,7 @@
 }
 
 /// Sends heartbeats and handles frames until the link is lost; returns why.
-async fn receive(
-    state: &Rc<State>,
-    sender: &Sender,
-    receiver: &mut Receiver,
-    initial: &mut bool,
-) -> Error {
+async fn receive(state: &Rc<State>, sender: &Sender, receiver: &mut Receiver) -> Error {
     let mut last_sent = state.now();
     state.placer().note_contact(last_sent);
     let received = receiver.received();
@@ -227,6 +225,7 @@
                 last_sent = now;
                 sender.send(Frame::HostHeartbeat);
                 state.placer().tick(state);
+                state.placer().subscribe(state);
             }
             // A large frame takes several seconds over a slow link; its bytes count as contact.
             if received.get() > received_before {
@@ -258,48 +257,30 @@
         };
         drop(next);
         state.placer().note_contact(state.now());
-        if let Err(error) = apply_frames(state, sender, frames, initial) {
+        if let Err(error) = apply_frames(state, sender, frames) {
             return error;
         }
     }
 }
 
-/// Applies frames of the dispatcher; `initial` is true until the first list of upstreams,
-/// which is the complete one.
-fn apply_frames(
-    state: &Rc<State>,
-    sender: &Sender,
-    frames: Vec<Frame>,
-    initial: &mut bool,
-) -> Result<(), Error> {
+/// Applies frames of the dispatcher.
+fn apply_frames(state: &Rc<State>, sender: &Sender, frames: Vec<Frame>) -> Result<(), Error> {
     for frame in frames {
         match frame {
-            Frame::Published(delta) => {
-                if !state.publish(delta.open()?) {
-                    let text = "a change that does not apply to the version in force";
-                    return Err(Error::Malformed(text.to_owned()));
-                }
+            Frame::Published(_) | Frame::Announced { .. } | Frame::Upstreams { .. } => {
+                feed::apply_from_leader(state, frame)?;
             }
             Frame::Relays(relays) => *state.placer().relays.borrow_mut() = relays,
-            Frame::Announced { version } => state.note_announced(version),
-            Frame::Upstreams(list) => state.update_upstreams(list.open()?, std::mem::take(initial)),
             Frame::Heartbeat {
                 hosts,
                 version,
+                revision,
                 suspected,
                 cleared,
             } => {
-                state.note_announced(version);
-                if state
-                    .placer()
-                    .has_missed_publication(version, state.version())
-                {
-                    warn!(version, own = state.version(), "publication_missed");
-                    let text = "two heartbeats announced a version that did not arrive".to_owned();
-                    return Err(Error::Malformed(text));
-                }
-                state.placer().note_hosts(hosts);
+                note_announced(state, version, revision)?;
                 let placer = state.placer();
+                placer.note_hosts(hosts);
                 placer.note_suspects(&suspected, &cleared, state.now());
             }
             other => state.placer().apply_answer(sender, other)?,
@@ -308,9 +289,27 @@
     Ok(())
 }
 
+/// Notes what a heartbeat announces. A host that lacks what earlier ones announced takes it from the
+/// leader, or links anew if it does so already.
+fn note_announced(state: &State, version: Version, revision: Revision) -> Result<(), Error> {
+    state.note_announced(version);
+    if !state.feed().is_behind((version, revision), state.version()) {
+        return Ok(());
+    }
+    let (own, own_revision) = (state.version(), state.feed().revision());
+    warn!(version, own, revision, own_revision, "publication_missed");
+    if state.feed().give_up() {
+        state.feed().begin_link();
+        state.placer().subscribe(state);
+        return Ok(());
+    }
+    let text = format!("version {version} and roster {revision} were announced and did not arrive");
+    Err(Error::Malformed(text))
+}
+
 impl Placer {
     /// Stores the control replicas that a replica listed.
-    fn set_replicas(&self, control: &[SocketAddr]) {
+    pub(in crate::gateway) fn set_replicas(&self, control: &[SocketAddr]) {
         if !control.is_empty() {
             let replicas = control.iter().take(MAX_REPLICAS).copied();
             *self.replicas.borrow_mut() = replicas.collect();
@@ -335,6 +334,7 @@
             sender.send(Frame::Suspects(suspects.iter().copied().collect()));
         }
         self.has_suspects_of_link.set(false);
+        self.is_subscribed.set(false);
         self.unanswered_since.set(None);
         *self.link.borrow_mut() = Some(sender.clone());
         self.link_opened.notify(usize::MAX);
@@ -364,14 +364,28 @@
         self.pending.borrow_mut().clear();
     }
 
-    /// Returns whether two heartbeats in a row announced a newer version than the same `own`.
-    ///
-    /// The leader sends a change before the heartbeat that announces it, unless its last change to
-    /// this host is less than 100 ms old, so that one such heartbeat alone may be ahead.
-    fn has_missed_publication(&self, version: Version, own: Version) -> bool {
-        let outdated = (version > own).then_some(own);
-        let previous = self.outdated_version.replace(outdated);
-        outdated.is_some() && previous == outdated
+    /// Asks the leader for the publication and the upstreams, unless the host has them from a replica
+    /// or has asked on this link already.
+    pub(in crate::gateway) fn subscribe(&self, state: &State) {
+        if self.via_deputy.get() || !state.feed().needs_leader(state.now()) {
+            return;
+        }
+        let link = self.link.borrow();
+        let Some(link) = link.as_ref() else {
+            return;
+        };
+        if !self.is_subscribed.replace(true) {
+            link.send(Frame::Subscribe {
+                version: state.version(),
+            });
+        }
+    }
+
+    /// Ends the subscription at the leader, as the host has a replica to follow.
+    pub(in crate::gateway) fn unsubscribe(&self) {
+        if let (true, Some(link)) = (self.is_subscribed.replace(false), &*self.link.borrow()) {
+            link.send(Frame::Unsubscribe);
+        }
     }
 
     /// Stores the number of hosts in the fleet, unless the leader does not know it yet.
--- a/programs/pb-proxy/src/gateway/placement/reserve.rs
+++ b/programs/pb-proxy/src/gateway/placement/reserve.rs
@@ -38,6 +38,9 @@
 /// Fraction of its objective for which a request without a quota token waits for the next leader.
 const QUOTA_WAIT_FRACTION: f64 = 0.6;
 
+/// Number of upstreams to avoid from which on a grant of an unknown one is not given back any more.
+const MAX_UNKNOWN_UPSTREAMS: usize = 8;
+
 /// Longest retry-after of a request that was refused without the leader. Another host may have a
 /// token left, and the next leader is elected within a second or two.
 const MAX_LOCAL_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -65,12 +68,17 @@
     /// Returns why no upstream was found and when the client may retry.
     pub async fn reserve(state: &Rc<State>, criteria: &Criteria) -> Result<Reservation, Refusal> {
         let placer = state.placer();
+        let mut criteria = criteria.clone();
+        let criteria = &mut criteria;
         let until = criteria.arrived + criteria.objective.mul_f64(QUOTA_WAIT_FRACTION);
         loop {
             if let Some(link) = placer.usable_link(state.now()) {
                 let number = placer.next_number();
                 let decision = placer.ask_dispatcher(state, &link, number, criteria).await;
                 if let Some(decision) = decision {
+                    if placer.rejects_unknown(state, &link, number, decision, criteria) {
+                        continue;
+                    }
                     if !placer.via_deputy.get() {
                         return placer.conclude(state, criteria, number, decision, true);
                     }
@@ -92,6 +100,32 @@
         }
     }
 
+    /// Gives back a grant of an upstream that this host has not been told of yet, and excludes it from
+    /// the next ones; returns whether it did.
+    fn rejects_unknown(
+        &self,
+        state: &State,
+        link: &Sender,
+        number: u32,
+        decision: Decision,
+        criteria: &mut Criteria,
+    ) -> bool {
+        let Decision::Granted { upstream, .. } = decision else {
+            return false;
+        };
+        let is_rejected =
+            state.upstream(upstream).is_none() && criteria.avoid.len() < MAX_UNKNOWN_UPSTREAMS;
+        if is_rejected {
+            info!(
+                request = criteria.request,
+                number, upstream, "upstream_unknown"
+            );
+            link.send(cancellation_frame(number));
+            criteria.avoid.push(upstream);
+        }
+        is_rejected
+    }
+
     /// Waits for the next token or a new link after a share of the quota is used up, as the next
     /// leader has the whole quota; returns whether the request should be placed again.
     async fn wait_for_token(&self, state: &State, until: Instant, decision: Decision) -> bool {
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -29,6 +29,7 @@
 use tracing::info;
 
 use crate::gateway::dialect::Dialect;
+use crate::gateway::feed::Feed;
 use crate::gateway::meters::Meters;
 use crate::gateway::placement::Placer;
 use crate::gateway::settings::Settings;
@@ -76,6 +77,7 @@
     announced_version: Cell<Version>,
     publication_changed: Event,
     upstreams: RefCell<BTreeMap<Number, Entry>>,
+    feed: Feed,
     placer: Placer,
     pool: Pool,
     meters: Meters,
@@ -96,6 +98,7 @@
     ) -> Self {
         let mut rng = ChaCha8Rng::from_rng(&mut rand::rng());
         Self {
+            feed: Feed::new(clock.now()),
             placer: Placer::new(&settings, rng.random()),
             dialect,
             clock,
@@ -146,6 +149,12 @@
         self.in_force()
     }
 
+    /// Returns the source of the publication and the upstreams.
+    #[must_use]
+    pub const fn feed(&self) -> &Feed {
+        &self.feed
+    }
+
     /// Returns the placer, which finds upstreams for requests.
     #[must_use]
     pub const fn placer(&self) -> &Placer {
@@ -303,6 +312,7 @@
             "stopping": self.stop.is_asked(),
             "running": self.running.get(),
             "version": in_force.publication.version,
+            "feed": self.feed.status(),
             "routes": in_force.publication.routes.len(),
             "upstreams": self.upstreams.borrow().values().collect::<Vec<_>>(),
             "desk": self.placer.status(self.now()),
