fix(proxy): wait for the first link of a host that has started, and for the feed of its replica

After the loss of power of all hosts a host had its publication before its link, placed requests with no tokens and refused them: 584 answers 503 in place of 25. At a change of leader two replicas closed their feeds, since a follower that votes knows no leader for a moment.

Change: a host asks again every 40 ms in its first second; its requests wait for the first link as well as for the first publication; a replica closes its feed only after two seconds without a leader.

--- a/programs/pb-control/src/dispatch.rs
+++ b/programs/pb-control/src/dispatch.rs
@@ -6,6 +6,7 @@
 
 mod state;
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -75,6 +76,8 @@
     policy: Policy,
     zone: Option<Zone>,
     feed: RefCell<Feed>,
+    /// When a leader was last known.
+    leader_known: Cell<Instant>,
     state: RefCell<Option<State>>,
 }
 
@@ -89,6 +92,7 @@
     ) -> Rc<Self> {
         let service = Rc::new(Self {
             feed: RefCell::new(node.read(Feed::new)),
+            leader_known: Cell::new(clock.now()),
             node,
             clock,
             policy,
@@ -130,9 +134,11 @@
     /// the revision of the roster.
     fn tick_feed(&self, now: Instant) -> Revision {
         let mut feed = self.feed.borrow_mut();
-        let hears_leader =
-            self.node.is_leader() || self.node.leader_within(MAX_FEED_SILENCE).is_some();
-        if !hears_leader || !self.node.read(|machine| feed.is_of(machine)) {
+        if self.knows_leader() {
+            self.leader_known.set(now);
+        }
+        let silence = now.saturating_duration_since(self.leader_known.get());
+        if silence > MAX_FEED_SILENCE || !self.node.read(|machine| feed.is_of(machine)) {
             if feed.len() > 0 {
                 info!(hosts = feed.len(), "feed_closed");
             }
@@ -299,10 +305,12 @@
     /// Waits at most [`MAX_LEADER_WAIT`] until a leader is known, so that hosts learn of a new
     /// leader at once and need not send a hello repeatedly.
     async fn wait_for_leader(&self) {
-        let is_known = || {
-            self.node.is_leader() || self.node.leader_within(MAX_HOST_REDIRECT_SILENCE).is_some()
-        };
-        self.wait_until(is_known).await;
+        self.wait_until(|| self.knows_leader()).await;
+    }
+
+    /// Returns whether this replica leads or has just heard the leader.
+    fn knows_leader(&self) -> bool {
+        self.node.is_leader() || self.node.leader_within(MAX_HOST_REDIRECT_SILENCE).is_some()
     }
 
     /// Waits until this replica has applied what the leader had committed, and holds `version`;
--- a/programs/pb-proxy/src/gateway/clients.rs
+++ b/programs/pb-proxy/src/gateway/clients.rs
@@ -43,7 +43,7 @@
 /// Time before the client's deadline at which it is answered, so that the answer arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
 
-/// Longest wait of a request for the first publication on a host that has just started. After a
+/// Longest wait of a request for the first publication and link on a host that has just started. After a
 /// restart of the whole fleet a leader is elected within about a second.
 const MAX_START_WAIT: Duration = Duration::from_millis(1_500);
 
@@ -86,7 +86,7 @@
     ) -> Result<Response<Body>, Failure> {
         let max_wait = metadata.timeout.unwrap_or(MAX_START_WAIT) / 2;
         let limit = MAX_START_WAIT.min(max_wait);
-        let in_force = self.state.wait_for_publication(limit).await;
+        let in_force = self.state.wait_for_start(limit).await;
         if in_force.publication.version == 0 {
             return Err(Failure::from(Kind::NotReady));
         }
--- a/programs/pb-proxy/src/gateway/feed.rs
+++ b/programs/pb-proxy/src/gateway/feed.rs
@@ -39,6 +39,9 @@
 /// Time after which the host subscribes at the leader although the search for a replica goes on.
 const SEARCH_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest time between two searches while a replica of the zone waits for a leader.
+const MIN_SEARCH_PAUSE: Duration = Duration::from_millis(40);
+
 /// Longest time between two searches; hosts that lost one replica do not all come at once.
 const MAX_SEARCH_PAUSE: Duration = Duration::from_secs(4);
 
@@ -94,6 +97,11 @@
         }
     }
 
+    /// Returns whether the host has not given up its first search.
+    fn is_searching(&self, now: Instant) -> bool {
+        matches!(&*self.source.borrow(), Source::Searching(_)) && !self.needs_leader(now)
+    }
+
     /// Returns the revision of the roster that this host has.
     #[must_use]
     pub const fn revision(&self) -> Revision {
@@ -157,35 +165,61 @@
 pub async fn run(state: Rc<State>) {
     let mut elsewhere = BTreeSet::new();
     loop {
-        match find(&state, &mut elsewhere).await {
-            Some((replica, sender, receiver, frames)) => {
+        let pause = match find(&state, &mut elsewhere).await {
+            Search::Found(link) => {
+                let replica = link.replica;
                 info!(%replica, version = state.version(), "feed_opened");
-                *state.feed().source.borrow_mut() = Source::Replica(sender.clone());
+                *state.feed().source.borrow_mut() = Source::Replica(link.sender.clone());
                 state.placer().unsubscribe();
-                let error = follow(&state, receiver, frames).await;
+                let sender = link.sender.clone();
+                let error = follow(&state, link).await;
                 sender.close();
                 info!(%replica, error = %error, "feed_lost");
                 let _ = state.feed().give_up();
+                MAX_SEARCH_PAUSE
             }
-            None => *state.feed().source.borrow_mut() = Source::Leader,
-        }
+            Search::NotYet if state.feed().is_searching(state.now()) => MIN_SEARCH_PAUSE,
+            Search::NotYet | Search::NoneInZone => {
+                *state.feed().source.borrow_mut() = Source::Leader;
+                MAX_SEARCH_PAUSE
+            }
+        };
         state.placer().subscribe(&state);
-        let pause = state.rng().random_range(0.25..1.0);
-        compio::time::sleep(MAX_SEARCH_PAUSE.mul_f64(pause)).await;
+        let pause = pause.mul_f64(state.rng().random_range(0.25..1.0));
+        compio::time::sleep(pause).await;
     }
 }
 
-/// A replica that accepted the host, with the link to it and the first frames behind its answer.
-type Found = (SocketAddr, Sender, Receiver, Vec<Frame>);
+/// A link to a replica that accepted the host.
+struct Link {
+    replica: SocketAddr,
+    sender: Sender,
+    receiver: Receiver,
+    /// The first frames behind the replica's answer.
+    frames: Vec<Frame>,
+}
+
+/// Outcome of the search for a replica.
+enum Search {
+    /// A replica accepted the host.
+    Found(Link),
+    /// A replica of the zone does not offer its feed now.
+    NotYet,
+    /// No replica of the zone was reached.
+    NoneInZone,
+}
 
 /// Looks for a replica of the zone that offers its feed. `elsewhere` holds those of other zones.
-async fn find(state: &State, elsewhere: &mut BTreeSet<SocketAddr>) -> Option<Found> {
+async fn find(state: &State, elsewhere: &mut BTreeSet<SocketAddr>) -> Search {
     let mut asked = BTreeSet::new();
+    let mut outcome = Search::NoneInZone;
     loop {
         let mut candidates = replicas(state);
         candidates.retain(|replica| !asked.contains(replica) && !elsewhere.contains(replica));
         candidates.shuffle(&mut *state.rng());
-        let replica = candidates.pop()?;
+        let Some(replica) = candidates.pop() else {
+            return outcome;
+        };
         asked.insert(replica);
         let Some((sender, receiver, frames)) = ask(state, replica).await else {
             continue;
@@ -199,9 +233,16 @@
         {
             state.placer().set_replicas(&control);
             if is_accepted {
-                return Some((replica, sender, receiver, frames.collect()));
+                return Search::Found(Link {
+                    replica,
+                    sender,
+                    receiver,
+                    frames: frames.collect(),
+                });
             }
-            if zone.as_ref() != Some(&state.settings().zone) {
+            if zone.as_ref() == Some(&state.settings().zone) {
+                outcome = Search::NotYet;
+            } else {
                 elsewhere.insert(replica);
             }
         }
@@ -231,8 +272,12 @@
 }
 
 /// Applies what a replica sends until the link ends or the replica is given up.
-async fn follow(state: &Rc<State>, mut receiver: Receiver, first_frames: Vec<Frame>) -> Error {
-    let mut frames = first_frames;
+async fn follow(state: &Rc<State>, link: Link) -> Error {
+    let Link {
+        mut receiver,
+        mut frames,
+        ..
+    } = link;
     loop {
         for frame in frames {
             if let Err(error) = apply(state, frame) {
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -20,6 +20,7 @@
 use std::time::Instant;
 
 use event_listener::Event;
+use event_listener::EventListener;
 use futures_channel::mpsc::UnboundedSender;
 use persimmonbend_core::dispatch::Answer;
 use persimmonbend_core::dispatch::Balance;
@@ -189,6 +190,17 @@
         last_heard.is_some_and(|last_heard| now.saturating_duration_since(last_heard) < age)
     }
 
+    /// Returns whether this host has had a link to the leader or a deputy.
+    #[must_use]
+    pub const fn was_linked(&self) -> bool {
+        self.last_heard.get().is_some()
+    }
+
+    /// Returns a listener for the next link.
+    pub fn listen_for_link(&self) -> EventListener {
+        self.link_opened.listen()
+    }
+
     /// Returns whether control counts as unreachable, so that this host may act as a deputy.
     #[must_use]
     pub const fn is_control_unreachable(&self) -> bool {
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -140,11 +140,19 @@
         Rc::clone(&self.in_force.borrow())
     }
 
-    /// Waits for the first publication for at most `limit`; returns the one in force.
-    pub async fn wait_for_publication(&self, limit: Duration) -> Rc<Configuration> {
-        if self.version() == 0 {
-            let listener = self.publication_changed.listen();
-            let _ = compio::time::timeout(limit, listener).await;
+    /// Waits on a host that has just started for the first publication and the first link to a
+    /// dispatcher, for at most `limit`; returns the publication in force.
+    pub async fn wait_for_start(&self, limit: Duration) -> Rc<Configuration> {
+        let deadline = self.now() + limit;
+        while self.version() == 0 || !self.placer.was_linked() {
+            let left = deadline.saturating_duration_since(self.now());
+            if left.is_zero() {
+                break;
+            }
+            let published = self.publication_changed.listen();
+            let linked = self.placer.listen_for_link();
+            let either = futures_util::future::select(published, linked);
+            let _ = compio::time::timeout(left, either).await;
         }
         self.in_force()
     }
