fix(dispatch): try upstreams that failed again with reads although the service seems well

Change: an idle upstream whose last failure is 2.5 s old, and which is believed to be grey with more than the long-run probability, gets the next request that may be retried, while retries are not scarce.

--- a/crates/core/src/dispatch/belief.rs
+++ b/crates/core/src/dispatch/belief.rs
@@ -85,6 +85,12 @@
         self.grey(now) >= SUSPECT_THRESHOLD
     }
 
+    /// Returns whether the upstream is more likely grey than one of which nothing is known.
+    #[must_use]
+    pub fn is_doubted(&self, now: Instant) -> bool {
+        self.is_observed && self.grey(now) >= GREY_PRIOR
+    }
+
     /// Returns whether this dispatcher has observed an outcome.
     #[must_use]
     pub const fn is_observed(&self) -> bool {
--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -97,6 +97,16 @@
                 });
             }
         }
+        if attempt.is_idempotent && attempt.can_retry {
+            let is_due = |number: Number| is_reachable(number) && pool.is_trial_due(number, now);
+            let due = pool.cheapest(&candidates, &attempt, max_silence, now, is_due);
+            if let Some(upstream) = due {
+                return Some(Choice {
+                    upstream,
+                    is_for_floor: true,
+                });
+            }
+        }
         let is_accepted = |number: Number| !waits || !pool.is_suspect(number, now);
         let is_untried = |number: Number| is_untried(number) && is_accepted(number);
         let is_reachable = |number: Number| is_reachable(number) && is_accepted(number);
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -24,6 +24,10 @@
 /// again after two seconds, by when it must be in use.
 const FAILURE_WINDOW: Duration = Duration::from_millis(1_500);
 
+/// Time after the last failure of an idle upstream after which requests that may be retried are sent to
+/// it.
+const TRIAL_AGE: Duration = Duration::from_millis(2_500);
+
 /// Share beyond the floor that is kept in use, because some upstreams in use may fail.
 const FLOOR_MARGIN: f64 = 0.08;
 
@@ -212,6 +216,20 @@
         last_granted.is_some_and(|at| now.saturating_duration_since(at) < IN_USE_WINDOW)
     }
 
+    /// Returns whether an upstream that failed is idle and has not failed for so long that a request that
+    /// may be retried is worth sending, to learn whether it has recovered.
+    ///
+    /// Answers the load of a service that seems well while some of its upstreams recover: operators
+    /// count these as healthy, and idle, long before the belief in their failure has faded.
+    #[must_use]
+    pub fn is_trial_due(&self, number: Number, now: Instant) -> bool {
+        self.upstreams.get(&number).is_some_and(|state| {
+            let lately = |at| now.saturating_duration_since(at) < TRIAL_AGE;
+            let is_idle = !self.is_in_use(number, now);
+            is_idle && state.belief.is_doubted(now) && !state.last_failed.is_some_and(lately)
+        })
+    }
+
     /// Returns whether an upstream is more likely grey than not.
     #[must_use]
     pub fn is_suspect(&self, number: Number, now: Instant) -> bool {
--- a/crates/core/tests/dispatch/grey.rs
+++ b/crates/core/tests/dispatch/grey.rs
@@ -413,6 +413,50 @@
     }
 }
 
+/// Half of the upstreams fail once in a while and recover at once. Nothing else fails, so that the floor
+/// is not enforced; when all hosts were then lost, operators found most healthy upstreams idle.
+#[test]
+fn suspects_are_tried_again_with_reads_while_nothing_else_fails() {
+    let zones = ["a", "b", "c", "d"];
+    let zones: Vec<&str> = (0..16).map(|number| zones[number % 4]).collect();
+    let mut world = World::new(&zones);
+    let mut used: BTreeMap<Number, u32> = BTreeMap::new();
+    let mut failed: BTreeMap<Number, u32> = BTreeMap::new();
+    for at in (0..40_000_u32).step_by(10) {
+        world.advance(STEP * 10);
+        let mut request = world.request(IDEMPOTENT);
+        request.zone = zones[at as usize / 10 % 4].to_owned();
+        let ticket = request.ticket.clone();
+        let Decision::Granted { upstream, .. } = world.reserve(request) else {
+            panic!("there are free slots");
+        };
+        used.insert(upstream, at);
+        let does_fail = upstream <= 8 && at % 10_000 < 300;
+        if does_fail {
+            failed.insert(upstream, at);
+        }
+        let outcome = if does_fail {
+            Outcome::Failed
+        } else {
+            Outcome::Answered
+        };
+        world.release(&ticket, outcome, Duration::from_millis(5));
+        let lately = |times: &BTreeMap<Number, u32>, one: Number, within: u32| {
+            times.get(&one).is_some_and(|time| time + within > at)
+        };
+        // A window of two seconds begins when the upstream counts as healthy again.
+        let healthy: Vec<Number> = (1..=16)
+            .filter(|one| !lately(&failed, *one, 4_000))
+            .collect();
+        let in_use = healthy.iter().filter(|one| lately(&used, **one, 2_000));
+        let in_use = in_use.count();
+        assert!(
+            at < 4_000 || in_use * 10 >= healthy.len() * 7,
+            "at {at}: {in_use} of {healthy:?}"
+        );
+    }
+}
+
 #[test]
 fn a_busy_service_fails_little_more() {
     let busy = simulate(8, 100.0, 60_000, false);
