refactor(dispatch): split the choice of an upstream into a search with a name for each step

A Search holds the candidates and what excludes some of them; idle, due_trial and cheapest are its steps. is_for_floor becomes is_trial, as reads that try a suspect again set it too. A request that waits for a healthy upstream is again offered an idle one while the service is below its floor, as it was before the index of free upstreams.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -143,8 +143,8 @@
     since: Instant,
     /// Whether no other attempt of the request may follow.
     is_last: bool,
-    /// Whether the upstream was chosen only to keep the floor.
-    is_for_floor: bool,
+    /// Whether the upstream was chosen to keep it in use rather than for its cost.
+    is_trial: bool,
     /// Number of times that the attempt has been recorded as late.
     late_count: u32,
 }
@@ -153,8 +153,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Choice {
     upstream: Number,
-    /// Whether the upstream was chosen to keep the floor rather than for its cost.
-    is_for_floor: bool,
+    /// Whether the upstream was chosen to keep it in use rather than for its cost.
+    is_trial: bool,
 }
 
 /// The connection state of a host.
@@ -408,7 +408,7 @@
             route: placement.route,
             since: now,
             is_last: false,
-            is_for_floor: false,
+            is_trial: false,
             late_count: 0,
         };
         self.slots_in_use.insert(placement.ticket, slot);
--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -26,7 +26,7 @@
 const ON_TIME_SHARE: f64 = 0.5;
 const LATE_SHARE: f64 = 1.25;
 
-/// Cost of a KiB that is sent between zones; lies between the prices of the two deployments.
+/// Cost of a KiB that is sent between zones.
 const TRANSFER_COST_PER_KIB: f64 = 0.06;
 
 /// Largest cost of the bytes that one request sends between zones. However large an answer is, a
--- a/crates/core/src/dispatch/observation.rs
+++ b/crates/core/src/dispatch/observation.rs
@@ -45,8 +45,8 @@
         let is_route_timeout =
             completion.outcome == Outcome::TimedOut && timing.has_too_short_timeout();
         if !is_route_timeout {
-            // Failures of attempts that only keep the floor must not prolong its enforcement.
-            if !slot.is_for_floor {
+            // Failures of trials must not prolong the enforcement of the floor.
+            if !slot.is_trial {
                 pool.failures.observe(completion.outcome, slot.is_last, now);
             }
             pool.change(slot.upstream, now, |state| {
--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -37,6 +37,60 @@
 /// Longest time after which a refused request may be retried.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// A search among the candidates for one request.
+struct Search<'a> {
+    pool: &'a Pool,
+    candidates: &'a [Number],
+    attempt: &'a Attempt<'a>,
+    max_silence: Duration,
+    /// Upstreams that were tried for the request.
+    avoid: &'a [Number],
+    /// Upstreams that the host could not connect to.
+    unreachable: &'a BTreeSet<Number>,
+    now: Instant,
+}
+
+impl Search<'_> {
+    /// Returns the cheapest upstream that counts for the floor and is not in use.
+    fn idle(&self) -> Option<Number> {
+        let (pool, now) = (self.pool, self.now);
+        self.find(|number| {
+            let counts = pool.counts_for_floor(number, now) && self.is_reachable(number);
+            counts && !pool.is_in_use(number, now)
+        })
+    }
+
+    /// Returns the cheapest upstream that is worth a trial, for a request that can be retried.
+    fn due_trial(&self) -> Option<Number> {
+        if !self.attempt.is_idempotent || !self.attempt.can_retry {
+            return None;
+        }
+        self.find(|number| self.is_reachable(number) && self.pool.is_trial_due(number, self.now))
+    }
+
+    /// Returns the cheapest upstream, one that the host could connect to if there is any.
+    fn cheapest(&self, accepts_suspects: bool) -> Option<Number> {
+        let is_accepted =
+            |number: Number| accepts_suspects || !self.pool.is_suspect(number, self.now);
+        let reachable = self.find(|number| is_accepted(number) && self.is_reachable(number));
+        reachable.or_else(|| self.find(|number| is_accepted(number) && self.is_untried(number)))
+    }
+
+    fn find<F: Fn(Number) -> bool>(&self, is_allowed: F) -> Option<Number> {
+        let (candidates, attempt) = (self.candidates, self.attempt);
+        self.pool
+            .cheapest(candidates, attempt, self.max_silence, self.now, is_allowed)
+    }
+
+    fn is_untried(&self, number: Number) -> bool {
+        !self.avoid.contains(&number)
+    }
+
+    fn is_reachable(&self, number: Number) -> bool {
+        self.is_untried(number) && !self.unreachable.contains(&number)
+    }
+}
+
 impl Dispatcher {
     /// Returns the priority of the tenant of a request, or else that of its route.
     pub(super) fn priority(&self, request: &Request, route: &Route) -> u32 {
@@ -57,65 +111,46 @@
         }
         let publication = Rc::clone(&self.publication);
         let route = publication.routes.get(&request.route)?;
+        let waits = self.waits_for_healthy(request, route, now);
+        let floor = self.policy.floor;
+        let pool = self.pools.get_mut(&request.service)?;
+        let is_below_floor = pool.is_below_floor(floor, now);
+        if waits && !pool.free().has_healthy() && !is_below_floor {
+            return None;
+        }
+        let candidates = pool.candidates(&request.zone);
+        self.steps += candidates.len() as u64;
         let timing = self.timing(&request.route, route);
-        let retries = self.retries();
-        let budget = &self.pools.get(&request.service)?.retry_budget;
+        let unreachable = self.unreachable_upstreams(&request.ticket.host, now);
+        let pool = self.pools.get(&request.service)?;
         let has_attempt_left = request.attempts + 1 < route.attempts;
         let attempt = Attempt {
             zone: &request.zone,
             is_idempotent: route.idempotent,
-            can_retry: has_attempt_left && !budget.is_scarce(&retries),
+            can_retry: has_attempt_left && !pool.retry_budget.is_scarce(&self.retries()),
             time_left: time_left(request, route, now).as_secs_f64(),
             timing: &timing,
         };
-        let max_silence = self.policy.max_silence;
-        let floor = self.policy.floor;
-        let waits = self.waits_for_healthy(request, route, now);
-        if waits && !self.pools.get(&request.service)?.free().has_healthy() {
-            return None;
-        }
-        let unreachable_upstreams: BTreeSet<Number> =
-            self.unreachable_upstreams(&request.ticket.host, now);
-        let pool = self.pools.get_mut(&request.service)?;
-        let is_below_floor = pool.is_below_floor(floor, now);
-        let candidates = pool.candidates(&request.zone);
-        self.steps += candidates.len() as u64;
-        let pool = &*pool;
-        let is_untried = |number: Number| !request.avoid.contains(&number);
-        let is_reachable =
-            |number: Number| is_untried(number) && !unreachable_upstreams.contains(&number);
-        if is_below_floor {
-            let is_idle = |number: Number| {
-                let counts = pool.counts_for_floor(number, now) && is_reachable(number);
-                counts && !pool.is_in_use(number, now)
-            };
-            let idle = pool.cheapest(&candidates, &attempt, max_silence, now, is_idle);
-            if let Some(upstream) = idle {
-                return Some(Choice {
-                    upstream,
-                    is_for_floor: true,
-                });
-            }
-        }
-        if attempt.is_idempotent && attempt.can_retry {
-            let is_due = |number: Number| is_reachable(number) && pool.is_trial_due(number, now);
-            let due = pool.cheapest(&candidates, &attempt, max_silence, now, is_due);
-            if let Some(upstream) = due {
-                return Some(Choice {
-                    upstream,
-                    is_for_floor: true,
-                });
-            }
+        let search = Search {
+            pool,
+            candidates: &candidates,
+            attempt: &attempt,
+            max_silence: self.policy.max_silence,
+            avoid: &request.avoid,
+            unreachable: &unreachable,
+            now,
+        };
+        let idle = is_below_floor.then(|| search.idle()).flatten();
+        let trial = idle.or_else(|| search.due_trial());
+        if let Some(upstream) = trial {
+            return Some(Choice {
+                upstream,
+                is_trial: true,
+            });
         }
-        let is_accepted = |number: Number| !waits || !pool.is_suspect(number, now);
-        let is_untried = |number: Number| is_untried(number) && is_accepted(number);
-        let is_reachable = |number: Number| is_reachable(number) && is_accepted(number);
-        let chosen = pool.cheapest(&candidates, &attempt, max_silence, now, is_reachable);
-        let chosen =
-            chosen.or_else(|| pool.cheapest(&candidates, &attempt, max_silence, now, is_untried));
-        chosen.map(|upstream| Choice {
+        search.cheapest(!waits).map(|upstream| Choice {
             upstream,
-            is_for_floor: false,
+            is_trial: false,
         })
     }
 
@@ -174,10 +209,7 @@
 
     /// Records a slot of the chosen upstream as in use and returns the answer to the host.
     pub(super) fn grant(&mut self, request: Request, choice: Choice, now: Instant) -> Answer {
-        let Choice {
-            upstream,
-            is_for_floor,
-        } = choice;
+        let Choice { upstream, is_trial } = choice;
         let attempt_timeout = self.attempt_timeout(&request, upstream, now);
         self.change_upstream(upstream, now, |state| {
             state.running += 1;
@@ -192,7 +224,7 @@
             route: request.route,
             since: now,
             is_last,
-            is_for_floor,
+            is_trial,
             late_count: 0,
         };
         self.slots_in_use.insert(request.ticket.clone(), slot);
