--- a/programs/pb-proxy/src/gateway/feed.rs
+++ b/programs/pb-proxy/src/gateway/feed.rs
@@ -203,9 +203,9 @@
 enum Search {
     /// A replica accepted the host.
     Found(Link),
-    /// A replica of the zone does not offer its feed now.
+    /// A replica of the zone does not offer its feed now, or a replica was not reached.
     NotYet,
-    /// No replica of the zone was reached.
+    /// All replicas are in other zones.
     NoneInZone,
 }
 
@@ -222,6 +222,7 @@
         };
         asked.insert(replica);
         let Some((sender, receiver, frames)) = ask(state, replica).await else {
+            outcome = Search::NotYet;
             continue;
         };
         let mut frames = frames.into_iter();
