fix(replica): count a follower as current only after its leader has committed an entry of its term

Its leader had just been elected and did not know what was committed before its term, so the commit index that it sent was low, and the follower had delivered all of it.

Change: is_current holds on a follower once an entry of the leader's term is committed, as it did on the leader itself.

Test: a_follower_is_current_only_once_its_leader_has_committed_an_entry_of_its_term fails before and passes.

--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -216,7 +216,8 @@
     }
 
     /// Returns whether the replica heard the leader within `age` and has delivered all entries that
-    /// the leader's newest message says are committed.
+    /// the leader's newest message says are committed, among them one of the leader's term: before that,
+    /// a leader may not know of all committed entries.
     ///
     /// A leader is current if a quorum answered within `age` and the entries of earlier terms are
     /// delivered.
@@ -228,7 +229,12 @@
             .is_some_and(|heard| now < heard + age);
         match &self.role {
             Role::Leader(leadership) => is_recent && self.delivered >= leadership.opening_index(),
-            _ => is_recent && self.delivered >= self.leader_commit,
+            _ => {
+                let commit_term = self.log.term_at(self.leader_commit);
+                is_recent
+                    && self.delivered >= self.leader_commit
+                    && commit_term == Some(self.term())
+            }
         }
     }
 
--- a/crates/replica/tests/elections.rs
+++ b/crates/replica/tests/elections.rs
@@ -297,3 +297,28 @@
     assert!(sent.is_empty(), "{sent:?}");
     assert_eq!(harness.replica.term(), 2);
 }
+
+/// After the loss of power of all replicas the next leader does not know how much of its log was
+/// committed, and tells its followers of less; what they have applied by then may be outdated.
+#[test]
+fn a_follower_is_current_only_once_its_leader_has_committed_an_entry_of_its_term() {
+    let mut harness = Harness::with_terms(&[1, 1]);
+    let known_commit = Body::Append(Append {
+        round: 1,
+        previous: at(3, 1),
+        entries: Vec::new(),
+        commit: 2,
+    });
+    harness.receive("b", 2, known_commit);
+    assert!(!harness.replica.is_current(LEASE));
+    let opening = Body::Append(Append {
+        round: 2,
+        previous: at(3, 1),
+        entries: vec![entry(4, 2)],
+        commit: 3,
+    });
+    harness.receive("b", 2, opening);
+    assert!(!harness.replica.is_current(LEASE));
+    harness.receive("b", 2, heartbeat(at(4, 2)));
+    assert!(harness.replica.is_current(LEASE));
+}
