feat(proxy): log and count what upstreams state about themselves in their answers

Cause: nothing that a host logs tells whether an answer said that its upstream was leaving, so the hypotheses on DRAIN cannot be told apart.

Change: the adapter decodes the header into core::statement::Statement, and the host records it in a statement::Ledger by number, which stands for one start of an upstream. A statement that is new to the host is logged as upstream_stated and counted. No decision depends on it yet.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -57,6 +57,8 @@
 use crate::publication::Quota;
 use crate::roster::Entry;
 use crate::roster::Number;
+use crate::statement::Ledger;
+use crate::statement::Statement;
 use crate::steward::Ticket;
 use crate::upstream::Stage;
 
@@ -206,6 +208,8 @@
     timings: BTreeMap<RouteId, Timing>,
     quotas: Quotas,
     hosts: BTreeMap<HostId, Host>,
+    /// What upstreams have stated about themselves.
+    ledger: Ledger,
     /// Pairs of a host and an upstream that it could not connect to, with the end of the pause.
     unreachable_until: BTreeMap<(HostId, Number), Instant>,
     /// Requests and upstreams that were looked at to place requests.
@@ -226,6 +230,7 @@
             timings: BTreeMap::new(),
             quotas: Quotas::default(),
             hosts: BTreeMap::new(),
+            ledger: Ledger::default(),
             unreachable_until: BTreeMap::new(),
             steps: 0,
         }
@@ -254,6 +259,7 @@
     pub fn update_upstream(&mut self, entry: &Entry, now: Instant) -> Vec<Answer> {
         let announcement = &entry.announcement;
         if announcement.stage == Stage::Left {
+            self.ledger.forget(entry.number);
             self.remove_upstream(entry.number);
             return Vec::new();
         }
@@ -287,6 +293,17 @@
         self.change_upstream(number, now, |state| state.last_heard = now);
     }
 
+    /// Records what an upstream states about itself; returns whether it changes what is known.
+    pub fn note_statement(&mut self, upstream: Number, statement: &Statement) -> bool {
+        self.ledger.note(upstream, statement)
+    }
+
+    /// Returns what upstreams have stated about themselves.
+    #[must_use]
+    pub const fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
     /// Records that a host is connected.
     pub fn connect_host(&mut self, host: &str) {
         self.hosts.insert(
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod roster;
 pub mod route;
 pub mod routing;
+pub mod statement;
 pub mod steward;
 pub mod throttle;
 pub mod traffic;
--- a/programs/pb-proxy/src/gateway/dialect.rs
+++ b/programs/pb-proxy/src/gateway/dialect.rs
@@ -12,6 +12,7 @@
 use persimmonbend_core::id::TenantId;
 use persimmonbend_core::id::UpstreamId;
 use persimmonbend_core::key::Digest;
+use persimmonbend_core::statement::Statement;
 
 /// The API key that a client sends with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -59,6 +60,14 @@
     Unverified,
 }
 
+impl Verdict {
+    /// Returns whether the answer comes from the upstream that the request was sent to.
+    #[must_use]
+    pub const fn is_of_upstream(self) -> bool {
+        matches!(self, Self::Answered | Self::NotRun)
+    }
+}
+
 /// Reads and writes the headers of a platform.
 pub trait Dialect: fmt::Debug {
     /// Returns whether a request to the checks port is the load balancer's readiness check.
@@ -73,6 +82,9 @@
     /// Classifies an upstream's answer to the request with this metadata.
     fn classify(&self, metadata: &Metadata, head: &response::Parts) -> Verdict;
 
+    /// Reads what the upstream states about itself in the head of an answer.
+    fn statement(&self, head: &response::Parts) -> Statement;
+
     /// Returns the answer to a request that was refused or failed.
     fn refuse(
         &self,
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -190,7 +190,12 @@
         None => broken,
     })?;
     let (head, mut body) = response.into_parts();
-    match state.dialect().classify(metadata, &head) {
+    let verdict = state.dialect().classify(metadata, &head);
+    if verdict.is_of_upstream() {
+        let statement = state.dialect().statement(&head);
+        state.note_statement(reservation.upstream(), &statement);
+    }
+    match verdict {
         Verdict::Answered => {}
         Verdict::NotRun => return Err(Fault::not_run(Outcome::Shed)),
         Verdict::Moved => return Err(Fault::not_run(Outcome::Moved)),
--- a/programs/pb-proxy/src/gateway/meters.rs
+++ b/programs/pb-proxy/src/gateway/meters.rs
@@ -28,6 +28,7 @@
     registry: Registry,
     requests: Counters,
     attempts: Counters,
+    statements: Counters,
     latency_seconds: Histogram,
     running: Gauge,
     version: Gauge,
@@ -50,6 +51,11 @@
                 "Attempts at upstreams by how they ended.",
                 "outcome",
             ),
+            statements: registry.counters(
+                "upstream_statements_total",
+                "Statements of upstreams about themselves that were new to this host.",
+                "statement",
+            ),
             latency_seconds: registry.histogram(
                 "request_seconds",
                 "Time from a request's arrival to its answer, in seconds.",
@@ -84,6 +90,11 @@
     pub fn count_attempt(&self, outcome: &str) {
         self.attempts.add(outcome);
     }
+
+    /// Counts a statement of an upstream that was new to this host.
+    pub fn count_statement(&self, statement: &str) {
+        self.statements.add(statement);
+    }
 }
 
 impl Default for Meters {
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -37,6 +37,7 @@
 use persimmonbend_core::publication::Publication;
 use persimmonbend_core::roster::Entry;
 use persimmonbend_core::roster::Number;
+use persimmonbend_core::statement::Statement;
 use persimmonbend_core::steward::Ticket;
 use persimmonbend_wire::dispatch;
 use persimmonbend_wire::dispatch::Frame;
@@ -256,6 +257,12 @@
         self.deliver(answers);
     }
 
+    /// Records what an upstream states about itself; returns whether it changes what this host knows.
+    pub fn note_statement(&self, upstream: Number, statement: &Statement) -> bool {
+        let mut local = self.local_dispatcher.borrow_mut();
+        local.note_statement(upstream, statement)
+    }
+
     /// Announces to the dispatcher that this host stops as planned.
     pub fn announce_stop(&self) {
         if let Some(link) = self.link.borrow().as_ref() {
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -21,6 +21,7 @@
 use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Entry;
 use persimmonbend_core::roster::Number;
+use persimmonbend_core::statement::Statement;
 use persimmonbend_core::upstream::Stage;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -228,6 +229,17 @@
             .then(|| entry.clone())
     }
 
+    /// Records, logs and counts what an upstream states about itself in an answer, if it is news.
+    pub fn note_statement(&self, number: Number, statement: &Statement) {
+        if !self.placer.note_statement(number, statement) {
+            return;
+        }
+        let upstreams = self.upstreams.borrow();
+        let upstream = upstreams.get(&number).map(|entry| &entry.announcement.id);
+        self.meters.count_statement("draining");
+        info!(upstream, number, draining = true, "upstream_stated");
+    }
+
     /// Returns whether the load balancer may send new clients to this host.
     #[must_use]
     pub fn is_ready(&self) -> bool {
