fix(proxy): send nothing to an upstream that has stated that it drains

What callers saw: requests reached an upstream after it had said that it was leaving (DRAIN).

Cause: only heartbeats told the fleet that an upstream drains. What the upstream said in its answers was read nowhere, so where no heartbeat was acknowledged, or a host had no contact with control, requests went on for as long as the upstream answered. Class: a fact that one part of the fleet holds is used only if it came by one particular way.

Change: the ledger decides. On the host, nothing is placed on or sent to an upstream that has stated that it drains: not by the local dispatcher, not by a grant of a leader or deputy (it is given back and the host asks again), not by a reservation that was granted before the statement was read. The host reports the statement to its dispatcher (Frame::Stated) and again over every new link, so that a queued request, a retry or a hedge of any host is not placed there, and the next leader or a deputy learns it.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -192,6 +192,8 @@
     pub slots: u32,
     /// Probability that the upstream is grey.
     pub grey: f64,
+    /// Whether the upstream has stated in an answer that it is draining.
+    pub states_draining: bool,
 }
 
 /// Chooses an upstream for each request of the fleet.
@@ -277,7 +279,9 @@
         let pool = self.pools.entry(service.clone());
         let pool = pool.or_insert_with(|| Pool::new(Budget::new(&retries, is_first), now));
         if !pool.change(entry.number, now, |state| state.update(announcement)) {
-            pool.add(entry.number, Upstream::new(announcement, now), now);
+            let mut state = Upstream::new(announcement, now);
+            state.apply_ledger(entry.number, &self.ledger);
+            pool.add(entry.number, state, now);
         }
         self.place_queued(&service, now)
     }
@@ -294,8 +298,22 @@
     }
 
     /// Records what an upstream states about itself; returns whether it changes what is known.
-    pub fn note_statement(&mut self, upstream: Number, statement: &Statement) -> bool {
-        self.ledger.note(upstream, statement)
+    pub fn note_statement(
+        &mut self,
+        upstream: Number,
+        statement: &Statement,
+        now: Instant,
+    ) -> bool {
+        let is_new = self.ledger.note(upstream, statement);
+        let service = self.services.get(&upstream);
+        let pool = service.and_then(|service| self.pools.get_mut(service));
+        if let (true, Some(pool)) = (is_new, pool) {
+            let ledger = &self.ledger;
+            pool.change(upstream, now, |state| {
+                state.apply_ledger(upstream, ledger);
+            });
+        }
+        is_new
     }
 
     /// Returns what upstreams have stated about themselves.
@@ -384,6 +402,7 @@
                 running: state.running,
                 slots: state.slots,
                 grey: state.belief.grey(now),
+                states_draining: self.ledger.is_draining(number),
             })
         });
         upstreams.collect()
--- a/crates/core/src/dispatch/upstream.rs
+++ b/crates/core/src/dispatch/upstream.rs
@@ -7,6 +7,8 @@
 use crate::dispatch::timing::Timing;
 use crate::health::Outcome;
 use crate::id::Zone;
+use crate::roster::Number;
+use crate::statement::Ledger;
 use crate::upstream::Announcement;
 use crate::upstream::Stage;
 
@@ -44,6 +46,8 @@
     /// When the last announcement arrived.
     pub last_heard: Instant,
     stage: Stage,
+    /// Whether the upstream has stated in an answer that it is draining.
+    states_draining: bool,
     /// Latency as a multiple of the mean of the route.
     slowdown: f64,
     slowdown_updated: Instant,
@@ -62,6 +66,7 @@
             last_failed: None,
             last_heard: now,
             stage: announcement.stage,
+            states_draining: false,
             slowdown: 1.0,
             slowdown_updated: now,
         }
@@ -74,10 +79,15 @@
         self.stage = announcement.stage;
     }
 
+    /// Applies what the upstream has stated about itself in its answers.
+    pub fn apply_ledger(&mut self, number: Number, ledger: &Ledger) {
+        self.states_draining = ledger.is_draining(number);
+    }
+
     /// Returns whether the upstream takes new requests.
     #[must_use]
     pub const fn is_open(&self) -> bool {
-        self.stage.takes_requests()
+        self.stage.takes_requests() && !self.states_draining
     }
 
     /// Returns whether the upstream takes new requests and has a free slot.
--- a/crates/core/src/statement.rs
+++ b/crates/core/src/statement.rs
@@ -42,6 +42,12 @@
         statement.is_draining && self.draining.insert(upstream)
     }
 
+    /// Returns the statement that is in force for each upstream that has made one.
+    pub fn statements(&self) -> impl Iterator<Item = (Number, Statement)> {
+        let draining = Statement { is_draining: true };
+        self.draining.iter().map(move |number| (*number, draining))
+    }
+
     /// Returns whether an upstream has stated that it is draining.
     #[must_use]
     pub fn is_draining(&self, upstream: Number) -> bool {
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -4,4 +4,5 @@
 mod limits;
 mod queueing;
 mod size;
+mod statements;
 mod world;
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -33,6 +33,7 @@
 use persimmonbend_core::roster::Entry;
 use persimmonbend_core::roster::Number;
 use persimmonbend_core::roster::Revision;
+use persimmonbend_core::statement::Statement;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -196,6 +197,13 @@
     Suspects(Vec<Number>),
     /// Announces that the host stops as planned.
     Stopping,
+    /// Reports what an upstream has stated about itself in an answer to the host.
+    Stated {
+        /// The upstream.
+        upstream: Number,
+        /// What it stated.
+        statement: Statement,
+    },
 }
 
 impl Frame {
@@ -212,7 +220,7 @@
             | Self::Unsubscribe => "greetings",
             Self::Reserve(_) => "reservations",
             Self::Granted { .. } | Self::Queued { .. } | Self::Refused { .. } => "decisions",
-            Self::Release { .. } | Self::Running { .. } => "reports",
+            Self::Release { .. } | Self::Running { .. } | Self::Stated { .. } => "reports",
             Self::Published(_) | Self::Announced { .. } => "publications",
             Self::Upstreams { .. } => "upstreams",
             Self::Heartbeat { .. } => "heartbeats",
--- a/crates/wire/src/dispatch/hosts.rs
+++ b/crates/wire/src/dispatch/hosts.rs
@@ -185,6 +185,16 @@
                 self.dispatcher.adopt_suspects(&suspects, false, now);
                 Vec::new()
             }
+            Frame::Stated {
+                upstream,
+                statement,
+            } => {
+                if self.dispatcher.note_statement(upstream, &statement, now) {
+                    let draining = statement.is_draining;
+                    info!(host, number = upstream, draining, "upstream_stated");
+                }
+                Vec::new()
+            }
             other => {
                 warn!(host, frame = ?other, "frame_unexpected");
                 Vec::new()
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -141,6 +141,11 @@
             return Reply::Fault(fault);
         }
     };
+    // The upstream may have told another request that it drains while this one connected.
+    if state.placer().is_draining(reservation.upstream()) {
+        reservation.end(Outcome::Cancelled, 0);
+        return Reply::Fault(Fault::unsent(Outcome::Cancelled));
+    }
     let left = plan.deadline.saturating_duration_since(state.now());
     let sending = exchange(state, plan, metadata, &reservation, connection, left);
     let result = timeout(left, sending).await;
@@ -193,7 +198,7 @@
     let verdict = state.dialect().classify(metadata, &head);
     if verdict.is_of_upstream() {
         let statement = state.dialect().statement(&head);
-        state.note_statement(reservation.upstream(), &statement);
+        state.note_statement(reservation.upstream(), statement);
     }
     match verdict {
         Verdict::Answered => {}
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -257,10 +257,31 @@
         self.deliver(answers);
     }
 
-    /// Records what an upstream states about itself; returns whether it changes what this host knows.
-    pub fn note_statement(&self, upstream: Number, statement: &Statement) -> bool {
+    /// Records what an upstream states about itself, and reports it to the dispatcher; returns whether it
+    /// changes what this host knows.
+    pub fn note_statement(&self, upstream: Number, statement: Statement, now: Instant) -> bool {
         let mut local = self.local_dispatcher.borrow_mut();
-        local.note_statement(upstream, statement)
+        let is_new = local.note_statement(upstream, &statement, now);
+        if let (true, Some(link)) = (is_new, &*self.link.borrow()) {
+            link.send(stated_frame(upstream, statement));
+        }
+        is_new
+    }
+
+    /// Returns what upstreams have stated about themselves to this host.
+    #[must_use]
+    pub fn statements(&self) -> Vec<(Number, Statement)> {
+        let local = self.local_dispatcher.borrow();
+        local.ledger().statements().collect()
+    }
+
+    /// Returns whether an upstream has stated to this host that it is draining.
+    #[must_use]
+    pub fn is_draining(&self, upstream: Number) -> bool {
+        self.local_dispatcher
+            .borrow()
+            .ledger()
+            .is_draining(upstream)
     }
 
     /// Announces to the dispatcher that this host stops as planned.
@@ -342,6 +363,14 @@
     }
 }
 
+/// Returns the frame that reports what an upstream has stated about itself.
+const fn stated_frame(upstream: Number, statement: Statement) -> Frame {
+    Frame::Stated {
+        upstream,
+        statement,
+    }
+}
+
 /// Returns the frame that withdraws a reservation.
 fn cancellation_frame(number: u32) -> Frame {
     Frame::Release {
--- a/programs/pb-proxy/src/gateway/placement/link.rs
+++ b/programs/pb-proxy/src/gateway/placement/link.rs
@@ -316,7 +316,8 @@
         }
     }
 
-    /// Makes `sender` the link in use and reports the slots in use and the suspected upstreams.
+    /// Makes `sender` the link in use and reports the slots in use, the suspected upstreams
+    /// and what upstreams have stated about themselves.
     ///
     /// `target` is the other end of the link, which leads to `leader` unless it is a deputy.
     fn open_link(&self, sender: &Sender, target: Target, leader: Option<SocketAddr>) {
@@ -333,6 +334,9 @@
         if let Some(suspects) = &*self.suspects.borrow() {
             sender.send(Frame::Suspects(suspects.iter().copied().collect()));
         }
+        for (upstream, statement) in self.statements() {
+            sender.send(placement::stated_frame(upstream, statement));
+        }
         self.has_suspects_of_link.set(false);
         self.is_subscribed.set(false);
         self.unanswered_since.set(None);
--- a/programs/pb-proxy/src/gateway/placement/reserve.rs
+++ b/programs/pb-proxy/src/gateway/placement/reserve.rs
@@ -9,9 +9,11 @@
 use futures_channel::mpsc;
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_util::StreamExt;
+use persimmonbend_core::dispatch::Completion;
 use persimmonbend_core::dispatch::Decision;
 use persimmonbend_core::dispatch::Request;
 use persimmonbend_core::error::Kind;
+use persimmonbend_core::health::Outcome;
 use persimmonbend_wire::dispatch;
 use persimmonbend_wire::dispatch::Frame;
 use persimmonbend_wire::dispatch::Reserve;
@@ -76,7 +78,8 @@
                 let number = placer.next_number();
                 let decision = placer.ask_dispatcher(state, &link, number, criteria).await;
                 if let Some(decision) = decision {
-                    if placer.rejects_unknown(state, &link, number, decision, criteria) {
+                    if placer.rejects_grant(state, number, decision, criteria) {
+                        link.send(cancellation_frame(number));
                         continue;
                     }
                     if !placer.via_deputy.get() {
@@ -94,18 +97,21 @@
             }
             let number = placer.next_number();
             let decision = placer.place_locally(state, criteria, number).await;
+            if placer.rejects_grant(state, number, decision, criteria) {
+                placer.cancel_locally(number, state.now());
+                continue;
+            }
             if !placer.wait_for_token(state, until, decision).await {
                 return placer.conclude(state, criteria, number, decision, false);
             }
         }
     }
 
-    /// Gives back a grant of an upstream that this host has not been told of yet, and excludes it from
-    /// the next ones; returns whether it did.
-    fn rejects_unknown(
+    /// Returns whether this host cannot use a grant, since it has not been told of the upstream yet, or
+    /// since the upstream has told it that it drains; excludes the upstream from the next grants.
+    fn rejects_grant(
         &self,
         state: &State,
-        link: &Sender,
         number: u32,
         decision: Decision,
         criteria: &mut Criteria,
@@ -113,17 +119,35 @@
         let Decision::Granted { upstream, .. } = decision else {
             return false;
         };
-        let is_rejected =
-            state.upstream(upstream).is_none() && criteria.avoid.len() < MAX_UNKNOWN_UPSTREAMS;
-        if is_rejected {
-            info!(
-                request = criteria.request,
-                number, upstream, "upstream_unknown"
-            );
-            link.send(cancellation_frame(number));
-            criteria.avoid.push(upstream);
+        let request = &criteria.request;
+        if criteria.avoid.contains(&upstream) {
+            return false;
+        }
+        if self.is_draining(upstream) {
+            info!(request, number, upstream, "upstream_draining");
+        } else if state.upstream(upstream).is_none() && criteria.avoid.len() < MAX_UNKNOWN_UPSTREAMS
+        {
+            info!(request, number, upstream, "upstream_unknown");
+        } else {
+            return false;
         }
-        is_rejected
+        criteria.avoid.push(upstream);
+        true
+    }
+
+    /// Withdraws a grant of the local dispatcher.
+    fn cancel_locally(&self, number: u32, now: Instant) {
+        let unused = Completion {
+            outcome: Outcome::Cancelled,
+            latency: Duration::ZERO,
+            bytes: 0,
+        };
+        let ticket = self.ticket(number);
+        let answers = self
+            .local_dispatcher
+            .borrow_mut()
+            .release(&ticket, &unused, now);
+        self.deliver(answers);
     }
 
     /// Waits for the next token or a new link after a share of the quota is used up, as the next
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -217,9 +217,12 @@
         self.upstreams.borrow().values().cloned().collect()
     }
 
-    /// Returns an upstream if its stage takes requests.
+    /// Returns an upstream if it takes requests, by its stage and by what it has stated to this host.
     #[must_use]
     pub fn upstream(&self, number: Number) -> Option<Entry> {
+        if self.placer.is_draining(number) {
+            return None;
+        }
         let upstreams = self.upstreams.borrow();
         let entry = upstreams.get(&number)?;
         entry
@@ -230,8 +233,8 @@
     }
 
     /// Records, logs and counts what an upstream states about itself in an answer, if it is news.
-    pub fn note_statement(&self, number: Number, statement: &Statement) {
-        if !self.placer.note_statement(number, statement) {
+    pub fn note_statement(&self, number: Number, statement: Statement) {
+        if !self.placer.note_statement(number, statement, self.now()) {
             return;
         }
         let upstreams = self.upstreams.borrow();
