fix(roster): report the earlier start of an upstream as left when it starts again under its id

Cause: an announcement of a new incarnation under a known id returned only the new entry. Hosts and dispatchers kept the number of the earlier start as an upstream of its own, at the same id. Requests that were placed under it reached the new start, and what that stated in its answers (that it drains) was recorded for the number of the earlier start, so requests under the new number went on.

Change: the earlier entry is returned as left, before the new one.

Found while looking for the cause of DRAIN elsewhere (new incarnations). The test failed before: [(2, Ready)] in place of [(1, Left), (2, Ready)].

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -46,6 +46,13 @@
     Outdated,
 }
 
+/// Returns the entry of an upstream that has now left, or `None` if it had left before.
+fn departed(entry: &Entry) -> Option<Entry> {
+    let mut entry = entry.clone();
+    let stage = std::mem::replace(&mut entry.announcement.stage, Stage::Left);
+    (stage != Stage::Left).then_some(entry)
+}
+
 /// The upstreams of the fleet, with those that have left.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Roster {
@@ -107,8 +114,9 @@
             changed.extend(self.deregister(&other));
         }
         let known = self.entries.get(&announcement.id);
-        let same_start =
-            known.filter(|one| one.announcement.incarnation == announcement.incarnation);
+        let is_same_start = |one: &&Entry| one.announcement.incarnation == announcement.incarnation;
+        let same_start = known.filter(is_same_start);
+        changed.extend(known.filter(|one| !is_same_start(one)).and_then(departed));
         let number = same_start.map_or(self.next + 1, |one| one.number);
         self.next = self.next.max(number);
         let entry = Entry {
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -99,6 +99,20 @@
     assert_eq!(stage(&roster, "new"), Some(Stage::Ready));
 }
 
+#[test]
+fn a_new_start_under_the_same_id_reports_the_earlier_one_as_left() {
+    let mut roster = Roster::default();
+    roster.apply(&announcement("u", 1, 5, 1, Stage::Ready));
+    let earlier = roster.get("u").unwrap().number;
+    let changed = roster.apply(&announcement("u", 2, 6, 1, Stage::Ready));
+    let stages = changed
+        .iter()
+        .map(|one| (one.number, one.announcement.stage));
+    let later = roster.get("u").unwrap().number;
+    let expected = [(earlier, Stage::Left), (later, Stage::Ready)];
+    assert_eq!(stages.collect::<Vec<_>>(), expected);
+}
+
 #[test]
 fn the_number_of_departed_upstreams_is_bounded() {
     let mut roster = Roster::default();
