feat(proxy): log and count the limits that upstreams state in their answers

Cause: nothing that a host logs tells which limit it was told and when, so that the hypotheses on LIMIT cannot be told apart.

Change: the limit (requests a second from all hosts, the lowest valid one of an answer) is part of a Statement. The ledger keeps it until a complete answer comes without one to a request that was placed after the limit was last stated; an older answer proves nothing. The lines upstream_stated and upstream_limit_ended, on the host and on the leader, tell who was told what and when it ended; a counter each. No placing depends on it yet.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -212,6 +212,8 @@
     hosts: BTreeMap<HostId, Host>,
     /// What upstreams have stated about themselves.
     ledger: Ledger,
+    /// Upstreams whose limits have ended since [`Dispatcher::take_ended_limits`].
+    ended_limits: Vec<Number>,
     /// Pairs of a host and an upstream that it could not connect to, with the end of the pause.
     unreachable_until: BTreeMap<(HostId, Number), Instant>,
     /// Requests and upstreams that were looked at to place requests.
@@ -233,6 +235,7 @@
             quotas: Quotas::default(),
             hosts: BTreeMap::new(),
             ledger: Ledger::default(),
+            ended_limits: Vec::new(),
             unreachable_until: BTreeMap::new(),
             steps: 0,
         }
@@ -304,7 +307,7 @@
         statement: &Statement,
         now: Instant,
     ) -> bool {
-        let is_new = self.ledger.note(upstream, statement);
+        let is_new = self.ledger.note(upstream, statement, now);
         let service = self.services.get(&upstream);
         let pool = service.and_then(|service| self.pools.get_mut(service));
         if let (true, Some(pool)) = (is_new, pool) {
@@ -316,6 +319,11 @@
         is_new
     }
 
+    /// Returns the upstreams whose limits have ended since the last call.
+    pub fn take_ended_limits(&mut self) -> Vec<Number> {
+        std::mem::take(&mut self.ended_limits)
+    }
+
     /// Returns what upstreams have stated about themselves.
     #[must_use]
     pub const fn ledger(&self) -> &Ledger {
--- a/crates/core/src/dispatch/observation.rs
+++ b/crates/core/src/dispatch/observation.rs
@@ -53,6 +53,10 @@
                 state.observe_outcome(completion.outcome, now);
             });
         }
+        let is_whole = completion.outcome == Outcome::Answered;
+        if is_whole && self.ledger.end_limit(slot.upstream, slot.since) {
+            self.ended_limits.push(slot.upstream);
+        }
         match completion.outcome {
             Outcome::Answered => {
                 pool.change(slot.upstream, now, |state| {
--- a/crates/core/tests/dispatch/statements.rs
+++ b/crates/core/tests/dispatch/statements.rs
@@ -14,7 +14,10 @@
 use crate::world::NON_IDEMPOTENT;
 use crate::world::World;
 
-const DRAINING: Statement = Statement { is_draining: true };
+const DRAINING: Statement = Statement {
+    is_draining: true,
+    limit: None,
+};
 
 fn drain(world: &mut World, upstream: Number) -> bool {
     let now = world.now;
--- a/crates/wire/src/dispatch/hosts.rs
+++ b/crates/wire/src/dispatch/hosts.rs
@@ -17,6 +17,7 @@
 use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Number;
 use persimmonbend_core::roster::Revision;
+use persimmonbend_core::statement::Limit;
 use persimmonbend_core::steward::Ticket;
 use tracing::info;
 use tracing::warn;
@@ -191,7 +192,8 @@
             } => {
                 if self.dispatcher.note_statement(upstream, &statement, now) {
                     let draining = statement.is_draining;
-                    info!(host, number = upstream, draining, "upstream_stated");
+                    let limit = statement.limit.map(Limit::per_second);
+                    info!(host, number = upstream, draining, limit, "upstream_stated");
                 }
                 Vec::new()
             }
@@ -200,6 +202,9 @@
                 Vec::new()
             }
         };
+        for number in self.dispatcher.take_ended_limits() {
+            info!(host, number, "upstream_limit_ended");
+        }
         self.send(answers);
     }
 
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -262,7 +262,7 @@
     pub fn note_statement(&self, upstream: Number, statement: Statement, now: Instant) -> bool {
         let mut local = self.local_dispatcher.borrow_mut();
         let is_new = local.note_statement(upstream, &statement, now);
-        if let (true, Some(link)) = (is_new, &*self.link.borrow()) {
+        if let (true, Some(link)) = (is_new || statement.limit.is_some(), &*self.link.borrow()) {
             link.send(stated_frame(upstream, statement));
         }
         is_new
--- a/programs/pb-proxy/src/gateway/placement/reservation.rs
+++ b/programs/pb-proxy/src/gateway/placement/reservation.rs
@@ -100,11 +100,14 @@
             });
         }
         let ticket = placer.ticket(self.number);
-        let answers = placer
-            .local_dispatcher
-            .borrow_mut()
-            .release(&ticket, &completion, now);
+        let mut local = placer.local_dispatcher.borrow_mut();
+        let answers = local.release(&ticket, &completion, now);
+        let ended_limits = local.take_ended_limits();
+        drop(local);
         placer.deliver(answers);
+        for number in ended_limits {
+            self.state.note_ended_limit(number);
+        }
     }
 }
 
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use persimmonbend_app::stop::Stop;
 use persimmonbend_core::clock::Clock;
 use persimmonbend_core::id::TenantId;
+use persimmonbend_core::id::UpstreamId;
 use persimmonbend_core::key::Digest;
 use persimmonbend_core::publication::Delta;
 use persimmonbend_core::publication::Publication;
@@ -21,6 +22,7 @@
 use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Entry;
 use persimmonbend_core::roster::Number;
+use persimmonbend_core::statement::Limit;
 use persimmonbend_core::statement::Statement;
 use persimmonbend_core::upstream::Stage;
 use rand::RngExt;
@@ -237,10 +239,32 @@
         if !self.placer.note_statement(number, statement, self.now()) {
             return;
         }
+        let draining = statement.is_draining;
+        if draining {
+            self.meters.count_statement("draining");
+        }
+        let limit = statement.limit.map(Limit::per_second);
+        if limit.is_some() {
+            self.meters.count_statement("limit");
+        }
+        let upstream = self.id_of(number);
+        info!(upstream, number, draining, limit, "upstream_stated");
+    }
+
+    /// Logs and counts that an upstream no longer states a limit.
+    pub fn note_ended_limit(&self, number: Number) {
+        self.meters.count_statement("limit_ended");
+        info!(
+            upstream = self.id_of(number),
+            number, "upstream_limit_ended"
+        );
+    }
+
+    /// Returns the id of an upstream that is in the roster.
+    fn id_of(&self, number: Number) -> Option<UpstreamId> {
         let upstreams = self.upstreams.borrow();
-        let upstream = upstreams.get(&number).map(|entry| &entry.announcement.id);
-        self.meters.count_statement("draining");
-        info!(upstream, number, draining = true, "upstream_stated");
+        let entry = upstreams.get(&number);
+        entry.map(|entry| entry.announcement.id.clone())
     }
 
     /// Returns whether the load balancer may send new clients to this host.
