fix(dispatch): keep to the limit that an upstream states, over all hosts together

What callers saw: an upstream that had named a limit got many times as much (LIMIT): 26 requests in four seconds where 11 are allowed in the record, so that it stayed in need.

Cause: the limit was read nowhere; the leader placed by cost and free slots, and an upstream that answers fast is cheap.

Change: the dispatcher that places paces requests to a limited upstream (dispatch::Pace): one permit an interval, which lapses. The leader issues the whole limit, a deputy or a host on its own 0.4 of its share, and hosts draw the start of their intervals at random. An upstream with a limit counts for waiting times with what it takes, and not for the floor; one that takes none gets a request in five seconds, to learn when that ends.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -17,6 +17,7 @@
 mod failures;
 mod free;
 mod observation;
+mod pace;
 mod placing;
 mod pool;
 mod quotas;
@@ -37,6 +38,7 @@
 pub use cost::Attempt;
 pub use failures::Failures;
 pub use free::Free;
+pub use pace::Pace;
 pub use pool::Pool;
 pub use quotas::Quotas;
 pub use quotas::Share;
@@ -58,6 +60,7 @@
 use crate::roster::Entry;
 use crate::roster::Number;
 use crate::statement::Ledger;
+use crate::statement::Limit;
 use crate::statement::Statement;
 use crate::steward::Ticket;
 use crate::upstream::Stage;
@@ -72,6 +75,17 @@
 /// Shortest time after which a refused request may be retried.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 
+/// Fraction of its share of a limit that a dispatcher without the leader uses: the leader grants the whole
+/// limit, and operators tolerate half as much again.
+const LOCAL_LIMIT_FRACTION: f64 = 0.4;
+
+/// Requests a second that all hosts together send to an upstream which takes fewer or none, to learn when
+/// its limit ends.
+const MIN_LIMIT_PER_SECOND: f64 = 0.2;
+
+/// Time for which a permit for a request to an upstream with a limit can be used.
+const PERMIT_LIFETIME: Duration = Duration::from_millis(500);
+
 /// Settings of a dispatcher.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Policy {
@@ -194,6 +208,8 @@
     pub grey: f64,
     /// Whether the upstream has stated in an answer that it is draining.
     pub states_draining: bool,
+    /// Requests a second that the upstream has stated to take from all hosts.
+    pub limit: Option<f64>,
 }
 
 /// Chooses an upstream for each request of the fleet.
@@ -202,6 +218,8 @@
     policy: Policy,
     /// Share of the quotas and retry budgets that this dispatcher hands out.
     share: f64,
+    /// Part of an interval after which the first permit of a limit is issued.
+    first_permit: f64,
     publication: Rc<Publication>,
     pools: BTreeMap<ServiceId, Pool>,
     /// Service of each upstream.
@@ -227,6 +245,7 @@
         Self {
             policy,
             share: 1.0,
+            first_permit: 1.0,
             publication: Rc::default(),
             pools: BTreeMap::new(),
             services: BTreeMap::new(),
@@ -241,9 +260,22 @@
         }
     }
 
-    /// Sets the share of the quotas and retry budgets that this dispatcher hands out.
-    pub const fn set_share(&mut self, share: f64) {
+    /// Sets the share of the quotas, retry budgets and limits that this dispatcher hands out.
+    pub fn set_share(&mut self, share: f64, now: Instant) {
+        if (self.share - share).abs() < f64::EPSILON {
+            return;
+        }
         self.share = share;
+        let limits: Vec<(Number, Limit)> = self.ledger.limits().collect();
+        for (number, _) in limits {
+            self.apply_ledger(number, now);
+        }
+    }
+
+    /// Sets the part of an interval, from 0 to 1, after which the first permit of a limit is issued; random
+    /// parts spread the requests of dispatchers that each have a share.
+    pub const fn set_first_permit(&mut self, part: f64) {
+        self.first_permit = part;
     }
 
     /// Replaces the publication in force.
@@ -282,9 +314,8 @@
         let pool = self.pools.entry(service.clone());
         let pool = pool.or_insert_with(|| Pool::new(Budget::new(&retries, is_first), now));
         if !pool.change(entry.number, now, |state| state.update(announcement)) {
-            let mut state = Upstream::new(announcement, now);
-            state.apply_ledger(entry.number, &self.ledger);
-            pool.add(entry.number, state, now);
+            pool.add(entry.number, Upstream::new(announcement, now), now);
+            self.apply_ledger(entry.number, now);
         }
         self.place_queued(&service, now)
     }
@@ -308,17 +339,19 @@
         now: Instant,
     ) -> bool {
         let is_new = self.ledger.note(upstream, statement, now);
-        let service = self.services.get(&upstream);
-        let pool = service.and_then(|service| self.pools.get_mut(service));
-        if let (true, Some(pool)) = (is_new, pool) {
-            let ledger = &self.ledger;
-            pool.change(upstream, now, |state| {
-                state.apply_ledger(upstream, ledger);
-            });
+        if is_new {
+            self.apply_ledger(upstream, now);
         }
         is_new
     }
 
+    /// Ends the limit of an upstream, as another dispatcher knows that it has ended.
+    pub fn remove_limit(&mut self, upstream: Number, now: Instant) {
+        if self.ledger.remove_limit(upstream) {
+            self.apply_ledger(upstream, now);
+        }
+    }
+
     /// Returns the upstreams whose limits have ended since the last call.
     pub fn take_ended_limits(&mut self) -> Vec<Number> {
         std::mem::take(&mut self.ended_limits)
@@ -411,6 +444,7 @@
                 slots: state.slots,
                 grey: state.belief.grey(now),
                 states_draining: self.ledger.is_draining(number),
+                limit: self.ledger.limit(number).map(Limit::per_second),
             })
         });
         upstreams.collect()
@@ -585,6 +619,40 @@
         }
     }
 
+    /// Applies to an upstream what it has stated about itself.
+    fn apply_ledger(&mut self, upstream: Number, now: Instant) {
+        let states_draining = self.ledger.is_draining(upstream);
+        let limit = self.ledger.limit(upstream);
+        let terms = limit.map(|limit| self.permits(limit));
+        let first_permit = self.first_permit;
+        self.change_upstream(upstream, now, |state| {
+            state.set_draining(states_draining);
+            let pace = terms.map(|(interval, lifetime)| {
+                let mut pace = state
+                    .pace()
+                    .copied()
+                    .unwrap_or_else(|| Pace::new(interval, lifetime, first_permit, now));
+                pace.set(interval, lifetime);
+                pace
+            });
+            state.set_pace(pace);
+        });
+    }
+
+    /// Returns the interval between the permits that this dispatcher issues under a limit, and the time for
+    /// which each can be used.
+    ///
+    /// The leader alone knows how many requests all hosts send, and keeps a permit until the next one.
+    fn permits(&self, limit: Limit) -> (Duration, Duration) {
+        let per_second = limit.per_second().max(MIN_LIMIT_PER_SECOND);
+        if self.share < 1.0 {
+            let own = per_second * self.share * LOCAL_LIMIT_FRACTION;
+            return (interval(own), PERMIT_LIFETIME);
+        }
+        let interval = interval(per_second);
+        (interval, interval.max(PERMIT_LIFETIME))
+    }
+
     fn retries(&self) -> Retries {
         let retries = self.policy.retries;
         Retries {
@@ -638,6 +706,11 @@
     }
 }
 
+/// Returns the time between two of `per_second` requests.
+fn interval(per_second: f64) -> Duration {
+    Duration::try_from_secs_f64(1.0 / per_second).unwrap_or(Duration::MAX)
+}
+
 const fn refused(ticket: Ticket, kind: Kind, retry_after: Duration) -> Answer {
     Answer {
         ticket,
--- a/crates/core/src/dispatch/free.rs
+++ b/crates/core/src/dispatch/free.rs
@@ -1,7 +1,7 @@
 //! Index of the upstreams of one service by what they can take.
 //!
-//! A [`Free`] knows which upstreams have a free slot, by zone and by whether they are suspects, and
-//! how many slots the service has. A decision thus costs the same in a service of ten upstreams and
+//! A [`Free`] knows which upstreams have room for a request, by zone and by whether they are suspects, and
+//! how many slots of the service can be kept busy. A decision thus costs the same in a service of ten upstreams and
 //! of a thousand, also while all slots are in use or all upstreams are suspects.
 
 use std::collections::BTreeMap;
@@ -19,13 +19,16 @@
 /// Divisor of the part of a window that is kept for suspects while there are healthy upstreams.
 const SUSPECT_DIVISOR: usize = 4;
 
+/// Unit of [`Standing::capacity`].
+pub const THOUSANDTHS: f64 = 1_000.0;
+
 /// What one upstream can take.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Standing {
     /// Zone that the upstream runs in.
     pub zone: Zone,
-    /// Requests that the upstream runs at a time, 0 if it takes no new ones.
-    pub slots: u32,
+    /// Mean number of slots that new requests can keep busy, in thousandths; 0 if it takes no new ones.
+    pub capacity: u32,
     /// Whether the upstream is more likely grey than not.
     pub is_suspect: bool,
     /// Whether the upstream takes new requests and has a free slot.
@@ -37,8 +40,10 @@
 pub struct Free {
     standings: BTreeMap<Number, Standing>,
     zones: BTreeMap<Zone, Group>,
-    healthy_slots: u32,
-    suspect_slots: u32,
+    /// Sum of the capacities of the upstreams that are no suspects.
+    healthy_capacity: u32,
+    /// Sum of the capacities of the suspects.
+    suspect_capacity: u32,
     healthy_free: usize,
     suspect_free: usize,
 }
@@ -65,7 +70,7 @@
             return;
         }
         self.remove(number);
-        *self.slots_mut(standing.is_suspect) += standing.slots;
+        *self.capacity_mut(standing.is_suspect) += standing.capacity;
         if standing.has_room {
             *self.free_mut(standing.is_suspect) += 1;
             let group = self.zones.entry(standing.zone.clone()).or_default();
@@ -80,7 +85,7 @@
         let Some(standing) = self.standings.remove(&number) else {
             return;
         };
-        *self.slots_mut(standing.is_suspect) -= standing.slots;
+        *self.capacity_mut(standing.is_suspect) -= standing.capacity;
         if standing.has_room {
             *self.free_mut(standing.is_suspect) -= 1;
             if let Some(group) = self.zones.get_mut(&standing.zone) {
@@ -101,20 +106,19 @@
         self.healthy_free > 0
     }
 
-    /// Returns the slots of the open upstreams that are no suspects.
+    /// Returns the mean number of slots that new requests can keep busy at upstreams that are no suspects.
     #[must_use]
-    pub const fn healthy_slots(&self) -> u32 {
-        self.healthy_slots
+    pub fn healthy_capacity(&self) -> f64 {
+        f64::from(self.healthy_capacity) / THOUSANDTHS
     }
 
-    /// Returns the slots of the open upstreams that are no suspects, or of all open ones if none
-    /// is.
+    /// Returns the same as [`Free::healthy_capacity`], or for all upstreams if that is nothing.
     #[must_use]
-    pub const fn capacity(&self) -> u32 {
-        if self.healthy_slots > 0 {
-            self.healthy_slots
+    pub fn capacity(&self) -> f64 {
+        if self.healthy_capacity > 0 {
+            self.healthy_capacity()
         } else {
-            self.suspect_slots
+            f64::from(self.suspect_capacity) / THOUSANDTHS
         }
     }
 
@@ -135,11 +139,11 @@
         window
     }
 
-    const fn slots_mut(&mut self, is_suspect: bool) -> &mut u32 {
+    const fn capacity_mut(&mut self, is_suspect: bool) -> &mut u32 {
         if is_suspect {
-            &mut self.suspect_slots
+            &mut self.suspect_capacity
         } else {
-            &mut self.healthy_slots
+            &mut self.healthy_capacity
         }
     }
 
--- a/crates/core/src/dispatch/observation.rs
+++ b/crates/core/src/dispatch/observation.rs
@@ -31,6 +31,11 @@
         completion: &Completion,
         now: Instant,
     ) {
+        let is_whole = completion.outcome == Outcome::Answered;
+        if is_whole && self.ledger.end_limit(slot.upstream, slot.since) {
+            self.ended_limits.push(slot.upstream);
+            self.apply_ledger(slot.upstream, now);
+        }
         let publication = Rc::clone(&self.publication);
         let Some(route) = publication.routes.get(&slot.route) else {
             return;
@@ -53,10 +58,6 @@
                 state.observe_outcome(completion.outcome, now);
             });
         }
-        let is_whole = completion.outcome == Outcome::Answered;
-        if is_whole && self.ledger.end_limit(slot.upstream, slot.since) {
-            self.ended_limits.push(slot.upstream);
-        }
         match completion.outcome {
             Outcome::Answered => {
                 pool.change(slot.upstream, now, |state| {
--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -37,6 +37,9 @@
 /// Longest time after which a refused request may be retried.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Longest wait that is estimated; clients wait for less.
+const MAX_ESTIMATED_WAIT: Duration = Duration::from_secs(60 * 60);
+
 /// A search among the candidates for one request.
 struct Search<'a> {
     pool: &'a Pool,
@@ -184,8 +187,8 @@
             return false;
         };
         let until = healthy_wait_end(request, route);
-        let slots = pool.free().healthy_slots();
-        if slots == 0 || now >= until {
+        let capacity = pool.free().healthy_capacity();
+        if capacity <= 0.0 || now >= until {
             return false;
         }
         if pool.free().has_healthy() {
@@ -193,8 +196,8 @@
         }
         let priority = self.priority(request, route);
         let ahead = u32::try_from(pool.count_ahead(priority)).unwrap_or(u32::MAX);
-        let wait = pool.slot_time.mean().saturating_mul(ahead) / slots;
-        now + wait < until
+        let wait = pool.slot_time.mean().as_secs_f64() * f64::from(ahead) / capacity;
+        wait < until.saturating_duration_since(now).as_secs_f64()
     }
 
     /// Returns the upstreams that a host could not connect to a short time ago.
@@ -211,10 +214,7 @@
     pub(super) fn grant(&mut self, request: Request, choice: Choice, now: Instant) -> Answer {
         let Choice { upstream, is_trial } = choice;
         let attempt_timeout = self.attempt_timeout(&request, upstream, now);
-        self.change_upstream(upstream, now, |state| {
-            state.running += 1;
-            state.last_granted = Some(now);
-        });
+        self.change_upstream(upstream, now, |state| state.note_grant(now));
         let route = self.publication.routes.get(&request.route);
         let is_last =
             route.is_none_or(|route| !route.idempotent || request.attempts + 1 >= route.attempts);
@@ -269,12 +269,13 @@
     ) -> Option<(Kind, Duration)> {
         let pool = self.pools.get(&request.service)?;
         let capacity = pool.free().capacity();
-        if capacity == 0 {
+        if capacity <= 0.0 {
             return Some((Kind::NoUpstream, MIN_RETRY_AFTER * 2));
         }
         let ahead = u32::try_from(pool.count_ahead(priority)).unwrap_or(u32::MAX);
         let slot_time = pool.slot_time.mean();
-        let wait = slot_time.saturating_mul(ahead.saturating_add(1)) / capacity;
+        let wait = slot_time.as_secs_f64() * (f64::from(ahead) + 1.0) / capacity;
+        let wait = Duration::from_secs_f64(wait.min(MAX_ESTIMATED_WAIT.as_secs_f64()));
         let route = self.publication.routes.get(&request.route)?;
         let run_time = Duration::from_secs_f64(self.timing(&request.route, route).mean());
         let is_full = pool.queued() >= MAX_QUEUED_REQUESTS;
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -10,6 +10,7 @@
 use crate::dispatch::failures::Failures;
 use crate::dispatch::free::Free;
 use crate::dispatch::free::Standing;
+use crate::dispatch::free::THOUSANDTHS;
 use crate::dispatch::retries::Budget;
 use crate::dispatch::upstream::Upstream;
 use crate::publication::Priority;
@@ -130,7 +131,8 @@
     /// Takes note of the upstreams that became suspects, or no suspects, with time.
     pub fn refresh_all(&mut self, now: Instant) {
         for (number, state) in &self.upstreams {
-            self.free.set(*number, standing(state, now));
+            self.free
+                .set(*number, standing(state, self.slot_time.mean(), now));
         }
     }
 
@@ -197,12 +199,12 @@
         used < wanted * all
     }
 
-    /// Returns whether an upstream is open and has failed no request lately.
+    /// Returns whether an upstream is open, limits no requests and has failed none lately.
     #[must_use]
     pub fn counts_for_floor(&self, number: Number, now: Instant) -> bool {
         self.upstreams.get(&number).is_some_and(|state| {
             let lately = |at| now.saturating_duration_since(at) < FAILURE_WINDOW;
-            state.is_open() && !state.last_failed.is_some_and(lately)
+            state.is_open() && state.pace().is_none() && !state.last_failed.is_some_and(lately)
         })
     }
 
@@ -260,7 +262,7 @@
             let Some(state) = self.upstreams.get(number) else {
                 continue;
             };
-            if !allowed(*number) {
+            if !state.has_room(now) || !allowed(*number) {
                 continue;
             }
             let is_silent = now.saturating_duration_since(state.last_heard) > max_silence;
@@ -274,16 +276,19 @@
 
     fn refresh(&mut self, number: Number, now: Instant) {
         if let Some(state) = self.upstreams.get(&number) {
-            self.free.set(number, standing(state, now));
+            self.free
+                .set(number, standing(state, self.slot_time.mean(), now));
         }
     }
 }
 
-fn standing(state: &Upstream, now: Instant) -> Standing {
+fn standing(state: &Upstream, slot_time: Duration, now: Instant) -> Standing {
+    let capacity = state.capacity(slot_time) * THOUSANDTHS;
     Standing {
         zone: state.zone.clone(),
-        slots: if state.is_open() { state.slots } else { 0 },
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        capacity: capacity.ceil() as u32,
         is_suspect: state.belief.is_suspect(now),
-        has_room: state.has_room(),
+        has_room: state.has_room(now),
     }
 }
--- a/crates/core/src/dispatch/upstream.rs
+++ b/crates/core/src/dispatch/upstream.rs
@@ -4,11 +4,10 @@
 use std::time::Instant;
 
 use crate::dispatch::belief::Belief;
+use crate::dispatch::pace::Pace;
 use crate::dispatch::timing::Timing;
 use crate::health::Outcome;
 use crate::id::Zone;
-use crate::roster::Number;
-use crate::statement::Ledger;
 use crate::upstream::Announcement;
 use crate::upstream::Stage;
 
@@ -48,6 +47,8 @@
     stage: Stage,
     /// Whether the upstream has stated in an answer that it is draining.
     states_draining: bool,
+    /// Pace of this dispatcher's requests, if the upstream has stated a limit.
+    pace: Option<Pace>,
     /// Latency as a multiple of the mean of the route.
     slowdown: f64,
     slowdown_updated: Instant,
@@ -67,6 +68,7 @@
             last_heard: now,
             stage: announcement.stage,
             states_draining: false,
+            pace: None,
             slowdown: 1.0,
             slowdown_updated: now,
         }
@@ -79,9 +81,29 @@
         self.stage = announcement.stage;
     }
 
-    /// Applies what the upstream has stated about itself in its answers.
-    pub fn apply_ledger(&mut self, number: Number, ledger: &Ledger) {
-        self.states_draining = ledger.is_draining(number);
+    /// Sets whether the upstream has stated that it is draining.
+    pub const fn set_draining(&mut self, states_draining: bool) {
+        self.states_draining = states_draining;
+    }
+
+    /// Sets the pace of requests, or ends it.
+    pub const fn set_pace(&mut self, pace: Option<Pace>) {
+        self.pace = pace;
+    }
+
+    /// Returns the pace of requests, if the upstream has stated a limit.
+    #[must_use]
+    pub const fn pace(&self) -> Option<&Pace> {
+        self.pace.as_ref()
+    }
+
+    /// Records that a slot is granted.
+    pub fn note_grant(&mut self, now: Instant) {
+        self.running += 1;
+        self.last_granted = Some(now);
+        if let Some(pace) = &mut self.pace {
+            pace.take(now);
+        }
     }
 
     /// Returns whether the upstream takes new requests.
@@ -90,10 +112,24 @@
         self.stage.takes_requests() && !self.states_draining
     }
 
-    /// Returns whether the upstream takes new requests and has a free slot.
+    /// Returns whether the upstream takes new requests, has a free slot and, if it limits requests, a permit.
+    #[must_use]
+    pub fn has_room(&self, now: Instant) -> bool {
+        let has_permit = self.pace.is_none_or(|pace| pace.has_permit(now));
+        self.is_open() && self.running < self.slots && has_permit
+    }
+
+    /// Returns the mean number of slots that new requests can keep busy, each for `slot_time`.
     #[must_use]
-    pub const fn has_room(&self) -> bool {
-        self.is_open() && self.running < self.slots
+    pub fn capacity(&self, slot_time: Duration) -> f64 {
+        if !self.is_open() {
+            return 0.0;
+        }
+        let slots = f64::from(self.slots);
+        let busy = |pace: &Pace| pace.per_second() * slot_time.as_secs_f64();
+        self.pace
+            .as_ref()
+            .map_or(slots, |pace| busy(pace).min(slots))
     }
 
     /// Returns the expected time of a request of a route on this upstream, in seconds.
--- a/crates/core/src/statement.rs
+++ b/crates/core/src/statement.rs
@@ -107,6 +107,11 @@
         ends
     }
 
+    /// Removes the limit of an upstream; returns whether there was one.
+    pub fn remove_limit(&mut self, upstream: Number) -> bool {
+        self.limits.remove(&upstream).is_some()
+    }
+
     /// Returns the statement that is in force for each upstream that has made one.
     pub fn statements(&self) -> impl Iterator<Item = (Number, Statement)> {
         let numbers: BTreeSet<Number> = self
@@ -124,6 +129,12 @@
         })
     }
 
+    /// Returns the limits that are in force, by upstream.
+    pub fn limits(&self) -> impl Iterator<Item = (Number, Limit)> + Clone {
+        let limits = self.limits.iter();
+        limits.map(|(number, limited)| (*number, limited.limit))
+    }
+
     /// Returns whether an upstream has stated that it is draining.
     #[must_use]
     pub fn is_draining(&self, upstream: Number) -> bool {
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -2,6 +2,8 @@
 
 mod grey;
 mod limits;
+mod pace;
+mod paced;
 mod queueing;
 mod size;
 mod statements;
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -33,6 +33,7 @@
 use persimmonbend_core::roster::Entry;
 use persimmonbend_core::roster::Number;
 use persimmonbend_core::roster::Revision;
+use persimmonbend_core::statement::Limit;
 use persimmonbend_core::statement::Statement;
 use serde::Deserialize;
 use serde::Serialize;
@@ -204,6 +205,13 @@
         /// What it stated.
         statement: Statement,
     },
+    /// Tells a host of the limits that other hosts were told, as differences from what it was sent before.
+    Limits {
+        /// Limits that are new or have changed.
+        stated: Vec<(Number, Limit)>,
+        /// Upstreams whose limits have ended.
+        ended: Vec<Number>,
+    },
 }
 
 impl Frame {
@@ -223,7 +231,7 @@
             Self::Release { .. } | Self::Running { .. } | Self::Stated { .. } => "reports",
             Self::Published(_) | Self::Announced { .. } => "publications",
             Self::Upstreams { .. } => "upstreams",
-            Self::Heartbeat { .. } => "heartbeats",
+            Self::Heartbeat { .. } | Self::Limits { .. } => "heartbeats",
             Self::Relays(_) => "relays",
             Self::HostHeartbeat | Self::Suspects(_) | Self::Stopping => "host_states",
         }
--- a/crates/wire/src/dispatch/hosts.rs
+++ b/crates/wire/src/dispatch/hosts.rs
@@ -35,6 +35,8 @@
 pub struct Hosts {
     dispatcher: Dispatcher,
     links: BTreeMap<HostId, Link>,
+    /// Limits of upstreams, as the dispatcher last had them.
+    limits: Rc<BTreeMap<Number, Limit>>,
 }
 
 #[derive(Debug)]
@@ -44,15 +46,35 @@
     last_heartbeat: Instant,
     /// Suspects that the host was told of.
     suspects: Rc<BTreeSet<Number>>,
+    /// Limits that the host was told of.
+    limits: Rc<BTreeMap<Number, Limit>>,
+}
+
+impl Link {
+    /// Sends a host the differences between the limits that it was told of and those in force.
+    fn send_limits(&mut self, limits: &Rc<BTreeMap<Number, Limit>>) {
+        if Rc::ptr_eq(&self.limits, limits) {
+            return;
+        }
+        let known = std::mem::replace(&mut self.limits, Rc::clone(limits));
+        let is_new = |(number, limit): &(&Number, &Limit)| known.get(number) != Some(limit);
+        let stated = limits.iter().filter(is_new);
+        let ended = known.keys().filter(|number| !limits.contains_key(number));
+        self.sender.send(Frame::Limits {
+            stated: stated.map(|(number, limit)| (*number, *limit)).collect(),
+            ended: ended.copied().collect(),
+        });
+    }
 }
 
 impl Hosts {
     /// Creates the links of a dispatcher, with no host connected.
     #[must_use]
-    pub const fn new(dispatcher: Dispatcher) -> Self {
+    pub fn new(dispatcher: Dispatcher) -> Self {
         Self {
             dispatcher,
             links: BTreeMap::new(),
+            limits: Rc::default(),
         }
     }
 
@@ -102,6 +124,7 @@
             zone,
             last_heartbeat: now,
             suspects: Rc::default(),
+            limits: Rc::default(),
         };
         if let Some(previous) = self.links.insert(host.to_owned(), link) {
             previous.sender.close();
@@ -216,9 +239,17 @@
         let answers = self.dispatcher.tick(now);
         self.send(answers);
         let suspects = Rc::new(self.dispatcher.suspects(now));
+        let limits = self.dispatcher.ledger().limits();
+        if !limits
+            .clone()
+            .eq(self.limits.iter().map(|(number, limit)| (*number, *limit)))
+        {
+            self.limits = Rc::new(limits.collect());
+        }
         for link in self.links.values_mut() {
             if now.saturating_duration_since(link.last_heartbeat) >= HEARTBEAT_INTERVAL {
                 link.last_heartbeat = now;
+                link.send_limits(&self.limits);
                 let known = std::mem::replace(&mut link.suspects, Rc::clone(&suspects));
                 link.sender.send(Frame::Heartbeat {
                     hosts,
--- a/programs/pb-proxy/src/gateway/deputy.rs
+++ b/programs/pb-proxy/src/gateway/deputy.rs
@@ -62,7 +62,7 @@
                 continue;
             }
             let share = state.placer().share(serving.len());
-            serving.dispatcher_mut().set_share(share);
+            serving.dispatcher_mut().set_share(share, state.now());
             serving.tick(0, 0, 0, state.now());
         }
     }
@@ -151,7 +151,8 @@
         is_first_dispatcher: false,
         floor: settings.floor,
     });
-    dispatcher.set_share(state.placer().share(1));
+    dispatcher.set_share(state.placer().share(1), now);
+    dispatcher.set_first_permit(state.random_fraction());
     dispatcher.publish(Rc::clone(&state.in_force().publication));
     for entry in state.upstreams() {
         dispatcher.update_upstream(&entry, now);
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -147,7 +147,7 @@
 impl Placer {
     /// Creates a placer without a link; `draw` is a random number from 0 up to 1.
     #[must_use]
-    pub fn new(settings: &Settings, draw: f64) -> Self {
+    pub fn new(settings: &Settings, draw: f64, now: Instant) -> Self {
         let mut local = Dispatcher::new(Policy {
             retries: settings.retries,
             max_silence: Duration::MAX,
@@ -158,7 +158,8 @@
             is_first_dispatcher: false,
             floor: settings.floor,
         });
-        local.set_share(LOCAL_SHARE_FRACTION / f64::from(DEFAULT_HOST_COUNT));
+        local.set_share(LOCAL_SHARE_FRACTION / f64::from(DEFAULT_HOST_COUNT), now);
+        local.set_first_permit(draw);
         Self {
             host: settings.host.clone(),
             zone: settings.zone.clone(),
--- a/programs/pb-proxy/src/gateway/placement/link.rs
+++ b/programs/pb-proxy/src/gateway/placement/link.rs
@@ -14,6 +14,8 @@
 use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Number;
 use persimmonbend_core::roster::Revision;
+use persimmonbend_core::statement::Limit;
+use persimmonbend_core::statement::Statement;
 use persimmonbend_wire::dispatch;
 use persimmonbend_wire::dispatch::Frame;
 use persimmonbend_wire::dispatch::Receiver;
@@ -280,9 +282,12 @@
             } => {
                 note_announced(state, version, revision)?;
                 let placer = state.placer();
-                placer.note_hosts(hosts);
+                placer.note_hosts(hosts, state.now());
                 placer.note_suspects(&suspected, &cleared, state.now());
             }
+            Frame::Limits { stated, ended } => {
+                state.placer().note_limits(&stated, &ended, state.now());
+            }
             other => state.placer().apply_answer(sender, other)?,
         }
     }
@@ -393,12 +398,13 @@
     }
 
     /// Stores the number of hosts in the fleet, unless the leader does not know it yet.
-    fn note_hosts(&self, hosts: u32) {
+    fn note_hosts(&self, hosts: u32, now: Instant) {
         if hosts == 0 {
             return;
         }
         self.fleet_hosts.set(hosts);
-        self.local_dispatcher.borrow_mut().set_share(self.share(1));
+        let share = self.share(1);
+        self.local_dispatcher.borrow_mut().set_share(share, now);
     }
 
     /// Updates the suspects from the changes in a heartbeat; the first heartbeat of a link names all.
@@ -420,6 +426,22 @@
             .adopt_suspects(suspects, true, now);
     }
 
+    /// Notes limits that upstreams have stated to other hosts, and the end of such limits.
+    fn note_limits(&self, stated: &[(Number, Limit)], ended: &[Number], now: Instant) {
+        let mut local = self.local_dispatcher.borrow_mut();
+        for (upstream, limit) in stated {
+            let statement = Statement {
+                limit: Some(*limit),
+                ..Statement::default()
+            };
+            local.note_statement(*upstream, &statement, now);
+        }
+        for upstream in ended {
+            local.remove_limit(*upstream, now);
+        }
+        info!(?stated, ?ended, "limits_noted");
+    }
+
     /// Runs the timers of the local dispatcher.
     fn tick(&self, state: &State) {
         let answers = self.local_dispatcher.borrow_mut().tick(state.now());
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -102,7 +102,7 @@
         let mut rng = ChaCha8Rng::from_rng(&mut rand::rng());
         Self {
             feed: Feed::new(clock.now()),
-            placer: Placer::new(&settings, rng.random()),
+            placer: Placer::new(&settings, rng.random(), clock.now()),
             dialect,
             clock,
             in_force: RefCell::default(),
