fix(dispatch): let requests wait for a limited upstream before the first answer is timed

Cause: before its first answer a dispatcher expects a request to hold a slot for no time, so an upstream with a limit could keep no slot busy, and a service with no other one refused all requests as if it had no upstream. Capacities were also rounded up to a thousandth of a slot, three times the part of a limit that a host on its own has.

Change: a request is expected to hold a slot for a millisecond at least, for capacities and waits alike, and capacities count in millionths.

Evidence: a_request_that_waits_on_a_host_without_control_gets_the_next_permit failed before (503 no_upstream after 2 ms, twice) and passes.

--- a/crates/core/src/dispatch/free.rs
+++ b/crates/core/src/dispatch/free.rs
@@ -20,15 +20,15 @@
 const SUSPECT_DIVISOR: usize = 4;
 
 /// Unit of [`Standing::capacity`].
-pub const THOUSANDTHS: f64 = 1_000.0;
+pub const MILLIONTHS: f64 = 1_000_000.0;
 
 /// What one upstream can take.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Standing {
     /// Zone that the upstream runs in.
     pub zone: Zone,
-    /// Mean number of slots that new requests can keep busy, in thousandths; 0 if it takes no new ones.
-    pub capacity: u32,
+    /// Mean number of slots that new requests can keep busy, in millionths; 0 if it takes no new ones.
+    pub capacity: u64,
     /// Whether the upstream is more likely grey than not.
     pub is_suspect: bool,
     /// Whether the upstream takes new requests and has a free slot.
@@ -41,9 +41,9 @@
     standings: BTreeMap<Number, Standing>,
     zones: BTreeMap<Zone, Group>,
     /// Sum of the capacities of the upstreams that are no suspects.
-    healthy_capacity: u32,
+    healthy_capacity: u64,
     /// Sum of the capacities of the suspects.
-    suspect_capacity: u32,
+    suspect_capacity: u64,
     healthy_free: usize,
     suspect_free: usize,
 }
@@ -108,17 +108,19 @@
 
     /// Returns the mean number of slots that new requests can keep busy at upstreams that are no suspects.
     #[must_use]
-    pub fn healthy_capacity(&self) -> f64 {
-        f64::from(self.healthy_capacity) / THOUSANDTHS
+    #[allow(clippy::cast_precision_loss)]
+    pub const fn healthy_capacity(&self) -> f64 {
+        self.healthy_capacity as f64 / MILLIONTHS
     }
 
     /// Returns the same as [`Free::healthy_capacity`], or for all upstreams if that is nothing.
     #[must_use]
-    pub fn capacity(&self) -> f64 {
+    #[allow(clippy::cast_precision_loss)]
+    pub const fn capacity(&self) -> f64 {
         if self.healthy_capacity > 0 {
             self.healthy_capacity()
         } else {
-            f64::from(self.suspect_capacity) / THOUSANDTHS
+            self.suspect_capacity as f64 / MILLIONTHS
         }
     }
 
@@ -139,7 +141,7 @@
         window
     }
 
-    const fn capacity_mut(&mut self, is_suspect: bool) -> &mut u32 {
+    const fn capacity_mut(&mut self, is_suspect: bool) -> &mut u64 {
         if is_suspect {
             &mut self.suspect_capacity
         } else {
--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -196,7 +196,7 @@
         }
         let priority = self.priority(request, route);
         let ahead = u32::try_from(pool.count_ahead(priority)).unwrap_or(u32::MAX);
-        let wait = pool.slot_time.mean().as_secs_f64() * f64::from(ahead) / capacity;
+        let wait = pool.mean_slot_time().as_secs_f64() * f64::from(ahead) / capacity;
         wait < until.saturating_duration_since(now).as_secs_f64()
     }
 
@@ -273,7 +273,7 @@
             return Some((Kind::NoUpstream, MIN_RETRY_AFTER * 2));
         }
         let ahead = u32::try_from(pool.count_ahead(priority)).unwrap_or(u32::MAX);
-        let slot_time = pool.slot_time.mean();
+        let slot_time = pool.mean_slot_time();
         let wait = slot_time.as_secs_f64() * (f64::from(ahead) + 1.0) / capacity;
         let wait = Duration::from_secs_f64(wait.min(MAX_ESTIMATED_WAIT.as_secs_f64()));
         let route = self.publication.routes.get(&request.route)?;
@@ -295,7 +295,7 @@
             ticket: request.ticket.clone(),
             decision: Decision::Queued,
         };
-        let cost = pool.slot_time.mean();
+        let cost = pool.mean_slot_time();
         let tenant = request.tenant.clone().unwrap_or_default();
         let queue = pool.queues.entry(priority).or_default();
         queue.push(&tenant, cost, request);
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -9,8 +9,8 @@
 use crate::dispatch::cost::Attempt;
 use crate::dispatch::failures::Failures;
 use crate::dispatch::free::Free;
+use crate::dispatch::free::MILLIONTHS;
 use crate::dispatch::free::Standing;
-use crate::dispatch::free::THOUSANDTHS;
 use crate::dispatch::retries::Budget;
 use crate::dispatch::upstream::Upstream;
 use crate::publication::Priority;
@@ -40,6 +40,9 @@
 /// Time for which a large service is not checked again for its floor.
 const FLOOR_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Shortest time that a request is expected to hold a slot.
+const MIN_SLOT_TIME: Duration = Duration::from_millis(1);
+
 /// The upstreams of one service.
 #[derive(Debug)]
 pub struct Pool {
@@ -132,7 +135,7 @@
     pub fn refresh_all(&mut self, now: Instant) {
         for (number, state) in &self.upstreams {
             self.free
-                .set(*number, standing(state, self.slot_time.mean(), now));
+                .set(*number, standing(state, self.mean_slot_time(), now));
         }
     }
 
@@ -151,6 +154,13 @@
         &self.free
     }
 
+    /// Returns the estimated time that a request holds a slot; waiting times are in proportion to it, so it
+    /// is never zero.
+    #[must_use]
+    pub fn mean_slot_time(&self) -> Duration {
+        self.slot_time.mean().max(MIN_SLOT_TIME)
+    }
+
     /// Returns the number of queued requests that are served before a new one of `priority`.
     #[must_use]
     pub fn count_ahead(&self, priority: Priority) -> usize {
@@ -277,17 +287,17 @@
     fn refresh(&mut self, number: Number, now: Instant) {
         if let Some(state) = self.upstreams.get(&number) {
             self.free
-                .set(number, standing(state, self.slot_time.mean(), now));
+                .set(number, standing(state, self.mean_slot_time(), now));
         }
     }
 }
 
 fn standing(state: &Upstream, slot_time: Duration, now: Instant) -> Standing {
-    let capacity = state.capacity(slot_time) * THOUSANDTHS;
+    let capacity = state.capacity(slot_time) * MILLIONTHS;
     Standing {
         zone: state.zone.clone(),
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        capacity: capacity.ceil() as u32,
+        capacity: capacity.ceil() as u64,
         is_suspect: state.belief.is_suspect(now),
         has_room: state.has_room(now),
     }
