fix(proxy): run the timers of the local dispatcher also without a link

Cause: only the loop of a link ran them. On a host without any link, requests that waited for a permit of a limited upstream, or for a slot, were looked at again only when another attempt ended, and those that could no longer be answered were not refused before their deadline.

Change: while there is no link they run every 50 ms; with a link nothing changes.

Evidence: a_request_that_waits_on_a_host_without_any_link_gets_the_next_permit failed before (503 after 2.47 s) and passes.

--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -121,6 +121,8 @@
     unanswered: Event,
     /// Notifies waiting requests that a link was opened.
     link_opened: Event,
+    /// Notifies the timers of the local dispatcher that the link was closed.
+    link_closed: Event,
     /// Upstreams that the leader last reported as suspected.
     suspects: RefCell<Option<BTreeSet<Number>>>,
     /// Whether a heartbeat arrived on the link in use, so that the suspects are those of its
@@ -172,6 +174,7 @@
             unanswered_since: Cell::new(None),
             unanswered: Event::new(),
             link_opened: Event::new(),
+            link_closed: Event::new(),
             suspects: RefCell::new(None),
             has_suspects_of_link: Cell::new(false),
             replicas: RefCell::default(),
--- a/programs/pb-proxy/src/gateway/placement/link.rs
+++ b/programs/pb-proxy/src/gateway/placement/link.rs
@@ -60,8 +60,30 @@
 /// Time between two rounds of looking for a leader while the link goes to a deputy.
 const DEPUTY_EXIT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time between two checks of the local dispatcher's timers while there is no link.
+const UNLINKED_TICK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Maintains a link to the leader, a relay or a deputy until the future is dropped.
 pub async fn run(state: Rc<State>) {
+    let ticking = spawn(tick_unlinked(Rc::clone(&state)));
+    maintain_link(state).await;
+    drop(ticking);
+}
+
+/// Runs the timers of the local dispatcher while there is no link; a link runs them with its heartbeats.
+async fn tick_unlinked(state: Rc<State>) {
+    let placer = state.placer();
+    loop {
+        let closed = placer.link_closed.listen();
+        if placer.link.borrow().is_some() {
+            closed.await;
+        }
+        placer.tick(&state);
+        compio::time::sleep(UNLINKED_TICK_INTERVAL).await;
+    }
+}
+
+async fn maintain_link(state: Rc<State>) {
     let mut search = Search::new(state.rng().random_range(0..MAX_REPLICAS));
     loop {
         if let Some(target) = search.next(&state) {
@@ -371,6 +393,7 @@
         self.local_dispatcher.borrow_mut().reset_quotas();
         *self.link.borrow_mut() = None;
         self.pending.borrow_mut().clear();
+        self.link_closed.notify(usize::MAX);
     }
 
     /// Asks the leader for the publication and the upstreams, unless the host has them from a replica
