feat(proxy): obey the pause that an upstream asks for with a 503

Cause: an upstream that turned a request away and named a time for which it wants nothing from the host got the next request at once; Retry-After of upstreams was read nowhere, and callers were told a constant.

Change: the pause is part of a Statement, kept in the same ledger by host and by start of the upstream. No dispatcher places a request of that host there, the host gives back a grant and checks once more before it sends, and it reports the rest of its pauses over each new link. Other hosts are not bound: the upstream asked one. Where every open upstream of a service has been tried or pauses for the host, requests are refused at once, those in the queue too, with the time until the first pause ends; returns are spread over two seconds at the most, at the rate that the upstreams can answer. The floor does not override a pause.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -210,6 +210,8 @@
     pub states_draining: bool,
     /// Requests a second that the upstream has stated to take from all hosts.
     pub limit: Option<f64>,
+    /// Hosts from which the upstream wants no requests for now.
+    pub paused_hosts: usize,
 }
 
 /// Chooses an upstream for each request of the fleet.
@@ -331,14 +333,16 @@
         self.change_upstream(number, now, |state| state.last_heard = now);
     }
 
-    /// Records what an upstream states about itself; returns whether it changes what is known.
+    /// Records what an upstream states about itself in an answer to a host; returns whether it changes what
+    /// is known.
     pub fn note_statement(
         &mut self,
+        host: &str,
         upstream: Number,
         statement: &Statement,
         now: Instant,
     ) -> bool {
-        let is_new = self.ledger.note(upstream, statement, now);
+        let is_new = self.ledger.note(host, upstream, statement, now);
         if is_new {
             self.apply_ledger(upstream, now);
         }
@@ -388,6 +392,7 @@
     /// Returns answers to requests of other hosts that can now be placed.
     pub fn remove_host(&mut self, host: &str, now: Instant) -> Vec<Answer> {
         self.hosts.remove(host);
+        self.ledger.forget_host(host);
         self.release_host(host, now)
     }
 
@@ -445,6 +450,7 @@
                 grey: state.belief.grey(now),
                 states_draining: self.ledger.is_draining(number),
                 limit: self.ledger.limit(number).map(Limit::per_second),
+                paused_hosts: self.ledger.count_paused_hosts(number, now),
             })
         });
         upstreams.collect()
@@ -522,6 +528,7 @@
             return vec![self.grant(request, choice, now)];
         }
         if let Some((kind, wait)) = self.refusal(&request, priority, now) {
+            let wait = self.spread_return(&request.service, kind, wait, now);
             self.refund(&request);
             if let Some(pool) = self.pools.get_mut(&request.service) {
                 pool.failures.observe_refusal(now);
@@ -554,6 +561,7 @@
     pub fn tick(&mut self, now: Instant) -> Vec<Answer> {
         self.record_late_attempts(now);
         self.unreachable_until.retain(|_, until| now < *until);
+        self.ledger.expire(now);
         let is_kept = |host: &Host| {
             let disconnected = host.disconnected_at;
             disconnected
--- a/crates/core/src/dispatch/free.rs
+++ b/crates/core/src/dispatch/free.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::ops::Bound;
+use std::time::Instant;
 
 use crate::id::Zone;
 use crate::roster::Number;
@@ -124,9 +125,10 @@
         }
     }
 
-    /// Returns upstreams with a free slot that are to be compared for a request of `zone`; the next
+    /// Returns upstreams with a free slot, without the paused ones, that are to be compared for a request of
+    /// `zone`; the next
     /// call goes on behind them.
-    pub fn candidates(&mut self, zone: &str) -> Vec<Number> {
+    pub fn candidates(&mut self, zone: &str, paused: &BTreeMap<Number, Instant>) -> Vec<Number> {
         let mut window = Vec::with_capacity(MAX_LOCAL_CANDIDATES + MAX_REMOTE_CANDIDATES);
         let others = self.zones.len().saturating_sub(1).max(1);
         let each = (MAX_REMOTE_CANDIDATES / others).max(1);
@@ -136,7 +138,7 @@
             } else {
                 each
             };
-            group.visit(most, &mut window);
+            group.visit(most, paused, &mut window);
         }
         window
     }
@@ -168,24 +170,25 @@
     }
 
     /// Appends at most `most` upstreams to `window`, some of them suspects.
-    fn visit(&mut self, most: usize, window: &mut Vec<Number>) {
+    fn visit(&mut self, most: usize, paused: &BTreeMap<Number, Instant>, window: &mut Vec<Number>) {
         let kept = self.suspect.numbers.len().min(most / SUSPECT_DIVISOR);
         let healthy = self.healthy.numbers.len().min(most - kept);
-        self.healthy.visit(healthy, window);
-        self.suspect.visit(most - healthy, window);
+        self.healthy.visit(healthy, paused, window);
+        self.suspect.visit(most - healthy, paused, window);
     }
 }
 
 impl Ring {
     /// Appends the next numbers to `window`, each at most once.
-    fn visit(&mut self, most: usize, window: &mut Vec<Number>) {
+    fn visit(&mut self, most: usize, paused: &BTreeMap<Number, Instant>, window: &mut Vec<Number>) {
         let last = self.last;
         let after = self
             .numbers
             .range((Bound::Excluded(last), Bound::Unbounded));
         let rotated = after.chain(self.numbers.range(..=last));
         let before = window.len();
-        window.extend(rotated.take(most).copied());
+        let eligible = rotated.filter(|number| !paused.contains_key(number));
+        window.extend(eligible.take(most).copied());
         if window.len() > before
             && let Some(visited) = window.last()
         {
--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -1,5 +1,6 @@
 //! Choice of an upstream for a request, queueing and refusal.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,6 +38,9 @@
 /// Longest time after which a refused request may be retried.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Longest time over which the returns of requests are spread that no upstream could take.
+const MAX_RETURN_SPREAD: Duration = Duration::from_secs(2);
+
 /// Longest wait that is estimated; clients wait for less.
 const MAX_ESTIMATED_WAIT: Duration = Duration::from_secs(60 * 60);
 
@@ -50,6 +54,8 @@
     avoid: &'a [Number],
     /// Upstreams that the host could not connect to.
     unreachable: &'a BTreeSet<Number>,
+    /// Upstreams that want no requests from the host, whatever else speaks for them.
+    paused: &'a BTreeMap<Number, Instant>,
     now: Instant,
 }
 
@@ -76,7 +82,7 @@
         let is_accepted =
             |number: Number| accepts_suspects || !self.pool.is_suspect(number, self.now);
         let reachable = self.find(|number| is_accepted(number) && self.is_reachable(number));
-        reachable.or_else(|| self.find(|number| is_accepted(number) && self.is_untried(number)))
+        reachable.or_else(|| self.find(|number| is_accepted(number) && self.is_eligible(number)))
     }
 
     fn find<F: Fn(Number) -> bool>(&self, is_allowed: F) -> Option<Number> {
@@ -85,12 +91,12 @@
             .cheapest(candidates, attempt, self.max_silence, self.now, is_allowed)
     }
 
-    fn is_untried(&self, number: Number) -> bool {
-        !self.avoid.contains(&number)
+    fn is_eligible(&self, number: Number) -> bool {
+        !self.avoid.contains(&number) && !self.paused.contains_key(&number)
     }
 
     fn is_reachable(&self, number: Number) -> bool {
-        self.is_untried(number) && !self.unreachable.contains(&number)
+        self.is_eligible(number) && !self.unreachable.contains(&number)
     }
 }
 
@@ -121,7 +127,8 @@
         if waits && !pool.free().has_healthy() && !is_below_floor {
             return None;
         }
-        let candidates = pool.candidates(&request.zone);
+        let paused = self.ledger.paused(&request.ticket.host, now);
+        let candidates = pool.candidates(&request.zone, &paused);
         self.steps += candidates.len() as u64;
         let timing = self.timing(&request.route, route);
         let unreachable = self.unreachable_upstreams(&request.ticket.host, now);
@@ -141,6 +148,7 @@
             max_silence: self.policy.max_silence,
             avoid: &request.avoid,
             unreachable: &unreachable,
+            paused: &paused,
             now,
         };
         let idle = is_below_floor.then(|| search.idle()).flatten();
@@ -267,11 +275,11 @@
         priority: u32,
         now: Instant,
     ) -> Option<(Kind, Duration)> {
+        if let Some(wait) = self.time_without_upstream(request, now) {
+            return Some((Kind::NoUpstream, wait));
+        }
         let pool = self.pools.get(&request.service)?;
         let capacity = pool.free().capacity();
-        if capacity <= 0.0 {
-            return Some((Kind::NoUpstream, MIN_RETRY_AFTER * 2));
-        }
         let ahead = u32::try_from(pool.count_ahead(priority)).unwrap_or(u32::MAX);
         let slot_time = pool.mean_slot_time();
         let wait = slot_time.as_secs_f64() * (f64::from(ahead) + 1.0) / capacity;
@@ -286,6 +294,56 @@
         ))
     }
 
+    /// Returns how long no upstream can take a request: none is open, or each of them has been tried or wants
+    /// no requests from the host. Returns `None` if there is an upstream to wait for.
+    fn time_without_upstream(&self, request: &Request, now: Instant) -> Option<Duration> {
+        let pool = self.pools.get(&request.service)?;
+        if pool.free().capacity() <= 0.0 {
+            return Some(MIN_RETRY_AFTER * 2);
+        }
+        let paused = self.ledger.paused(&request.ticket.host, now);
+        if paused.is_empty() && request.avoid.is_empty() {
+            return None;
+        }
+        let is_eligible =
+            |number: &Number| !paused.contains_key(number) && !request.avoid.contains(number);
+        let mut open = pool.upstreams().filter(|(_, state)| state.is_open());
+        if open.any(|(number, _)| is_eligible(&number)) {
+            return None;
+        }
+        let open = pool.upstreams().filter(|(_, state)| state.is_open());
+        let ends = open.filter_map(|(number, _)| paused.get(&number));
+        let end = ends.min().map_or(MIN_RETRY_AFTER * 2, |end| *end - now);
+        Some(end.max(MIN_RETRY_AFTER))
+    }
+
+    /// Returns the time after which a refused request may be retried: where no upstream could take it, those
+    /// who return come one after the other, as fast as the upstreams can answer them.
+    pub(super) fn spread_return(
+        &mut self,
+        service: &str,
+        kind: Kind,
+        wait: Duration,
+        now: Instant,
+    ) -> Duration {
+        let Some(pool) = self
+            .pools
+            .get_mut(service)
+            .filter(|_| kind == Kind::NoUpstream)
+        else {
+            return wait;
+        };
+        let earliest = now + wait;
+        let latest = earliest + MAX_RETURN_SPREAD;
+        let next = pool.next_return.unwrap_or(earliest);
+        let at = next.clamp(earliest, latest);
+        let step = pool
+            .mean_slot_time()
+            .div_f64(pool.free().capacity().max(1.0));
+        pool.next_return = Some(at + step);
+        at - now
+    }
+
     /// Queues a request at its priority.
     pub(super) fn enqueue(&mut self, request: Request, priority: u32) -> Vec<Answer> {
         let Some(pool) = self.pools.get_mut(&request.service) else {
@@ -304,16 +362,17 @@
 
     /// Grants free slots of a service to its queued requests.
     ///
-    /// Slots of suspects are offered at intervals only: most queued requests wait for a healthy
-    /// upstream, and a search through all of them at every event would take longer than the event is
-    /// worth.
+    /// Slots of suspects, and all slots while some are of no use to paused hosts, are offered at intervals
+    /// only: most queued requests wait for another upstream, and a search through all of them at every event
+    /// would take longer than the event is worth.
     pub(super) fn place_queued(&mut self, service: &str, now: Instant) -> Vec<Answer> {
         let mut answers = Vec::new();
         let Some(pool) = self.pools.get_mut(service) else {
             return answers;
         };
         let offers_suspects = pool.next_suspect_offer.is_none_or(|at| now >= at);
-        if pool.queues.is_empty() || !has_offer(pool, offers_suspects) {
+        let is_search_due = offers_suspects || self.ledger.has_no_pauses();
+        if pool.queues.is_empty() || !is_search_due || !has_offer(pool, offers_suspects) {
             return answers;
         }
         if offers_suspects {
@@ -338,24 +397,35 @@
         answers
     }
 
-    /// Refuses the queued requests of a service that can no longer be answered in time.
+    /// Refuses the queued requests of a service that can no longer be answered in time, or that no upstream
+    /// can take any more.
     pub(super) fn refuse_late(&mut self, service: &str, now: Instant) -> Vec<Answer> {
         let Some(pool) = self.pools.get_mut(service) else {
             return Vec::new();
         };
         let mut queues = std::mem::take(&mut pool.queues);
-        let mut late = Vec::new();
+        let (mut late, mut stranded) = (Vec::new(), Vec::new());
         for queue in queues.values_mut() {
             late.extend(queue.remove_if(|request| self.is_too_late(request, now)));
+            stranded.extend(
+                queue.remove_if(|request| self.time_without_upstream(request, now).is_some()),
+            );
         }
         if let Some(pool) = self.pools.get_mut(service) {
             pool.queues = queues;
         }
-        for request in &late {
+        for request in late.iter().chain(&stranded) {
             self.refund(request);
         }
         let refuse = |request: Request| refused(request.ticket, Kind::Overloaded, MIN_RETRY_AFTER);
-        late.into_iter().map(refuse).collect()
+        let mut answers: Vec<Answer> = late.into_iter().map(refuse).collect();
+        for request in stranded {
+            let wait = self.time_without_upstream(&request, now);
+            let wait = wait.unwrap_or(MIN_RETRY_AFTER);
+            let wait = self.spread_return(service, Kind::NoUpstream, wait, now);
+            answers.push(refused(request.ticket, Kind::NoUpstream, wait));
+        }
+        answers
     }
 
     /// Returns whether less than half of the mean time of its route is left to a queued request.
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -57,6 +57,8 @@
     pub slot_time: Estimate,
     /// When the free slots of suspects are next offered to queued requests; at once if `None`.
     pub next_suspect_offer: Option<Instant>,
+    /// When the next request that no upstream could take is told to return.
+    pub next_return: Option<Instant>,
     free: Free,
     floor_check: Option<FloorCheck>,
 }
@@ -79,6 +81,7 @@
             failures: Failures::new(now),
             slot_time: Estimate::new(),
             next_suspect_offer: None,
+            next_return: None,
             free: Free::default(),
             floor_check: None,
         }
@@ -249,9 +252,10 @@
         state.is_some_and(|state| state.belief.is_suspect(now))
     }
 
-    /// Returns upstreams with a free slot that are to be compared for a request of `zone`.
-    pub fn candidates(&mut self, zone: &str) -> Vec<Number> {
-        self.free.candidates(zone)
+    /// Returns upstreams with a free slot, without the paused ones, that are to be compared for a request of
+    /// `zone`.
+    pub fn candidates(&mut self, zone: &str, paused: &BTreeMap<Number, Instant>) -> Vec<Number> {
+        self.free.candidates(zone, paused)
     }
 
     /// Returns the upstream of least expected cost among the `candidates` that `allowed` accepts.
--- a/crates/core/src/statement.rs
+++ b/crates/core/src/statement.rs
@@ -15,17 +15,19 @@
 //!     is_draining: true,
 //!     ..Statement::default()
 //! };
-//! assert!(ledger.note(7, &statement, Instant::now()));
+//! assert!(ledger.note("host-1", 7, &statement, Instant::now()));
 //! assert!(ledger.is_draining(7));
 //! ```
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 use std::time::Instant;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::id::HostId;
 use crate::roster::Number;
 
 /// Requests a second that an upstream takes from all hosts together, zero or more.
@@ -60,8 +62,13 @@
     pub is_draining: bool,
     /// Requests that the upstream takes from all hosts together, if it limits them.
     pub limit: Option<Limit>,
+    /// Time for which the upstream wants no requests from the host that it answers.
+    pub pause: Option<Duration>,
 }
 
+/// Longest pause, beyond which no clock of a host reaches.
+const MAX_PAUSE: Duration = Duration::from_secs(365 * 24 * 60 * 60);
+
 /// A limit that is in force.
 #[derive(Debug, Clone, Copy)]
 struct Limited {
@@ -75,22 +82,29 @@
 pub struct Ledger {
     draining: BTreeSet<Number>,
     limits: BTreeMap<Number, Limited>,
+    /// When the pauses end that upstreams have asked of each host.
+    pauses: BTreeMap<HostId, BTreeMap<Number, Instant>>,
 }
 
 impl Ledger {
-    /// Records the statement of an answer; returns whether it changes what is known.
+    /// Records the statement of an answer to a host; returns whether it changes what is known.
     ///
     /// An upstream that has once stated that it is draining does not return, so an answer without that
     /// statement changes nothing. What an answer without a limit means depends on when its request was
     /// placed, see [`Ledger::end_limit`].
-    pub fn note(&mut self, upstream: Number, statement: &Statement, now: Instant) -> bool {
+    pub fn note(
+        &mut self,
+        host: &str,
+        upstream: Number,
+        statement: &Statement,
+        now: Instant,
+    ) -> bool {
         let drains = statement.is_draining && self.draining.insert(upstream);
-        let Some(limit) = statement.limit else {
-            return drains;
-        };
-        let stated = Limited { limit, stated: now };
-        let before = self.limits.insert(upstream, stated);
-        drains || before.is_none_or(|before| before.limit != limit)
+        let limit = statement.limit;
+        let limits = limit.is_some_and(|limit| self.note_limit(upstream, limit, now));
+        let pause = statement.pause;
+        let pauses = pause.is_some_and(|pause| self.note_pause(host, upstream, pause, now));
+        drains || limits || pauses
     }
 
     /// Ends the limit of an upstream, as it answered without one a request that was placed at `placed`;
@@ -112,21 +126,53 @@
         self.limits.remove(&upstream).is_some()
     }
 
-    /// Returns the statement that is in force for each upstream that has made one.
-    pub fn statements(&self) -> impl Iterator<Item = (Number, Statement)> {
-        let numbers: BTreeSet<Number> = self
-            .draining
-            .iter()
-            .chain(self.limits.keys())
-            .copied()
-            .collect();
-        numbers.into_iter().map(|number| {
-            let statement = Statement {
-                is_draining: self.is_draining(number),
-                limit: self.limit(number),
-            };
-            (number, statement)
-        })
+    /// Returns the statement that is in force for each upstream that has made one, with the rest of the
+    /// pause that it has asked of a host.
+    #[must_use]
+    pub fn statements(&self, host: &str, now: Instant) -> Vec<(Number, Statement)> {
+        let pauses = self.paused(host, now);
+        let mut numbers = self.draining.clone();
+        numbers.extend(self.limits.keys());
+        numbers.extend(pauses.keys());
+        let statement = |number| Statement {
+            is_draining: self.is_draining(number),
+            limit: self.limit(number),
+            pause: pauses.get(&number).map(|end| *end - now),
+        };
+        let each = numbers.into_iter();
+        each.map(|number| (number, statement(number))).collect()
+    }
+
+    /// Returns the upstreams that want no requests from a host, with the ends of their pauses.
+    #[must_use]
+    pub fn paused(&self, host: &str, now: Instant) -> BTreeMap<Number, Instant> {
+        let pauses = self.pauses.get(host).into_iter().flatten();
+        let current = pauses.filter(|(_, end)| now < **end);
+        current.map(|(number, end)| (*number, *end)).collect()
+    }
+
+    /// Returns whether an upstream wants no requests from a host.
+    #[must_use]
+    pub fn is_paused(&self, host: &str, upstream: Number, now: Instant) -> bool {
+        let end = self
+            .pauses
+            .get(host)
+            .and_then(|pauses| pauses.get(&upstream));
+        end.is_some_and(|end| now < *end)
+    }
+
+    /// Returns whether no upstream has asked any host for a pause.
+    #[must_use]
+    pub fn has_no_pauses(&self) -> bool {
+        self.pauses.is_empty()
+    }
+
+    /// Returns the number of hosts from which an upstream wants no requests.
+    #[must_use]
+    pub fn count_paused_hosts(&self, upstream: Number, now: Instant) -> usize {
+        let hosts = self.pauses.keys();
+        let paused = hosts.filter(|host| self.is_paused(host, upstream, now));
+        paused.count()
     }
 
     /// Returns the limits that are in force, by upstream.
@@ -151,5 +197,47 @@
     pub fn forget(&mut self, upstream: Number) {
         self.draining.remove(&upstream);
         self.limits.remove(&upstream);
+        for pauses in self.pauses.values_mut() {
+            pauses.remove(&upstream);
+        }
+    }
+
+    /// Removes the pauses that upstreams have asked of a host.
+    pub fn forget_host(&mut self, host: &str) {
+        self.pauses.remove(host);
+    }
+
+    /// Removes the pauses that have ended.
+    pub fn expire(&mut self, now: Instant) {
+        self.pauses.retain(|_, pauses| {
+            pauses.retain(|_, end| now < *end);
+            !pauses.is_empty()
+        });
+    }
+
+    fn note_limit(&mut self, upstream: Number, limit: Limit, now: Instant) -> bool {
+        let stated = Limited { limit, stated: now };
+        let before = self.limits.insert(upstream, stated);
+        before.is_none_or(|before| before.limit != limit)
+    }
+
+    /// Records a pause; one that ends before a known one changes nothing.
+    fn note_pause(&mut self, host: &str, upstream: Number, pause: Duration, now: Instant) -> bool {
+        let end = now + pause.min(MAX_PAUSE);
+        if end <= now || !self.is_paused_before(host, upstream, end) {
+            return false;
+        }
+        let pauses = self.pauses.entry(host.to_owned()).or_default();
+        pauses.insert(upstream, end);
+        true
+    }
+
+    /// Returns whether no pause of an upstream for a host lasts until `end`.
+    fn is_paused_before(&self, host: &str, upstream: Number, end: Instant) -> bool {
+        let known = self
+            .pauses
+            .get(host)
+            .and_then(|pauses| pauses.get(&upstream));
+        known.is_none_or(|known| *known < end)
     }
 }
--- a/crates/core/tests/dispatch/paced.rs
+++ b/crates/core/tests/dispatch/paced.rs
@@ -99,11 +99,12 @@
     /// Elects a leader, to which every host reports what it was told and which slots it uses.
     fn elect_leader(&mut self) {
         let mut leader = World::new(&self.zones);
-        for host in &self.hosts {
-            for (upstream, statement) in host.dispatcher.ledger().statements() {
+        for (number, host) in self.hosts.iter().enumerate() {
+            let name = number.to_string();
+            for (upstream, statement) in host.dispatcher.ledger().statements(&name, self.now) {
                 leader
                     .dispatcher
-                    .note_statement(upstream, &statement, self.now);
+                    .note_statement(&name, upstream, &statement, self.now);
             }
         }
         for run in &self.runs {
@@ -172,8 +173,8 @@
                     local.remove_limit(number, now);
                 }
             }
-            for (upstream, statement) in ledger.statements() {
-                local.note_statement(upstream, &statement, now);
+            for (upstream, statement) in ledger.statements("", now) {
+                local.note_statement("", upstream, &statement, now);
             }
         }
         self.handle(answers);
@@ -209,8 +210,8 @@
         for run in due {
             self.served += 1;
             let statement = Statement {
-                is_draining: false,
                 limit: self.limits.get(&run.upstream).copied(),
+                ..Statement::default()
             };
             let completion = Completion {
                 outcome: Outcome::Answered,
@@ -224,7 +225,7 @@
                 if statement.limit.is_some() {
                     world
                         .dispatcher
-                        .note_statement(run.upstream, &statement, now);
+                        .note_statement(&ticket.host, run.upstream, &statement, now);
                 }
                 answers.extend(world.dispatcher.release(&ticket, &completion, now));
             }
--- a/crates/core/tests/dispatch/world.rs
+++ b/crates/core/tests/dispatch/world.rs
@@ -110,6 +110,14 @@
         }
     }
 
+    /// Returns the ticket of the latest request, made by a host.
+    pub fn latest_ticket(&self, host: &str) -> Ticket {
+        Ticket {
+            host: host.to_owned(),
+            number: self.next,
+        }
+    }
+
     /// Reserves a slot and returns the first decision.
     pub fn reserve(&mut self, request: Request) -> Decision {
         let ticket = request.ticket.clone();
--- a/crates/wire/src/dispatch/hosts.rs
+++ b/crates/wire/src/dispatch/hosts.rs
@@ -213,10 +213,19 @@
                 upstream,
                 statement,
             } => {
-                if self.dispatcher.note_statement(upstream, &statement, now) {
+                let dispatcher = &mut self.dispatcher;
+                if dispatcher.note_statement(host, upstream, &statement, now) {
                     let draining = statement.is_draining;
                     let limit = statement.limit.map(Limit::per_second);
-                    info!(host, number = upstream, draining, limit, "upstream_stated");
+                    let pause_ms = statement.pause.map(dispatch::millis);
+                    info!(
+                        host,
+                        number = upstream,
+                        draining,
+                        limit,
+                        pause_ms,
+                        "upstream_stated"
+                    );
                 }
                 Vec::new()
             }
--- a/programs/pb-proxy/src/gateway/deputy.rs
+++ b/programs/pb-proxy/src/gateway/deputy.rs
@@ -158,8 +158,8 @@
         dispatcher.update_upstream(&entry, now);
     }
     dispatcher.adopt_suspects(&state.placer().suspects(), true, now);
-    for (number, statement) in state.placer().statements() {
-        dispatcher.note_statement(number, &statement, now);
+    for (number, statement) in state.placer().statements(now) {
+        dispatcher.note_statement(&settings.host, number, &statement, now);
     }
     info!(version = state.version(), "deputy_opened");
     dispatcher
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -141,8 +141,11 @@
             return Reply::Fault(fault);
         }
     };
-    // The upstream may have told another request that it drains while this one connected.
-    if state.placer().is_draining(reservation.upstream()) {
+    // The upstream may have told another request that it wants no more while this one connected.
+    if state
+        .placer()
+        .is_unwanted_at(reservation.upstream(), state.now())
+    {
         reservation.end(Outcome::Cancelled, 0);
         return Reply::Fault(Fault::unsent(Outcome::Cancelled));
     }
--- a/programs/pb-proxy/src/gateway/forward.rs
+++ b/programs/pb-proxy/src/gateway/forward.rs
@@ -333,10 +333,16 @@
     }
 
     /// Returns the last 5xx answer, or else the noted failure, or else `failure`.
+    ///
+    /// If upstreams only turned the request away, `failure` tells when one of them takes requests again.
     fn result(&mut self, failure: Failure) -> Result<Response<Body>, Failure> {
-        match self.answer.take() {
-            Some(answer) => Ok(answer),
-            None => Err(self.failure.unwrap_or(failure)),
+        match (self.answer.take(), self.failure) {
+            (Some(answer), _) => Ok(answer),
+            (None, Some(noted)) => Err(Failure {
+                retry_after: noted.retry_after.max(failure.retry_after),
+                ..noted
+            }),
+            (None, None) => Err(failure),
         }
     }
 }
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -265,27 +265,28 @@
     /// changes what this host knows.
     pub fn note_statement(&self, upstream: Number, statement: Statement, now: Instant) -> bool {
         let mut local = self.local_dispatcher.borrow_mut();
-        let is_new = local.note_statement(upstream, &statement, now);
-        if let (true, Some(link)) = (is_new || statement.limit.is_some(), &*self.link.borrow()) {
+        let is_new = local.note_statement(&self.host, upstream, &statement, now);
+        // The dispatcher has to know when a limit was last stated.
+        let is_reported = is_new || statement.limit.is_some();
+        if let (true, Some(link)) = (is_reported, &*self.link.borrow()) {
             link.send(stated_frame(upstream, statement));
         }
         is_new
     }
 
-    /// Returns what upstreams have stated about themselves to this host.
+    /// Returns what upstreams have stated about themselves, as this host knows it.
     #[must_use]
-    pub fn statements(&self) -> Vec<(Number, Statement)> {
+    pub fn statements(&self, now: Instant) -> Vec<(Number, Statement)> {
         let local = self.local_dispatcher.borrow();
-        local.ledger().statements().collect()
+        local.ledger().statements(&self.host, now)
     }
 
-    /// Returns whether an upstream has stated to this host that it is draining.
+    /// Returns whether an upstream has stated that it wants no requests from this host.
     #[must_use]
-    pub fn is_draining(&self, upstream: Number) -> bool {
-        self.local_dispatcher
-            .borrow()
-            .ledger()
-            .is_draining(upstream)
+    pub fn is_unwanted_at(&self, upstream: Number, now: Instant) -> bool {
+        let local = self.local_dispatcher.borrow();
+        let ledger = local.ledger();
+        ledger.is_draining(upstream) || ledger.is_paused(&self.host, upstream, now)
     }
 
     /// Announces to the dispatcher that this host stops as planned.
--- a/programs/pb-proxy/src/gateway/placement/link.rs
+++ b/programs/pb-proxy/src/gateway/placement/link.rs
@@ -183,7 +183,9 @@
         _ => return Ended::Unreachable,
     };
     state.feed().begin_link();
-    state.placer().open_link(sender, target, leader);
+    state
+        .placer()
+        .open_link(sender, target, leader, state.now());
     state.placer().subscribe(state);
     let result = apply_frames(state, sender, frames.collect());
     if let Err(error) = result {
@@ -347,7 +349,7 @@
     /// and what upstreams have stated about themselves.
     ///
     /// `target` is the other end of the link, which leads to `leader` unless it is a deputy.
-    fn open_link(&self, sender: &Sender, target: Target, leader: Option<SocketAddr>) {
+    fn open_link(&self, sender: &Sender, target: Target, leader: Option<SocketAddr>, now: Instant) {
         let is_deputy = matches!(target, Target::Deputy(_));
         let is_direct = matches!(target, Target::Replica(_));
         self.direct_leader.set(leader.filter(|_| is_direct));
@@ -361,7 +363,7 @@
         if let Some(suspects) = &*self.suspects.borrow() {
             sender.send(Frame::Suspects(suspects.iter().copied().collect()));
         }
-        for (upstream, statement) in self.statements() {
+        for (upstream, statement) in self.statements(now) {
             sender.send(placement::stated_frame(upstream, statement));
         }
         self.has_suspects_of_link.set(false);
@@ -457,7 +459,7 @@
                 limit: Some(*limit),
                 ..Statement::default()
             };
-            local.note_statement(*upstream, &statement, now);
+            local.note_statement(&self.host, *upstream, &statement, now);
         }
         for upstream in ended {
             local.remove_limit(*upstream, now);
--- a/programs/pb-proxy/src/gateway/placement/reserve.rs
+++ b/programs/pb-proxy/src/gateway/placement/reserve.rs
@@ -108,7 +108,7 @@
     }
 
     /// Returns whether this host cannot use a grant, since it has not been told of the upstream yet, or
-    /// since the upstream has told it that it drains; excludes the upstream from the next grants.
+    /// since the upstream has told it that it wants no more requests; excludes the upstream from the next grants.
     fn rejects_grant(
         &self,
         state: &State,
@@ -123,8 +123,8 @@
         if criteria.avoid.contains(&upstream) {
             return false;
         }
-        if self.is_draining(upstream) {
-            info!(request, number, upstream, "upstream_draining");
+        if self.is_unwanted_at(upstream, state.now()) {
+            info!(request, number, upstream, "upstream_unwilling");
         } else if state.upstream(upstream).is_none() && criteria.avoid.len() < MAX_UNKNOWN_UPSTREAMS
         {
             info!(request, number, upstream, "upstream_unknown");
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -25,11 +25,13 @@
 use persimmonbend_core::statement::Limit;
 use persimmonbend_core::statement::Statement;
 use persimmonbend_core::upstream::Stage;
+use persimmonbend_wire::dispatch;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
 use tracing::info;
+use tracing::warn;
 
 use crate::gateway::dialect::Dialect;
 use crate::gateway::feed::Feed;
@@ -49,6 +51,9 @@
 /// keys that it does not contain may exist.
 const CURRENT_SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Pause beyond which an upstream that asks for it is worth an operator's look.
+const LONG_PAUSE: Duration = Duration::from_secs(60);
+
 /// A publication with its indexes of routes and keys.
 #[derive(Debug, Default)]
 pub struct Configuration {
@@ -222,7 +227,7 @@
     /// Returns an upstream if it takes requests, by its stage and by what it has stated to this host.
     #[must_use]
     pub fn upstream(&self, number: Number) -> Option<Entry> {
-        if self.placer.is_draining(number) {
+        if self.placer.is_unwanted_at(number, self.now()) {
             return None;
         }
         let upstreams = self.upstreams.borrow();
@@ -248,7 +253,18 @@
             self.meters.count_statement("limit");
         }
         let upstream = self.id_of(number);
-        info!(upstream, number, draining, limit, "upstream_stated");
+        let pause_ms = statement.pause.map(dispatch::millis);
+        if let Some(pause) = statement.pause {
+            self.meters.count_statement("pause");
+            if pause > LONG_PAUSE {
+                self.meters.count_statement("long_pause");
+                warn!(upstream, number, pause_ms, "upstream_paused_long");
+            }
+        }
+        info!(
+            upstream,
+            number, draining, limit, pause_ms, "upstream_stated"
+        );
     }
 
     /// Logs and counts that an upstream no longer states a limit.
