perf(dispatch): look pauses of a host up in place

Cause: each decision copied the pauses of its host. With 432 upstreams, 216 of them paused, a reservation and a release took 38.5 to 40.6 us, where 24.8 to 25.4 us were taken without a statement.

Change: decisions read the ledger (statement::Pauses).

--- a/crates/core/src/dispatch/free.rs
+++ b/crates/core/src/dispatch/free.rs
@@ -7,10 +7,10 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::ops::Bound;
-use std::time::Instant;
 
 use crate::id::Zone;
 use crate::roster::Number;
+use crate::statement::Pauses;
 
 /// Most upstreams of the requesting zone, and of all other zones, that are compared for one
 /// request. In a larger service the compared window moves on with every request.
@@ -128,7 +128,7 @@
     /// Returns upstreams with a free slot, without the paused ones, that are to be compared for a request of
     /// `zone`; the next
     /// call goes on behind them.
-    pub fn candidates(&mut self, zone: &str, paused: &BTreeMap<Number, Instant>) -> Vec<Number> {
+    pub fn candidates(&mut self, zone: &str, pauses: Pauses<'_>) -> Vec<Number> {
         let mut window = Vec::with_capacity(MAX_LOCAL_CANDIDATES + MAX_REMOTE_CANDIDATES);
         let others = self.zones.len().saturating_sub(1).max(1);
         let each = (MAX_REMOTE_CANDIDATES / others).max(1);
@@ -138,7 +138,7 @@
             } else {
                 each
             };
-            group.visit(most, paused, &mut window);
+            group.visit(most, pauses, &mut window);
         }
         window
     }
@@ -170,24 +170,24 @@
     }
 
     /// Appends at most `most` upstreams to `window`, some of them suspects.
-    fn visit(&mut self, most: usize, paused: &BTreeMap<Number, Instant>, window: &mut Vec<Number>) {
+    fn visit(&mut self, most: usize, pauses: Pauses<'_>, window: &mut Vec<Number>) {
         let kept = self.suspect.numbers.len().min(most / SUSPECT_DIVISOR);
         let healthy = self.healthy.numbers.len().min(most - kept);
-        self.healthy.visit(healthy, paused, window);
-        self.suspect.visit(most - healthy, paused, window);
+        self.healthy.visit(healthy, pauses, window);
+        self.suspect.visit(most - healthy, pauses, window);
     }
 }
 
 impl Ring {
     /// Appends the next numbers to `window`, each at most once.
-    fn visit(&mut self, most: usize, paused: &BTreeMap<Number, Instant>, window: &mut Vec<Number>) {
+    fn visit(&mut self, most: usize, pauses: Pauses<'_>, window: &mut Vec<Number>) {
         let last = self.last;
         let after = self
             .numbers
             .range((Bound::Excluded(last), Bound::Unbounded));
         let rotated = after.chain(self.numbers.range(..=last));
         let before = window.len();
-        let eligible = rotated.filter(|number| !paused.contains_key(number));
+        let eligible = rotated.filter(|number| !pauses.contains(**number));
         window.extend(eligible.take(most).copied());
         if window.len() > before
             && let Some(visited) = window.last()
--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -1,6 +1,5 @@
 //! Choice of an upstream for a request, queueing and refusal.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,6 +19,7 @@
 use crate::error::Kind;
 use crate::publication::Route;
 use crate::roster::Number;
+use crate::statement::Pauses;
 
 /// Share of the objective for which a request that cannot be retried waits for a slot of a healthy
 /// upstream before it takes a free slot of a suspect.
@@ -55,7 +55,7 @@
     /// Upstreams that the host could not connect to.
     unreachable: &'a BTreeSet<Number>,
     /// Upstreams that want no requests from the host, whatever else speaks for them.
-    paused: &'a BTreeMap<Number, Instant>,
+    pauses: Pauses<'a>,
     now: Instant,
 }
 
@@ -92,7 +92,7 @@
     }
 
     fn is_eligible(&self, number: Number) -> bool {
-        !self.avoid.contains(&number) && !self.paused.contains_key(&number)
+        !self.avoid.contains(&number) && !self.pauses.contains(number)
     }
 
     fn is_reachable(&self, number: Number) -> bool {
@@ -127,8 +127,8 @@
         if waits && !pool.free().has_healthy() && !is_below_floor {
             return None;
         }
-        let paused = self.ledger.paused(&request.ticket.host, now);
-        let candidates = pool.candidates(&request.zone, &paused);
+        let pauses = self.ledger.pauses(&request.ticket.host, now);
+        let candidates = pool.candidates(&request.zone, pauses);
         self.steps += candidates.len() as u64;
         let timing = self.timing(&request.route, route);
         let unreachable = self.unreachable_upstreams(&request.ticket.host, now);
@@ -148,7 +148,7 @@
             max_silence: self.policy.max_silence,
             avoid: &request.avoid,
             unreachable: &unreachable,
-            paused: &paused,
+            pauses,
             now,
         };
         let idle = is_below_floor.then(|| search.idle()).flatten();
@@ -301,19 +301,19 @@
         if pool.free().capacity() <= 0.0 {
             return Some(MIN_RETRY_AFTER * 2);
         }
-        let paused = self.ledger.paused(&request.ticket.host, now);
-        if paused.is_empty() && request.avoid.is_empty() {
+        let pauses = self.ledger.pauses(&request.ticket.host, now);
+        if pauses.is_empty() && request.avoid.is_empty() {
             return None;
         }
         let is_eligible =
-            |number: &Number| !paused.contains_key(number) && !request.avoid.contains(number);
+            |number: &Number| !pauses.contains(*number) && !request.avoid.contains(number);
         let mut open = pool.upstreams().filter(|(_, state)| state.is_open());
         if open.any(|(number, _)| is_eligible(&number)) {
             return None;
         }
         let open = pool.upstreams().filter(|(_, state)| state.is_open());
-        let ends = open.filter_map(|(number, _)| paused.get(&number));
-        let end = ends.min().map_or(MIN_RETRY_AFTER * 2, |end| *end - now);
+        let ends = open.filter_map(|(number, _)| pauses.end(number));
+        let end = ends.min().map_or(MIN_RETRY_AFTER * 2, |end| end - now);
         Some(end.max(MIN_RETRY_AFTER))
     }
 
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -15,6 +15,7 @@
 use crate::dispatch::upstream::Upstream;
 use crate::publication::Priority;
 use crate::roster::Number;
+use crate::statement::Pauses;
 use crate::steward::Estimate;
 use crate::steward::Queue;
 
@@ -254,8 +255,8 @@
 
     /// Returns upstreams with a free slot, without the paused ones, that are to be compared for a request of
     /// `zone`.
-    pub fn candidates(&mut self, zone: &str, paused: &BTreeMap<Number, Instant>) -> Vec<Number> {
-        self.free.candidates(zone, paused)
+    pub fn candidates(&mut self, zone: &str, pauses: Pauses<'_>) -> Vec<Number> {
+        self.free.candidates(zone, pauses)
     }
 
     /// Returns the upstream of least expected cost among the `candidates` that `allowed` accepts.
--- a/crates/core/src/statement.rs
+++ b/crates/core/src/statement.rs
@@ -77,6 +77,41 @@
     stated: Instant,
 }
 
+/// The pauses that upstreams have asked of one host.
+#[derive(Debug, Clone, Copy)]
+pub struct Pauses<'a> {
+    ends: Option<&'a BTreeMap<Number, Instant>>,
+    now: Instant,
+}
+
+impl Pauses<'_> {
+    /// Returns whether no upstream pauses.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.upstreams().next().is_none()
+    }
+
+    /// Returns the upstreams that pause.
+    pub fn upstreams(&self) -> impl Iterator<Item = Number> {
+        let ends = self.ends.into_iter().flatten();
+        let current = ends.filter(|(_, end)| self.now < **end);
+        current.map(|(number, _)| *number)
+    }
+
+    /// Returns when an upstream takes requests again, if it pauses.
+    #[must_use]
+    pub fn end(&self, upstream: Number) -> Option<Instant> {
+        let end = self.ends?.get(&upstream).copied();
+        end.filter(|end| self.now < *end)
+    }
+
+    /// Returns whether an upstream pauses.
+    #[must_use]
+    pub fn contains(&self, upstream: Number) -> bool {
+        self.end(upstream).is_some()
+    }
+}
+
 /// The statements that are in force, by upstream.
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
@@ -130,35 +165,26 @@
     /// pause that it has asked of a host.
     #[must_use]
     pub fn statements(&self, host: &str, now: Instant) -> Vec<(Number, Statement)> {
-        let pauses = self.paused(host, now);
+        let pauses = self.pauses(host, now);
         let mut numbers = self.draining.clone();
         numbers.extend(self.limits.keys());
-        numbers.extend(pauses.keys());
+        numbers.extend(pauses.upstreams());
         let statement = |number| Statement {
             is_draining: self.is_draining(number),
             limit: self.limit(number),
-            pause: pauses.get(&number).map(|end| *end - now),
+            pause: pauses.end(number).map(|end| end - now),
         };
         let each = numbers.into_iter();
         each.map(|number| (number, statement(number))).collect()
     }
 
-    /// Returns the upstreams that want no requests from a host, with the ends of their pauses.
+    /// Returns the pauses that upstreams have asked of a host.
     #[must_use]
-    pub fn paused(&self, host: &str, now: Instant) -> BTreeMap<Number, Instant> {
-        let pauses = self.pauses.get(host).into_iter().flatten();
-        let current = pauses.filter(|(_, end)| now < **end);
-        current.map(|(number, end)| (*number, *end)).collect()
-    }
-
-    /// Returns whether an upstream wants no requests from a host.
-    #[must_use]
-    pub fn is_paused(&self, host: &str, upstream: Number, now: Instant) -> bool {
-        let end = self
-            .pauses
-            .get(host)
-            .and_then(|pauses| pauses.get(&upstream));
-        end.is_some_and(|end| now < *end)
+    pub fn pauses(&self, host: &str, now: Instant) -> Pauses<'_> {
+        Pauses {
+            ends: self.pauses.get(host),
+            now,
+        }
     }
 
     /// Returns whether no upstream has asked any host for a pause.
@@ -171,7 +197,7 @@
     #[must_use]
     pub fn count_paused_hosts(&self, upstream: Number, now: Instant) -> usize {
         let hosts = self.pauses.keys();
-        let paused = hosts.filter(|host| self.is_paused(host, upstream, now));
+        let paused = hosts.filter(|host| self.pauses(host, now).end(upstream).is_some());
         paused.count()
     }
 
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -286,7 +286,7 @@
     pub fn is_unwanted_at(&self, upstream: Number, now: Instant) -> bool {
         let local = self.local_dispatcher.borrow();
         let ledger = local.ledger();
-        ledger.is_draining(upstream) || ledger.is_paused(&self.host, upstream, now)
+        ledger.is_draining(upstream) || ledger.pauses(&self.host, now).contains(upstream)
     }
 
     /// Announces to the dispatcher that this host stops as planned.
