fix(dispatch): assume the largest fleet until the leader tells the number of hosts

Cause: a host that had not been told how many hosts share the quotas assumed 128.

Change: a host assumes 1,000, the largest fleet that operators run. The share is a function of core, where it can be tested without a network.

Evidence: hosts_that_were_told_no_number_of_hosts_stay_within_a_quota_together fails with 128 (442 hosts use 2.7625 of a quota).

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -42,6 +42,7 @@
 pub use pool::Pool;
 pub use quotas::Quotas;
 pub use quotas::Share;
+pub use quotas::share_without_leader;
 pub use request::Answer;
 pub use request::Completion;
 pub use request::Decision;
--- a/crates/core/src/dispatch/quotas.rs
+++ b/crates/core/src/dispatch/quotas.rs
@@ -10,6 +10,21 @@
 /// Longest time after which a tenant over its quota may retry.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
 
+/// Fraction of its share of quotas, retry budgets and limits that a dispatcher without the leader uses.
+const LOCAL_SHARE_FRACTION: f64 = 0.8;
+
+/// Number of hosts that are assumed to share quotas until the leader has told it: the largest fleet that
+/// operators run, since a smaller number would let the hosts of a larger fleet exceed every quota together.
+const MAX_FLEET_HOSTS: u32 = 1_000;
+
+/// Returns the share of quotas, retry budgets and limits that `hosts` hosts without the leader may use, in
+/// a fleet of as many hosts as the leader last told, if it has.
+#[must_use]
+pub fn share_without_leader(hosts: u32, fleet_hosts: Option<u32>) -> f64 {
+    let all = fleet_hosts.unwrap_or(MAX_FLEET_HOSTS).max(hosts).max(1);
+    LOCAL_SHARE_FRACTION * f64::from(hosts) / f64::from(all)
+}
+
 /// Token buckets of the tenants with a quota.
 #[derive(Debug, Default)]
 pub struct Quotas {
--- a/crates/core/tests/dispatch/limits.rs
+++ b/crates/core/tests/dispatch/limits.rs
@@ -8,6 +8,7 @@
 use persimmonbend_core::dispatch::Decision;
 use persimmonbend_core::dispatch::Policy;
 use persimmonbend_core::dispatch::Tolerance;
+use persimmonbend_core::dispatch::share_without_leader;
 use persimmonbend_core::error::Kind;
 use persimmonbend_core::health::Outcome;
 use persimmonbend_core::publication::Quota;
@@ -230,3 +231,18 @@
     // 150 requests in the window earn a fifth of a retry each, beside the burst of 20.
     assert!(retries <= 20 + 150 / 5, "{retries}");
 }
+
+#[test]
+fn hosts_that_were_told_no_number_of_hosts_stay_within_a_quota_together() {
+    for hosts in [1, 3, 128, 129, 442, 1_000] {
+        let together = f64::from(hosts) * share_without_leader(1, None);
+        assert!(together <= 1.0, "{hosts} hosts use {together} of a quota");
+        let told = f64::from(hosts) * share_without_leader(1, Some(hosts));
+        assert!(
+            (0.7..=1.0).contains(&told),
+            "{hosts} hosts use {told} of a quota"
+        );
+    }
+    // A group of hosts that is larger than the fleet was uses no more than all of it.
+    assert!(share_without_leader(64, Some(48)) <= 1.0);
+}
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -28,6 +28,7 @@
 use persimmonbend_core::dispatch::Dispatcher;
 use persimmonbend_core::dispatch::Placement;
 use persimmonbend_core::dispatch::Policy;
+use persimmonbend_core::dispatch::share_without_leader;
 use persimmonbend_core::error::Kind;
 use persimmonbend_core::id::HostId;
 use persimmonbend_core::id::RouteId;
@@ -50,12 +51,6 @@
 
 use crate::gateway::settings::Settings;
 
-/// Fraction of its share of quotas and retry budgets that a local dispatcher uses.
-const LOCAL_SHARE_FRACTION: f64 = 0.8;
-
-/// Number of hosts that are assumed to share quotas and retry budgets until the leader reports it.
-const DEFAULT_HOST_COUNT: u32 = 128;
-
 /// The criteria by which the placer finds an upstream for a request.
 #[derive(Debug, Clone)]
 pub struct Criteria {
@@ -160,7 +155,7 @@
             is_first_dispatcher: false,
             floor: settings.floor,
         });
-        local.set_share(LOCAL_SHARE_FRACTION / f64::from(DEFAULT_HOST_COUNT), now);
+        local.set_share(share_without_leader(1, None), now);
         local.set_first_permit(draw);
         Self {
             host: settings.host.clone(),
@@ -215,12 +210,8 @@
     /// Returns the share of quotas and retry budgets that `hosts` hosts without the leader may use.
     #[must_use]
     pub fn share(&self, hosts: usize) -> f64 {
-        let known = match self.fleet_hosts.get() {
-            0 => DEFAULT_HOST_COUNT,
-            known => known,
-        };
-        let all = f64::from(known).max(hosts as f64);
-        LOCAL_SHARE_FRACTION * hosts as f64 / all
+        let known = Some(self.fleet_hosts.get()).filter(|hosts| *hosts > 0);
+        share_without_leader(u32::try_from(hosts).unwrap_or(u32::MAX), known)
     }
 
     /// Returns the upstreams that the leader last reported as suspected.
