--- a/crates/core/src/dispatch/pace.rs
+++ b/crates/core/src/dispatch/pace.rs
@@ -22,7 +22,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Longest interval; a longer one would not be told from none.
+/// Longest interval; requests that are further apart make no difference to an upstream.
 const MAX_INTERVAL: Duration = Duration::from_secs(24 * 60 * 60);
 
 /// Permits for requests at regular intervals.
