feat(proxy): log the end of an upstream with the content of the request, and the retries that services have left

The leader's line leader_load and its dump now have the retries left of each service. A proxy whose request was broken off tries to connect to that upstream and to another one, and logs upstream_ended, with a fingerprint of the request's content, if only the other one accepts.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -430,6 +430,12 @@
         self.pools.get(service).map_or(0, Pool::queued)
     }
 
+    /// Returns the retries that each service may still send.
+    pub fn retries_left(&self) -> impl Iterator<Item = (&ServiceId, f64)> {
+        let pools = self.pools.iter();
+        pools.map(|(service, pool)| (service, pool.retry_budget.tokens()))
+    }
+
     /// Records a slot that a host uses without a grant of this dispatcher.
     pub fn record_running(&mut self, placement: Placement, now: Instant) {
         self.free_slot(&placement.ticket, now);
--- a/crates/core/src/dispatch/retries.rs
+++ b/crates/core/src/dispatch/retries.rs
@@ -47,6 +47,12 @@
         self.tokens = (self.tokens + retries.ratio * RATIO_SHARE).min(max_tokens);
     }
 
+    /// Returns the retries that are left.
+    #[must_use]
+    pub const fn tokens(&self) -> f64 {
+        self.tokens
+    }
+
     /// Returns whether so few retries are left that requests should be placed as if they had none.
     #[must_use]
     pub fn is_scarce(&self, retries: &Retries) -> bool {
--- a/programs/pb-control/src/dispatch/state.rs
+++ b/programs/pb-control/src/dispatch/state.rs
@@ -147,8 +147,10 @@
         let queued: usize = queued
             .map(|service| self.hosts.dispatcher().queued(service))
             .sum();
+        let retries: BTreeMap<&String, f64> = self.hosts.dispatcher().retries_left().collect();
         info!(
             hosts = self.hosts.len(),
+            retries = %json!(retries),
             joins = self.load.joins,
             queued,
             steps = steps - self.load.steps,
@@ -305,6 +307,7 @@
             "hosts": self.hosts.names().collect::<Vec<_>>(),
             "frames": meter::frames(),
             "queued": queued,
+            "retries": self.hosts.dispatcher().retries_left().collect::<BTreeMap<_, _>>(),
             "upstreams": self.hosts.dispatcher().dump(now),
         })
     }
--- a/programs/pb-proxy/src/gateway.rs
+++ b/programs/pb-proxy/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod clients;
 pub mod deputy;
 pub mod dialect;
+mod end_check;
 pub mod exchange;
 mod feed;
 pub mod forward;
--- a/programs/pb-proxy/src/gateway/clients.rs
+++ b/programs/pb-proxy/src/gateway/clients.rs
@@ -3,6 +3,7 @@
 //! A client receives either the answer of an upstream or an error that says whether the request may
 //! have run.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -109,6 +110,7 @@
             head: callers::upstream_head(head),
             body,
             deadline,
+            fingerprint: OnceCell::new(),
         };
         forward::send(&self.state, &plan, metadata, record).await
     }
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use compio::runtime::spawn;
 use compio::time::timeout;
 use futures_util::Stream;
 use futures_util::StreamExt;
@@ -30,6 +31,8 @@
 use crate::gateway::dialect::Attempt;
 use crate::gateway::dialect::Metadata;
 use crate::gateway::dialect::Verdict;
+use crate::gateway::end_check;
+use crate::gateway::end_check::Interruption;
 use crate::gateway::forward::Plan;
 use crate::gateway::placement::Reservation;
 use crate::gateway::state::State;
@@ -160,6 +163,16 @@
         Ok(answer) => answer.finish(state, plan, address, reservation),
         Err(fault) => {
             reservation.end(fault.outcome, 0);
+            if fault.outcome == Outcome::Truncated {
+                let interruption = Interruption {
+                    request: metadata.id.clone().unwrap_or_default(),
+                    content: plan.content(),
+                    service: plan.service.clone(),
+                    upstream: reservation.upstream(),
+                    address,
+                };
+                spawn(end_check::run(Rc::clone(state), interruption)).detach();
+            }
             Reply::Fault(fault)
         }
     }
--- a/programs/pb-proxy/src/gateway/forward.rs
+++ b/programs/pb-proxy/src/gateway/forward.rs
@@ -4,6 +4,7 @@
 //! the upstream itself stated that it did not run it. After any other failure of such a request the
 //! client receives an error that says that the request may have run.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -13,7 +14,10 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hyper::Response;
+use hyper::header::HOST;
+use hyper::http::HeaderValue;
 use hyper::http::request::Parts;
+use hyper::http::uri::PathAndQuery;
 use persimmonbend_app::http::Body;
 use persimmonbend_core::error::Kind;
 use persimmonbend_core::error::Ran;
@@ -21,6 +25,7 @@
 use persimmonbend_core::id::ServiceId;
 use persimmonbend_core::id::TenantId;
 use persimmonbend_core::id::UpstreamId;
+use persimmonbend_core::poison::Fingerprint;
 use persimmonbend_core::publication::Route;
 use persimmonbend_core::roster::Number;
 use persimmonbend_wire::dispatch;
@@ -67,6 +72,26 @@
     pub body: Bytes,
     /// When the answer is due.
     pub deadline: Instant,
+    /// Fingerprint of the content, once it was needed.
+    pub fingerprint: OnceCell<Fingerprint>,
+}
+
+impl Plan {
+    /// Returns the fingerprint of the content, which repeats of the request share on all hosts.
+    pub fn content(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let tenant = self.tenant.as_deref().unwrap_or_default();
+            let host = self.head.headers.get(HOST);
+            let target = self.head.uri.path_and_query();
+            Fingerprint::of([
+                tenant.as_bytes(),
+                self.head.method.as_str().as_bytes(),
+                host.map(HeaderValue::as_bytes).unwrap_or_default(),
+                target.map_or("", PathAndQuery::as_str).as_bytes(),
+                &self.body,
+            ])
+        })
+    }
 }
 
 /// Why a request is not answered by an upstream.
