test: repeats beyond the retry budget, and a request that ends its upstreams

A request that finds no listener and is placed again earns a retry each time: more retries are granted than ratio and burst allow.

--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! The dispatcher under load: which requests are placed, queued and refused.
 
+mod budget;
 mod grey;
 mod limits;
 mod pace;
