fix(proxy): refuse requests on all hosts under which three upstreams have ended

Cause: nothing connected the ends of upstreams with a request. Each client attempt was judged by itself, at each host, and had two sends again. Change: hosts recognize the repeats of a request by its content. A host whose request was broken off checks that the upstream refuses connections and another one accepts them, and reports the end; a ledger on every dispatcher counts them, hosts refuse the content at once after three, and try it again after growing pauses. The end of an upstream counts for the one request that saw most ends, so that those which ran beside it keep their tries, and no longer counts once the content was answered or the upstream was alive.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -57,6 +57,7 @@
 use crate::id::HostId;
 use crate::id::RouteId;
 use crate::id::ServiceId;
+use crate::poison;
 use crate::publication::Publication;
 use crate::publication::Quota;
 use crate::roster::Entry;
@@ -222,6 +223,8 @@
     hosts: BTreeMap<HostId, Host>,
     /// What upstreams have stated about themselves.
     ledger: Ledger,
+    /// Ends of upstreams, by the content of the requests that they ran.
+    poison: poison::Ledger,
     /// Upstreams whose limits have ended since [`Dispatcher::take_ended_limits`].
     ended_limits: Vec<Number>,
     /// Pairs of a host and an upstream that it could not connect to, with the end of the pause.
@@ -246,6 +249,7 @@
             quotas: Quotas::default(),
             hosts: BTreeMap::new(),
             ledger: Ledger::default(),
+            poison: poison::Ledger::default(),
             ended_limits: Vec::new(),
             unreachable_until: BTreeMap::new(),
             steps: 0,
@@ -430,6 +434,17 @@
         self.pools.get(service).map_or(0, Pool::queued)
     }
 
+    /// Returns the ends of upstreams under the requests that they ran.
+    #[must_use]
+    pub const fn poison(&self) -> &poison::Ledger {
+        &self.poison
+    }
+
+    /// Returns the ends of upstreams for changes.
+    pub const fn poison_mut(&mut self) -> &mut poison::Ledger {
+        &mut self.poison
+    }
+
     /// Returns the retries that each service may still send.
     pub fn retries_left(&self) -> impl Iterator<Item = (&ServiceId, f64)> {
         let pools = self.pools.iter();
@@ -522,6 +537,7 @@
         self.record_late_attempts(now);
         self.unreachable_until.retain(|_, until| now < *until);
         self.ledger.expire(now);
+        self.poison.expire(now);
         let is_kept = |host: &Host| {
             let disconnected = host.disconnected_at;
             disconnected
--- a/crates/core/src/dispatch/observation.rs
+++ b/crates/core/src/dispatch/observation.rs
@@ -31,6 +31,9 @@
         completion: &Completion,
         now: Instant,
     ) {
+        if matches!(completion.outcome, Outcome::Answered | Outcome::Failed) {
+            self.poison.note_alive(slot.upstream, slot.since);
+        }
         let is_whole = completion.outcome == Outcome::Answered;
         if is_whole && self.ledger.end_limit(slot.upstream, slot.since) {
             self.ended_limits.push(slot.upstream);
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -131,6 +131,8 @@
     ConfigUnverified: 503, "out_of_touch", No, RETRY_SOON, "This host cannot tell whether its configuration is current.";
     /// This host is stopping.
     Stopping: 503, "stopping", No, RETRY_SOON, "This host is stopping.";
+    /// Upstreams ended while they ran requests of this content.
+    EndsUpstreams: 503, "ends_upstreams", No, RETRY_LATER, "Upstreams end when they run this request.";
 }
 
 impl fmt::Display for Kind {
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -28,6 +28,7 @@
 use persimmonbend_core::id::TenantId;
 use persimmonbend_core::id::Term;
 use persimmonbend_core::id::Zone;
+use persimmonbend_core::poison::End;
 use persimmonbend_core::publication::Delta;
 use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Entry;
@@ -212,6 +213,8 @@
         /// Upstreams whose limits have ended.
         ended: Vec<Number>,
     },
+    /// Reports ends of upstreams under requests to a dispatcher, or tells a host of those that are new to it.
+    Ends(Vec<End>),
 }
 
 impl Frame {
@@ -231,7 +234,7 @@
             Self::Release { .. } | Self::Running { .. } | Self::Stated { .. } => "reports",
             Self::Published(_) | Self::Announced { .. } => "publications",
             Self::Upstreams { .. } => "upstreams",
-            Self::Heartbeat { .. } | Self::Limits { .. } => "heartbeats",
+            Self::Heartbeat { .. } | Self::Limits { .. } | Self::Ends(_) => "heartbeats",
             Self::Relays(_) => "relays",
             Self::HostHeartbeat | Self::Suspects(_) | Self::Stopping => "host_states",
         }
--- a/crates/wire/src/dispatch/hosts.rs
+++ b/crates/wire/src/dispatch/hosts.rs
@@ -14,6 +14,8 @@
 use persimmonbend_core::dispatch::Request;
 use persimmonbend_core::id::HostId;
 use persimmonbend_core::id::Zone;
+use persimmonbend_core::poison::Fingerprint;
+use persimmonbend_core::poison::Sighting;
 use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Number;
 use persimmonbend_core::roster::Revision;
@@ -30,6 +32,9 @@
 /// Time between two heartbeats to a host.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Ends of upstreams that all hosts have to know, by the content of the requests and the upstream.
+type Ends = BTreeMap<(Fingerprint, Number), Sighting>;
+
 /// A dispatcher with the links of its hosts.
 #[derive(Debug)]
 pub struct Hosts {
@@ -37,6 +42,8 @@
     links: BTreeMap<HostId, Link>,
     /// Limits of upstreams, as the dispatcher last had them.
     limits: Rc<BTreeMap<Number, Limit>>,
+    /// Ends of upstreams, as the dispatcher last had them.
+    ends: Rc<Ends>,
 }
 
 #[derive(Debug)]
@@ -48,6 +55,8 @@
     suspects: Rc<BTreeSet<Number>>,
     /// Limits that the host was told of.
     limits: Rc<BTreeMap<Number, Limit>>,
+    /// Ends of upstreams that the host was told of.
+    ends: Rc<Ends>,
 }
 
 impl Link {
@@ -65,6 +74,22 @@
             ended: ended.copied().collect(),
         });
     }
+
+    /// Tells a host of the ends of upstreams that are new to it, or no longer hold.
+    fn send_ends(&mut self, ends: &Rc<Ends>, now: Instant) {
+        if Rc::ptr_eq(&self.ends, ends) {
+            return;
+        }
+        let known = std::mem::replace(&mut self.ends, Rc::clone(ends));
+        let is_new = |(key, one): &(&(Fingerprint, Number), &Sighting)| known.get(key) != Some(one);
+        let news = ends.iter().filter(is_new);
+        let news: Vec<_> = news
+            .map(|((content, upstream), one)| one.end(*content, *upstream, now))
+            .collect();
+        if !news.is_empty() {
+            self.sender.send(Frame::Ends(news));
+        }
+    }
 }
 
 impl Hosts {
@@ -75,6 +100,7 @@
             dispatcher,
             links: BTreeMap::new(),
             limits: Rc::default(),
+            ends: Rc::default(),
         }
     }
 
@@ -125,6 +151,7 @@
             last_heartbeat: now,
             suspects: Rc::default(),
             limits: Rc::default(),
+            ends: Rc::default(),
         };
         if let Some(previous) = self.links.insert(host.to_owned(), link) {
             previous.sender.close();
@@ -209,6 +236,16 @@
                 self.dispatcher.adopt_suspects(&suspects, false, now);
                 Vec::new()
             }
+            Frame::Ends(ends) => {
+                let poison = self.dispatcher.poison_mut();
+                for end in ends {
+                    if poison.note(&end, now) {
+                        let (content, number) = (end.content, end.upstream);
+                        info!(host, %content, number, holds = end.holds, "upstream_ended");
+                    }
+                }
+                Vec::new()
+            }
             Frame::Stated {
                 upstream,
                 statement,
@@ -255,10 +292,15 @@
         {
             self.limits = Rc::new(limits.collect());
         }
+        let ends = self.dispatcher.poison().shared();
+        if ends != *self.ends {
+            self.ends = Rc::new(ends);
+        }
         for link in self.links.values_mut() {
             if now.saturating_duration_since(link.last_heartbeat) >= HEARTBEAT_INTERVAL {
                 link.last_heartbeat = now;
                 link.send_limits(&self.limits);
+                link.send_ends(&self.ends, now);
                 let known = std::mem::replace(&mut link.suspects, Rc::clone(&suspects));
                 link.sender.send(Frame::Heartbeat {
                     hosts,
--- a/programs/pb-proxy/src/gateway/deputy.rs
+++ b/programs/pb-proxy/src/gateway/deputy.rs
@@ -161,6 +161,9 @@
     for (number, statement) in state.placer().statements(now) {
         dispatcher.note_statement(&settings.host, number, &statement, now);
     }
+    for end in state.placer().ends(now) {
+        dispatcher.poison_mut().note(&end, now);
+    }
     info!(version = state.version(), "deputy_opened");
     dispatcher
 }
--- a/programs/pb-proxy/src/gateway/end_check.rs
+++ b/programs/pb-proxy/src/gateway/end_check.rs
@@ -11,6 +11,7 @@
 use compio::net::TcpStream;
 use compio::time::timeout;
 use persimmonbend_core::id::ServiceId;
+use persimmonbend_core::poison::End;
 use persimmonbend_core::poison::Fingerprint;
 use persimmonbend_core::roster::Entry;
 use persimmonbend_core::roster::Number;
@@ -53,6 +54,8 @@
                 number = interruption.upstream,
                 "upstream_ended"
             );
+            let end = End::new(interruption.content, interruption.upstream);
+            state.placer().note_end(end, state.now());
             return;
         }
     }
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -26,6 +26,7 @@
 use persimmonbend_app::http::Body;
 use persimmonbend_core::error::Kind;
 use persimmonbend_core::health::Outcome;
+use persimmonbend_core::poison::Standing;
 
 use crate::callers;
 use crate::gateway::dialect::Attempt;
@@ -86,6 +87,14 @@
         }
     }
 
+    /// Creates the fault of a request that is not sent since upstreams ended under its content.
+    const fn barred() -> Self {
+        Self {
+            kind: Kind::EndsUpstreams,
+            ..Self::unsent(Outcome::Cancelled)
+        }
+    }
+
     /// Creates the fault of a request that the upstream states it did not run.
     const fn not_run(outcome: Outcome) -> Self {
         Self {
@@ -152,6 +161,12 @@
         reservation.end(Outcome::Cancelled, 0);
         return Reply::Fault(Fault::unsent(Outcome::Cancelled));
     }
+    // Upstreams may have ended under the same request of another client while this one waited.
+    let standing = state.placer().standing(|| plan.content(), state.now());
+    if matches!(standing, Standing::Barred(_)) {
+        reservation.end(Outcome::Cancelled, 0);
+        return Reply::Fault(Fault::barred());
+    }
     let left = plan.deadline.saturating_duration_since(state.now());
     let sending = exchange(state, plan, metadata, &reservation, connection, left);
     let result = timeout(left, sending).await;
@@ -160,17 +175,11 @@
         Outcome::TimedOut,
     )));
     match result {
-        Ok(answer) => answer.finish(state, plan, address, reservation),
+        Ok(answer) => answer.finish(state, plan, metadata, address, reservation),
         Err(fault) => {
             reservation.end(fault.outcome, 0);
             if fault.outcome == Outcome::Truncated {
-                let interruption = Interruption {
-                    request: metadata.id.clone().unwrap_or_default(),
-                    content: plan.content(),
-                    service: plan.service.clone(),
-                    upstream: reservation.upstream(),
-                    address,
-                };
+                let interruption = interruption(plan, metadata, &reservation, address);
                 spawn(end_check::run(Rc::clone(state), interruption)).detach();
             }
             Reply::Fault(fault)
@@ -178,6 +187,22 @@
     }
 }
 
+/// Describes a request that its upstream breaks off.
+fn interruption(
+    plan: &Plan,
+    metadata: &Metadata,
+    reservation: &Reservation,
+    address: SocketAddr,
+) -> Interruption {
+    Interruption {
+        request: metadata.id.clone().unwrap_or_default(),
+        content: plan.content(),
+        service: plan.service.clone(),
+        upstream: reservation.upstream(),
+        address,
+    }
+}
+
 /// Returns an idle connection if the request is idempotent and there is one, or else a new one.
 async fn obtain_connection(
     state: &State,
@@ -281,6 +306,7 @@
         mut self,
         state: &Rc<State>,
         plan: &Plan,
+        metadata: &Metadata,
         address: SocketAddr,
         reservation: Reservation,
     ) -> Reply {
@@ -297,7 +323,7 @@
                 state: Rc::clone(state),
                 body: rest.into_data_stream(),
                 connection: self.connection,
-                address,
+                interruption: interruption(plan, metadata, &reservation, address),
                 reservation,
                 outcome,
                 bytes,
@@ -312,6 +338,7 @@
             let response = Response::from_parts(self.head, http::full(self.buffered));
             return Reply::Failed(response);
         }
+        state.placer().note_answer(|| plan.content(), state.now());
         state.pool().put_back(address, self.connection, state.now());
         Reply::Answered(Response::from_parts(self.head, http::full(self.buffered)))
     }
@@ -325,7 +352,8 @@
     state: Rc<State>,
     body: BodyDataStream<Incoming>,
     connection: Connection,
-    address: SocketAddr,
+    /// The request, if the upstream breaks it off here.
+    interruption: Interruption,
     reservation: Reservation,
     /// Outcome of the attempt if the body arrives complete.
     outcome: Outcome,
@@ -354,6 +382,7 @@
             }
             Ok(Some(Err(error))) => {
                 self.reservation.end(Outcome::Truncated, self.bytes);
+                spawn(end_check::run(self.state, self.interruption)).detach();
                 io::Error::other(error)
             }
             Err(_) => {
@@ -368,8 +397,10 @@
     fn complete(self) {
         self.reservation.end(self.outcome, self.bytes);
         let now = self.state.now();
+        let content = self.interruption.content;
+        self.state.placer().note_answer(|| content, now);
         self.state
             .pool()
-            .put_back(self.address, self.connection, now);
+            .put_back(self.interruption.address, self.connection, now);
     }
 }
--- a/programs/pb-proxy/src/gateway/forward.rs
+++ b/programs/pb-proxy/src/gateway/forward.rs
@@ -26,9 +26,11 @@
 use persimmonbend_core::id::TenantId;
 use persimmonbend_core::id::UpstreamId;
 use persimmonbend_core::poison::Fingerprint;
+use persimmonbend_core::poison::Standing;
 use persimmonbend_core::publication::Route;
 use persimmonbend_core::roster::Number;
 use persimmonbend_wire::dispatch;
+use tracing::info;
 
 use crate::gateway::dialect::Metadata;
 use crate::gateway::exchange;
@@ -208,12 +210,33 @@
     if left < MIN_ATTEMPT_TIME {
         return Err(Failure::from(Kind::DeadlineBeforeSend));
     }
+    match state.placer().standing(|| plan.content(), state.now()) {
+        Standing::Barred(left) => return Err(barred(plan, record, left)),
+        Standing::Trial if attempts.is_any_started() => {
+            return Err(Failure::from(Kind::EndsUpstreams));
+        }
+        Standing::Trial | Standing::Allowed => {}
+    }
     let criteria = attempts.criteria(plan, record);
     Placer::reserve(state, &criteria)
         .await
         .map_err(Failure::from)
 }
 
+/// Logs that a request is not sent since upstreams ended under its content, and returns the refusal.
+fn barred(plan: &Plan, record: &Record, left: Duration) -> Failure {
+    info!(
+        request = record.request(),
+        content = %plan.content(),
+        left_ms = dispatch::millis(left),
+        "request_barred"
+    );
+    Failure {
+        kind: Kind::EndsUpstreams,
+        retry_after: Some(left),
+    }
+}
+
 /// Runs an attempt and returns its result with the number of the upstream.
 async fn run_attempt(
     state: &Rc<State>,
@@ -284,11 +307,16 @@
             deadline: plan.deadline,
             objective: plan.route.objective,
             attempts: self.possible_runs + self.in_flight_count(),
-            is_retry: self.was_sent || !self.in_flight.is_empty(),
+            is_retry: self.is_any_started(),
             avoid: self.avoid.clone(),
         }
     }
 
+    /// Returns whether an upstream has received the request, or is about to.
+    fn is_any_started(&self) -> bool {
+        self.was_sent || !self.in_flight.is_empty()
+    }
+
     fn in_flight_count(&self) -> u32 {
         u32::try_from(self.in_flight.len()).unwrap_or(u32::MAX)
     }
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -35,6 +35,9 @@
 use persimmonbend_core::id::ServiceId;
 use persimmonbend_core::id::TenantId;
 use persimmonbend_core::id::Zone;
+use persimmonbend_core::poison::End;
+use persimmonbend_core::poison::Fingerprint;
+use persimmonbend_core::poison::Standing;
 use persimmonbend_core::publication::Publication;
 use persimmonbend_core::roster::Entry;
 use persimmonbend_core::roster::Number;
@@ -157,6 +160,7 @@
         });
         local.set_share(share_without_leader(1, None), now);
         local.set_first_permit(draw);
+        local.poison_mut().set_draw(draw);
         Self {
             host: settings.host.clone(),
             zone: settings.zone.clone(),
@@ -280,6 +284,50 @@
         ledger.is_draining(upstream) || ledger.pauses(&self.host, now).contains(upstream)
     }
 
+    /// Returns whether a request may be sent to an upstream; `content` is called only if ends are known.
+    pub fn standing<C: FnOnce() -> Fingerprint>(&self, content: C, now: Instant) -> Standing {
+        let local = self.local_dispatcher.borrow();
+        if local.poison().is_empty() {
+            return Standing::Allowed;
+        }
+        local.poison().standing(content(), now)
+    }
+
+    /// Records that an upstream ended under a request, and reports it to the dispatcher.
+    pub fn note_end(&self, end: End, now: Instant) {
+        if self
+            .local_dispatcher
+            .borrow_mut()
+            .poison_mut()
+            .note(&end, now)
+        {
+            self.report_ends(vec![end]);
+        }
+    }
+
+    /// Records that a request was answered, and reports it to the dispatcher if upstreams had ended under its
+    /// content; `content` is called only if ends are known.
+    pub fn note_answer<C: FnOnce() -> Fingerprint>(&self, content: C, now: Instant) {
+        let mut local = self.local_dispatcher.borrow_mut();
+        if !local.poison().is_empty() {
+            let changed = local.poison_mut().note_answer(content(), now);
+            drop(local);
+            self.report_ends(changed);
+        }
+    }
+
+    /// Returns the ends of upstreams that this host knows of.
+    #[must_use]
+    pub fn ends(&self, now: Instant) -> Vec<End> {
+        self.local_dispatcher.borrow().poison().ends(now)
+    }
+
+    fn report_ends(&self, ends: Vec<End>) {
+        if let (false, Some(link)) = (ends.is_empty(), &*self.link.borrow()) {
+            link.send(Frame::Ends(ends));
+        }
+    }
+
     /// Announces to the dispatcher that this host stops as planned.
     pub fn announce_stop(&self) {
         if let Some(link) = self.link.borrow().as_ref() {
@@ -299,6 +347,7 @@
             "control": *self.replicas.borrow(),
             "waiting": self.pending.borrow().len(),
             "in_use": self.slots.borrow().len(),
+            "ends": self.ends(now).iter().map(shown_end).collect::<Vec<_>>(),
             "own_view": self.local_dispatcher.borrow().dump(now),
         })
     }
@@ -367,6 +416,16 @@
     }
 }
 
+/// Returns an end of an upstream, for operators.
+fn shown_end(end: &End) -> serde_json::Value {
+    json!({
+        "content": end.content.to_string(),
+        "upstream": end.upstream,
+        "age_ms": dispatch::millis(end.age),
+        "holds": end.holds,
+    })
+}
+
 /// Returns the frame that withdraws a reservation.
 fn cancellation_frame(number: u32) -> Frame {
     Frame::Release {
--- a/programs/pb-proxy/src/gateway/placement/link.rs
+++ b/programs/pb-proxy/src/gateway/placement/link.rs
@@ -11,6 +11,7 @@
 use futures_util::future::Either;
 use futures_util::future::select;
 use persimmonbend_core::dispatch::Decision;
+use persimmonbend_core::poison::End;
 use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Number;
 use persimmonbend_core::roster::Revision;
@@ -312,6 +313,7 @@
             Frame::Limits { stated, ended } => {
                 state.placer().note_limits(&stated, &ended, state.now());
             }
+            Frame::Ends(ends) => state.placer().apply_ends(&ends, state.now()),
             other => state.placer().apply_answer(sender, other)?,
         }
     }
@@ -345,8 +347,8 @@
         }
     }
 
-    /// Makes `sender` the link in use and reports the slots in use, the suspected upstreams
-    /// and what upstreams have stated about themselves.
+    /// Makes `sender` the link in use and reports the slots in use, the suspected upstreams,
+    /// what upstreams have stated about themselves and which ended under which requests.
     ///
     /// `target` is the other end of the link, which leads to `leader` unless it is a deputy.
     fn open_link(&self, sender: &Sender, target: Target, leader: Option<SocketAddr>, now: Instant) {
@@ -366,6 +368,10 @@
         for (upstream, statement) in self.statements(now) {
             sender.send(placement::stated_frame(upstream, statement));
         }
+        let ends = self.ends(now);
+        if !ends.is_empty() {
+            sender.send(Frame::Ends(ends));
+        }
         self.has_suspects_of_link.set(false);
         self.is_subscribed.set(false);
         self.unanswered_since.set(None);
@@ -467,6 +473,17 @@
         info!(?stated, ?ended, "limits_noted");
     }
 
+    /// Notes ends of upstreams under requests of other hosts.
+    fn apply_ends(&self, ends: &[End], now: Instant) {
+        let mut local = self.local_dispatcher.borrow_mut();
+        for end in ends {
+            if local.poison_mut().note(end, now) {
+                let (content, number) = (end.content, end.upstream);
+                info!(%content, number, holds = end.holds, "upstream_end_noted");
+            }
+        }
+    }
+
     /// Runs the timers of the local dispatcher.
     fn tick(&self, state: &State) {
         let answers = self.local_dispatcher.borrow_mut().tick(state.now());
