feat(proxy): log why an upstream cannot be connected to, and how many hosts and upstreams that concerns

Proxies log connection_failed with the error; leader_load has the numbers of suspects and of hosts that lately could not connect to some upstream.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -445,6 +445,15 @@
         &mut self.poison
     }
 
+    /// Returns the number of hosts that could not connect to some upstream a short time ago.
+    #[must_use]
+    pub fn hosts_with_unreachable(&self, now: Instant) -> usize {
+        let current = self.unreachable_until.iter();
+        let current = current.filter(|(_, until)| now < **until);
+        let hosts: BTreeSet<&HostId> = current.map(|((host, _), _)| host).collect();
+        hosts.len()
+    }
+
     /// Returns the retries that each service may still send.
     pub fn retries_left(&self) -> impl Iterator<Item = (&ServiceId, f64)> {
         let pools = self.pools.iter();
--- a/programs/pb-control/src/dispatch/state.rs
+++ b/programs/pb-control/src/dispatch/state.rs
@@ -148,8 +148,11 @@
             .map(|service| self.hosts.dispatcher().queued(service))
             .sum();
         let retries: BTreeMap<&String, f64> = self.hosts.dispatcher().retries_left().collect();
+        let dispatcher = self.hosts.dispatcher();
         info!(
             hosts = self.hosts.len(),
+            suspects = dispatcher.suspects(now).len(),
+            hosts_with_unreachable = dispatcher.hosts_with_unreachable(now),
             retries = %json!(retries),
             joins = self.load.joins,
             queued,
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -27,6 +27,7 @@
 use persimmonbend_core::error::Kind;
 use persimmonbend_core::health::Outcome;
 use persimmonbend_core::poison::Standing;
+use tracing::info;
 
 use crate::callers;
 use crate::gateway::dialect::Attempt;
@@ -216,7 +217,10 @@
         return Ok(connection);
     }
     let connected = state.pool().connect(address, CONNECT_TIMEOUT, now).await;
-    connected.map_err(|_| Fault::unsent(Outcome::Unreachable))
+    connected.map_err(|error| {
+        info!(upstream = %address, error = %error, "connection_failed");
+        Fault::unsent(Outcome::Unreachable)
+    })
 }
 
 /// Sends the request and reads the head and the buffered part of its answer.
