fix(proxy): send requests through another host where the own paths to upstreams are blocked

Cause: a host had no other way to an upstream than its own, and kept nothing of what one request had found out. Change: a host whose connections to two upstreams of a service fail in a row hands requests to another host, which sends each once to the upstream that was granted, or says that it did not; once one has reached an upstream that this host did not, further requests to the service go that way at once, and the host tries its own paths twice a second. The host of the client keeps slot, deadline, retries, quota and the answer to the client. The other host obeys and notes what upstreams state, finds out whether one has ended under the request, and finishes before a planned stop.

--- a/crates/app/src/http.rs
+++ b/crates/app/src/http.rs
@@ -198,7 +198,9 @@
 /// Delay before the next accept after one has failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-async fn serve_connection<H: Handler + 'static>(
+/// Serves one connection until it is closed, or until the requests that run when `stop` is requested have
+/// been answered.
+pub async fn serve_connection<H: Handler + 'static>(
     stream: TcpStream,
     from: SocketAddr,
     limits: Limits,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod poison;
 pub mod publication;
 pub mod quota;
+pub mod reach;
 pub mod record;
 pub mod rendezvous;
 pub mod retry;
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -43,6 +43,8 @@
     Slots,
     /// Frames between hosts and the dispatcher.
     Dispatch,
+    /// HTTP requests that a host sends to upstreams for another host.
+    Detour,
 }
 
 impl Purpose {
@@ -51,6 +53,7 @@
             Self::Rpc => 0,
             Self::Slots => 1,
             Self::Dispatch => 2,
+            Self::Detour => 3,
         }
     }
 }
@@ -63,6 +66,7 @@
             0 => Ok(Self::Rpc),
             1 => Ok(Self::Slots),
             2 => Ok(Self::Dispatch),
+            3 => Ok(Self::Detour),
             other => Err(Error::Malformed(format!("unknown purpose {other}"))),
         }
     }
--- a/crates/wire/src/listener.rs
+++ b/crates/wire/src/listener.rs
@@ -46,6 +46,7 @@
     roles: Roles,
     slots: Option<Handler>,
     dispatch: Option<Handler>,
+    detour: Option<Handler>,
     admission: Rc<Admission>,
     throttle: RefCell<Throttle>,
 }
@@ -77,6 +78,7 @@
             roles: Roles::default(),
             slots: None,
             dispatch: None,
+            detour: None,
             admission: Rc::default(),
             throttle: RefCell::new(Throttle::new()),
         }
@@ -103,6 +105,13 @@
         self
     }
 
+    /// Sets the handler of connections for requests of other hosts.
+    #[must_use]
+    pub fn detour(mut self, handler: Handler) -> Self {
+        self.detour = Some(handler);
+        self
+    }
+
     /// Returns the bound address.
     ///
     /// # Errors
@@ -145,6 +154,7 @@
             Ok(Purpose::Rpc) => serve_rpc(stream, self.roles.clone()).await,
             Ok(Purpose::Slots) => self.hand_to(self.slots.as_ref(), stream, from),
             Ok(Purpose::Dispatch) => self.hand_to(self.dispatch.as_ref(), stream, from),
+            Ok(Purpose::Detour) => self.hand_to(self.detour.as_ref(), stream, from),
             Err(error) => self.log_dropped(from, &error.to_string()),
         }
     }
--- a/programs/pb-proxy/src/gateway.rs
+++ b/programs/pb-proxy/src/gateway.rs
@@ -8,12 +8,14 @@
 pub mod checks;
 pub mod clients;
 pub mod deputy;
+pub mod detour;
 pub mod dialect;
 mod end_check;
 pub mod exchange;
 mod feed;
 pub mod forward;
 pub mod meters;
+pub mod paths;
 pub mod placement;
 pub mod record;
 pub mod relay;
@@ -47,6 +49,9 @@
 /// Time before the end of the grace period at which requests that still run are abandoned.
 const GRACE_MARGIN: Duration = Duration::from_millis(150);
 
+/// Time between two looks whether requests of other hosts still run, before this one ends.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Runs a gateway until `stop` is requested and its last request or the grace period has ended.
 ///
 /// # Errors
@@ -77,7 +82,13 @@
         spawn(feed::run(Rc::clone(&state))),
         spawn(placement::run(Rc::clone(&state))),
         spawn(sweep(Rc::clone(&state))),
-        spawn(relay.dispatch(relay::handler(&state, &deputy)).serve()),
+        spawn(paths::run(Rc::clone(&state))),
+        spawn(
+            relay
+                .dispatch(relay::handler(&state, &deputy))
+                .detour(detour::handler(&state))
+                .serve(),
+        ),
         spawn({
             let state = Rc::clone(&state);
             async move { deputy.run(&state).await }
@@ -100,8 +111,14 @@
         state.stop().asked().await;
         compio::time::sleep(grace.saturating_sub(GRACE_MARGIN)).await;
     };
-    futures_util::pin_mut!(serving, until_grace);
-    let _ = futures_util::future::select(serving, until_grace).await;
+    let until_idle = async {
+        serving.await;
+        while state.running().get() > 0 {
+            compio::time::sleep(IDLE_CHECK_INTERVAL).await;
+        }
+    };
+    futures_util::pin_mut!(until_idle, until_grace);
+    let _ = futures_util::future::select(until_idle, until_grace).await;
     if state.running().get() > 0 {
         warn!(running = state.running().get(), "stopped_with_requests");
     }
--- a/programs/pb-proxy/src/gateway/end_check.rs
+++ b/programs/pb-proxy/src/gateway/end_check.rs
@@ -6,7 +6,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use compio::net::TcpStream;
 use compio::time::timeout;
@@ -18,11 +17,10 @@
 use rand::seq::SliceRandom;
 use tracing::info;
 
+use crate::gateway::paths;
+use crate::gateway::paths::CONNECT_TIMEOUT;
 use crate::gateway::state::State;
 
-/// Time limit for a connection; a round trip takes one or two milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// Other upstreams that are tried until one accepts; some of them may have ended as well.
 const MAX_WITNESSES: usize = 2;
 
@@ -43,29 +41,45 @@
 
 /// Finds out whether the upstream of an interrupted request has ended, and records the end.
 pub async fn run(state: Rc<State>, interruption: Interruption) {
-    if !is_refused(interruption.address).await {
-        return;
+    let Interruption {
+        service, address, ..
+    } = &interruption;
+    if has_ended(&state, service, *address).await {
+        note_end(&state, &interruption);
     }
-    for witness in witnesses(&state, &interruption) {
-        if is_accepted(witness).await {
-            info!(
-                request = interruption.request,
-                content = %interruption.content,
-                number = interruption.upstream,
-                "upstream_ended"
-            );
-            let end = End::new(interruption.content, interruption.upstream);
-            state.placer().note_end(end, state.now());
-            return;
+}
+
+/// Records that the upstream of an interrupted request has ended.
+pub fn note_end(state: &State, interruption: &Interruption) {
+    info!(
+        request = interruption.request,
+        content = %interruption.content,
+        number = interruption.upstream,
+        "upstream_ended"
+    );
+    let end = End::new(interruption.content, interruption.upstream);
+    state.placer().note_end(end, state.now());
+}
+
+/// Returns whether an upstream refuses connections and another one, of its service if there are any, accepts
+/// them.
+pub async fn has_ended(state: &State, service: &str, address: SocketAddr) -> bool {
+    if !is_refused(address).await {
+        return false;
+    }
+    for witness in witnesses(state, service, address) {
+        if paths::is_accepted(witness).await {
+            return true;
         }
     }
+    false
 }
 
-/// Returns the addresses of other upstreams in random order, those of the same service if there are any.
-fn witnesses(state: &State, interruption: &Interruption) -> Vec<SocketAddr> {
+/// Returns the addresses of other upstreams in random order, those of the service if there are any.
+fn witnesses(state: &State, service: &str, address: SocketAddr) -> Vec<SocketAddr> {
     let mut others = state.upstreams();
-    others.retain(|entry| entry.announcement.address != interruption.address);
-    let is_of_service = |entry: &Entry| entry.announcement.service == interruption.service;
+    others.retain(|entry| entry.announcement.address != address);
+    let is_of_service = |entry: &Entry| entry.announcement.service == service;
     if others.iter().any(is_of_service) {
         others.retain(is_of_service);
     }
@@ -78,8 +92,3 @@
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     matches!(connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
-
-async fn is_accepted(address: SocketAddr) -> bool {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connected, Ok(Ok(_)))
-}
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -30,20 +30,19 @@
 use tracing::info;
 
 use crate::callers;
-use crate::gateway::dialect::Attempt;
+use crate::gateway::detour;
+use crate::gateway::dialect;
 use crate::gateway::dialect::Metadata;
 use crate::gateway::dialect::Verdict;
 use crate::gateway::end_check;
 use crate::gateway::end_check::Interruption;
 use crate::gateway::forward::Plan;
+use crate::gateway::paths;
+use crate::gateway::paths::CONNECT_TIMEOUT;
 use crate::gateway::placement::Reservation;
 use crate::gateway::state::State;
 use crate::pool::Connection;
 
-/// Time limit for a new connection to an upstream. A round trip takes one or two milliseconds; an
-/// upstream that does not accept in time is given up for another one.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// Longest idle time after which a connection is used again; upstreams close idle connections after
 /// ten seconds or more.
 ///
@@ -54,6 +53,9 @@
 /// Largest answer that is buffered whole before the client receives its head.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
+/// The fault of a request whose upstream broke it off or gave no valid answer.
+const BROKEN: Fault = Fault::unknown(Kind::UpstreamBroken, Outcome::Truncated);
+
 /// The result of an attempt.
 pub enum Reply {
     /// An answer to pass to the client.
@@ -138,6 +140,8 @@
 }
 
 /// Sends a request to the upstream of a reservation and ends the reservation.
+///
+/// Where the path to the upstream is blocked, other hosts are asked to send it.
 pub async fn run(
     state: &Rc<State>,
     plan: &Plan,
@@ -147,118 +151,270 @@
     let Some(address) = reservation.address() else {
         return Reply::Fault(Fault::unsent(Outcome::Cancelled));
     };
-    let connection = match obtain_connection(state, plan, address).await {
-        Ok(connection) => connection,
-        Err(fault) => {
-            reservation.end(fault.outcome, 0);
-            return Reply::Fault(fault);
-        }
+    let attempt = Attempt {
+        state,
+        plan,
+        metadata,
+        reservation,
+        address,
     };
-    // The upstream may have told another request that it wants no more while this one connected.
-    if state
-        .placer()
-        .is_unwanted_at(reservation.upstream(), state.now())
-    {
-        reservation.end(Outcome::Cancelled, 0);
-        return Reply::Fault(Fault::unsent(Outcome::Cancelled));
-    }
-    // Upstreams may have ended under the same request of another client while this one waited.
-    let standing = state.placer().standing(|| plan.content(), state.now());
-    if matches!(standing, Standing::Barred(_)) {
-        reservation.end(Outcome::Cancelled, 0);
-        return Reply::Fault(Fault::barred());
-    }
-    let left = plan.deadline.saturating_duration_since(state.now());
-    let sending = exchange(state, plan, metadata, &reservation, connection, left);
-    let result = timeout(left, sending).await;
-    let result = result.unwrap_or(Err(Fault::unknown(
-        Kind::UpstreamTimeout,
-        Outcome::TimedOut,
-    )));
-    match result {
-        Ok(answer) => answer.finish(state, plan, metadata, address, reservation),
+    match attempt.run().await {
+        Ok((answer, way)) => answer.finish(attempt, way),
         Err(fault) => {
-            reservation.end(fault.outcome, 0);
-            if fault.outcome == Outcome::Truncated {
-                let interruption = interruption(plan, metadata, &reservation, address);
-                spawn(end_check::run(Rc::clone(state), interruption)).detach();
-            }
+            attempt.reservation.end(fault.outcome, 0);
             Reply::Fault(fault)
         }
     }
 }
 
-/// Describes a request that its upstream breaks off.
-fn interruption(
-    plan: &Plan,
-    metadata: &Metadata,
-    reservation: &Reservation,
-    address: SocketAddr,
-) -> Interruption {
-    Interruption {
-        request: metadata.id.clone().unwrap_or_default(),
-        content: plan.content(),
-        service: plan.service.clone(),
-        upstream: reservation.upstream(),
-        address,
+/// How a request gets to its upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// Over a connection to the upstream at this address.
+    Direct(SocketAddr),
+    /// Through another host.
+    Detour(SocketAddr),
+}
+
+impl Way {
+    /// Returns the other end of the connection.
+    const fn address(self) -> SocketAddr {
+        match self {
+            Self::Direct(address) | Self::Detour(address) => address,
+        }
     }
 }
 
-/// Returns an idle connection if the request is idempotent and there is one, or else a new one.
-async fn obtain_connection(
-    state: &State,
-    plan: &Plan,
-    address: SocketAddr,
-) -> Result<Connection, Fault> {
-    let now = state.now();
-    if plan.route.idempotent
-        && let Some(connection) = state.pool().take_idle(address, REUSE_AGE, now)
-    {
-        return Ok(connection);
+/// Why a request has no answer over one way.
+enum Obstacle {
+    /// The request has none at all.
+    Fault(Fault),
+    /// The other host did not send it, or has no answer either.
+    Host(detour::Fault),
+}
+
+impl From<Fault> for Obstacle {
+    fn from(fault: Fault) -> Self {
+        Self::Fault(fault)
     }
-    let connected = state.pool().connect(address, CONNECT_TIMEOUT, now).await;
-    connected.map_err(|error| {
-        info!(upstream = %address, error = %error, "connection_failed");
-        Fault::unsent(Outcome::Unreachable)
-    })
 }
 
-/// Sends the request and reads the head and the buffered part of its answer.
-async fn exchange(
-    state: &State,
-    plan: &Plan,
-    metadata: &Metadata,
-    reservation: &Reservation,
-    mut connection: Connection,
-    left: Duration,
-) -> Result<Answer, Fault> {
-    let request = request(state, plan, reservation, left);
-    let sent = connection.sender.try_send_request(request).await;
-    let broken = Fault::unknown(Kind::UpstreamBroken, Outcome::Truncated);
-    let response = sent.map_err(|mut error| match error.take_message() {
-        Some(_) => Fault::unsent(Outcome::Unreachable),
-        None => broken,
-    })?;
-    let (head, mut body) = response.into_parts();
-    let verdict = state.dialect().classify(metadata, &head);
-    if verdict.is_of_upstream() {
-        let statement = state.dialect().statement(&head);
-        state.note_statement(reservation.upstream(), statement);
+/// An attempt at one upstream, over any way.
+struct Attempt<'a> {
+    state: &'a Rc<State>,
+    plan: &'a Plan,
+    metadata: &'a Metadata,
+    reservation: Reservation,
+    address: SocketAddr,
+}
+
+impl Attempt<'_> {
+    /// Sends the request directly or through another host.
+    async fn run(&self) -> Result<(Answer, Way), Fault> {
+        let number = self.reservation.upstream();
+        let paths = self.state.paths();
+        let is_blocked = paths.is_blocked(&self.plan.service, number);
+        if !is_blocked {
+            match self.connect_directly().await {
+                Ok(connection) => return self.send_directly(connection).await,
+                Err(fault) if !self.is_path_suspected() => return Err(fault),
+                Err(_) => {}
+            }
+        }
+        match self.send_by_detour().await {
+            Some(result) => result,
+            // Without another host's help only the own path is left, even if it is blocked.
+            None if is_blocked => {
+                let connection = self.connect_directly().await?;
+                self.send_directly(connection).await
+            }
+            None => Err(Fault::unsent(Outcome::Unreachable)),
+        }
     }
-    match verdict {
-        Verdict::Answered => {}
-        Verdict::NotRun => return Err(Fault::not_run(Outcome::Shed)),
-        Verdict::Moved => return Err(Fault::not_run(Outcome::Moved)),
-        Verdict::Unverified => return Err(broken),
+
+    /// Returns an idle connection if the request is idempotent and there is one, or else a new one.
+    async fn connect_directly(&self) -> Result<Connection, Fault> {
+        let (state, service) = (self.state, &self.plan.service);
+        let may_reuse = self.plan.route.idempotent && !self.is_path_suspected();
+        if may_reuse
+            && let Some(connection) = state.pool().take_idle(self.address, REUSE_AGE, state.now())
+        {
+            return Ok(connection);
+        }
+        let number = self.reservation.upstream();
+        let connecting = state
+            .pool()
+            .connect(self.address, CONNECT_TIMEOUT, state.now());
+        match connecting.await {
+            Ok(connection) => {
+                state.paths().note_opened(service, number);
+                Ok(connection)
+            }
+            Err(error) => {
+                state.paths().note_failure(service, number, state.now());
+                info!(upstream = %self.address, error = %error, "connection_failed");
+                Err(Fault::unsent(Outcome::Unreachable))
+            }
+        }
+    }
+
+    async fn send_directly(&self, connection: Connection) -> Result<(Answer, Way), Fault> {
+        let way = Way::Direct(self.address);
+        match self.send(connection, way).await {
+            Ok(answer) => Ok((answer, way)),
+            Err(Obstacle::Fault(fault)) => {
+                self.follow_up(fault);
+                Err(fault)
+            }
+            Err(Obstacle::Host(_)) => Err(BROKEN),
+        }
+    }
+
+    /// Finds out what is behind a fault: an ended upstream, or a blocked path.
+    fn follow_up(&self, fault: Fault) {
+        let state = Rc::clone(self.state);
+        match fault.outcome {
+            Outcome::Truncated => {
+                spawn(end_check::run(state, self.interruption())).detach();
+            }
+            Outcome::TimedOut => {
+                spawn(paths::check(state, self.plan.service.clone())).detach();
+            }
+            _ => {}
+        }
+    }
+
+    /// Asks other hosts to send the request, until one has sent it or finds the upstream unreachable; returns
+    /// `None` if none could help.
+    async fn send_by_detour(&self) -> Option<Result<(Answer, Way), Fault>> {
+        let (state, number) = (self.state, self.reservation.upstream());
+        for host in state.detours().candidates(state) {
+            let may_reuse = self.plan.route.idempotent;
+            let Some(connection) = detour::connect(state, host, may_reuse).await else {
+                state.detours().note_refusal(host, state.now());
+                continue;
+            };
+            let way = Way::Detour(host);
+            let result = self.send(connection, way).await;
+            if let Err(Obstacle::Host(fault)) = &result {
+                let request = self.metadata.id.as_deref();
+                info!(request, %host, number, fault = fault.name(), "detour_refused");
+            }
+            let fault = match result {
+                Ok(answer) => {
+                    self.note_detour(host);
+                    return Some(Ok((answer, way)));
+                }
+                Err(Obstacle::Fault(fault)) => {
+                    if fault.was_sent && !fault.may_have_run {
+                        self.note_detour(host);
+                    }
+                    return Some(Err(fault));
+                }
+                Err(Obstacle::Host(fault)) => fault,
+            };
+            match fault {
+                detour::Fault::Blocked => state.detours().note_refusal(host, state.now()),
+                detour::Fault::Unwilling => return Some(Err(Fault::unsent(Outcome::Cancelled))),
+                detour::Fault::Unreachable => {
+                    return Some(Err(Fault::unsent(Outcome::Unreachable)));
+                }
+                detour::Fault::Broken => return Some(Err(BROKEN)),
+                detour::Fault::Ended => {
+                    end_check::note_end(state, &self.interruption());
+                    return Some(Err(BROKEN));
+                }
+            }
+        }
+        None
+    }
+
+    /// Notes that another host has reached the upstream.
+    fn note_detour(&self, host: SocketAddr) {
+        let number = self.reservation.upstream();
+        self.state.detours().note_help(host);
+        paths::note_detour(self.state, &self.plan.service, number);
+    }
+
+    fn is_path_suspected(&self) -> bool {
+        paths::is_suspected(self.state, &self.plan.service)
+    }
+
+    /// Sends the request over a connection and waits for its answer until the deadline, unless the upstream or
+    /// the content were ruled out meanwhile.
+    async fn send(&self, connection: Connection, way: Way) -> Result<Answer, Obstacle> {
+        let (state, now) = (self.state, self.state.now());
+        if state
+            .placer()
+            .is_unwanted_at(self.reservation.upstream(), now)
+        {
+            return Err(Fault::unsent(Outcome::Cancelled).into());
+        }
+        let standing = state.placer().standing(|| self.plan.content(), now);
+        if matches!(standing, Standing::Barred(_)) {
+            return Err(Fault::barred().into());
+        }
+        let left = self.plan.deadline.saturating_duration_since(now);
+        let result = timeout(left, self.exchange(connection, way, left)).await;
+        result.unwrap_or_else(|_| {
+            let timed_out = Fault::unknown(Kind::UpstreamTimeout, Outcome::TimedOut);
+            Err(timed_out.into())
+        })
+    }
+
+    /// Sends the request and reads the head and the buffered part of its answer.
+    async fn exchange(
+        &self,
+        mut connection: Connection,
+        way: Way,
+        left: Duration,
+    ) -> Result<Answer, Obstacle> {
+        let state = self.state;
+        let mut request = request(state, self.plan, &self.reservation, left);
+        if let Way::Detour(_) = way {
+            let number = self.reservation.upstream();
+            detour::address_to(request.headers_mut(), number, self.plan.route.idempotent);
+        }
+        let sent = connection.sender.try_send_request(request).await;
+        let response = sent.map_err(|mut error| match error.take_message() {
+            Some(_) => Fault::unsent(Outcome::Unreachable),
+            None => BROKEN,
+        })?;
+        let (head, mut body) = response.into_parts();
+        if let (Way::Detour(_), Some(fault)) = (way, detour::Fault::of(&head.headers)) {
+            return Err(Obstacle::Host(fault));
+        }
+        let verdict = state.dialect().classify(self.metadata, &head);
+        if verdict.is_of_upstream() {
+            let statement = state.dialect().statement(&head);
+            state.note_statement(self.reservation.upstream(), statement);
+        }
+        match verdict {
+            Verdict::Answered => {}
+            Verdict::NotRun => return Err(Fault::not_run(Outcome::Shed).into()),
+            Verdict::Moved => return Err(Fault::not_run(Outcome::Moved).into()),
+            Verdict::Unverified => return Err(BROKEN.into()),
+        }
+        let buffered = buffer_body(&mut body).await;
+        let (buffered, is_complete) = buffered.map_err(|_| BROKEN)?;
+        Ok(Answer {
+            head,
+            buffered,
+            rest: (!is_complete).then_some(body),
+            connection,
+        })
+    }
+
+    /// Describes the request, in case its upstream breaks it off.
+    fn interruption(&self) -> Interruption {
+        Interruption {
+            request: self.metadata.id.clone().unwrap_or_default(),
+            content: self.plan.content(),
+            service: self.plan.service.clone(),
+            upstream: self.reservation.upstream(),
+            address: self.address,
+        }
     }
-    let buffered = buffer_body(&mut body).await;
-    let (buffered, is_complete) = buffered.map_err(|_| broken)?;
-    Ok(Answer {
-        head,
-        buffered,
-        rest: (!is_complete).then_some(body),
-        connection,
-    })
 }
 
 /// Creates the request for one attempt.
@@ -272,7 +428,7 @@
     *request.method_mut() = plan.head.method.clone();
     *request.uri_mut() = callers::origin_form(&plan.head.uri);
     *request.headers_mut() = plan.head.headers.clone();
-    let attempt = Attempt {
+    let attempt = dialect::Attempt {
         remaining: left,
         upstream: &reservation.id(),
         tenant: plan.tenant.as_ref(),
@@ -306,14 +462,8 @@
 
 impl Answer {
     /// Returns the result; ends the reservation, unless the rest of the body is still to be passed on.
-    fn finish(
-        mut self,
-        state: &Rc<State>,
-        plan: &Plan,
-        metadata: &Metadata,
-        address: SocketAddr,
-        reservation: Reservation,
-    ) -> Reply {
+    fn finish(mut self, attempt: Attempt<'_>, way: Way) -> Reply {
+        let (state, plan) = (attempt.state, attempt.plan);
         let failed = self.head.status.is_server_error();
         let outcome = if failed {
             Outcome::Failed
@@ -327,8 +477,9 @@
                 state: Rc::clone(state),
                 body: rest.into_data_stream(),
                 connection: self.connection,
-                interruption: interruption(plan, metadata, &reservation, address),
-                reservation,
+                way,
+                interruption: attempt.interruption(),
+                reservation: attempt.reservation,
                 outcome,
                 bytes,
                 deadline: plan.deadline,
@@ -337,13 +488,15 @@
             let body = StreamBody::new(first.chain(rest.into_stream()));
             return Reply::Answered(Response::from_parts(self.head, Box::pin(body)));
         }
-        reservation.end(outcome, bytes);
+        attempt.reservation.end(outcome, bytes);
         if failed {
             let response = Response::from_parts(self.head, http::full(self.buffered));
             return Reply::Failed(response);
         }
         state.placer().note_answer(|| plan.content(), state.now());
-        state.pool().put_back(address, self.connection, state.now());
+        state
+            .pool()
+            .put_back(way.address(), self.connection, state.now());
         Reply::Answered(Response::from_parts(self.head, http::full(self.buffered)))
     }
 }
@@ -356,6 +509,7 @@
     state: Rc<State>,
     body: BodyDataStream<Incoming>,
     connection: Connection,
+    way: Way,
     /// The request, if the upstream breaks it off here.
     interruption: Interruption,
     reservation: Reservation,
@@ -405,6 +559,6 @@
         self.state.placer().note_answer(|| content, now);
         self.state
             .pool()
-            .put_back(self.interruption.address, self.connection, now);
+            .put_back(self.way.address(), self.connection, now);
     }
 }
--- a/programs/pb-proxy/src/gateway/forward.rs
+++ b/programs/pb-proxy/src/gateway/forward.rs
@@ -10,6 +10,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use compio::runtime::spawn;
 use compio::time::timeout;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -36,6 +37,7 @@
 use crate::gateway::exchange;
 use crate::gateway::exchange::Fault;
 use crate::gateway::exchange::Reply;
+use crate::gateway::paths;
 use crate::gateway::placement::Criteria;
 use crate::gateway::placement::Placer;
 use crate::gateway::placement::Refusal;
@@ -162,6 +164,7 @@
             match next(state, &mut running, hedge_at).await {
                 Event::HedgeDue => {
                     hedge_at = None;
+                    spawn(paths::check(Rc::clone(state), plan.service.clone())).detach();
                     if attempts.may_hedge(plan) {
                         break true;
                     }
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -33,9 +33,11 @@
 use tracing::info;
 use tracing::warn;
 
+use crate::gateway::detour;
 use crate::gateway::dialect::Dialect;
 use crate::gateway::feed::Feed;
 use crate::gateway::meters::Meters;
+use crate::gateway::paths::Paths;
 use crate::gateway::placement::Placer;
 use crate::gateway::settings::Settings;
 use crate::pool::Pool;
@@ -88,6 +90,8 @@
     feed: Feed,
     placer: Placer,
     pool: Pool,
+    paths: Paths,
+    detours: detour::Hosts,
     meters: Meters,
     rng: RefCell<ChaCha8Rng>,
     running: Cell<usize>,
@@ -115,6 +119,8 @@
             publication_changed: Event::new(),
             upstreams: RefCell::default(),
             pool: Pool::new(MAX_UPSTREAM_CONNECTIONS),
+            paths: Paths::default(),
+            detours: detour::Hosts::default(),
             meters: Meters::new(),
             rng: RefCell::new(rng),
             running: Cell::new(0),
@@ -183,6 +189,18 @@
         &self.pool
     }
 
+    /// Returns what this host knows of its own paths to upstreams.
+    #[must_use]
+    pub const fn paths(&self) -> &Paths {
+        &self.paths
+    }
+
+    /// Returns the hosts that can send requests in place of this one.
+    #[must_use]
+    pub const fn detours(&self) -> &detour::Hosts {
+        &self.detours
+    }
+
     /// Returns the counters and histograms.
     #[must_use]
     pub const fn meters(&self) -> &Meters {
@@ -356,6 +374,7 @@
             self.placer.update_upstream(&entry, self.now());
             if entry.announcement.stage == Stage::Left {
                 upstreams.remove(&entry.number);
+                self.paths.forget(entry.number);
                 self.pool.close_idle(entry.announcement.address);
             } else {
                 upstreams.insert(entry.number, entry);
@@ -376,6 +395,8 @@
             "running": self.running.get(),
             "version": in_force.publication.version,
             "feed": self.feed.status(),
+            "blocked_services": self.paths.blocked_services(),
+            "blocked_upstreams": self.paths.blocked_upstreams(),
             "routes": in_force.publication.routes.len(),
             "upstreams": self.upstreams.borrow().values().collect::<Vec<_>>(),
             "desk": self.placer.status(self.now()),
--- a/programs/pb-proxy/src/pool.rs
+++ b/programs/pb-proxy/src/pool.rs
@@ -131,18 +131,22 @@
             .await
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
         let _ = stream.set_nodelay(true);
-        let handshake = http1::handshake(HyperStream::new_plain(stream)).await;
-        let (sender, driver) = handshake.map_err(std::io::Error::other)?;
-        spawn(async move {
-            let _ = driver.await;
-        })
-        .detach();
-        Ok(Connection {
-            sender,
-            reused: false,
-            idle_since: now,
-            _guard: guard,
-        })
+        open(guard, stream, now).await
+    }
+
+    /// Uses an open stream to `address` for requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the stream cannot be used.
+    pub async fn adopt(
+        &self,
+        address: SocketAddr,
+        stream: TcpStream,
+        now: Instant,
+    ) -> std::io::Result<Connection> {
+        self.close_surplus_idle(address);
+        open(Guard::new(&self.open, address), stream, now).await
     }
 
     /// Returns a connection to the pool after a complete response.
@@ -179,3 +183,18 @@
         }
     }
 }
+
+async fn open(guard: Guard, stream: TcpStream, now: Instant) -> std::io::Result<Connection> {
+    let handshake = http1::handshake(HyperStream::new_plain(stream)).await;
+    let (sender, driver) = handshake.map_err(std::io::Error::other)?;
+    spawn(async move {
+        let _ = driver.await;
+    })
+    .detach();
+    Ok(Connection {
+        sender,
+        reused: false,
+        idle_since: now,
+        _guard: guard,
+    })
+}
