fix(dispatch): do not take upstreams for suspects on the word of hosts that are cut off

Seen by callers: while some hosts had lost their paths to all upstreams, requests of the other hosts failed and waited too; the hosts estimated 0.82 to 0.92 as the probability to be grey for every upstream, where it was 0.08 before. Cause: each attempt that timed out, was broken off, ran late or found no upstream spoke against its upstream, although a host to which several upstreams in a row do not respond is likelier to be cut off itself. Change: the first upstream that does not respond to a host is charged; if another one does not either before any has responded to that host, the charge is taken back, and further ones are not charged.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -13,6 +13,7 @@
 //! have been served.
 
 mod belief;
+mod contact;
 mod cost;
 mod failures;
 mod free;
@@ -53,6 +54,7 @@
 pub use timing::Timing;
 pub use upstream::Upstream;
 
+use crate::dispatch::contact::Contact;
 use crate::error::Kind;
 use crate::id::HostId;
 use crate::id::RouteId;
@@ -225,6 +227,8 @@
     ledger: Ledger,
     /// Ends of upstreams, by the content of the requests that they ran.
     poison: poison::Ledger,
+    /// Hosts to which upstreams do not respond.
+    contact: Contact,
     /// Upstreams whose limits have ended since [`Dispatcher::take_ended_limits`].
     ended_limits: Vec<Number>,
     /// Pairs of a host and an upstream that it could not connect to, with the end of the pause.
@@ -250,6 +254,7 @@
             hosts: BTreeMap::new(),
             ledger: Ledger::default(),
             poison: poison::Ledger::default(),
+            contact: Contact::default(),
             ended_limits: Vec::new(),
             unreachable_until: BTreeMap::new(),
             steps: 0,
@@ -624,6 +629,7 @@
             host: host.to_owned(),
             number,
         };
+        self.contact.note_response(host);
         let own = self.slots_in_use.range(bound(u32::MIN)..=bound(u32::MAX));
         let tickets: Vec<Ticket> = own.map(|(ticket, _)| ticket.clone()).collect();
         let mut services = BTreeSet::new();
--- a/crates/core/src/dispatch/belief.rs
+++ b/crates/core/src/dispatch/belief.rs
@@ -31,7 +31,7 @@
 const TRUNCATED_RATIO: f64 = 20.0;
 const TIMED_OUT_RATIO: f64 = 6.0;
 /// One request in a hundred takes about three times as long as most, on healthy upstreams too.
-const LATE_RATIO: f64 = 10.0;
+pub const LATE_RATIO: f64 = 10.0;
 const SHED_RATIO: f64 = 6.0;
 /// The ratio is low because a host that cannot connect may itself be cut off.
 const UNREACHABLE_RATIO: f64 = 3.0;
@@ -107,18 +107,25 @@
         self.updated = now;
     }
 
-    /// Updates the estimate by the outcome of an attempt.
-    pub fn observe(&mut self, outcome: Outcome, now: Instant) {
-        let ratio = match outcome {
+    /// Returns the factor by which the outcome of an attempt multiplies the odds that its upstream is grey.
+    #[must_use]
+    pub const fn ratio(outcome: Outcome) -> f64 {
+        match outcome {
             Outcome::Answered => (1.0 - GREY_FAILURE_SHARE) / (1.0 - HEALTHY_FAILURE_SHARE),
             Outcome::Failed => GREY_FAILURE_SHARE / HEALTHY_FAILURE_SHARE,
             Outcome::Truncated => TRUNCATED_RATIO,
             Outcome::TimedOut => TIMED_OUT_RATIO,
             Outcome::Shed => SHED_RATIO,
             Outcome::Unreachable => UNREACHABLE_RATIO,
-            Outcome::Cancelled | Outcome::Moved => return,
-        };
-        self.update_odds(ratio, now);
+            Outcome::Cancelled | Outcome::Moved => 1.0,
+        }
+    }
+
+    /// Updates the estimate by the outcome of an attempt.
+    pub fn observe(&mut self, outcome: Outcome, now: Instant) {
+        if !matches!(outcome, Outcome::Cancelled | Outcome::Moved) {
+            self.update_odds(Self::ratio(outcome), now);
+        }
     }
 
     /// Updates the estimate for a running attempt that takes far longer than expected.
@@ -126,6 +133,11 @@
         self.update_odds(LATE_RATIO, now);
     }
 
+    /// Takes back evidence that multiplied the odds by `ratio`.
+    pub fn withdraw(&mut self, ratio: f64, now: Instant) {
+        self.update_odds(1.0 / ratio, now);
+    }
+
     fn update_odds(&mut self, ratio: f64, now: Instant) {
         let grey = self.grey(now);
         let odds = grey / (1.0 - grey) * ratio;
--- a/crates/core/src/dispatch/observation.rs
+++ b/crates/core/src/dispatch/observation.rs
@@ -4,13 +4,17 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::dispatch::Belief;
 use crate::dispatch::Completion;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::MIN_LATE_AFTER;
 use crate::dispatch::Slot;
 use crate::dispatch::Timing;
+use crate::dispatch::belief::LATE_RATIO;
+use crate::dispatch::contact::Verdict;
 use crate::health::Outcome;
 use crate::publication::Route;
+use crate::roster::Number;
 
 /// Multiple of the expected time after which a running attempt counts as late; after twice that
 /// multiple it counts as late again.
@@ -44,19 +48,21 @@
             return;
         };
         let mut timing = self.timing(&slot.route, route);
+        let is_route_timeout =
+            completion.outcome == Outcome::TimedOut && timing.has_too_short_timeout();
+        let is_evidence =
+            !is_route_timeout && self.is_evidence(host, slot.upstream, completion.outcome, now);
         let Some(pool) = self.pools.get_mut(&slot.service) else {
             return;
         };
         if pool.get(slot.upstream).is_none() {
             return;
         }
-        let is_route_timeout =
-            completion.outcome == Outcome::TimedOut && timing.has_too_short_timeout();
-        if !is_route_timeout {
-            // Failures of trials must not prolong the enforcement of the floor.
-            if !slot.is_trial {
-                pool.failures.observe(completion.outcome, slot.is_last, now);
-            }
+        // Failures of trials must not prolong the enforcement of the floor.
+        if !is_route_timeout && !slot.is_trial {
+            pool.failures.observe(completion.outcome, slot.is_last, now);
+        }
+        if is_evidence {
             pool.change(slot.upstream, now, |state| {
                 state.observe_outcome(completion.outcome, now);
             });
@@ -84,6 +90,42 @@
         }
     }
 
+    /// Returns whether an outcome says something about the upstream, and not about the path of the host; takes
+    /// back what an earlier one seemed to say if it does not either.
+    fn is_evidence(
+        &mut self,
+        host: &str,
+        upstream: Number,
+        outcome: Outcome,
+        now: Instant,
+    ) -> bool {
+        match outcome {
+            Outcome::Answered | Outcome::Failed | Outcome::Shed | Outcome::Moved => {
+                self.contact.note_response(host);
+                true
+            }
+            Outcome::TimedOut | Outcome::Truncated | Outcome::Unreachable => {
+                self.charges(host, upstream, Belief::ratio(outcome), now)
+            }
+            Outcome::Cancelled => true,
+        }
+    }
+
+    /// Returns whether it speaks against an upstream that it did not respond to a host; takes back what seemed
+    /// to speak against another one if both speak against the path of the host.
+    fn charges(&mut self, host: &str, upstream: Number, ratio: f64, now: Instant) -> bool {
+        match self.contact.note_silence(host, upstream, ratio) {
+            Verdict::Charged => true,
+            Verdict::Withdrawn(charge) => {
+                self.change_upstream(charge.upstream, now, |state| {
+                    state.belief.withdraw(charge.ratio, now);
+                });
+                false
+            }
+            Verdict::Ignored => false,
+        }
+    }
+
     /// Records the running attempts that take far longer than expected.
     pub(super) fn record_late_attempts(&mut self, now: Instant) {
         let publication = Rc::clone(&self.publication);
@@ -115,7 +157,9 @@
             if let Some(slot) = self.slots_in_use.get_mut(&ticket) {
                 slot.late_count += 1;
             }
-            self.change_upstream(upstream, now, |state| state.belief.observe_late(now));
+            if self.charges(&ticket.host, upstream, LATE_RATIO, now) {
+                self.change_upstream(upstream, now, |state| state.belief.observe_late(now));
+            }
         }
     }
 
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! The dispatcher under load: which requests are placed, queued and refused.
 
 mod budget;
+mod cut_off;
 mod grey;
 mod limits;
 mod pace;
