fix(dispatch): compute the capacity of a limited upstream with the slot time that was just observed

Cause: the capacity of an upstream with a limit was computed before the time of the answer entered the slot time, and the waiting time after it. With the first answer the slot time rises from the least of 1 ms to the real one, and the waiting time was too long by the same factor until the next timer, 50 ms later. A fast answer hides it. Change: the slot time is observed first. Evidence: paced::a_request_waits_for_a_limited_upstream_whose_first_answer_has_just_been_timed failed before (refused for two seconds) and passes now.

--- a/crates/core/src/dispatch/observation.rs
+++ b/crates/core/src/dispatch/observation.rs
@@ -69,10 +69,11 @@
         }
         match completion.outcome {
             Outcome::Answered => {
+                // The capacity of an upstream with a limit follows from the slot time.
+                pool.slot_time.observe(completion.latency);
                 pool.change(slot.upstream, now, |state| {
                     state.observe_latency(completion.latency, &timing, now);
                 });
-                pool.slot_time.observe(completion.latency);
                 timing.observe(completion);
                 self.timings.insert(slot.route.clone(), timing);
             }
--- a/crates/core/tests/dispatch/paced.rs
+++ b/crates/core/tests/dispatch/paced.rs
@@ -359,3 +359,21 @@
     );
     assert!(queued < 10, "{queued} wait for four requests a second");
 }
+
+#[test]
+fn a_request_waits_for_a_limited_upstream_whose_first_answer_has_just_been_timed() {
+    let mut world = World::new(&["a"]);
+    world.dispatcher.set_share(LOCAL_SHARE, world.now);
+    let (ticket, upstream) = world.place(IDEMPOTENT).expect("a slot");
+    let statement = Statement {
+        limit: Limit::try_from(4.0).ok(),
+        ..Statement::default()
+    };
+    world
+        .dispatcher
+        .note_statement("host-1", upstream, &statement, world.now);
+    world.advance(STEP);
+    world.release(&ticket, Outcome::Answered, Duration::from_millis(5));
+    let request = world.request(IDEMPOTENT);
+    assert_eq!(world.reserve(request), Decision::Queued);
+}
