--- a/programs/pb-proxy/src/gateway/detour.rs
+++ b/programs/pb-proxy/src/gateway/detour.rs
@@ -121,6 +121,14 @@
         hosts
     }
 
+    /// Notes that a host is handed a request. It counts as the helper again once it has an answer, so that
+    /// requests do not gather at a host that has fallen silent.
+    pub fn note_use(&self, host: SocketAddr) {
+        if self.helper.get() == Some(host) {
+            self.helper.set(None);
+        }
+    }
+
     /// Notes that a host sent a request and had an answer.
     pub fn note_help(&self, host: SocketAddr) {
         self.helper.set(Some(host));
@@ -147,6 +155,7 @@
 /// Addresses a request to an upstream behind another host.
 pub fn address_to(headers: &mut HeaderMap, upstream: Number, may_reuse: bool) {
     headers.insert(UPSTREAM, HeaderValue::from(upstream));
+    headers.remove(REUSE);
     if may_reuse {
         headers.insert(REUSE, HeaderValue::from_static("1"));
     }
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -294,6 +294,7 @@
                 state.detours().note_refusal(host, state.now());
                 continue;
             };
+            state.detours().note_use(host);
             let way = Way::Detour(host);
             let result = self.send(connection, way).await;
             if let Err(Obstacle::Host(fault)) = &result {
@@ -305,12 +306,19 @@
                     self.note_detour(host);
                     return Some(Ok((answer, way)));
                 }
-                Err(Obstacle::Fault(fault)) => {
-                    if fault.was_sent && !fault.may_have_run {
+                Err(Obstacle::Fault(fault)) => match fault.outcome {
+                    // The connection to the other host was lost before the request was sent.
+                    Outcome::Unreachable => detour::Fault::Blocked,
+                    Outcome::Shed | Outcome::Moved => {
                         self.note_detour(host);
+                        return Some(Err(fault));
                     }
-                    return Some(Err(fault));
-                }
+                    Outcome::TimedOut => {
+                        state.detours().note_refusal(host, state.now());
+                        return Some(Err(fault));
+                    }
+                    _ => return Some(Err(fault)),
+                },
                 Err(Obstacle::Host(fault)) => fault,
             };
             match fault {
