fix(proxy): notice the ends of all upstreams of a small service

Cause: only upstreams of the same service could show that a refused connection is not the host's own fault. Where a request ends all of a service of two or three, the last end was not noticed, and the request came again. Change: two upstreams of other services are tried after two of the same one. Evidence: poison::the_ends_of_all_upstreams_of_a_service_are_noticed failed before (one end noticed of two).

--- a/programs/pb-proxy/src/gateway/end_check.rs
+++ b/programs/pb-proxy/src/gateway/end_check.rs
@@ -21,7 +21,8 @@
 use crate::gateway::paths::CONNECT_TIMEOUT;
 use crate::gateway::state::State;
 
-/// Other upstreams that are tried until one accepts; some of them may have ended as well.
+/// Other upstreams of the service, and of other services, that are tried until one accepts. All of a small
+/// service may have ended.
 const MAX_WITNESSES: usize = 2;
 
 /// A request that an upstream broke off.
@@ -61,8 +62,7 @@
     state.placer().note_end(end, state.now());
 }
 
-/// Returns whether an upstream refuses connections and another one, of its service if there are any, accepts
-/// them.
+/// Returns whether an upstream refuses connections and another one accepts them.
 pub async fn has_ended(state: &State, service: &str, address: SocketAddr) -> bool {
     if !is_refused(address).await {
         return false;
@@ -75,17 +75,16 @@
     false
 }
 
-/// Returns the addresses of other upstreams in random order, those of the service if there are any.
+/// Returns the addresses of a few other upstreams, those of the service first.
 fn witnesses(state: &State, service: &str, address: SocketAddr) -> Vec<SocketAddr> {
     let mut others = state.upstreams();
     others.retain(|entry| entry.announcement.address != address);
-    let is_of_service = |entry: &Entry| entry.announcement.service == service;
-    if others.iter().any(is_of_service) {
-        others.retain(is_of_service);
-    }
     others.shuffle(&mut *state.rng());
-    let addresses = others.iter().map(|entry| entry.announcement.address);
-    addresses.take(MAX_WITNESSES).collect()
+    let is_near = |entry: &Entry| entry.announcement.service == service;
+    let (near, far): (Vec<Entry>, Vec<Entry>) = others.into_iter().partition(is_near);
+    let near = near.iter().take(MAX_WITNESSES);
+    let witnesses = near.chain(far.iter().take(MAX_WITNESSES));
+    witnesses.map(|entry| entry.announcement.address).collect()
 }
 
 async fn is_refused(address: SocketAddr) -> bool {
