fix(proxy): make one trial of a barred request, also if its end is not seen

Cause: a trial whose upstream ends unseen left the request on trial, and each repeat at that host was another one. Change: a host that has made a trial makes no other for the first pause, unless the request is answered. The standing of a request is checked once for each attempt, before it connects, so that a trial over several ways counts once.

--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -51,6 +51,9 @@
 /// before the others do.
 const PAUSE_SPREAD: f64 = 0.5;
 
+/// Time for which a host that has made a trial makes no other, unless an upstream answers it.
+const TRIAL_PAUSE: Duration = FIRST_PAUSE;
+
 /// Time for which an end is kept beyond the pause that follows from it.
 const MEMORY: Duration = Duration::from_secs(10 * 60);
 
@@ -140,6 +143,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
     contents: BTreeMap<Fingerprint, BTreeMap<Number, Sighting>>,
+    /// When this host last sent each content as a trial.
+    trials: BTreeMap<Fingerprint, Instant>,
     /// Position of this host's pauses in their spread, from 0 up to 1.
     draw: f64,
 }
@@ -192,6 +197,11 @@
         changed
     }
 
+    /// Records that a content is sent as a trial.
+    pub fn note_trial(&mut self, content: Fingerprint, now: Instant) {
+        self.trials.insert(content, now);
+    }
+
     /// Records an answer of an upstream to a request that was placed at `placed`: a reported end shortly
     /// before was none.
     pub fn note_alive(&mut self, upstream: Number, placed: Instant) {
@@ -224,7 +234,10 @@
             return Standing::Allowed;
         }
         let pause = pause(caused.len());
-        let until = *last + pause + pause.mul_f64(PAUSE_SPREAD * self.draw);
+        let mut until = *last + pause + pause.mul_f64(PAUSE_SPREAD * self.draw);
+        if let Some(trial) = self.trials.get(&content) {
+            until = until.max(*trial + TRIAL_PAUSE);
+        }
         let left = until.saturating_duration_since(now);
         if left.is_zero() {
             Standing::Trial
@@ -262,6 +275,9 @@
             ends.retain(|_, sighting| now.saturating_duration_since(sighting.at) < memory);
             !ends.is_empty()
         });
+        let contents = &self.contents;
+        self.trials
+            .retain(|content, _| contents.contains_key(content));
     }
 
     /// Returns whether no other content that an ended upstream ran has seen as many ends.
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -116,6 +116,20 @@
     }
 }
 
+#[test]
+fn a_trial_whose_end_is_not_seen_is_not_followed_by_others() {
+    let now = Instant::now();
+    let mut ledger = ledger(&[("a", &[1, 2, 3])], now);
+    let later = now + MAX_FIRST_PAUSE;
+    assert_eq!(ledger.standing(content("a"), later), Standing::Trial);
+    ledger.note_trial(content("a"), later);
+    assert!(is_barred(&ledger, "a", later + Duration::from_secs(1)));
+    let again = later + MAX_FIRST_PAUSE;
+    assert_eq!(ledger.standing(content("a"), again), Standing::Trial);
+    ledger.note_answer(content("a"), again);
+    assert_eq!(ledger.standing(content("a"), again), Standing::Allowed);
+}
+
 #[test]
 fn hosts_end_their_pauses_one_after_the_other() {
     let now = Instant::now();
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -211,6 +211,7 @@
 impl Attempt<'_> {
     /// Sends the request directly or through another host.
     async fn run(&self) -> Result<(Answer, Way), Fault> {
+        self.check_standing()?;
         let number = self.reservation.upstream();
         let paths = self.state.paths();
         let is_blocked = paths.is_blocked(&self.plan.service, number);
@@ -232,6 +233,18 @@
         }
     }
 
+    /// Checks that the request may still be sent: upstreams may have ended under the same request of another
+    /// client while this one waited.
+    fn check_standing(&self) -> Result<(), Fault> {
+        let (placer, now) = (self.state.placer(), self.state.now());
+        match placer.standing(|| self.plan.content(), now) {
+            Standing::Barred(_) => return Err(Fault::barred()),
+            Standing::Trial => placer.note_trial(self.plan.content(), now),
+            Standing::Allowed => {}
+        }
+        Ok(())
+    }
+
     /// Returns an idle connection if the request is idempotent and there is one, or else a new one.
     async fn connect_directly(&self) -> Result<Connection, Fault> {
         let (state, service) = (self.state, &self.plan.service);
@@ -348,8 +361,8 @@
         paths::is_suspected(self.state, &self.plan.service)
     }
 
-    /// Sends the request over a connection and waits for its answer until the deadline, unless the upstream or
-    /// the content were ruled out meanwhile.
+    /// Sends the request over a connection and waits for its answer until the deadline, unless the upstream has
+    /// told another request that it wants no more.
     async fn send(&self, connection: Connection, way: Way) -> Result<Answer, Obstacle> {
         let (state, now) = (self.state, self.state.now());
         if state
@@ -358,10 +371,6 @@
         {
             return Err(Fault::unsent(Outcome::Cancelled).into());
         }
-        let standing = state.placer().standing(|| self.plan.content(), now);
-        if matches!(standing, Standing::Barred(_)) {
-            return Err(Fault::barred().into());
-        }
         let left = self.plan.deadline.saturating_duration_since(now);
         let result = timeout(left, self.exchange(connection, way, left)).await;
         result.unwrap_or_else(|_| {
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -293,6 +293,12 @@
         local.poison().standing(content(), now)
     }
 
+    /// Records that a content is sent as a trial.
+    pub fn note_trial(&self, content: Fingerprint, now: Instant) {
+        let mut local = self.local_dispatcher.borrow_mut();
+        local.poison_mut().note_trial(content, now);
+    }
+
     /// Records that an upstream ended under a request, and reports it to the dispatcher.
     pub fn note_end(&self, end: End, now: Instant) {
         if self
