refactor: name the effect of a missing response, and a request of another host, by what they are

No change of behaviour: dispatch::contact::Verdict becomes Effect, beside the verdicts on answers and on upstreams, and Errand becomes Forwarded.

--- a/crates/core/src/dispatch/contact.rs
+++ b/crates/core/src/dispatch/contact.rs
@@ -19,7 +19,7 @@
 
 /// What follows from an attempt without a response.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Verdict {
+pub enum Effect {
     /// It speaks against the upstream.
     Charged,
     /// It speaks against the path of the host, as does the earlier one.
@@ -51,20 +51,20 @@
 
     /// Records that an upstream did not respond to a host, which multiplies the odds of the upstream to be grey
     /// by `ratio` if it speaks against the upstream.
-    pub fn note_silence(&mut self, host: &str, upstream: Number, ratio: f64) -> Verdict {
+    pub fn note_silence(&mut self, host: &str, upstream: Number, ratio: f64) -> Effect {
         match self.hosts.get_mut(host) {
             None => {
                 let charge = Charge { upstream, ratio };
                 self.hosts.insert(host.to_owned(), State::Charging(charge));
-                Verdict::Charged
+                Effect::Charged
             }
             Some(State::Charging(charge)) if charge.upstream == upstream => {
                 charge.ratio *= ratio;
-                Verdict::Charged
+                Effect::Charged
             }
             Some(state) => match std::mem::replace(state, State::OutOfContact) {
-                State::Charging(charge) => Verdict::Withdrawn(charge),
-                State::OutOfContact => Verdict::Ignored,
+                State::Charging(charge) => Effect::Withdrawn(charge),
+                State::OutOfContact => Effect::Ignored,
             },
         }
     }
--- a/crates/core/src/dispatch/observation.rs
+++ b/crates/core/src/dispatch/observation.rs
@@ -11,7 +11,7 @@
 use crate::dispatch::Slot;
 use crate::dispatch::Timing;
 use crate::dispatch::belief::LATE_RATIO;
-use crate::dispatch::contact::Verdict;
+use crate::dispatch::contact::Effect;
 use crate::health::Outcome;
 use crate::publication::Route;
 use crate::roster::Number;
@@ -116,14 +116,14 @@
     /// to speak against another one if both speak against the path of the host.
     fn charges(&mut self, host: &str, upstream: Number, ratio: f64, now: Instant) -> bool {
         match self.contact.note_silence(host, upstream, ratio) {
-            Verdict::Charged => true,
-            Verdict::Withdrawn(charge) => {
+            Effect::Charged => true,
+            Effect::Withdrawn(charge) => {
                 self.change_upstream(charge.upstream, now, |state| {
                     state.belief.withdraw(charge.ratio, now);
                 });
                 false
             }
-            Verdict::Ignored => false,
+            Effect::Ignored => false,
         }
     }
 
--- a/programs/pb-proxy/src/gateway/detour/server.rs
+++ b/programs/pb-proxy/src/gateway/detour/server.rs
@@ -85,8 +85,8 @@
     state: Rc<State>,
 }
 
-/// A request for one upstream.
-struct Errand {
+/// A request of another host for one upstream.
+struct Forwarded {
     entry: Entry,
     may_reuse: bool,
     head: Parts,
@@ -113,16 +113,16 @@
         request: Request<Incoming>,
         running: Running,
     ) -> Result<Response<Body>, Fault> {
-        let errand = self.read(request).await?;
-        let connection = self.connect(&errand).await?;
-        let metadata = self.state.dialect().read(&errand.head.headers);
+        let forwarded = self.read(request).await?;
+        let connection = self.connect(&forwarded).await?;
+        let metadata = self.state.dialect().read(&forwarded.head.headers);
         let limit = metadata.timeout.unwrap_or(MAX_ANSWER_TIME);
-        let sending = self.send(errand, connection, running);
+        let sending = self.send(forwarded, connection, running);
         timeout(limit, sending).await.unwrap_or(Err(Fault::Broken))
     }
 
     /// Reads a request whole, unless its upstream takes none from this host.
-    async fn read(&self, request: Request<Incoming>) -> Result<Errand, Fault> {
+    async fn read(&self, request: Request<Incoming>) -> Result<Forwarded, Fault> {
         let (mut head, body) = request.into_parts();
         let number = head.headers.remove(UPSTREAM);
         let number = number.and_then(|number| number.to_str().ok()?.parse().ok());
@@ -136,7 +136,7 @@
         }
         let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
         let body = body.map_err(|_| Fault::Unwilling)?.to_bytes();
-        Ok(Errand {
+        Ok(Forwarded {
             entry,
             may_reuse,
             head,
@@ -145,11 +145,11 @@
     }
 
     /// Connects to the upstream, unless it wants no request from this host any more.
-    async fn connect(&self, errand: &Errand) -> Result<Connection, Fault> {
+    async fn connect(&self, forwarded: &Forwarded) -> Result<Connection, Fault> {
         let state = &self.state;
-        let announcement = &errand.entry.announcement;
-        let (service, number) = (&announcement.service, errand.entry.number);
-        let idle = errand.may_reuse.then(|| {
+        let announcement = &forwarded.entry.announcement;
+        let (service, number) = (&announcement.service, forwarded.entry.number);
+        let idle = forwarded.may_reuse.then(|| {
             let pool = state.pool();
             pool.take_idle(announcement.address, REUSE_AGE, state.now())
         });
@@ -190,16 +190,16 @@
     /// Sends a request and returns the head of its answer, with the body as it arrives.
     async fn send(
         &self,
-        errand: Errand,
+        forwarded: Forwarded,
         mut connection: Connection,
         running: Running,
     ) -> Result<Response<Body>, Fault> {
         let dialect = self.state.dialect();
-        let metadata = dialect.read(&errand.head.headers);
-        let number = errand.entry.number;
-        let announcement = &errand.entry.announcement;
+        let metadata = dialect.read(&forwarded.head.headers);
+        let number = forwarded.entry.number;
+        let announcement = &forwarded.entry.announcement;
         let (service, address) = (announcement.service.clone(), announcement.address);
-        let request = Request::from_parts(errand.head, Full::new(errand.body));
+        let request = Request::from_parts(forwarded.head, Full::new(forwarded.body));
         let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => {
