feat(core): carry terms of services, and appended fields of reservations, across builds

Cause: services are about to ask for limits of cold upstreams and of extra sends, and a field in the middle of a postcard frame would end the links between this build and the last one. Change: publications hold terms by service, which a delta sends last and as text; reservations say whether they are extra sends and how large their body is. Frames of the last build are read without these fields, and the last build reads frames with them. Result: two tests of both directions; no decision uses the new fields yet.

--- a/crates/core/src/dispatch/request.rs
+++ b/crates/core/src/dispatch/request.rs
@@ -36,6 +36,10 @@
     pub is_retry: bool,
     /// Upstreams that have been tried and are not chosen again.
     pub avoid: Vec<Number>,
+    /// Whether another upstream is running the request, so that this send is an extra one.
+    pub is_hedge: bool,
+    /// Size of the request body in bytes.
+    pub body_bytes: u32,
 }
 
 impl Request {
--- a/crates/core/src/publication.rs
+++ b/crates/core/src/publication.rs
@@ -8,6 +8,7 @@
 mod delta;
 mod route;
 mod table;
+mod terms;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -23,6 +24,8 @@
 pub use route::Route;
 pub use table::Table;
 pub use table::has_dot_segment;
+pub use terms::Terms;
+pub use terms::Warmup;
 
 use crate::fault::Faults;
 use crate::id::RouteId;
@@ -49,6 +52,9 @@
     pub tenants: BTreeMap<TenantId, Tenant>,
     /// Limits on what a client may send.
     pub limits: Limits,
+    /// What services ask of the fleet; a service without an entry asks for nothing.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub terms: BTreeMap<ServiceId, Terms>,
 }
 
 /// A service that routes lead to.
@@ -117,6 +123,12 @@
         for (name, route) in &self.routes {
             self.check_route(name, route, &mut faults);
         }
+        for (name, terms) in &self.terms {
+            if !self.services.contains_key(name) {
+                faults.add(format!("terms.{name}"), "names an unknown service");
+            }
+            terms.check(name, &mut faults);
+        }
         let mut owners = BTreeMap::new();
         for (name, tenant) in &self.tenants {
             for key in &tenant.keys {
--- a/crates/core/src/publication/delta.rs
+++ b/crates/core/src/publication/delta.rs
@@ -13,6 +13,7 @@
 use crate::publication::Route;
 use crate::publication::Service;
 use crate::publication::Tenant;
+use crate::publication::Terms;
 use crate::publication::Version;
 
 /// Added or changed items by name; `None` stands for a removed item.
@@ -29,6 +30,9 @@
     services: Changes<Service>,
     tenants: Changes<Tenant>,
     limits: Option<Limits>,
+    /// The last field, as builds before it neither send nor read it.
+    #[serde(with = "terms")]
+    terms: Changes<Terms>,
 }
 
 impl Delta {
@@ -42,6 +46,7 @@
             services: changes::<ServiceId, _>(&old.services, &new.services),
             tenants: changes::<TenantId, _>(&old.tenants, &new.tenants),
             limits: (old.limits != new.limits).then_some(new.limits),
+            terms: changes::<ServiceId, _>(&old.terms, &new.terms),
         }
     }
 
@@ -59,6 +64,7 @@
         merge(&mut new.services, self.services);
         merge(&mut new.tenants, self.tenants);
         new.limits = self.limits.unwrap_or(new.limits);
+        merge(&mut new.terms, self.terms);
         Some(new)
     }
 }
@@ -89,3 +95,33 @@
         }
     }
 }
+
+/// The encoding of changed terms: text that names its fields.
+mod terms {
+    use serde::Deserialize;
+    use serde::Deserializer;
+    use serde::Serializer;
+    use serde::de::Error as _;
+    use serde::ser::Error as _;
+
+    use super::Changes;
+    use super::Terms;
+
+    pub fn serialize<S: Serializer>(
+        terms: &Changes<Terms>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        let text = serde_json::to_string(terms).map_err(S::Error::custom)?;
+        serializer.serialize_str(&text)
+    }
+
+    /// Reads changed terms; there are none where a delta of an older build ends before them.
+    pub fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Changes<Terms>, D::Error> {
+        let Ok(text) = String::deserialize(deserializer) else {
+            return Ok(Changes::new());
+        };
+        serde_json::from_str(&text).map_err(D::Error::custom)
+    }
+}
--- a/crates/core/tests/dispatch/world.rs
+++ b/crates/core/tests/dispatch/world.rs
@@ -107,6 +107,8 @@
             attempts: 0,
             is_retry: false,
             avoid: Vec::new(),
+            is_hedge: false,
+            body_bytes: 0,
         }
     }
 
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -10,11 +10,15 @@
 //! the first frame; [`Frame::Followed`] answers it. Without such a replica the host asks the leader
 //! for both, with [`Frame::Subscribe`].
 //!
+//! Builds of two versions share links while hosts are replaced: fields are only appended, with
+//! [`trailing`], and a new frame is only sent to a build that reads it.
+//!
 //! A frame is encoded by postcard and preceded by its length; one write carries all queued frames.
 //! A frame takes a few bytes, where a capnp-rpc call takes about two hundred.
 
 mod hosts;
 mod packed;
+mod trailing;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -263,6 +267,12 @@
     pub is_retry: bool,
     /// Upstreams that have been tried and are not chosen again.
     pub avoid: Vec<Number>,
+    /// Whether another upstream is running the request, so that this send is an extra one.
+    #[serde(deserialize_with = "trailing::or_default")]
+    pub is_hedge: bool,
+    /// Size of the request body in bytes.
+    #[serde(deserialize_with = "trailing::or_default")]
+    pub body_bytes: u32,
 }
 
 /// Queues frames for a connection.
--- a/crates/wire/src/dispatch/hosts.rs
+++ b/crates/wire/src/dispatch/hosts.rs
@@ -354,6 +354,8 @@
             attempts: u32::from(reserve.attempts),
             is_retry: reserve.is_retry,
             avoid: reserve.avoid,
+            is_hedge: reserve.is_hedge,
+            body_bytes: reserve.body_bytes,
         };
         self.dispatcher.reserve(request, now)
     }
--- a/crates/wire/tests/dispatch.rs
+++ b/crates/wire/tests/dispatch.rs
@@ -11,12 +11,15 @@
 use persimmonbend_core::publication::Part;
 use persimmonbend_core::publication::Publication;
 use persimmonbend_core::publication::Route;
+use persimmonbend_core::publication::Service;
+use persimmonbend_core::publication::Terms;
 use persimmonbend_wire::channel::Decode;
 use persimmonbend_wire::channel::Encode;
 use persimmonbend_wire::dispatch;
 use persimmonbend_wire::dispatch::Codec;
 use persimmonbend_wire::dispatch::Frame;
 use persimmonbend_wire::dispatch::Packed;
+use persimmonbend_wire::dispatch::Reserve;
 
 /// Number of routes in a large change.
 const ROUTE_COUNT: usize = 1_500;
@@ -115,3 +118,71 @@
         "the link ended after {total} bytes"
     );
 }
+
+/// The fields of a reservation before any was appended.
+#[derive(Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+struct FirstReserve {
+    number: u32,
+    route: String,
+    service: String,
+    tenant: Option<String>,
+    waited_ms: u32,
+    left_ms: u32,
+    attempts: u8,
+    is_retry: bool,
+    avoid: Vec<u32>,
+}
+
+#[test]
+fn appended_fields_do_not_change_what_an_older_build_reads() {
+    let reserve = Reserve {
+        number: 7,
+        route: "r-1".to_owned(),
+        service: "herd".to_owned(),
+        tenant: None,
+        waited_ms: 1,
+        left_ms: 900,
+        attempts: 1,
+        is_retry: true,
+        avoid: vec![3],
+        is_hedge: true,
+        body_bytes: 12_000,
+    };
+    let bytes = postcard::to_stdvec(&reserve).expect("the test set-up works");
+    let older: FirstReserve = postcard::from_bytes(&bytes).expect("an older build reads it");
+    assert_eq!((older.number, &older.avoid), (7, &vec![3]));
+    let bytes = postcard::to_stdvec(&older).expect("the test set-up works");
+    let read: Reserve = postcard::from_bytes(&bytes).expect("this build reads an older one");
+    let expected = Reserve {
+        is_hedge: false,
+        body_bytes: 0,
+        ..reserve
+    };
+    assert_eq!(read, expected);
+}
+
+#[test]
+fn terms_of_services_reach_hosts_and_a_delta_without_them_has_none() {
+    let mut publication = Publication {
+        version: 2,
+        ..Publication::default()
+    };
+    publication
+        .services
+        .insert("herd".to_owned(), Service::default());
+    let terms = Terms {
+        hedge_share: Some(0.05),
+        ..Terms::default()
+    };
+    publication.terms.insert("herd".to_owned(), terms);
+    let delta = Delta::between(&Publication::default(), &publication);
+    let packed = Packed::new(&delta).expect("the test set-up works");
+    let read = packed.open().expect("this build reads it");
+    assert_eq!(read.apply(&Publication::default()), Some(publication));
+    let bytes = postcard::to_stdvec(&delta).expect("the test set-up works");
+    let text = bytes.windows(9).position(|part| part == br#"{"herd":{"#);
+    let terms_start = text.expect("the terms are text") - 1;
+    let read: Delta = postcard::from_bytes(&bytes[..terms_start]).expect("an older delta is read");
+    let publication = read.apply(&Publication::default()).expect("a change");
+    assert!(publication.terms.is_empty());
+}
--- a/programs/pb-proxy/src/gateway/forward.rs
+++ b/programs/pb-proxy/src/gateway/forward.rs
@@ -312,6 +312,8 @@
             attempts: self.possible_runs + self.in_flight_count(),
             is_retry: self.is_any_started(),
             avoid: self.avoid.clone(),
+            is_hedge: !self.in_flight.is_empty(),
+            body_bytes: u32::try_from(plan.body.len()).unwrap_or(u32::MAX),
         }
     }
 
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -77,6 +77,10 @@
     pub is_retry: bool,
     /// Upstreams that were tried before.
     pub avoid: Vec<Number>,
+    /// Whether another upstream is running the request.
+    pub is_hedge: bool,
+    /// Size of the request body in bytes.
+    pub body_bytes: u32,
 }
 
 /// Why no upstream was found for a request.
--- a/programs/pb-proxy/src/gateway/placement/reserve.rs
+++ b/programs/pb-proxy/src/gateway/placement/reserve.rs
@@ -225,6 +225,8 @@
             attempts: u8::try_from(criteria.attempts).unwrap_or(u8::MAX),
             is_retry: criteria.is_retry,
             avoid: criteria.avoid.clone(),
+            is_hedge: criteria.is_hedge,
+            body_bytes: criteria.body_bytes,
         }));
         let guard = Cancellation {
             link,
@@ -348,6 +350,8 @@
             attempts: criteria.attempts,
             is_retry: criteria.is_retry,
             avoid: criteria.avoid.clone(),
+            is_hedge: criteria.is_hedge,
+            body_bytes: criteria.body_bytes,
         }
     }
 
