feat: evacuate zones by order of an operator, and spare cold upstreams

Cause: a deployment orders that nothing more is sent to the upstreams of a zone, and limits the requests a second to upstreams that are cold; the fleet knew no such order and read the time left of a warm-up without obeying it. Change: the roster keeps the evacuated zones beside the announcements, and what leaves it are effective entries, in which an upstream of such a zone drains. Two log commands of level 2, which are proposed only once all members apply them. A request that was placed and not sent goes elsewhere if its upstream takes none by then, also on the host of a detour; a deputy follows changes of the upstreams. Upstreams that announce that they are starting, of a service with warm-up terms, get requests by a pace, on the leader, on deputies and on hosts alone; so do those that take requests again, until their next announcement. An upstream that is in use and becomes cold is paced with the commit and no longer 100 ms later. Dispatcher::publish takes the time. Result: unit tests of the roster (one property against applying the changed entries), of the load that two thirds and one third of the slots carry, and of windows of requests to cold upstreams over a leader, hosts alone and the next leader pass. They use what is new and cannot be compiled before this change.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -27,6 +27,7 @@
 mod statements;
 mod timing;
 mod upstream;
+mod warmup;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -55,6 +56,7 @@
 pub use upstream::Upstream;
 
 use crate::dispatch::contact::Contact;
+use crate::dispatch::warmup::Cold;
 use crate::error::Kind;
 use crate::id::HostId;
 use crate::id::RouteId;
@@ -203,6 +205,8 @@
     pub states_draining: bool,
     /// Requests a second that the upstream has stated to take from all hosts.
     pub limit: Option<f64>,
+    /// Whether the upstream counts as cold, so that the terms of its service limit its requests.
+    pub is_cold: bool,
     /// Hosts from which the upstream wants no requests for now.
     pub paused_hosts: usize,
 }
@@ -225,6 +229,8 @@
     hosts: BTreeMap<HostId, Host>,
     /// What upstreams have stated about themselves.
     ledger: Ledger,
+    /// Upstreams that count as cold.
+    cold: Cold,
     /// Ends of upstreams, by the content of the requests that they ran.
     poison: poison::Ledger,
     /// Hosts to which upstreams do not respond.
@@ -253,6 +259,7 @@
             quotas: Quotas::default(),
             hosts: BTreeMap::new(),
             ledger: Ledger::default(),
+            cold: Cold::default(),
             poison: poison::Ledger::default(),
             contact: Contact::default(),
             ended_limits: Vec::new(),
@@ -267,14 +274,15 @@
             return;
         }
         self.share = share;
-        let limits: Vec<(Number, Limit)> = self.ledger.limits().collect();
-        for (number, _) in limits {
+        let stated = self.ledger.limits().map(|(number, _)| number);
+        let limited: BTreeSet<Number> = stated.chain(self.cold.upstreams()).collect();
+        for number in limited {
             self.apply_ledger(number, now);
         }
     }
 
     /// Replaces the publication in force.
-    pub fn publish(&mut self, publication: Rc<Publication>) {
+    pub fn publish(&mut self, publication: Rc<Publication>, now: Instant) {
         self.timings
             .retain(|route, _| publication.routes.contains_key(route));
         let limited = |tenant: &str| {
@@ -282,7 +290,11 @@
             known.is_some_and(|tenant| tenant.quota.is_some())
         };
         self.quotas.retain(limited);
+        let has_new_terms = self.publication.terms != publication.terms;
         self.publication = publication;
+        if has_new_terms {
+            self.apply_terms(now);
+        }
     }
 
     /// Adds, updates or removes an upstream by its entry of the roster.
@@ -304,6 +316,7 @@
             self.remove_upstream(entry.number);
         }
         self.services.insert(entry.number, service.clone());
+        let before = self.stage(entry.number);
         let retries = self.retries();
         let is_first = self.policy.is_first_dispatcher;
         let pool = self.pools.entry(service.clone());
@@ -312,6 +325,7 @@
             pool.add(entry.number, Upstream::new(announcement, now), now);
             self.apply_ledger(entry.number, now);
         }
+        self.note_stage(entry.number, before, now);
         self.place_queued(&service, now)
     }
 
@@ -409,6 +423,7 @@
                 grey: state.belief.grey(now),
                 states_draining: self.ledger.is_draining(number),
                 limit: self.ledger.limit(number).map(Limit::per_second),
+                is_cold: self.cold.contains(number),
                 paused_hosts: self.ledger.count_paused_hosts(number, now),
             })
         });
@@ -551,6 +566,7 @@
         self.record_late_attempts(now);
         self.unreachable_until.retain(|_, until| now < *until);
         self.ledger.expire(now);
+        self.end_warmups(now);
         self.poison.expire(now);
         let is_kept = |host: &Host| {
             let disconnected = host.disconnected_at;
@@ -653,6 +669,7 @@
 
     /// Removes an upstream until it announces itself again.
     fn remove_upstream(&mut self, number: Number) {
+        self.cold.remove(number);
         let service = self.services.remove(&number);
         if let Some(pool) = service.and_then(|service| self.pools.get_mut(&service)) {
             pool.remove(number);
--- a/crates/core/src/dispatch/statements.rs
+++ b/crates/core/src/dispatch/statements.rs
@@ -65,7 +65,7 @@
     /// Applies to an upstream what it has stated about itself.
     pub(super) fn apply_ledger(&mut self, upstream: Number, now: Instant) {
         let states_draining = self.ledger.is_draining(upstream);
-        let limit = self.ledger.limit(upstream);
+        let limit = self.limit(upstream);
         let terms = limit.map(|limit| self.permits(limit));
         let first_permit = self.first_permit;
         self.change_upstream(upstream, now, |state| {
--- a/crates/core/src/dispatch/upstream.rs
+++ b/crates/core/src/dispatch/upstream.rs
@@ -47,7 +47,7 @@
     stage: Stage,
     /// Whether the upstream has stated in an answer that it is draining.
     states_draining: bool,
-    /// Pace of this dispatcher's requests, if the upstream has stated a limit.
+    /// Pace of this dispatcher's requests, if the upstream has stated a limit or is cold.
     pace: Option<Pace>,
     /// Latency as a multiple of the mean of the route.
     slowdown: f64,
@@ -91,7 +91,7 @@
         self.pace = pace;
     }
 
-    /// Returns the pace of requests, if the upstream has stated a limit.
+    /// Returns the pace of requests, if the upstream has stated a limit or is cold.
     #[must_use]
     pub const fn pace(&self) -> Option<&Pace> {
         self.pace.as_ref()
@@ -106,6 +106,12 @@
         }
     }
 
+    /// Returns the stage that the upstream announced.
+    #[must_use]
+    pub const fn stage(&self) -> Stage {
+        self.stage
+    }
+
     /// Returns whether the upstream takes new requests.
     #[must_use]
     pub const fn is_open(&self) -> bool {
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -15,6 +15,7 @@
 use crate::config::Submission;
 use crate::id::HostId;
 use crate::id::UpstreamId;
+use crate::id::Zone;
 use crate::publication::Publication;
 use crate::quota::Seat;
 use crate::quota::Seats;
@@ -84,6 +85,31 @@
         /// The upstream.
         id: UpstreamId,
     },
+    /// Evacuates a zone; a command of level 2, see [`Command::level`].
+    Evacuate {
+        /// The zone.
+        zone: Zone,
+    },
+    /// Takes an evacuated zone back; a command of level 2.
+    Readmit {
+        /// The zone.
+        zone: Zone,
+    },
+}
+
+/// Level of commands: a build that has one applies the commands of all levels up to it.
+pub type Commands = u32;
+
+impl Command {
+    /// Returns the level of the command. A replica whose build does not have it cannot go on after the
+    /// command, so it is proposed only once all members of the log have it.
+    #[must_use]
+    pub const fn level(&self) -> Commands {
+        match self {
+            Self::Evacuate { .. } | Self::Readmit { .. } => 2,
+            _ => 1,
+        }
+    }
 }
 
 /// A publication with its source document.
@@ -125,6 +151,15 @@
         /// Entries of the changed upstreams.
         changed: Vec<Entry>,
     },
+    /// An order or withdrawal of an evacuation.
+    Evacuation {
+        /// The zone.
+        zone: Zone,
+        /// Whether the zone is evacuated from here on.
+        is_evacuated: bool,
+        /// Effective entries of the changed upstreams; none if the order repeats an earlier one.
+        changed: Vec<Entry>,
+    },
     /// The command was applied.
     Applied,
 }
@@ -204,6 +239,16 @@
             Command::Deregister { id } => Reply::Registered {
                 changed: self.roster.deregister(id).into_iter().collect(),
             },
+            Command::Evacuate { zone } => self.set_evacuated(zone, true),
+            Command::Readmit { zone } => self.set_evacuated(zone, false),
+        }
+    }
+
+    fn set_evacuated(&mut self, zone: &str, is_evacuated: bool) -> Reply {
+        Reply::Evacuation {
+            zone: zone.to_owned(),
+            is_evacuated,
+            changed: self.roster.set_evacuated(zone, is_evacuated),
         }
     }
 
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -4,6 +4,11 @@
 //! acknowledged departure survives the failure of the replica that acknowledged it. Announcements
 //! are ordered by incarnation and sequence. If several upstreams announce one address, the latest
 //! incarnation holds it.
+//!
+//! What leaves the roster towards the fleet are effective entries, which show the upstreams of an evacuated
+//! zone as draining, whatever they announce. The announcements themselves are kept as they came.
+
+pub mod evacuation;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -13,6 +18,8 @@
 
 use crate::id::Incarnation;
 use crate::id::UpstreamId;
+use crate::id::Zone;
+use crate::roster::evacuation::Evacuations;
 use crate::upstream::Announcement;
 use crate::upstream::Stage;
 
@@ -60,12 +67,26 @@
     entries: BTreeMap<UpstreamId, Entry>,
     #[serde(default)]
     revision: Revision,
+    #[serde(default, skip_serializing_if = "Evacuations::is_empty")]
+    evacuations: Evacuations,
 }
 
 impl Roster {
-    /// Returns all upstreams, including those that have left.
-    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.values()
+    /// Returns the effective entries of all upstreams, including those that have left.
+    pub fn entries(&self) -> impl Iterator<Item = Entry> {
+        let entries = self.entries.values();
+        entries.map(|entry| self.evacuations.effective(entry))
+    }
+
+    /// Returns the zones that are evacuated.
+    #[must_use]
+    pub const fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns the zones of all upstreams, including those that have left.
+    pub fn zones(&self) -> impl Iterator<Item = &Zone> {
+        self.entries.values().map(|entry| &entry.announcement.zone)
     }
 
     /// Returns the number of changes so far; equal revisions of one log are equal rosters.
@@ -74,7 +95,7 @@
         self.revision
     }
 
-    /// Returns the entry of an upstream.
+    /// Returns the entry of an upstream as it was announced.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Entry> {
         self.entries.get(id)
@@ -104,7 +125,7 @@
         Effect::New
     }
 
-    /// Applies an announcement and returns the entries that it changes.
+    /// Applies an announcement and returns the effective entries that it changes.
     pub fn apply(&mut self, announcement: &Announcement) -> Vec<Entry> {
         if self.evaluate(announcement) != Effect::New {
             return Vec::new();
@@ -123,9 +144,9 @@
             number,
             announcement: announcement.clone(),
         };
-        self.entries.insert(announcement.id.clone(), entry.clone());
+        changed.push(self.evacuations.effective(&entry));
+        self.entries.insert(announcement.id.clone(), entry);
         self.revision += 1;
-        changed.push(entry);
         self.remove_oldest_departed();
         changed
     }
@@ -143,6 +164,23 @@
         Some(entry)
     }
 
+    /// Evacuates a zone, or takes it back, and returns the effective entries that change.
+    pub fn set_evacuated(&mut self, zone: &str, is_evacuated: bool) -> Vec<Entry> {
+        if !self.evacuations.set(zone, is_evacuated) {
+            return Vec::new();
+        }
+        let announced = self.entries.values();
+        let affected = announced.filter(|entry| {
+            let announcement = &entry.announcement;
+            announcement.zone == zone && announcement.stage.takes_requests()
+        });
+        let changed: Vec<Entry> = affected
+            .map(|entry| self.evacuations.effective(entry))
+            .collect();
+        self.revision += Revision::from(!changed.is_empty());
+        changed
+    }
+
     /// Returns the upstream other than `id` that holds an address, with its incarnation.
     fn holder(&self, address: SocketAddr, id: &str) -> Option<(UpstreamId, Incarnation)> {
         let others = self.entries.values().map(|entry| &entry.announcement);
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -2,6 +2,8 @@
 
 mod budget;
 mod cut_off;
+mod evacuation;
+mod fleet;
 mod grey;
 mod limits;
 mod pace;
@@ -9,4 +11,5 @@
 mod queueing;
 mod size;
 mod statements;
+mod warmup;
 mod world;
--- a/crates/core/tests/dispatch/world.rs
+++ b/crates/core/tests/dispatch/world.rs
@@ -20,6 +20,8 @@
 use persimmonbend_core::publication::Route;
 use persimmonbend_core::publication::Service;
 use persimmonbend_core::publication::Tenant;
+use persimmonbend_core::publication::Terms;
+use persimmonbend_core::publication::Warmup;
 use persimmonbend_core::roster::Entry;
 use persimmonbend_core::roster::Number;
 use persimmonbend_core::steward::Ticket;
@@ -57,17 +59,32 @@
             now,
             next: 0,
         };
-        world.dispatcher.publish(Rc::new(publication(None)));
+        world.dispatcher.publish(Rc::new(publication(None)), now);
         for (number, zone) in (1..).zip(zones) {
             world.update_upstream(number, zone, Stage::Ready);
         }
         world
     }
 
+    /// Limits requests to upstreams that are cold.
+    pub fn set_warmup(&mut self, per_second: f64, duration: Duration) {
+        let mut publication = publication(None);
+        let terms = Terms {
+            warmup: Some(Warmup {
+                per_second,
+                duration,
+            }),
+            ..Terms::default()
+        };
+        publication.terms.insert(SERVICE.to_owned(), terms);
+        self.dispatcher.publish(Rc::new(publication), self.now);
+    }
+
     /// Sets the quota of the tenant `farm`.
     pub fn set_quota(&mut self, per_second: f64, burst: f64) {
         let quota = Quota { per_second, burst };
-        self.dispatcher.publish(Rc::new(publication(Some(quota))));
+        let publication = Rc::new(publication(Some(quota)));
+        self.dispatcher.publish(publication, self.now);
     }
 
     pub fn update_upstream(&mut self, number: Number, zone: &str, stage: Stage) -> Vec<Answer> {
--- a/crates/wire/tests/hosts.rs
+++ b/crates/wire/tests/hosts.rs
@@ -29,7 +29,7 @@
         is_first_dispatcher: true,
         floor: 0.7,
     });
-    dispatcher.publish(Rc::new(Publication::default()));
+    dispatcher.publish(Rc::new(Publication::default()), Instant::now());
     Hosts::new(dispatcher)
 }
 
--- a/programs/pb-control/src/api.rs
+++ b/programs/pb-control/src/api.rs
@@ -4,6 +4,7 @@
 //! Only the leader performs calls. The other replicas redirect callers to the leader while they hear
 //! its messages, and answer otherwise that the API is unavailable.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,6 +21,7 @@
 use persimmonbend_app::http::Body;
 use persimmonbend_app::http::Handler;
 use persimmonbend_core::id::UpstreamId;
+use persimmonbend_core::id::Zone;
 use persimmonbend_core::machine::Command;
 use persimmonbend_core::machine::Published;
 use persimmonbend_core::publication::Version;
@@ -52,6 +54,10 @@
     Announce(Announcement),
     /// Removes an upstream.
     Deregister(UpstreamId),
+    /// Orders that the upstreams of a zone get no more requests.
+    Evacuate(Zone),
+    /// Withdraws the order to evacuate a zone.
+    Readmit(Zone),
 }
 
 /// Why a call is refused.
@@ -100,22 +106,27 @@
     dialect: Rc<dyn Dialect>,
     /// Address on which this replica serves the API; all replicas use the same port number.
     address: SocketAddr,
+    /// Zones of the settings.
+    zones: BTreeSet<Zone>,
 }
 
 impl Api {
-    /// Creates the handler of a replica that serves the API on `address`.
+    /// Creates the handler of a replica that serves the API on `address`; `zones` are those that operators may
+    /// name beside the zones of the upstreams.
     #[must_use]
     pub const fn new(
         node: Rc<Node>,
         dispatch: Rc<Service>,
         dialect: Rc<dyn Dialect>,
         address: SocketAddr,
+        zones: BTreeSet<Zone>,
     ) -> Self {
         Self {
             node,
             dispatch,
             dialect,
             address,
+            zones,
         }
     }
 
@@ -144,6 +155,8 @@
             Call::Read => self.read(),
             Call::Announce(announcement) => self.announce(announcement).await,
             Call::Deregister(id) => self.deregister(id).await,
+            Call::Evacuate(zone) => self.set_evacuated(zone, true).await,
+            Call::Readmit(zone) => self.set_evacuated(zone, false).await,
         }
     }
 
@@ -202,6 +215,44 @@
         }
     }
 
+    /// Evacuates a zone or takes it back. Orders take effect in the sequence of the log, also repeated ones.
+    async fn set_evacuated(&self, zone: Zone, is_evacuated: bool) -> Outcome {
+        if let Err(reason) = self.check_zone(&zone) {
+            warn!(zone, reason, "evacuation_refused");
+            return Outcome::Refused(Fault::Invalid(reason));
+        }
+        let command = if is_evacuated {
+            Command::Evacuate { zone: zone.clone() }
+        } else {
+            Command::Readmit { zone: zone.clone() }
+        };
+        match self.propose(command).await {
+            Ok(()) => {
+                info!(zone, is_evacuated, "evacuation_acknowledged");
+                Outcome::Done(None)
+            }
+            Err(outcome) => outcome,
+        }
+    }
+
+    /// Checks that a zone is one of the settings, of an upstream, or evacuated.
+    fn check_zone(&self, zone: &str) -> Result<(), String> {
+        let known = self.node.read(|machine| {
+            let roster = machine.roster();
+            let known = self.zones.iter().chain(roster.zones());
+            let known = known.chain(roster.evacuations().zones());
+            known.cloned().collect::<BTreeSet<Zone>>()
+        });
+        if known.contains(zone) {
+            return Ok(());
+        }
+        let known: Vec<&str> = known.iter().map(String::as_str).collect();
+        Err(format!(
+            "zone {zone} is unknown; expected one of: {}",
+            known.join(", ")
+        ))
+    }
+
     async fn propose(&self, command: Command) -> Result<(), Outcome> {
         match self.node.propose(command).await {
             Ok(_) => Ok(()),
--- a/programs/pb-control/src/dispatch.rs
+++ b/programs/pb-control/src/dispatch.rs
@@ -170,7 +170,8 @@
                 .map(|entry| entry.number)
         });
         if let Some(number) = known {
-            state.touch_upstream(number, self.clock.now());
+            let is_renewal = effect == Effect::Renewal;
+            state.touch_upstream(number, is_renewal, self.clock.now());
         }
         effect
     }
@@ -413,6 +414,20 @@
                 let revision = self.node.read(|machine| machine.roster().revision());
                 feed.update_upstreams(changed, revision, now);
             }
+            Reply::Evacuation {
+                zone,
+                is_evacuated,
+                changed,
+            } => {
+                let upstreams = changed.len();
+                if *is_evacuated {
+                    info!(zone, upstreams, "zone_evacuated");
+                } else {
+                    info!(zone, upstreams, "zone_readmitted");
+                }
+                let revision = self.node.read(|machine| machine.roster().revision());
+                feed.update_upstreams(changed, revision, now);
+            }
             _ => {}
         }
     }
@@ -427,8 +442,10 @@
         match reply {
             Reply::Published {
                 publication: Some(publication),
-            } => state.publish(Rc::clone(publication)),
-            Reply::Registered { changed } => state.update_upstreams(changed, now),
+            } => state.publish(Rc::clone(publication), now),
+            Reply::Registered { changed } | Reply::Evacuation { changed, .. } => {
+                state.update_upstreams(changed, now);
+            }
             _ => {}
         }
     }
--- a/programs/pb-control/src/dispatch/state.rs
+++ b/programs/pb-control/src/dispatch/state.rs
@@ -119,9 +119,9 @@
         now: Instant,
     ) -> Self {
         let mut dispatcher = Dispatcher::new(policy);
-        dispatcher.publish(Rc::clone(&publication));
+        dispatcher.publish(Rc::clone(&publication), now);
         for entry in roster.entries() {
-            dispatcher.update_upstream(entry, now);
+            dispatcher.update_upstream(&entry, now);
         }
         Self {
             started: now,
@@ -152,6 +152,7 @@
         info!(
             hosts = self.hosts.len(),
             suspects = dispatcher.suspects(now).len(),
+            cold = dispatcher.count_cold(),
             hosts_with_unreachable = dispatcher.hosts_with_unreachable(now),
             retries = %json!(retries),
             joins = self.load.joins,
@@ -188,9 +189,14 @@
         is_newest
     }
 
-    /// Records that an upstream was in contact.
-    pub fn touch_upstream(&mut self, number: Number, now: Instant) {
-        self.hosts.dispatcher_mut().touch_upstream(number, now);
+    /// Records that an upstream was in contact; with `is_renewal`, it announced nothing new.
+    pub fn touch_upstream(&mut self, number: Number, is_renewal: bool, now: Instant) {
+        let dispatcher = self.hosts.dispatcher_mut();
+        if is_renewal {
+            dispatcher.renew_upstream(number, now);
+        } else {
+            dispatcher.touch_upstream(number, now);
+        }
     }
 
     /// Adds a host.
@@ -227,10 +233,10 @@
     }
 
     /// Puts a publication in force.
-    pub fn publish(&mut self, publication: Rc<Publication>) {
+    pub fn publish(&mut self, publication: Rc<Publication>, now: Instant) {
         info!(version = publication.version, "publication_in_force");
         let dispatcher = self.hosts.dispatcher_mut();
-        dispatcher.publish(Rc::clone(&publication));
+        dispatcher.publish(Rc::clone(&publication), now);
         self.publication = publication;
     }
 
@@ -255,7 +261,9 @@
             }
             self.upcoming
                 .retain(|(_, other)| other.number != entry.number);
-            if announcement.stage.takes_requests() {
+            // Hosts know an upstream that is open already; that it has become cold must not wait.
+            let is_open = self.hosts.dispatcher().is_open(entry.number);
+            if announcement.stage.takes_requests() && !is_open {
                 let at = now + NEW_UPSTREAM_DELAY;
                 self.upcoming.push_back((at, entry.clone()));
             } else {
--- a/programs/pb-control/src/error.rs
+++ b/programs/pb-control/src/error.rs
@@ -17,6 +17,8 @@
     Stopped(String),
     /// The queue of proposals is full. The command was not proposed.
     Busy,
+    /// A member of the log does not apply such a command yet. The command was not proposed.
+    Unsupported,
     /// The command cannot be encoded, or the change of members is refused. Nothing was proposed.
     Invalid(String),
 }
@@ -28,6 +30,7 @@
             Self::NotLeader(hint) => write!(formatter, "not the leader, which is {hint}"),
             Self::Unknown => formatter.write_str("the outcome is unknown"),
             Self::Stopped(reason) => write!(formatter, "the replica stopped: {reason}"),
+            Self::Unsupported => formatter.write_str("a member does not apply the command yet"),
             Self::Busy => formatter.write_str("too many proposals are waiting"),
             Self::Invalid(reason) => formatter.write_str(reason),
         }
--- a/programs/pb-control/src/feed.rs
+++ b/programs/pb-control/src/feed.rs
@@ -229,7 +229,7 @@
     /// Returns all upstreams, packed for hosts that connect.
     fn packed_roster(&mut self, machine: &Machine) -> Option<Packed<Vec<Entry>>> {
         if self.roster.is_none() {
-            let entries = machine.roster().entries().cloned().collect();
+            let entries = machine.roster().entries().collect();
             self.roster = packed(&entries);
         }
         self.roster.clone()
--- a/programs/pb-control/src/lib.rs
+++ b/programs/pb-control/src/lib.rs
@@ -156,6 +156,7 @@
             Rc::clone(&dispatch),
             endpoint.dialect,
             endpoint.listen,
+            settings.zones.clone(),
         );
         let server = Server::bind(endpoint.listen).await;
         let server = server.with_context(|| format!("cannot listen on {}", endpoint.listen))?;
--- a/programs/pb-control/src/node.rs
+++ b/programs/pb-control/src/node.rs
@@ -24,7 +24,9 @@
 use persimmonbend_core::config::Submission;
 use persimmonbend_core::id::HostId;
 use persimmonbend_core::id::Revision;
+use persimmonbend_core::id::Zone;
 use persimmonbend_core::machine::Command;
+use persimmonbend_core::machine::Commands;
 use persimmonbend_core::machine::Machine;
 use persimmonbend_core::machine::Reply;
 use persimmonbend_replica::entry::Entry;
@@ -253,6 +255,9 @@
             Error::Invalid(reason)
         })?;
         self.require_leader()?;
+        if !self.all_members_apply(command.level()) {
+            return Err(Error::Unsupported);
+        }
         if self.proposals.borrow().is_full() {
             return Err(Error::Busy);
         }
@@ -261,6 +266,15 @@
         self.wait_for_commit(position).await
     }
 
+    /// Returns whether all members of the log are known to apply the commands of a level. One that does not
+    /// cannot go on after such a command.
+    ///
+    /// Members do not tell their level yet, so every member counts as one of this build.
+    #[must_use]
+    pub const fn all_members_apply(&self, _level: Commands) -> bool {
+        true
+    }
+
     /// Proposes a submitted change of the configuration and returns its outcome.
     ///
     /// # Errors
@@ -427,6 +441,10 @@
         let replica = self.replica.borrow();
         let last_contact = replica.leader_last_contact();
         let silence = last_contact.map(|at| now.saturating_duration_since(at).as_millis());
+        let evacuated: Vec<Zone> = self.read(|machine| {
+            let evacuations = machine.roster().evacuations();
+            evacuations.zones().cloned().collect()
+        });
         json!({
             "host": self.host,
             "leader": self.is_leader(),
@@ -434,6 +452,7 @@
             "leader_silent_ms": silence.map(|silence| u64::try_from(silence).unwrap_or(u64::MAX)),
             "current": replica.is_current(MAX_LEADER_SILENCE),
             "revision": self.revision(),
+            "evacuated_zones": evacuated,
             "hosts": self.hosts.borrow().status(now),
             "replica": replica.status(),
         })
--- a/programs/pb-control/src/settings.rs
+++ b/programs/pb-control/src/settings.rs
@@ -94,6 +94,8 @@
     pub voters: Option<usize>,
     /// Policy by which the dispatcher places requests.
     pub policy: Policy,
+    /// Availability zones that operators may name, beside those of the upstreams.
+    pub zones: BTreeSet<Zone>,
     /// Intervals and limits of the replication protocol.
     pub limits: Limits,
 }
@@ -119,6 +121,7 @@
             may_bootstrap: true,
             voters: None,
             policy: DEFAULT_POLICY,
+            zones: BTreeSet::new(),
             limits: Limits::default(),
         });
         faults.into_result(settings)
--- a/programs/pb-control/tests/hello.rs
+++ b/programs/pb-control/tests/hello.rs
@@ -3,6 +3,7 @@
 //! An answer that comes too early makes hosts send hello after hello; one that comes too late delays
 //! them when a leader is elected.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
@@ -70,6 +71,7 @@
             is_first_dispatcher: true,
             floor: 0.7,
         },
+        zones: BTreeSet::new(),
         limits: Limits::default(),
     };
     let stop = stop.clone();
--- a/programs/pb-control/tests/storage.rs
+++ b/programs/pb-control/tests/storage.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -108,6 +109,7 @@
             is_first_dispatcher: true,
             floor: 0.7,
         },
+        zones: BTreeSet::new(),
         limits: Limits::default(),
     }
 }
--- a/programs/pb-proxy/src/gateway.rs
+++ b/programs/pb-proxy/src/gateway.rs
@@ -21,6 +21,7 @@
 pub mod relay;
 pub mod settings;
 pub mod state;
+pub mod zones;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/programs/pb-proxy/src/gateway/deputy.rs
+++ b/programs/pb-proxy/src/gateway/deputy.rs
@@ -5,6 +5,7 @@
 //! budgets: a deputy of `k` of `n` hosts hands out `k / n` of them, however many deputies there
 //! are. A deputy closes the links of its hosts as soon as it has a link to the leader again.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,6 +17,7 @@
 use persimmonbend_core::dispatch::Balance;
 use persimmonbend_core::dispatch::Dispatcher;
 use persimmonbend_core::dispatch::Policy;
+use persimmonbend_core::roster::Revision;
 use persimmonbend_wire::dispatch;
 use persimmonbend_wire::dispatch::Frame;
 use persimmonbend_wire::dispatch::Hosts;
@@ -43,6 +45,8 @@
 #[derive(Debug, Default)]
 pub struct Deputy {
     hosts: RefCell<Option<Hosts>>,
+    /// Revision of the roster that the dispatcher has.
+    revision: Cell<Revision>,
 }
 
 impl Deputy {
@@ -61,6 +65,7 @@
                 *hosts = None;
                 continue;
             }
+            self.update_upstreams(state, serving);
             let share = state.placer().share(serving.len());
             serving.dispatcher_mut().set_share(share, state.now());
             serving.tick(0, 0, 0, state.now());
@@ -133,7 +138,25 @@
     /// Applies `change` to the hosts, with a new dispatcher if there is none.
     fn with_hosts<F: FnOnce(&mut Hosts)>(&self, state: &State, change: F) {
         let mut hosts = self.hosts.borrow_mut();
-        change(hosts.get_or_insert_with(|| Hosts::new(dispatcher(state))));
+        change(hosts.get_or_insert_with(|| {
+            self.revision.set(state.feed().revision());
+            Hosts::new(dispatcher(state))
+        }));
+    }
+
+    /// Passes the upstreams of this host on to the dispatcher, if the feed has changed them: a replica may still
+    /// send its feed while the leader is lost.
+    fn update_upstreams(&self, state: &State, serving: &mut Hosts) {
+        let revision = state.feed().revision();
+        if self.revision.replace(revision) == revision {
+            return;
+        }
+        let (dispatcher, now) = (serving.dispatcher_mut(), state.now());
+        let mut answers = Vec::new();
+        for entry in state.upstreams() {
+            answers.extend(dispatcher.update_upstream(&entry, now));
+        }
+        serving.send(answers);
     }
 }
 
@@ -153,7 +176,7 @@
     });
     dispatcher.set_share(state.placer().share(1), now);
     dispatcher.set_first_permit(state.random_fraction());
-    dispatcher.publish(Rc::clone(&state.in_force().publication));
+    dispatcher.publish(Rc::clone(&state.in_force().publication), now);
     for entry in state.upstreams() {
         dispatcher.update_upstream(&entry, now);
     }
--- a/programs/pb-proxy/src/gateway/detour/server.rs
+++ b/programs/pb-proxy/src/gateway/detour/server.rs
@@ -154,7 +154,11 @@
             pool.take_idle(announcement.address, REUSE_AGE, state.now())
         });
         if let Some(connection) = idle.flatten() {
-            return Ok(connection);
+            return if state.upstream(number).is_some() {
+                Ok(connection)
+            } else {
+                Err(Fault::Unwilling)
+            };
         }
         let connecting =
             state
@@ -170,7 +174,7 @@
             });
         };
         state.paths().note_opened(service, number);
-        if state.placer().is_unwanted_at(number, state.now()) {
+        if state.upstream(number).is_none() {
             return Err(Fault::Unwilling);
         }
         Ok(connection)
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -361,14 +361,11 @@
         paths::is_suspected(self.state, &self.plan.service)
     }
 
-    /// Sends the request over a connection and waits for its answer until the deadline, unless the upstream has
-    /// told another request that it wants no more.
+    /// Sends the request over a connection and waits for its answer until the deadline, unless the upstream takes
+    /// no more requests by now.
     async fn send(&self, connection: Connection, way: Way) -> Result<Answer, Obstacle> {
         let (state, now) = (self.state, self.state.now());
-        if state
-            .placer()
-            .is_unwanted_at(self.reservation.upstream(), now)
-        {
+        if state.upstream(self.reservation.upstream()).is_none() {
             return Err(Fault::unsent(Outcome::Cancelled).into());
         }
         let left = self.plan.deadline.saturating_duration_since(now);
--- a/programs/pb-proxy/src/gateway/meters.rs
+++ b/programs/pb-proxy/src/gateway/meters.rs
@@ -33,6 +33,7 @@
     running: Gauge,
     version: Gauge,
     control_heard: Gauge,
+    zones_closed: Gauge,
 }
 
 impl Meters {
@@ -68,6 +69,10 @@
             ),
             control_heard: registry
                 .gauge("control_heard", "1 while the leader of control is heard."),
+            zones_closed: registry.gauge(
+                "zones_closed",
+                "Zones with upstreams, none of which takes requests.",
+            ),
             registry,
         }
     }
@@ -127,6 +132,8 @@
         meters
             .control_heard
             .set(f64::from(u8::from(self.state.is_current())));
+        let closed = u32::try_from(self.state.zones().closed().len()).unwrap_or(u32::MAX);
+        meters.zones_closed.set(f64::from(closed));
         http::answer(200, "text/plain; version=0.0.4", meters.registry.text())
     }
 }
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -247,8 +247,8 @@
     }
 
     /// Passes the publication in force to the local dispatcher.
-    pub fn publish(&self, publication: Rc<Publication>) {
-        self.local_dispatcher.borrow_mut().publish(publication);
+    pub fn publish(&self, publication: Rc<Publication>, now: Instant) {
+        self.local_dispatcher.borrow_mut().publish(publication, now);
     }
 
     /// Passes a new or changed upstream to the local dispatcher.
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -40,6 +40,7 @@
 use crate::gateway::paths::Paths;
 use crate::gateway::placement::Placer;
 use crate::gateway::settings::Settings;
+use crate::gateway::zones::Zones;
 use crate::pool::Pool;
 
 /// Most connections to one upstream, idle ones and those in use; a few hundred hosts share the
@@ -87,6 +88,7 @@
     announced_version: Cell<Version>,
     publication_changed: Event,
     upstreams: RefCell<BTreeMap<Number, Entry>>,
+    zones: Zones,
     feed: Feed,
     placer: Placer,
     pool: Pool,
@@ -118,6 +120,7 @@
             announced_version: Cell::new(0),
             publication_changed: Event::new(),
             upstreams: RefCell::default(),
+            zones: Zones::default(),
             pool: Pool::new(MAX_UPSTREAM_CONNECTIONS),
             paths: Paths::default(),
             detours: detour::Hosts::default(),
@@ -352,7 +355,8 @@
             return true;
         }
         let in_force = Rc::new(Configuration::from(publication));
-        self.placer.publish(Rc::clone(&in_force.publication));
+        self.placer
+            .publish(Rc::clone(&in_force.publication), self.now());
         *self.in_force.borrow_mut() = in_force;
         self.publication_changed.notify(usize::MAX);
         info!(version, from, "publication_in_force");
@@ -380,6 +384,13 @@
                 upstreams.insert(entry.number, entry);
             }
         }
+        self.zones.update(upstreams.values());
+    }
+
+    /// Returns the upstreams by zone.
+    #[must_use]
+    pub const fn zones(&self) -> &Zones {
+        &self.zones
     }
 
     /// Returns the state for operators, without secrets.
@@ -395,6 +406,7 @@
             "running": self.running.get(),
             "version": in_force.publication.version,
             "feed": self.feed.status(),
+            "closed_zones": self.zones.closed(),
             "blocked_services": self.paths.blocked_services(),
             "blocked_upstreams": self.paths.blocked_upstreams(),
             "routes": in_force.publication.routes.len(),
