fix(core): tell dead upstreams from hosts that lost their way, by what all hosts report

Cause: each host was judged alone. Two upstreams in a row without a response counted as a loss of the host's own way, so dead upstreams no longer counted against themselves and were granted again until a request had tried six.

Change: `dispatch::contact` keeps witnesses of an upstream from all hosts, with their zones and ages. What a host reported counts after all if an upstream responds to it within a second; what was held against an upstream is taken back when the upstream responds to anybody. Two hosts of different zones, or three, that find no listener at an upstream that has answered nobody for 250 ms make it dead: it gets nothing for 0.5 to 4 s, then one request at a time, until it responds or announces itself. A connection that is refused (told by the time that the attempt took, no code is added) counts more than silence, and speaks less against the path. A dispatcher that serves one host has no witnesses, so it takes the milder course.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -59,6 +59,7 @@
 use crate::id::HostId;
 use crate::id::RouteId;
 use crate::id::ServiceId;
+use crate::id::Zone;
 use crate::poison;
 use crate::publication::Publication;
 use crate::publication::Quota;
@@ -148,6 +149,8 @@
 struct Slot {
     service: ServiceId,
     upstream: Number,
+    /// Zone of the host, if it is known.
+    zone: Zone,
     route: RouteId,
     since: Instant,
     /// Whether no other attempt of the request may follow.
@@ -323,7 +326,11 @@
 
     /// Records an announcement of an upstream.
     pub fn touch_upstream(&mut self, number: Number, now: Instant) {
-        self.change_upstream(number, now, |state| state.last_heard = now);
+        let lives = self.contact.note_announcement(number, now);
+        self.change_upstream(number, now, |state| {
+            state.last_heard = now;
+            state.dead_until = state.dead_until.filter(|_| !lives);
+        });
     }
 
     /// Records that a host is connected.
@@ -459,6 +466,18 @@
         hosts.len()
     }
 
+    /// Returns the number of upstreams at which several hosts in contact found no listener.
+    #[must_use]
+    pub fn dead_upstreams(&self, now: Instant) -> usize {
+        self.contact.dead(now)
+    }
+
+    /// Returns the number of hosts whose own paths count as the cause of their failures.
+    #[must_use]
+    pub fn hosts_out_of_contact(&self) -> usize {
+        self.contact.out_of_contact()
+    }
+
     /// Returns the retries that each service may still send.
     pub fn retries_left(&self) -> impl Iterator<Item = (&ServiceId, f64)> {
         let pools = self.pools.iter();
@@ -474,6 +493,7 @@
         let slot = Slot {
             service: placement.service,
             upstream: placement.upstream,
+            zone: Zone::new(),
             route: placement.route,
             since: now,
             is_last: false,
@@ -629,7 +649,7 @@
             host: host.to_owned(),
             number,
         };
-        self.contact.note_response(host);
+        self.contact.forget_host(host);
         let own = self.slots_in_use.range(bound(u32::MIN)..=bound(u32::MAX));
         let tickets: Vec<Ticket> = own.map(|(ticket, _)| ticket.clone()).collect();
         let mut services = BTreeSet::new();
@@ -653,6 +673,7 @@
 
     /// Removes an upstream until it announces itself again.
     fn remove_upstream(&mut self, number: Number) {
+        self.contact.forget_upstream(number);
         let service = self.services.remove(&number);
         if let Some(pool) = service.and_then(|service| self.pools.get_mut(&service)) {
             pool.remove(number);
--- a/crates/core/src/dispatch/belief.rs
+++ b/crates/core/src/dispatch/belief.rs
@@ -35,6 +35,8 @@
 const SHED_RATIO: f64 = 6.0;
 /// The ratio is low because a host that cannot connect may itself be cut off.
 const UNREACHABLE_RATIO: f64 = 3.0;
+/// A connection that is refused tells that nobody listens, or, more rarely, that the path refuses it.
+pub const REFUSED_RATIO: f64 = 12.0;
 
 /// Probability of being grey that is adopted for a suspect of another dispatcher, and for all
 /// other upstreams.
@@ -128,14 +130,9 @@
         }
     }
 
-    /// Updates the estimate for a running attempt that takes far longer than expected.
-    pub fn observe_late(&mut self, now: Instant) {
-        self.update_odds(LATE_RATIO, now);
-    }
-
-    /// Takes back evidence that multiplied the odds by `ratio`.
-    pub fn withdraw(&mut self, ratio: f64, now: Instant) {
-        self.update_odds(1.0 / ratio, now);
+    /// Multiplies the odds that the upstream is grey by the ratio of evidence, or divides them to take it back.
+    pub fn weigh(&mut self, ratio: f64, now: Instant) {
+        self.update_odds(ratio, now);
     }
 
     fn update_odds(&mut self, ratio: f64, now: Instant) {
--- a/crates/core/src/dispatch/observation.rs
+++ b/crates/core/src/dispatch/observation.rs
@@ -11,10 +11,12 @@
 use crate::dispatch::Slot;
 use crate::dispatch::Timing;
 use crate::dispatch::belief::LATE_RATIO;
-use crate::dispatch::contact::Effect;
+use crate::dispatch::belief::REFUSED_RATIO;
+use crate::dispatch::contact::Charge;
+use crate::dispatch::contact::Finding;
+use crate::dispatch::contact::Silence;
 use crate::health::Outcome;
 use crate::publication::Route;
-use crate::roster::Number;
 
 /// Multiple of the expected time after which a running attempt counts as late; after twice that
 /// multiple it counts as late again.
@@ -26,6 +28,10 @@
 /// Time for which an upstream is avoided for a host that could not connect to it.
 const UNREACHABLE_PAUSE: Duration = Duration::from_secs(4);
 
+/// Time up to which an attempt without a connection counts as refused; hosts wait longer for one that is not
+/// answered at all.
+const MAX_REFUSAL_TIME: Duration = Duration::from_millis(100);
+
 impl Dispatcher {
     /// Records the outcome of an attempt in the state of its upstream, service and route.
     pub(super) fn record_completion(
@@ -50,8 +56,9 @@
         let mut timing = self.timing(&slot.route, route);
         let is_route_timeout =
             completion.outcome == Outcome::TimedOut && timing.has_too_short_timeout();
-        let is_evidence =
-            !is_route_timeout && self.is_evidence(host, slot.upstream, completion.outcome, now);
+        if !is_route_timeout {
+            self.observe_evidence(host, slot, completion, now);
+        }
         let Some(pool) = self.pools.get_mut(&slot.service) else {
             return;
         };
@@ -62,11 +69,6 @@
         if !is_route_timeout && !slot.is_trial {
             pool.failures.observe(completion.outcome, slot.is_last, now);
         }
-        if is_evidence {
-            pool.change(slot.upstream, now, |state| {
-                state.observe_outcome(completion.outcome, now);
-            });
-        }
         match completion.outcome {
             Outcome::Answered => {
                 // The capacity of an upstream with a limit follows from the slot time.
@@ -91,39 +93,71 @@
         }
     }
 
-    /// Returns whether an outcome says something about the upstream, and not about the path of the host; takes
-    /// back what an earlier one seemed to say if it does not either.
-    fn is_evidence(
-        &mut self,
-        host: &str,
-        upstream: Number,
-        outcome: Outcome,
-        now: Instant,
-    ) -> bool {
-        match outcome {
+    /// Records in the belief in an upstream, and in that in others on which it throws light, what an outcome says
+    /// about it and not about the path of the host.
+    fn observe_evidence(&mut self, host: &str, slot: &Slot, completion: &Completion, now: Instant) {
+        let (outcome, upstream) = (completion.outcome, slot.upstream);
+        let finding = match outcome {
             Outcome::Answered | Outcome::Failed | Outcome::Shed | Outcome::Moved => {
-                self.contact.note_response(host);
-                true
+                let contact = &mut self.contact;
+                let charges = contact.note_response(host, &slot.zone, upstream, now);
+                self.apply(&charges, now);
+                self.change_upstream(upstream, now, |state| state.observe_outcome(outcome, now));
+                return;
             }
-            Outcome::TimedOut | Outcome::Truncated | Outcome::Unreachable => {
-                self.charges(host, upstream, Belief::ratio(outcome), now)
+            Outcome::Cancelled => return,
+            Outcome::Unreachable if completion.latency < MAX_REFUSAL_TIME => Finding::Refused,
+            Outcome::Unreachable => Finding::Unreachable,
+            Outcome::TimedOut | Outcome::Truncated => Finding::Unanswered,
+        };
+        let ratio = match finding {
+            Finding::Refused
+                if !self.runs_others(slot) && !self.contact.is_reached(upstream, now) =>
+            {
+                REFUSED_RATIO
             }
-            Outcome::Cancelled => true,
+            Finding::Refused | Finding::Unreachable | Finding::Unanswered => Belief::ratio(outcome),
+        };
+        if self.charge(host, slot, finding, ratio, now) && finding == Finding::Unanswered {
+            self.change_upstream(upstream, now, |state| state.last_failed = Some(now));
         }
     }
 
-    /// Returns whether it speaks against an upstream that it did not respond to a host; takes back what seemed
-    /// to speak against another one if both speak against the path of the host.
-    fn charges(&mut self, host: &str, upstream: Number, ratio: f64, now: Instant) -> bool {
-        match self.contact.note_silence(host, upstream, ratio) {
-            Effect::Charged => true,
-            Effect::Withdrawn(charge) => {
-                self.change_upstream(charge.upstream, now, |state| {
-                    state.belief.withdraw(charge.ratio, now);
-                });
-                false
-            }
-            Effect::Ignored => false,
+    /// Records that an upstream did not respond; returns whether that speaks against it.
+    fn charge(
+        &mut self,
+        host: &str,
+        slot: &Slot,
+        finding: Finding,
+        ratio: f64,
+        now: Instant,
+    ) -> bool {
+        let silence = Silence {
+            upstream: slot.upstream,
+            ratio,
+            finding,
+            since: slot.since,
+        };
+        let charges = self.contact.note_silence(host, &slot.zone, silence, now);
+        self.apply(&charges, now);
+        let is_charged = |charge: &Charge| charge.upstream == slot.upstream && charge.ratio > 1.0;
+        charges.iter().any(is_charged)
+    }
+
+    /// Returns whether requests of others still run at the upstream of a slot that was freed: the end of an
+    /// upstream breaks these off before anybody finds its port closed.
+    fn runs_others(&self, slot: &Slot) -> bool {
+        let pool = self.pools.get(&slot.service);
+        let state = pool.and_then(|pool| pool.get(slot.upstream));
+        state.is_some_and(|state| state.running > 0)
+    }
+
+    fn apply(&mut self, charges: &[Charge], now: Instant) {
+        for charge in charges {
+            self.change_upstream(charge.upstream, now, |state| {
+                state.belief.weigh(charge.ratio, now);
+                state.dead_until = charge.dead_until;
+            });
         }
     }
 
@@ -151,16 +185,14 @@
             let limit =
                 Duration::from_secs_f64(expected).max(MIN_LATE_AFTER) * (slot.late_count + 1);
             if now.saturating_duration_since(slot.since) > limit {
-                late.push((ticket.clone(), slot.upstream));
+                late.push((ticket.clone(), slot.clone()));
             }
         }
-        for (ticket, upstream) in late {
+        for (ticket, slot) in late {
             if let Some(slot) = self.slots_in_use.get_mut(&ticket) {
                 slot.late_count += 1;
             }
-            if self.charges(&ticket.host, upstream, LATE_RATIO, now) {
-                self.change_upstream(upstream, now, |state| state.belief.observe_late(now));
-            }
+            self.charge(&ticket.host, &slot, Finding::Unanswered, LATE_RATIO, now);
         }
     }
 
--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -229,6 +229,7 @@
         let slot = Slot {
             service: request.service,
             upstream,
+            zone: request.zone,
             route: request.route,
             since: now,
             is_last,
--- a/crates/core/src/dispatch/upstream.rs
+++ b/crates/core/src/dispatch/upstream.rs
@@ -42,6 +42,9 @@
     pub last_granted: Option<Instant>,
     /// When a request last failed, was truncated or timed out.
     pub last_failed: Option<Instant>,
+    /// Until when the upstream gets no requests, since hosts found no listener at it; one at a time after that,
+    /// until it responds or announces itself.
+    pub dead_until: Option<Instant>,
     /// When the last announcement arrived.
     pub last_heard: Instant,
     stage: Stage,
@@ -65,6 +68,7 @@
             belief: Belief::new(now),
             last_granted: None,
             last_failed: None,
+            dead_until: None,
             last_heard: now,
             stage: announcement.stage,
             states_draining: false,
@@ -116,7 +120,11 @@
     #[must_use]
     pub fn has_room(&self, now: Instant) -> bool {
         let has_permit = self.pace.is_none_or(|pace| pace.has_permit(now));
-        self.is_open() && self.running < self.slots && has_permit
+        let slots = match self.dead_until {
+            None => self.slots,
+            Some(until) => u32::from(now >= until),
+        };
+        self.is_open() && self.running < slots && has_permit
     }
 
     /// Returns the mean number of slots that new requests can keep busy, each for `slot_time`.
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod cut_off;
+mod dead;
 mod grey;
 mod limits;
 mod pace;
