fix(proxy): no detour for an upstream that others do not reach, and one log line an attempt

Cause: a host whose requests went over kept connections opened few new ones, so two dead upstreams in a row looked like a lost way; each failed attempt then asked up to three hosts, every one wrote a line, and nothing remembered the answer.

Change: an answer over a kept connection ends the suspicion (not a block); an upstream that a host with a way of its own could not connect to is not detoured to for a second; the lines of one attempt become one, `connection_failed` or `detour_refused`, with the number of hosts that refused (`detours`). `leader_load` shows `dead_upstreams` and `hosts_out_of_contact`.

Tests: `answers_over_kept_connections_end_the_suspicion_but_no_block` (new call, so it was not run on the code before); the ten of `fleet detour` pass.

--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -69,6 +69,18 @@
         was_blocked || was_upstream_blocked
     }
 
+    /// Records that an upstream answered over a connection that was opened earlier: the failures at others speak
+    /// against these, but nothing is known of new connections where they are blocked.
+    pub fn note_answered(&mut self, service: &str) {
+        let Some(path) = self.paths.get_mut(service) else {
+            return;
+        };
+        path.failures.clear();
+        if !path.is_blocked && path.blocked.is_empty() {
+            self.paths.remove(service);
+        }
+    }
+
     /// Records that no connection to an upstream could be opened.
     pub fn note_failure(&mut self, service: &str, upstream: Number, now: Instant) {
         let path = self.paths.entry(service.to_owned()).or_default();
--- a/crates/core/tests/reach.rs
+++ b/crates/core/tests/reach.rs
@@ -29,6 +29,21 @@
     }
 }
 
+/// Hosts with kept connections open few new ones, so two dead upstreams in a row looked like a lost way.
+#[test]
+fn answers_over_kept_connections_end_the_suspicion_but_no_block() {
+    let now = Instant::now();
+    let mut reach = Reach::default();
+    for upstream in 1..=6 {
+        reach.note_failure(SERVICE, upstream, now);
+        assert!(!reach.is_suspected(SERVICE, 8, now));
+        reach.note_answered(SERVICE);
+    }
+    reach.note_detour(SERVICE, 1);
+    reach.note_answered(SERVICE);
+    assert!(reach.is_blocked(SERVICE, 1) && reach.is_blocked(SERVICE, 5));
+}
+
 #[test]
 fn failures_that_lie_far_apart_do_not_speak_against_the_path() {
     let now = Instant::now();
--- a/programs/pb-control/src/dispatch/state.rs
+++ b/programs/pb-control/src/dispatch/state.rs
@@ -153,6 +153,8 @@
             hosts = self.hosts.len(),
             suspects = dispatcher.suspects(now).len(),
             hosts_with_unreachable = dispatcher.hosts_with_unreachable(now),
+            dead_upstreams = dispatcher.dead_upstreams(now),
+            hosts_out_of_contact = dispatcher.hosts_out_of_contact(),
             retries = %json!(retries),
             joins = self.load.joins,
             queued,
--- a/programs/pb-proxy/src/gateway/detour.rs
+++ b/programs/pb-proxy/src/gateway/detour.rs
@@ -46,6 +46,9 @@
 /// Time for which a host is not asked again that could not help.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
 
+/// Time for which no other host is asked for an upstream that one could not connect to.
+const UNREACHED_TIME: Duration = Duration::from_secs(1);
+
 /// Longest idle time after which a connection to another host is used again.
 const REUSE_AGE: Duration = Duration::from_secs(5);
 
@@ -101,6 +104,8 @@
     helper: Cell<Option<SocketAddr>>,
     /// Hosts that could not help, with the time until which they are not asked.
     refused_until: RefCell<BTreeMap<SocketAddr, Instant>>,
+    /// Upstreams that another host could not connect to either, with the time until which none is asked.
+    unreached_until: RefCell<BTreeMap<Number, Instant>>,
 }
 
 impl Hosts {
@@ -134,6 +139,19 @@
         self.helper.set(Some(host));
     }
 
+    /// Returns whether another host could not connect to an upstream a moment ago.
+    pub fn is_unreached(&self, upstream: Number, now: Instant) -> bool {
+        let mut unreached = self.unreached_until.borrow_mut();
+        unreached.retain(|_, until| now < *until);
+        unreached.contains_key(&upstream)
+    }
+
+    /// Notes that another host could not connect to an upstream either.
+    pub fn note_unreached(&self, upstream: Number, now: Instant) {
+        let mut unreached = self.unreached_until.borrow_mut();
+        unreached.insert(upstream, now + UNREACHED_TIME);
+    }
+
     /// Notes that a host could not be reached or could not send a request.
     pub fn note_refusal(&self, host: SocketAddr, now: Instant) {
         let mut refused = self.refused_until.borrow_mut();
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -199,6 +199,17 @@
     }
 }
 
+/// Why a request did not get to its upstream at once.
+#[derive(Debug, Default)]
+struct Trouble {
+    /// Why no connection to the upstream could be opened.
+    error: Option<io::Error>,
+    /// Number of hosts that refused to send it.
+    refused: u32,
+    /// The last of them, and why it did.
+    last: Option<(SocketAddr, detour::Fault)>,
+}
+
 /// An attempt at one upstream, over any way.
 struct Attempt<'a> {
     state: &'a Rc<State>,
@@ -215,21 +226,40 @@
         let number = self.reservation.upstream();
         let paths = self.state.paths();
         let is_blocked = paths.is_blocked(&self.plan.service, number);
+        let mut trouble = Trouble::default();
         if !is_blocked {
             match self.connect_directly().await {
                 Ok(connection) => return self.send_directly(connection).await,
-                Err(fault) if !self.is_path_suspected() => return Err(fault),
-                Err(_) => {}
+                Err(error) => trouble.error = Some(error),
+            }
+            let is_unreached = self.state.detours().is_unreached(number, self.state.now());
+            if !self.is_path_suspected() || is_unreached {
+                self.log(&trouble);
+                return Err(Fault::unsent(Outcome::Unreachable));
             }
         }
-        match self.send_by_detour().await {
-            Some(result) => result,
+        let mut result = self.send_by_detour(&mut trouble).await;
+        if result.is_none() && is_blocked {
             // Without another host's help only the own path is left, even if it is blocked.
-            None if is_blocked => {
-                let connection = self.connect_directly().await?;
-                self.send_directly(connection).await
+            match self.connect_directly().await {
+                Ok(connection) => result = Some(self.send_directly(connection).await),
+                Err(error) => trouble.error = Some(error),
             }
-            None => Err(Fault::unsent(Outcome::Unreachable)),
+        }
+        self.log(&trouble);
+        result.unwrap_or(Err(Fault::unsent(Outcome::Unreachable)))
+    }
+
+    /// Logs in one line why the request did not get through at once.
+    fn log(&self, trouble: &Trouble) {
+        let request = self.metadata.id.as_deref();
+        let number = self.reservation.upstream();
+        let refused = trouble.refused;
+        if let Some(error) = &trouble.error {
+            let fault = trouble.last.map(|(_, fault)| fault.name());
+            info!(upstream = %self.address, error = %error, detours = refused, fault, "connection_failed");
+        } else if let Some((host, fault)) = trouble.last {
+            info!(request, %host, number, detours = refused, fault = fault.name(), "detour_refused");
         }
     }
 
@@ -246,7 +276,7 @@
     }
 
     /// Returns an idle connection if the request is idempotent and there is one, or else a new one.
-    async fn connect_directly(&self) -> Result<Connection, Fault> {
+    async fn connect_directly(&self) -> io::Result<Connection> {
         let (state, service) = (self.state, &self.plan.service);
         let may_reuse = self.plan.route.idempotent && !self.is_path_suspected();
         if may_reuse
@@ -265,8 +295,7 @@
             }
             Err(error) => {
                 state.paths().note_failure(service, number, state.now());
-                info!(upstream = %self.address, error = %error, "connection_failed");
-                Err(Fault::unsent(Outcome::Unreachable))
+                Err(error)
             }
         }
     }
@@ -274,7 +303,10 @@
     async fn send_directly(&self, connection: Connection) -> Result<(Answer, Way), Fault> {
         let way = Way::Direct(self.address);
         match self.send(connection, way).await {
-            Ok(answer) => Ok((answer, way)),
+            Ok(answer) => {
+                self.state.paths().note_answered(&self.plan.service);
+                Ok((answer, way))
+            }
             Err(Obstacle::Fault(fault)) => {
                 self.follow_up(fault);
                 Err(fault)
@@ -299,7 +331,7 @@
 
     /// Asks other hosts to send the request, until one has sent it or finds the upstream unreachable; returns
     /// `None` if none could help.
-    async fn send_by_detour(&self) -> Option<Result<(Answer, Way), Fault>> {
+    async fn send_by_detour(&self, trouble: &mut Trouble) -> Option<Result<(Answer, Way), Fault>> {
         let (state, number) = (self.state, self.reservation.upstream());
         for host in state.detours().candidates(state) {
             let may_reuse = self.plan.route.idempotent;
@@ -311,8 +343,8 @@
             let way = Way::Detour(host);
             let result = self.send(connection, way).await;
             if let Err(Obstacle::Host(fault)) = &result {
-                let request = self.metadata.id.as_deref();
-                info!(request, %host, number, fault = fault.name(), "detour_refused");
+                trouble.refused += 1;
+                trouble.last = Some((host, *fault));
             }
             let fault = match result {
                 Ok(answer) => {
@@ -338,6 +370,7 @@
                 detour::Fault::Blocked => state.detours().note_refusal(host, state.now()),
                 detour::Fault::Unwilling => return Some(Err(Fault::unsent(Outcome::Cancelled))),
                 detour::Fault::Unreachable => {
+                    state.detours().note_unreached(number, state.now());
                     return Some(Err(Fault::unsent(Outcome::Unreachable)));
                 }
                 detour::Fault::Broken => return Some(Err(BROKEN)),
--- a/programs/pb-proxy/src/gateway/paths.rs
+++ b/programs/pb-proxy/src/gateway/paths.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Records that an upstream of a service answered over a connection that was opened earlier.
+    pub fn note_answered(&self, service: &str) {
+        self.reach.borrow_mut().note_answered(service);
+    }
+
     /// Records that no connection to an upstream could be opened.
     pub fn note_failure(&self, service: &str, upstream: Number, now: Instant) {
         self.reach.borrow_mut().note_failure(service, upstream, now);
