--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod cut_off;
+mod dead;
 mod evacuation;
 mod fleet;
 mod grey;
--- a/programs/pb-control/src/dispatch/state.rs
+++ b/programs/pb-control/src/dispatch/state.rs
@@ -154,6 +154,8 @@
             suspects = dispatcher.suspects(now).len(),
             cold = dispatcher.count_cold(),
             hosts_with_unreachable = dispatcher.hosts_with_unreachable(now),
+            dead_upstreams = dispatcher.dead_upstreams(now),
+            hosts_out_of_contact = dispatcher.hosts_out_of_contact(),
             retries = %json!(retries),
             joins = self.load.joins,
             queued,
