feat(core): limit extra sends by a share that operators set, and time them by measured latency

Cause: a running idempotent request was sent again after four times its expected time, within the retry budget only. Operators could neither limit nor see these extra sends, and none came before 200 ms. Change: a service whose terms set hedge_share, or that falls under Policy::hedge_share, has an account that each new request pays the share into and each extra send takes 1 from, beside the retry budget. Extra sends start at the 95th percentile of the route at the service, at the 99th as the account is used up, then as before; they go to no suspect and to no upstream that was tried, leave a zone that is slow, never wait, and are refused while requests are queued or more than 85% of the healthy slots are in use. A refusal is no failure of the service. An extra send that wins is evidence against the slower upstream. Without a share every decision is as before.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -17,6 +17,8 @@
 mod cost;
 mod failures;
 mod free;
+mod hedge;
+mod latencies;
 mod observation;
 mod pace;
 mod placing;
@@ -40,6 +42,7 @@
 pub use cost::Attempt;
 pub use failures::Failures;
 pub use free::Free;
+pub use hedge::Counts;
 pub use pace::Pace;
 pub use pool::Pool;
 pub use quotas::Quotas;
@@ -56,6 +59,7 @@
 
 use crate::dispatch::contact::Contact;
 use crate::error::Kind;
+use crate::health::Outcome;
 use crate::id::HostId;
 use crate::id::RouteId;
 use crate::id::ServiceId;
@@ -92,6 +96,9 @@
     pub is_first_dispatcher: bool,
     /// Floor: least share of a service's upstreams that stay in use while some requests fail.
     pub floor: f64,
+    /// Most extra sends of running requests, as a share of the requests to a service whose terms set none;
+    /// `None` if only the retry budget limits them.
+    pub hedge_share: Option<f64>,
 }
 
 /// Tokens of a tenant with a quota at its first request.
@@ -156,6 +163,8 @@
     is_trial: bool,
     /// Number of times that the attempt has been recorded as late.
     late_count: u32,
+    /// The attempt that this one is an extra send to, if the service limits these.
+    hedge_of: Option<Ticket>,
 }
 
 /// An upstream that was chosen for a request.
@@ -277,6 +286,10 @@
     pub fn publish(&mut self, publication: Rc<Publication>) {
         self.timings
             .retain(|route, _| publication.routes.contains_key(route));
+        for pool in self.pools.values_mut() {
+            let latencies = pool.hedges.latencies_mut();
+            latencies.retain(|route| publication.routes.contains_key(route));
+        }
         let limited = |tenant: &str| {
             let known = publication.tenants.get(tenant);
             known.is_some_and(|tenant| tenant.quota.is_some())
@@ -479,6 +492,7 @@
             is_last: false,
             is_trial: false,
             late_count: 0,
+            hedge_of: None,
         };
         self.slots_in_use.insert(placement.ticket, slot);
     }
@@ -490,6 +504,9 @@
         let Some(route) = route.filter(|route| route.leads_to(&request.service)) else {
             return vec![refused(request.ticket, Kind::RouteChanged, MIN_RETRY_AFTER)];
         };
+        if self.is_limited_hedge(&request) {
+            return self.reserve_hedge(request, route, now);
+        }
         let retries = self.retries();
         let is_first = self.policy.is_first_dispatcher;
         let pool = self.pools.entry(request.service.clone());
@@ -509,6 +526,7 @@
             && let Some(pool) = self.pools.get_mut(&request.service)
         {
             pool.retry_budget.deposit(&retries);
+            self.deposit_hedge(&request.service);
         }
         let priority = self.priority(&request, route);
         if self.is_next(&request, route, priority, now)
@@ -542,6 +560,9 @@
             return Vec::new();
         };
         self.record_completion(&ticket.host, &slot, completion, now);
+        if let (Outcome::Answered, Some(first)) = (completion.outcome, &slot.hedge_of) {
+            self.note_hedge_won(first, now);
+        }
         self.place_queued(&slot.service, now)
     }
 
--- a/crates/core/src/dispatch/belief.rs
+++ b/crates/core/src/dispatch/belief.rs
@@ -32,6 +32,8 @@
 const TIMED_OUT_RATIO: f64 = 6.0;
 /// One request in a hundred takes about three times as long as most, on healthy upstreams too.
 pub const LATE_RATIO: f64 = 10.0;
+/// One request in twenty is overtaken by an extra send at healthy upstreams, most are at slow ones.
+pub const BEATEN_RATIO: f64 = 3.0;
 const SHED_RATIO: f64 = 6.0;
 /// The ratio is low because a host that cannot connect may itself be cut off.
 const UNREACHABLE_RATIO: f64 = 3.0;
@@ -133,6 +135,11 @@
         self.update_odds(LATE_RATIO, now);
     }
 
+    /// Updates the estimate for a running attempt that an extra send of the same request has overtaken.
+    pub fn observe_beaten(&mut self, now: Instant) {
+        self.update_odds(BEATEN_RATIO, now);
+    }
+
     /// Takes back evidence that multiplied the odds by `ratio`.
     pub fn withdraw(&mut self, ratio: f64, now: Instant) {
         self.update_odds(1.0 / ratio, now);
--- a/crates/core/src/dispatch/observation.rs
+++ b/crates/core/src/dispatch/observation.rs
@@ -71,6 +71,8 @@
             Outcome::Answered => {
                 // The capacity of an upstream with a limit follows from the slot time.
                 pool.slot_time.observe(completion.latency);
+                let latencies = pool.hedges.latencies_mut();
+                latencies.observe(&slot.route, completion.latency);
                 pool.change(slot.upstream, now, |state| {
                     state.observe_latency(completion.latency, &timing, now);
                 });
@@ -114,7 +116,13 @@
 
     /// Returns whether it speaks against an upstream that it did not respond to a host; takes back what seemed
     /// to speak against another one if both speak against the path of the host.
-    fn charges(&mut self, host: &str, upstream: Number, ratio: f64, now: Instant) -> bool {
+    pub(super) fn charges(
+        &mut self,
+        host: &str,
+        upstream: Number,
+        ratio: f64,
+        now: Instant,
+    ) -> bool {
         match self.contact.note_silence(host, upstream, ratio) {
             Effect::Charged => true,
             Effect::Withdrawn(charge) => {
--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -45,10 +45,10 @@
 const MAX_ESTIMATED_WAIT: Duration = Duration::from_secs(60 * 60);
 
 /// A search among the candidates for one request.
-struct Search<'a> {
-    pool: &'a Pool,
-    candidates: &'a [Number],
-    attempt: &'a Attempt<'a>,
+pub(super) struct Search<'a> {
+    pub(super) pool: &'a Pool,
+    pub(super) candidates: &'a [Number],
+    pub(super) attempt: &'a Attempt<'a>,
     max_silence: Duration,
     /// Upstreams that were tried for the request.
     avoid: &'a [Number],
@@ -56,7 +56,7 @@
     unreachable: &'a BTreeSet<Number>,
     /// Upstreams that want no requests from the host, whatever else speaks for them.
     pauses: Pauses<'a>,
-    now: Instant,
+    pub(super) now: Instant,
 }
 
 impl Search<'_> {
@@ -85,7 +85,7 @@
         reachable.or_else(|| self.find(|number| is_accepted(number) && self.is_eligible(number)))
     }
 
-    fn find<F: Fn(Number) -> bool>(&self, is_allowed: F) -> Option<Number> {
+    pub(super) fn find<F: Fn(Number) -> bool>(&self, is_allowed: F) -> Option<Number> {
         let (candidates, attempt) = (self.candidates, self.attempt);
         self.pool
             .cheapest(candidates, attempt, self.max_silence, self.now, is_allowed)
@@ -95,7 +95,7 @@
         !self.avoid.contains(&number) && !self.pauses.contains(number)
     }
 
-    fn is_reachable(&self, number: Number) -> bool {
+    pub(super) fn is_reachable(&self, number: Number) -> bool {
         self.is_eligible(number) && !self.unreachable.contains(&number)
     }
 }
@@ -151,6 +151,9 @@
             pauses,
             now,
         };
+        if self.is_limited_hedge(request) {
+            return search.for_hedge(request.avoid.last().copied());
+        }
         let idle = is_below_floor.then(|| search.idle()).flatten();
         let trial = idle.or_else(|| search.due_trial());
         if let Some(upstream) = trial {
@@ -222,6 +225,7 @@
     pub(super) fn grant(&mut self, request: Request, choice: Choice, now: Instant) -> Answer {
         let Choice { upstream, is_trial } = choice;
         let attempt_timeout = self.attempt_timeout(&request, upstream, now);
+        let hedge_of = self.hedged_attempt(&request);
         self.change_upstream(upstream, now, |state| state.note_grant(now));
         let route = self.publication.routes.get(&request.route);
         let is_last =
@@ -234,6 +238,7 @@
             is_last,
             is_trial,
             late_count: 0,
+            hedge_of,
         };
         self.slots_in_use.insert(request.ticket.clone(), slot);
         Answer {
@@ -262,6 +267,7 @@
         let expected = state.expected_seconds(&timing, now).max(timing.mean());
         let attempt_timeout =
             Duration::from_secs_f64(expected * ATTEMPT_TIMEOUT_FACTOR).max(MIN_LATE_AFTER);
+        let attempt_timeout = self.hedge_after(request, attempt_timeout);
         let retry_time = Duration::from_secs_f64(timing.mean());
         (now + attempt_timeout + retry_time < request.deadline).then_some(attempt_timeout)
     }
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -11,6 +11,7 @@
 use crate::dispatch::free::Free;
 use crate::dispatch::free::MILLIONTHS;
 use crate::dispatch::free::Standing;
+use crate::dispatch::hedge::Hedges;
 use crate::dispatch::retries::Budget;
 use crate::dispatch::upstream::Upstream;
 use crate::publication::Priority;
@@ -60,6 +61,10 @@
     pub next_suspect_offer: Option<Instant>,
     /// When the next request that no upstream could take is told to return.
     pub next_return: Option<Instant>,
+    /// Extra sends of the service.
+    pub hedges: Hedges,
+    /// Requests that are known to run on the upstreams.
+    busy: u32,
     free: Free,
     floor_check: Option<FloorCheck>,
 }
@@ -83,6 +88,8 @@
             slot_time: Estimate::new(),
             next_suspect_offer: None,
             next_return: None,
+            hedges: Hedges::default(),
+            busy: 0,
             free: Free::default(),
             floor_check: None,
         }
@@ -90,13 +97,18 @@
 
     /// Adds an upstream.
     pub fn add(&mut self, number: Number, state: Upstream, now: Instant) {
-        self.upstreams.insert(number, state);
+        self.busy += state.running;
+        if let Some(earlier) = self.upstreams.insert(number, state) {
+            self.busy -= earlier.running;
+        }
         self.refresh(number, now);
     }
 
     /// Removes an upstream.
     pub fn remove(&mut self, number: Number) {
-        self.upstreams.remove(&number);
+        if let Some(state) = self.upstreams.remove(&number) {
+            self.busy -= state.running;
+        }
         self.free.remove(number);
     }
 
@@ -118,10 +130,14 @@
     where
         F: FnOnce(&mut Upstream),
     {
-        let state = self.upstreams.get_mut(&number);
-        let is_known = state.map(change).is_some();
+        let Some(state) = self.upstreams.get_mut(&number) else {
+            return false;
+        };
+        let before = state.running;
+        change(state);
+        self.busy = self.busy - before + state.running;
         self.refresh(number, now);
-        is_known
+        true
     }
 
     /// Changes all upstreams.
@@ -132,6 +148,7 @@
         for (number, state) in &mut self.upstreams {
             change(*number, state);
         }
+        self.busy = self.upstreams.values().map(|state| state.running).sum();
         self.refresh_all(now);
     }
 
@@ -158,6 +175,12 @@
         &self.free
     }
 
+    /// Returns the number of requests that are known to run on the upstreams.
+    #[must_use]
+    pub const fn busy(&self) -> u32 {
+        self.busy
+    }
+
     /// Returns the estimated time that a request holds a slot; waiting times are in proportion to it, so it
     /// is never zero.
     #[must_use]
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -133,6 +133,8 @@
     Stopping: 503, "stopping", No, RETRY_SOON, "This host is stopping.";
     /// Upstreams ended while they ran requests of this content.
     EndsUpstreams: 503, "ends_upstreams", No, RETRY_LATER, "Upstreams end when they run this request.";
+    /// The service has used up its extra sends; only a request that still runs is refused one.
+    HedgeLimitReached: 503, "hedge_limit_reached", No, RETRY_SOON, "The service's limit of extra sends is reached.";
 }
 
 impl fmt::Display for Kind {
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -3,6 +3,8 @@
 mod budget;
 mod cut_off;
 mod grey;
+mod hedge;
+mod hedge_load;
 mod limits;
 mod pace;
 mod paced;
--- a/crates/core/tests/dispatch/world.rs
+++ b/crates/core/tests/dispatch/world.rs
@@ -20,6 +20,7 @@
 use persimmonbend_core::publication::Route;
 use persimmonbend_core::publication::Service;
 use persimmonbend_core::publication::Tenant;
+use persimmonbend_core::publication::Terms;
 use persimmonbend_core::roster::Entry;
 use persimmonbend_core::roster::Number;
 use persimmonbend_core::steward::Ticket;
@@ -70,6 +71,19 @@
         self.dispatcher.publish(Rc::new(publication(Some(quota))));
     }
 
+    /// Sets the share of extra sends of the service.
+    pub fn set_hedge_share(&mut self, share: f64) {
+        let terms = Terms {
+            hedge_share: Some(share),
+            ..Terms::default()
+        };
+        let publication = Publication {
+            terms: BTreeMap::from([(SERVICE.to_owned(), terms)]),
+            ..publication(None)
+        };
+        self.dispatcher.publish(Rc::new(publication));
+    }
+
     pub fn update_upstream(&mut self, number: Number, zone: &str, stage: Stage) -> Vec<Answer> {
         let entry = Entry {
             number,
@@ -162,6 +176,7 @@
         initial_balance: Balance::Share(1.0),
         is_first_dispatcher: false,
         floor: 0.7,
+        hedge_share: None,
     }
 }
 
--- a/crates/wire/tests/hosts.rs
+++ b/crates/wire/tests/hosts.rs
@@ -28,6 +28,7 @@
         initial_balance: Balance::Share(1.0),
         is_first_dispatcher: true,
         floor: 0.7,
+        hedge_share: None,
     });
     dispatcher.publish(Rc::new(Publication::default()));
     Hosts::new(dispatcher)
--- a/programs/pb-control/src/dispatch/state.rs
+++ b/programs/pb-control/src/dispatch/state.rs
@@ -154,6 +154,7 @@
             suspects = dispatcher.suspects(now).len(),
             hosts_with_unreachable = dispatcher.hosts_with_unreachable(now),
             retries = %json!(retries),
+            hedges = %self.hedges(),
             joins = self.load.joins,
             queued,
             steps = steps - self.load.steps,
@@ -164,6 +165,14 @@
         self.load = Load::new(now, steps);
     }
 
+    /// Returns what became of the extra sends of each service with a limit on them.
+    fn hedges(&self) -> serde_json::Value {
+        let hedges = self.hosts.dispatcher().hedges();
+        let each = hedges
+            .map(|(service, counts, left)| (service, json!({ "counts": counts, "left": left })));
+        json!(each.collect::<BTreeMap<_, _>>())
+    }
+
     /// Returns the number of connected hosts.
     #[must_use]
     pub fn host_count(&self) -> usize {
@@ -311,6 +320,7 @@
             "frames": meter::frames(),
             "queued": queued,
             "retries": self.hosts.dispatcher().retries_left().collect::<BTreeMap<_, _>>(),
+            "hedges": self.hedges(),
             "upstreams": self.hosts.dispatcher().dump(now),
         })
     }
--- a/programs/pb-control/src/settings.rs
+++ b/programs/pb-control/src/settings.rs
@@ -30,6 +30,7 @@
     initial_balance: Balance::Share(0.5),
     is_first_dispatcher: false,
     floor: 0.7,
+    hedge_share: None,
 };
 
 /// Most control replicas in the settings.
--- a/programs/pb-control/tests/hello.rs
+++ b/programs/pb-control/tests/hello.rs
@@ -69,6 +69,7 @@
             initial_balance: Balance::Share(1.0),
             is_first_dispatcher: true,
             floor: 0.7,
+            hedge_share: None,
         },
         limits: Limits::default(),
     };
--- a/programs/pb-control/tests/storage.rs
+++ b/programs/pb-control/tests/storage.rs
@@ -107,6 +107,7 @@
             initial_balance: Balance::Share(1.0),
             is_first_dispatcher: true,
             floor: 0.7,
+            hedge_share: None,
         },
         limits: Limits::default(),
     }
--- a/programs/pb-proxy/src/gateway/deputy.rs
+++ b/programs/pb-proxy/src/gateway/deputy.rs
@@ -150,6 +150,7 @@
         initial_balance: Balance::Tolerated(tolerance),
         is_first_dispatcher: false,
         floor: settings.floor,
+        hedge_share: settings.hedge_share,
     });
     dispatcher.set_share(state.placer().share(1), now);
     dispatcher.set_first_permit(state.random_fraction());
--- a/programs/pb-proxy/src/gateway/forward.rs
+++ b/programs/pb-proxy/src/gateway/forward.rs
@@ -10,7 +10,9 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use compio::runtime::JoinHandle;
 use compio::runtime::spawn;
+use compio::time::sleep;
 use compio::time::timeout;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -55,6 +57,10 @@
 /// Time limit for finding a second upstream while a first one runs the request.
 const HEDGE_PLACEMENT_TIMEOUT: Duration = Duration::from_millis(30);
 
+/// Time without an answer after which a path to the upstreams is checked, however soon the request is sent to
+/// another one.
+const PATH_CHECK_AFTER: Duration = Duration::from_millis(200);
+
 /// Time after which a client may retry a request that an upstream shed; another upstream may take
 /// it.
 const SHED_RETRY_AFTER: Duration = Duration::from_millis(120);
@@ -141,6 +147,7 @@
 ) -> Result<Response<Body>, Failure> {
     let mut attempts = Attempts::default();
     let mut running = FuturesUnordered::new();
+    let mut path_check = None;
     loop {
         let reserving = reserve(state, plan, record, &attempts);
         let reserved = if running.is_empty() {
@@ -158,13 +165,16 @@
                 attempt_timeout.map(|attempt_timeout| now + attempt_timeout)
             }
             Err(failure) if running.is_empty() => return attempts.result(failure),
-            Err(_) => None,
+            Err(failure) => {
+                state.meters().count_refused_hedge(failure.kind);
+                None
+            }
         };
         let should_continue = loop {
             match next(state, &mut running, hedge_at).await {
                 Event::HedgeDue => {
                     hedge_at = None;
-                    spawn(paths::check(Rc::clone(state), plan.service.clone())).detach();
+                    path_check = check_path(state, plan, attempts.longest(state.now()));
                     if attempts.may_hedge(plan) {
                         break true;
                     }
@@ -173,6 +183,7 @@
                     attempts.finish(state, record, number, &reply);
                     match reply {
                         Reply::Answered(response) => {
+                            drop(path_check);
                             attempts.abandon(state, record);
                             return Ok(response);
                         }
@@ -199,6 +210,21 @@
     Ended(Number, Reply),
 }
 
+/// Checks the path to the upstreams of a request that has waited for [`PATH_CHECK_AFTER`], now or when it has;
+/// dropping the task that is returned cancels a later check.
+fn check_path(state: &Rc<State>, plan: &Plan, waited: Duration) -> Option<JoinHandle<()>> {
+    let check = paths::check(Rc::clone(state), plan.service.clone());
+    let left = PATH_CHECK_AFTER.saturating_sub(waited);
+    if left.is_zero() {
+        spawn(check).detach();
+        return None;
+    }
+    Some(spawn(async move {
+        sleep(left).await;
+        check.await;
+    }))
+}
+
 /// Reserves a slot of an upstream for the next attempt.
 async fn reserve(
     state: &Rc<State>,
@@ -281,6 +307,8 @@
     number: Number,
     upstream: UpstreamId,
     started: Instant,
+    /// Whether another attempt was running when this one started.
+    is_hedge: bool,
 }
 
 /// The attempts of one request so far, and their results.
@@ -326,12 +354,22 @@
         u32::try_from(self.in_flight.len()).unwrap_or(u32::MAX)
     }
 
+    /// Returns for how long the earliest attempt in flight has run.
+    fn longest(&self, now: Instant) -> Duration {
+        let started = self.in_flight.iter().map(|attempt| attempt.started).min();
+        started.map_or(Duration::ZERO, |started| {
+            now.saturating_duration_since(started)
+        })
+    }
+
     fn start(&mut self, reservation: &Reservation, started: Instant) {
         self.avoid.push(reservation.upstream());
+        let is_hedge = !self.in_flight.is_empty();
         self.in_flight.push(InFlight {
             number: reservation.upstream(),
             upstream: reservation.id(),
             started,
+            is_hedge,
         });
     }
 
@@ -342,6 +380,13 @@
         for attempt in ended {
             let took = state.now().saturating_duration_since(attempt.started);
             record.note_attempt(&attempt.upstream, reply.outcome(), dispatch::millis(took));
+            if attempt.is_hedge {
+                let outcome = match reply {
+                    Reply::Answered(_) => "won",
+                    Reply::Failed(_) | Reply::Fault(_) => "failed",
+                };
+                record.note_hedge(&attempt.upstream, outcome, dispatch::millis(took));
+            }
         }
     }
 
@@ -350,6 +395,9 @@
         for attempt in self.in_flight.drain(..) {
             let took = state.now().saturating_duration_since(attempt.started);
             record.note_attempt(&attempt.upstream, "abandoned", dispatch::millis(took));
+            if attempt.is_hedge {
+                record.note_hedge(&attempt.upstream, "lost", dispatch::millis(took));
+            }
         }
     }
 
--- a/programs/pb-proxy/src/gateway/meters.rs
+++ b/programs/pb-proxy/src/gateway/meters.rs
@@ -28,6 +28,8 @@
     registry: Registry,
     requests: Counters,
     attempts: Counters,
+    hedges: Counters,
+    refused_hedges: Counters,
     statements: Counters,
     latency_seconds: Histogram,
     running: Gauge,
@@ -51,6 +53,16 @@
                 "Attempts at upstreams by how they ended.",
                 "outcome",
             ),
+            hedges: registry.counters(
+                "hedges_total",
+                "Extra sends of running requests by how they ended.",
+                "outcome",
+            ),
+            refused_hedges: registry.counters(
+                "hedges_refused_total",
+                "Extra sends that were not made, by the reason.",
+                "reason",
+            ),
             statements: registry.counters(
                 "upstream_statements_total",
                 "Statements of upstreams about themselves that were new to this host.",
@@ -91,6 +103,16 @@
         self.attempts.add(outcome);
     }
 
+    /// Counts an extra send by its outcome.
+    pub fn count_hedge(&self, outcome: &str) {
+        self.hedges.add(outcome);
+    }
+
+    /// Counts an extra send that was not made.
+    pub fn count_refused_hedge(&self, kind: Kind) {
+        self.refused_hedges.add(kind.answer().code);
+    }
+
     /// Counts a statement of an upstream that was new to this host.
     pub fn count_statement(&self, statement: &str) {
         self.statements.add(statement);
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -161,6 +161,7 @@
             },
             is_first_dispatcher: false,
             floor: settings.floor,
+            hedge_share: settings.hedge_share,
         });
         local.set_share(share_without_leader(1, None), now);
         local.set_first_permit(draw);
--- a/programs/pb-proxy/src/gateway/record.rs
+++ b/programs/pb-proxy/src/gateway/record.rs
@@ -73,6 +73,15 @@
         );
     }
 
+    /// Logs and counts the end of an extra send.
+    pub fn note_hedge(&self, upstream: &str, outcome: &str, took_ms: u32) {
+        self.state.meters().count_hedge(outcome);
+        info!(
+            request = self.request,
+            upstream, outcome, took_ms, "hedge_ended"
+        );
+    }
+
     /// Logs and counts the end of the request.
     pub fn end(&self, outcome: Result<u16, Kind>) {
         self.ended.set(true);
--- a/programs/pb-proxy/src/gateway/settings.rs
+++ b/programs/pb-proxy/src/gateway/settings.rs
@@ -41,6 +41,9 @@
     pub retries: Retries,
     /// Share of a service's upstreams that stay in use while some of its requests fail.
     pub floor: f64,
+    /// Most extra sends of running requests, as a share of the requests to a service whose terms set none;
+    /// `None` if only the retry budget limits them.
+    pub hedge_share: Option<f64>,
     /// Overshoot of tenants' quotas that operators tolerate.
     pub tolerance: Tolerance,
 }
