--- a/crates/core/src/dispatch/belief.rs
+++ b/crates/core/src/dispatch/belief.rs
@@ -32,6 +32,8 @@
 const TIMED_OUT_RATIO: f64 = 6.0;
 /// One request in a hundred takes about three times as long as most, on healthy upstreams too.
 pub const LATE_RATIO: f64 = 10.0;
+/// One request in twenty is overtaken by an extra send at healthy upstreams, most are at slow ones.
+pub const BEATEN_RATIO: f64 = 3.0;
 const SHED_RATIO: f64 = 6.0;
 /// The ratio is low because a host that cannot connect may itself be cut off.
 const UNREACHABLE_RATIO: f64 = 3.0;
--- a/crates/core/src/dispatch/observation.rs
+++ b/crates/core/src/dispatch/observation.rs
@@ -73,6 +73,8 @@
             Outcome::Answered => {
                 // The capacity of an upstream with a limit follows from the slot time.
                 pool.slot_time.observe(completion.latency);
+                let latencies = pool.hedges.latencies_mut();
+                latencies.observe(&slot.route, completion.latency);
                 pool.change(slot.upstream, now, |state| {
                     state.observe_latency(completion.latency, &timing, now);
                 });
@@ -124,7 +126,7 @@
     }
 
     /// Records that an upstream did not respond; returns whether that speaks against it.
-    fn charge(
+    pub(super) fn charge(
         &mut self,
         host: &str,
         slot: &Slot,
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -6,6 +6,8 @@
 mod evacuation;
 mod fleet;
 mod grey;
+mod hedge;
+mod hedge_load;
 mod limits;
 mod pace;
 mod paced;
--- a/crates/core/tests/dispatch/world.rs
+++ b/crates/core/tests/dispatch/world.rs
@@ -87,6 +87,19 @@
         self.dispatcher.publish(publication, self.now);
     }
 
+    /// Sets the share of extra sends of the service.
+    pub fn set_hedge_share(&mut self, share: f64) {
+        let terms = Terms {
+            hedge_share: Some(share),
+            ..Terms::default()
+        };
+        let publication = Publication {
+            terms: BTreeMap::from([(SERVICE.to_owned(), terms)]),
+            ..publication(None)
+        };
+        self.dispatcher.publish(Rc::new(publication), self.now);
+    }
+
     pub fn update_upstream(&mut self, number: Number, zone: &str, stage: Stage) -> Vec<Answer> {
         let entry = Entry {
             number,
@@ -179,6 +192,7 @@
         initial_balance: Balance::Share(1.0),
         is_first_dispatcher: false,
         floor: 0.7,
+        hedge_share: None,
     }
 }
 
--- a/programs/pb-control/src/dispatch/state.rs
+++ b/programs/pb-control/src/dispatch/state.rs
@@ -157,6 +157,7 @@
             dead_upstreams = dispatcher.dead_upstreams(now),
             hosts_out_of_contact = dispatcher.hosts_out_of_contact(),
             retries = %json!(retries),
+            hedges = %self.hedges(),
             joins = self.load.joins,
             queued,
             steps = steps - self.load.steps,
@@ -167,6 +168,14 @@
         self.load = Load::new(now, steps);
     }
 
+    /// Returns what became of the extra sends of each service with a limit on them.
+    fn hedges(&self) -> serde_json::Value {
+        let hedges = self.hosts.dispatcher().hedges();
+        let each = hedges
+            .map(|(service, counts, left)| (service, json!({ "counts": counts, "left": left })));
+        json!(each.collect::<BTreeMap<_, _>>())
+    }
+
     /// Returns the number of connected hosts.
     #[must_use]
     pub fn host_count(&self) -> usize {
@@ -321,6 +330,7 @@
             "frames": meter::frames(),
             "queued": queued,
             "retries": self.hosts.dispatcher().retries_left().collect::<BTreeMap<_, _>>(),
+            "hedges": self.hedges(),
             "upstreams": self.hosts.dispatcher().dump(now),
         })
     }
--- a/programs/pb-control/tests/storage.rs
+++ b/programs/pb-control/tests/storage.rs
@@ -108,6 +108,7 @@
             initial_balance: Balance::Share(1.0),
             is_first_dispatcher: true,
             floor: 0.7,
+            hedge_share: None,
         },
         zones: BTreeSet::new(),
         limits: Limits::default(),
