feat(wire): builds of two versions tell each other what they read

Cause: hosts and control are replaced one after the other. A frame or a code that an older build does not know ends its link, a command that it does not know ends the replica, and no process knew what the other end reads. Change: the first frame of each end names the level of its build, and the sender passes every frame through one function that decides what an older peer gets. Frames that cannot be decoded are skipped and counted. Replicas name the level of their commands behind batches and reports, which older builds ignore; a new command waits for all members (Node::all_members_apply), and a replica of an older build is not added to a log that holds newer ones. A replica that cannot read its log stays up and takes no part.

--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -29,7 +29,20 @@
 use crate::roster::Roster;
 use crate::upstream::Announcement;
 
+/// Level of the commands that a build applies; a build of a level applies those of all lower ones.
+pub type Commands = u32;
+
+/// Commands of the builds that name no level.
+pub const FIRST_COMMANDS: Commands = 1;
+
+/// Commands that this build applies: 2 adds evacuations.
+pub const OWN_COMMANDS: Commands = 2;
+
 /// A command in the log.
+///
+/// A new command, or a field that changes what a command does, raises [`OWN_COMMANDS`] and is named in
+/// [`Command::level`]: a build reads a command that it does not know as no command at all, and ignores
+/// fields that it does not know.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "command")]
 pub enum Command {
@@ -86,6 +99,14 @@
     },
 }
 
+impl Command {
+    /// Returns the level from which on a build applies the command.
+    #[must_use]
+    pub const fn level(&self) -> Commands {
+        FIRST_COMMANDS
+    }
+}
+
 /// A publication with its source document.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Published {
@@ -130,7 +151,7 @@
 }
 
 /// The replicated state of control.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Machine {
     config: State,
     #[serde(default)]
@@ -141,6 +162,32 @@
     published: Rc<Published>,
     #[serde(default)]
     roster: Roster,
+    /// Highest level of the commands that were applied; left out while all builds apply them.
+    #[serde(default = "first_commands", skip_serializing_if = "is_first")]
+    commands: Commands,
+}
+
+const fn first_commands() -> Commands {
+    FIRST_COMMANDS
+}
+
+// Serde passes a reference.
+#[expect(clippy::trivially_copy_pass_by_ref)]
+const fn is_first(commands: &Commands) -> bool {
+    *commands == FIRST_COMMANDS
+}
+
+impl Default for Machine {
+    fn default() -> Self {
+        Self {
+            config: State::default(),
+            seats: Seats::default(),
+            records: Table::default(),
+            published: Rc::default(),
+            roster: Roster::default(),
+            commands: FIRST_COMMANDS,
+        }
+    }
 }
 
 impl Machine {
@@ -174,8 +221,15 @@
         &self.roster
     }
 
+    /// Returns the highest level of the commands that were applied.
+    #[must_use]
+    pub const fn commands(&self) -> Commands {
+        self.commands
+    }
+
     /// Applies a command.
     pub fn apply(&mut self, command: &Command) -> Reply {
+        self.commands = self.commands.max(command.level());
         match command {
             Command::Change { submission } => self.change(submission),
             Command::Seat { host, of } => Reply::Seat {
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -209,6 +209,9 @@
     /// On a leader, returns the send time of the newest message that a quorum acknowledged.
     #[must_use]
     pub fn leader_last_contact(&self) -> Option<Instant> {
+        if self.failure.is_some() {
+            return None;
+        }
         match &self.role {
             Role::Leader(leadership) => leadership.quorum_contact(),
             _ => self.last_leader_message,
@@ -223,6 +226,9 @@
     /// delivered.
     #[must_use]
     pub fn is_current(&self, age: Duration) -> bool {
+        if self.failure.is_some() {
+            return false;
+        }
         let now = self.clock.now();
         let is_recent = self
             .leader_last_contact()
@@ -325,6 +331,13 @@
         self.unsynced.replace = true;
     }
 
+    /// Makes the replica take no more part in the log: its application cannot apply what was committed.
+    pub fn stop(&mut self, reason: &str) {
+        if self.failure.is_none() {
+            self.fail(reason);
+        }
+    }
+
     /// Syncs all changes and returns the messages and entries that may go out after that.
     ///
     /// # Errors
--- a/crates/wire/src/channel.rs
+++ b/crates/wire/src/channel.rs
@@ -29,6 +29,12 @@
 /// Size in bytes of the buffer for one read.
 const READ_BYTES: usize = 16 * 1024;
 
+/// A frame that builds of several levels may exchange.
+pub trait Leveled: Sized {
+    /// Returns the frame as a build of `level` reads it, or `None` if it reads no such frame.
+    fn for_level(self, level: u32) -> Option<Self>;
+}
+
 /// Encodes the frames of one direction of a connection.
 pub trait Encode<F> {
     /// Appends a frame to `bytes`.
@@ -67,6 +73,8 @@
 struct Shared<F> {
     queue: RefCell<Vec<F>>,
     closed: Cell<bool>,
+    /// Level of the build at the other end, 0 until it has named one.
+    level: Cell<u32>,
     written: Cell<u64>,
     event: Event,
 }
@@ -76,6 +84,7 @@
         Self {
             queue: RefCell::new(Vec::new()),
             closed: Cell::new(false),
+            level: Cell::new(0),
             written: Cell::new(0),
             event: Event::new(),
         }
@@ -149,13 +158,31 @@
         self.shared.written.get()
     }
 
-    /// Queues a frame; does nothing if the connection is closed.
+    /// Sets the level of the build at the other end.
+    pub fn set_level(&self, level: u32) {
+        self.shared.level.set(level);
+    }
+
+    /// Returns the level of the build at the other end, 0 until it has named one.
+    #[must_use]
+    pub fn level(&self) -> u32 {
+        self.shared.level.get()
+    }
+
+    /// Queues a frame as the other end reads it; does nothing if the connection is closed, or if the build
+    /// at the other end is too old for the frame.
     ///
     /// Closes a connection whose queue is full, since the other side does not read.
-    pub fn send(&self, frame: F) {
+    pub fn send(&self, frame: F)
+    where
+        F: Leveled,
+    {
         if !self.is_open() {
             return;
         }
+        let Some(frame) = frame.for_level(self.level()) else {
+            return;
+        };
         if self.shared.queue.borrow().len() >= MAX_QUEUED_FRAMES {
             self.close();
             return;
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -11,12 +11,14 @@
 //! for both, with [`Frame::Subscribe`].
 //!
 //! Builds of two versions share links while hosts are replaced: fields are only appended, with
-//! [`trailing`], and a new frame is only sent to a build that reads it.
+//! [`trailing`], and a new frame is only sent to a build that reads it, see [`Level`]. A frame that
+//! cannot be decoded is skipped.
 //!
 //! A frame is encoded by postcard and preceded by its length; one write carries all queued frames.
 //! A frame takes a few bytes, where a capnp-rpc call takes about two hundred.
 
 mod hosts;
+mod level;
 mod packed;
 mod trailing;
 
@@ -42,8 +44,12 @@
 use persimmonbend_core::statement::Statement;
 use serde::Deserialize;
 use serde::Serialize;
+use tracing::warn;
 
 pub use hosts::Hosts;
+pub use level::FIRST as FIRST_LEVEL;
+pub use level::Level;
+pub use level::OWN as OWN_LEVEL;
 pub use packed::Packed;
 
 use crate::channel;
@@ -61,6 +67,9 @@
 /// Size in bytes of the length that precedes a frame.
 const LENGTH_BYTES: usize = 4;
 
+/// What frames that cannot be decoded are counted as.
+const SKIPPED: Purpose = "skipped";
+
 /// One message between a host and the dispatcher.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
@@ -77,6 +86,9 @@
         /// Whether the sender requests placements from the receiver as a deputy: a host that
         /// places requests while neither the sender nor the deputy can reach the leader.
         deputy: bool,
+        /// Level of the build that sends the frame.
+        #[serde(deserialize_with = "trailing::or_default")]
+        build: Level,
     },
     /// The first frame of the leader or of a deputy.
     Welcome {
@@ -86,6 +98,9 @@
         leader: Option<SocketAddr>,
         /// Addresses of all control replicas.
         control: Vec<SocketAddr>,
+        /// Level of the build that sends the frame.
+        #[serde(deserialize_with = "trailing::or_default")]
+        build: Level,
     },
     /// The answer of a replica that does not lead.
     NotLeader {
@@ -102,6 +117,9 @@
         zone: Zone,
         /// Version of the publication that the host holds, 0 for none.
         version: Version,
+        /// Level of the build that sends the frame.
+        #[serde(deserialize_with = "trailing::or_default")]
+        build: Level,
     },
     /// The answer of a replica to [`Frame::Follow`].
     Followed {
@@ -111,6 +129,9 @@
         is_accepted: bool,
         /// Addresses of all control replicas.
         control: Vec<SocketAddr>,
+        /// Level of the build that sends the frame.
+        #[serde(deserialize_with = "trailing::or_default")]
+        build: Level,
     },
     /// Asks the leader for the publication and the upstreams, and all changes of them.
     Subscribe {
@@ -296,6 +317,21 @@
 #[derive(Debug, Default)]
 pub struct Codec {
     buffer: Vec<u8>,
+    /// Number of received frames that could not be decoded.
+    skipped: u64,
+}
+
+impl Codec {
+    /// Counts a frame that cannot be decoded; logs the first one of a connection, and then each time that
+    /// their number has doubled.
+    fn skip(&mut self, bytes: usize, error: &postcard::Error) {
+        self.skipped += 1;
+        meter::add_skipped();
+        meter::add_received_frame(SKIPPED, LENGTH_BYTES + bytes);
+        if self.skipped.is_power_of_two() {
+            warn!(bytes, skipped = self.skipped, error = %error, "frame_skipped");
+        }
+    }
 }
 
 impl Encode<Frame> for Codec {
@@ -314,9 +350,10 @@
 
 impl Decode<Frame> for Codec {
     fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Frame>, Error> {
-        self.buffer.extend_from_slice(bytes);
+        let mut buffer = std::mem::take(&mut self.buffer);
+        buffer.extend_from_slice(bytes);
         let mut frames = Vec::new();
-        let mut rest = self.buffer.as_slice();
+        let mut rest = buffer.as_slice();
         while let Some((length, after)) = rest.split_first_chunk::<LENGTH_BYTES>() {
             let length = u32::from_le_bytes(*length) as usize;
             if length > MAX_FRAME_BYTES {
@@ -325,13 +362,18 @@
             let Some((body, after)) = after.split_at_checked(length) else {
                 break;
             };
-            let frame: Frame = postcard::from_bytes(body).map_err(|error| malformed(&error))?;
-            meter::add_received_frame(frame.purpose(), LENGTH_BYTES + body.len());
-            frames.push(frame);
+            match postcard::from_bytes::<Frame>(body) {
+                Ok(frame) => {
+                    meter::add_received_frame(frame.purpose(), LENGTH_BYTES + length);
+                    frames.push(frame);
+                }
+                Err(error) => self.skip(length, &error),
+            }
             rest = after;
         }
-        let used = self.buffer.len() - rest.len();
-        self.buffer.drain(..used);
+        let used = buffer.len() - rest.len();
+        buffer.drain(..used);
+        self.buffer = buffer;
         Ok(frames)
     }
 }
@@ -342,13 +384,11 @@
     codes::position(Kind::ALL, &kind)
 }
 
-/// Returns the kind of error of a code.
-///
-/// # Errors
-///
-/// Returns [`Error::Malformed`] for an unknown code.
-pub fn kind(code: u8) -> Result<Kind, Error> {
-    codes::item(Kind::ALL, code)
+/// Returns the kind of error of a code; one that only a newer build knows reads as overload, which the
+/// client may repeat.
+#[must_use]
+pub fn kind(code: u8) -> Kind {
+    codes::item(Kind::ALL, code).unwrap_or(level::OTHER_KIND)
 }
 
 /// Returns the code of an outcome.
@@ -357,13 +397,11 @@
     codes::position(&codes::OUTCOMES, &outcome)
 }
 
-/// Returns the outcome of a code.
-///
-/// # Errors
-///
-/// Returns [`Error::Malformed`] for an unknown code.
-pub fn outcome(code: u8) -> Result<Outcome, Error> {
-    codes::item(&codes::OUTCOMES, code)
+/// Returns the outcome of a code; one that only a newer build knows frees the slot and is no evidence
+/// about the upstream.
+#[must_use]
+pub fn outcome(code: u8) -> Outcome {
+    codes::item(&codes::OUTCOMES, code).unwrap_or(level::OTHER_OUTCOME)
 }
 
 /// Returns a duration in whole milliseconds.
--- a/crates/wire/src/dispatch/hosts.rs
+++ b/crates/wire/src/dispatch/hosts.rs
@@ -194,21 +194,14 @@
                 outcome,
                 latency_ms,
                 bytes,
-            } => match dispatch::outcome(outcome) {
-                Ok(outcome) => {
-                    let completion = Completion {
-                        outcome,
-                        latency: Duration::from_millis(u64::from(latency_ms)),
-                        bytes,
-                    };
-                    self.dispatcher.release(&ticket(number), &completion, now)
-                }
-                Err(error) => {
-                    warn!(host, error = %error, "frame_refused");
-                    sender.close();
-                    Vec::new()
-                }
-            },
+            } => {
+                let completion = Completion {
+                    outcome: dispatch::outcome(outcome),
+                    latency: Duration::from_millis(u64::from(latency_ms)),
+                    bytes,
+                };
+                self.dispatcher.release(&ticket(number), &completion, now)
+            }
             Frame::Running {
                 number,
                 service,
--- a/crates/wire/src/meter.rs
+++ b/crates/wire/src/meter.rs
@@ -17,6 +17,7 @@
 
 thread_local! {
     static COUNTS: Cell<Counts> = const { Cell::new(Counts::new()) };
+    static SKIPPED: Cell<u64> = const { Cell::new(0) };
     static FRAMES: RefCell<BTreeMap<Purpose, Counts>> = const { RefCell::new(BTreeMap::new()) };
 }
 
@@ -77,6 +78,17 @@
     FRAMES.with_borrow_mut(|frames| frames.entry(purpose).or_default().sent += bytes as u64);
 }
 
+/// Returns the number of received frames that could not be decoded.
+#[must_use]
+pub fn skipped() -> u64 {
+    SKIPPED.get()
+}
+
+/// Counts a received frame that could not be decoded.
+pub fn add_skipped() {
+    SKIPPED.set(SKIPPED.get() + 1);
+}
+
 /// A stream whose bytes are counted.
 #[derive(Debug)]
 pub struct Metered<S> {
--- a/crates/wire/src/slots/channel.rs
+++ b/crates/wire/src/slots/channel.rs
@@ -5,6 +5,7 @@
 use crate::channel;
 use crate::channel::Decode;
 use crate::channel::Encode;
+use crate::channel::Leveled;
 use crate::error::Error;
 use crate::slots::Decoder;
 use crate::slots::Encoder;
@@ -27,6 +28,13 @@
     channel::split(stream, Encoder::new(), Decoder::new())
 }
 
+/// The slot protocol has one level.
+impl Leveled for Frame {
+    fn for_level(self, _level: u32) -> Option<Self> {
+        Some(self)
+    }
+}
+
 impl Encode<Frame> for Encoder {
     fn encode(&mut self, frame: &Frame, bytes: &mut Vec<u8>) -> Result<(), Error> {
         Self::encode(self, frame, bytes)
--- a/crates/wire/tests/dispatch.rs
+++ b/crates/wire/tests/dispatch.rs
@@ -111,6 +111,7 @@
         version: 0,
         relay: None,
         deputy: false,
+        build: dispatch::OWN_LEVEL,
     });
     let total = reader.await.expect("the test set-up works");
     assert!(
--- a/programs/pb-control/src/dispatch.rs
+++ b/programs/pb-control/src/dispatch.rs
@@ -215,17 +215,23 @@
                 version,
                 relay,
                 deputy: _,
-            }) => Hello {
-                host,
-                zone,
-                version,
-                relay,
-            },
+                build,
+            }) => {
+                sender.set_level(build);
+                Hello {
+                    host,
+                    zone,
+                    version,
+                    relay,
+                }
+            }
             Some(Frame::Follow {
                 host,
                 zone,
                 version,
+                build,
             }) => {
+                sender.set_level(build);
                 return self
                     .serve_follower(&host, &zone, version, sender, receiver)
                     .await;
@@ -277,6 +283,7 @@
             zone: self.zone.clone(),
             is_accepted,
             control: self.control_addresses(),
+            build: dispatch::OWN_LEVEL,
         });
         if !is_accepted {
             return Error::Role;
@@ -350,6 +357,7 @@
             term: self.node.term(),
             leader: self.node.leader_hint().parse().ok(),
             control,
+            build: dispatch::OWN_LEVEL,
         });
         state.connect_host(hello, sender, now);
         true
--- a/programs/pb-control/src/lib.rs
+++ b/programs/pb-control/src/lib.rs
@@ -37,6 +37,7 @@
 use crate::dispatch::Service;
 use crate::issuer::Issuer;
 use crate::links::Links;
+use crate::node::Halt;
 use crate::node::Node;
 use crate::records::Records;
 use crate::replication::REOPEN_PAUSE;
@@ -109,6 +110,7 @@
                 is_logged = true;
                 compio::time::sleep(REOPEN_PAUSE).await;
             }
+            Err(halt @ Halt::Unreadable(_)) => match replication::wait_for_upgrade(&halt).await {},
             Err(halt) => return Err(halt.into()),
         }
     }
--- a/programs/pb-control/src/links.rs
+++ b/programs/pb-control/src/links.rs
@@ -16,6 +16,7 @@
 use event_listener::Event;
 use log::info;
 use persimmonbend_core::id::HostId;
+use persimmonbend_core::machine::OWN_COMMANDS;
 use persimmonbend_replica::message::Body;
 use persimmonbend_replica::message::Message;
 use persimmonbend_wire::control::Client;
@@ -149,19 +150,24 @@
         loop {
             queue.wait_for_message().await;
             let batch = std::mem::take(&mut *queue.messages.borrow_mut());
-            match self.send_batch(&control, batch).await {
+            match self.send_batch(&control, &batch).await {
                 Ok(()) => *is_connected = true,
                 Err(error) => return error,
             }
         }
     }
 
-    async fn send_batch(&self, control: &Client, batch: VecDeque<Message>) -> Result<(), Error> {
-        let batch = postcard::to_stdvec(&batch).map_err(malformed)?;
+    async fn send_batch(&self, control: &Client, batch: &VecDeque<Message>) -> Result<(), Error> {
+        let batch = postcard::to_stdvec(&(batch, OWN_COMMANDS)).map_err(malformed)?;
         let reply = control.replicate(&batch, BATCH_TIMEOUT).await?;
         if !reply.is_empty() {
-            let reports = postcard::from_bytes(&reply).map_err(malformed)?;
+            let (reports, rest) = postcard::take_from_bytes(&reply).map_err(malformed)?;
             self.node.merge_reports(reports);
+            // An older build sends nothing behind its reports.
+            if !rest.is_empty() {
+                let words = postcard::from_bytes(rest).map_err(malformed)?;
+                self.node.merge_words(words);
+            }
         }
         Ok(())
     }
--- a/programs/pb-control/src/node.rs
+++ b/programs/pb-control/src/node.rs
@@ -1,6 +1,7 @@
 //! One control replica: its state, its proposals and the calls that read or change them.
 
 mod applied;
+mod builds;
 mod hosts;
 pub mod opener;
 mod proposals;
@@ -25,7 +26,10 @@
 use persimmonbend_core::id::HostId;
 use persimmonbend_core::id::Revision;
 use persimmonbend_core::machine::Command;
+pub use persimmonbend_core::machine::Commands;
+use persimmonbend_core::machine::FIRST_COMMANDS;
 use persimmonbend_core::machine::Machine;
+use persimmonbend_core::machine::OWN_COMMANDS;
 use persimmonbend_core::machine::Reply;
 use persimmonbend_replica::entry::Entry;
 use persimmonbend_replica::entry::Payload;
@@ -45,6 +49,8 @@
 use crate::leadership::Observer;
 use crate::leadership::Term;
 use crate::node::applied::Applied;
+use crate::node::builds::Builds;
+pub use crate::node::builds::Word;
 use crate::node::hosts::Hosts;
 pub use crate::node::hosts::Report;
 use crate::node::opener::Folder;
@@ -81,6 +87,7 @@
     replica: RefCell<Replica>,
     applied: RefCell<Applied>,
     hosts: RefCell<Hosts>,
+    builds: RefCell<Builds>,
     proposals: RefCell<Proposals>,
     /// Term and start of the leadership that observers were notified of, `None` for a follower.
     notified: Cell<Option<(Term, Instant)>>,
@@ -123,6 +130,7 @@
             replica: RefCell::new(replica),
             applied: RefCell::new(Applied::new()),
             hosts: RefCell::new(Hosts::new()),
+            builds: RefCell::new(Builds::new()),
             proposals: RefCell::new(Proposals::new()),
             notified: Cell::new(None),
             observers: RefCell::new(Vec::new()),
@@ -280,6 +288,7 @@
     /// Returns an error when this replica is not the leader, cannot commit the change, or refuses it.
     pub async fn change_members(&self, change: &Change) -> Result<(), Error> {
         self.require_leader()?;
+        self.require_build(change)?;
         let position = self.replica.borrow_mut().propose_member_change(change);
         let position = position.map_err(|refusal| match refusal {
             Refusal::NotLeader => Error::NotLeader(self.leader_hint()),
@@ -342,6 +351,71 @@
         self.hosts.borrow_mut().merge(reports, now);
     }
 
+    /// Notes the level of the commands that another replica has named, nothing for a build that names none.
+    pub fn note_build(&self, host: &str, commands: Option<Commands>) {
+        let is_new = self
+            .builds
+            .borrow_mut()
+            .note(host, commands, self.clock.now());
+        if is_new {
+            info!("control: {host} applies commands of level {commands:?}");
+        }
+    }
+
+    /// Returns what this replica applies and what it has heard of the others, for another one.
+    #[must_use]
+    pub fn words(&self) -> Vec<Word> {
+        let own = Word {
+            host: self.host.clone(),
+            commands: OWN_COMMANDS,
+            age_ms: 0,
+        };
+        let mut words = self.builds.borrow().words(self.clock.now());
+        words.push(own);
+        words
+    }
+
+    /// Notes what another replica has heard of all.
+    pub fn merge_words(&self, words: Vec<Word>) {
+        let words = words.into_iter().filter(|word| word.host != self.host);
+        self.builds
+            .borrow_mut()
+            .merge(words.collect(), self.clock.now());
+    }
+
+    /// Returns whether every member of the log, voter or learner, applies commands of a level: it holds such
+    /// a command already, or each member has said so within ten minutes.
+    ///
+    /// A command of a level above the first is proposed only while this holds.
+    #[must_use]
+    pub fn all_members_apply(&self, commands: Commands) -> bool {
+        if commands <= self.read(Machine::commands) {
+            return true;
+        }
+        let now = self.clock.now();
+        let builds = self.builds.borrow();
+        let replica = self.replica.borrow();
+        let mut members = replica.log().members().list().iter();
+        members.all(|member| {
+            let host = &member.id.host;
+            if *host == self.host {
+                commands <= OWN_COMMANDS
+            } else {
+                builds.applies(host, commands, now)
+            }
+        })
+    }
+
+    /// Returns whether a replica applies all commands that the log holds.
+    fn applies_log(&self, host: &str) -> bool {
+        let commands = self.read(Machine::commands);
+        commands <= FIRST_COMMANDS
+            || self
+                .builds
+                .borrow()
+                .applies(host, commands, self.clock.now())
+    }
+
     /// Delivers messages of another replica; answers leave with the next [`Node::advance`].
     pub fn receive(&self, messages: Vec<Message>) {
         let mut replica = self.replica.borrow_mut();
@@ -382,10 +456,15 @@
             self.replica_settings.borrow_mut().may_bootstrap = false;
             return Err(Halt::Removed);
         }
-        let messages = self.handle_output(output).map_err(Halt::Unreadable)?;
-        self.compact().map_err(Halt::Unreadable)?;
+        let handled = self
+            .handle_output(output)
+            .and_then(|messages| self.compact().map(|()| messages));
+        if let Err(error) = &handled {
+            // It must neither vote nor lead nor serve with a state that others have left behind.
+            self.replica.borrow_mut().stop(&format!("{error:#}"));
+        }
         self.notify_leadership();
-        Ok(messages)
+        handled.map_err(Halt::Unreadable)
     }
 
     /// Starts a leadership transfer if this replica leads; returns whether another replica was asked
@@ -403,6 +482,10 @@
         let Some(change) = due else {
             return;
         };
+        if let Err(error) = self.require_build(&change) {
+            debug!("control: members: {change:?} is postponed: {error}");
+            return;
+        }
         match self.replica.borrow_mut().propose_member_change(&change) {
             Ok(_) => info!("control: members: {change:?}"),
             Err(refusal) => debug!("control: members: {change:?} is postponed: {refusal}"),
@@ -436,6 +519,7 @@
             "revision": self.revision(),
             "hosts": self.hosts.borrow().status(now),
             "replica": replica.status(),
+            "commands": self.builds.borrow().status(),
         })
     }
 
@@ -455,6 +539,20 @@
         self.replica.borrow().is_current(MAX_LEADER_SILENCE)
     }
 
+    /// Checks that a change adds no replica that cannot apply what the log holds.
+    fn require_build(&self, change: &Change) -> Result<(), Error> {
+        let (Change::Add { host } | Change::Promote { host }) = change else {
+            return Ok(());
+        };
+        if self.applies_log(host) {
+            return Ok(());
+        }
+        let commands = self.read(Machine::commands);
+        Err(Error::Invalid(format!(
+            "the log holds commands of level {commands}, which the build of {host} does not apply"
+        )))
+    }
+
     fn require_current(&self) -> Result<(), Error> {
         if self.is_current() {
             Ok(())
@@ -465,7 +563,13 @@
 
     fn handle_output(&self, output: Output) -> anyhow::Result<Vec<Message>> {
         if let Some(snapshot) = output.installed {
-            let machine = serde_json::from_slice(&snapshot.data).context("unreadable snapshot")?;
+            let machine: Machine =
+                serde_json::from_slice(&snapshot.data).context("unreadable snapshot")?;
+            anyhow::ensure!(
+                machine.commands() <= OWN_COMMANDS,
+                "the snapshot holds commands of level {}, and this build applies {OWN_COMMANDS}",
+                machine.commands()
+            );
             self.applied.borrow_mut().install(machine);
             self.config_changed.notify(usize::MAX);
         }
--- a/programs/pb-control/src/replication.rs
+++ b/programs/pb-control/src/replication.rs
@@ -2,12 +2,14 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use persimmonbend_core::id::HostId;
 use persimmonbend_replica::message::Message;
+use tracing::error;
 use tracing::info;
 use tracing::warn;
 
@@ -28,6 +30,9 @@
 /// Time between two attempts to open storage that failed; a full or faulty disk lasts for seconds.
 pub(crate) const REOPEN_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time between two log lines of a replica that waits for a build which reads its log.
+const UPGRADE_LOG_INTERVAL: Duration = Duration::from_secs(60);
+
 /// The driver of a replica and its exchange of messages with the others.
 pub struct Replication {
     node: Rc<Node>,
@@ -47,12 +52,12 @@
     }
 
     /// Drives the replica until the future is dropped. A replica whose storage failed or that was
-    /// removed is opened again.
+    /// removed is opened again. One that cannot read a committed command or snapshot, which a newer build
+    /// has written, waits to be replaced by such a build.
     ///
     /// # Errors
     ///
-    /// Returns an error when the storage is damaged, may not be used, or holds a committed command
-    /// or snapshot that cannot be read.
+    /// Returns an error when the storage is damaged or may not be used.
     pub async fn run(&self) -> anyhow::Result<()> {
         loop {
             self.node.propose_due_member_change();
@@ -89,6 +94,9 @@
 
     /// Tries to reopen the replica until it succeeds or cannot recover.
     async fn recover(&self, mut halt: Halt) -> anyhow::Result<()> {
+        if let Halt::Unreadable(_) = halt {
+            wait_for_upgrade(&halt).await;
+        }
         warn!(reason = %halt, "storage_lost");
         while halt.is_recoverable() {
             compio::time::sleep(REOPEN_PAUSE).await;
@@ -110,14 +118,19 @@
     ///
     /// Returns an error when the batch cannot be decoded or the report cannot be encoded.
     pub fn receive(&self, batch: &[u8]) -> Result<Vec<u8>, postcard::Error> {
-        let messages: Vec<Message> = postcard::from_bytes(batch)?;
+        let (messages, rest): (Vec<Message>, _) = postcard::take_from_bytes(batch)?;
         let caller = messages.first().map(|first| first.from.host.clone());
+        if let Some(caller) = &caller {
+            // An older build sends nothing behind its messages.
+            self.node
+                .note_build(caller, postcard::from_bytes(rest).ok());
+        }
         for message in &messages {
             self.links.record_addresses(message);
         }
         self.node.receive(messages);
         if caller.is_some_and(|caller| self.is_report_due(caller)) {
-            return postcard::to_stdvec(&self.node.reports());
+            return postcard::to_stdvec(&(self.node.reports(), self.node.words()));
         }
         Ok(Vec::new())
     }
@@ -133,3 +146,11 @@
         is_due
     }
 }
+
+/// Waits until the process is stopped, and logs at times why.
+pub(crate) async fn wait_for_upgrade(halt: &Halt) -> Infallible {
+    loop {
+        error!(reason = %halt, "log_unreadable");
+        compio::time::sleep(UPGRADE_LOG_INTERVAL).await;
+    }
+}
--- a/programs/pb-control/tests/hello.rs
+++ b/programs/pb-control/tests/hello.rs
@@ -94,6 +94,7 @@
         version: 0,
         relay: None,
         deputy: false,
+        build: dispatch::OWN_LEVEL,
     });
     let frames = receiver.next().await.expect("the replica answers");
     (
--- a/programs/pb-proxy/src/gateway/deputy.rs
+++ b/programs/pb-proxy/src/gateway/deputy.rs
@@ -89,6 +89,7 @@
             host,
             zone,
             deputy: true,
+            build,
             ..
         }) = frames.next()
         else {
@@ -98,10 +99,12 @@
             return Error::Role;
         }
         let now = state.now();
+        sender.set_level(build);
         sender.send(Frame::Welcome {
             term: 0,
             leader: None,
             control: Vec::new(),
+            build: dispatch::OWN_LEVEL,
         });
         self.with_hosts(state, |hosts| {
             hosts.connect(&host, zone, sender, now);
--- a/programs/pb-proxy/src/gateway/feed.rs
+++ b/programs/pb-proxy/src/gateway/feed.rs
@@ -26,6 +26,7 @@
 use rand::seq::SliceRandom;
 use serde_json::json;
 use tracing::info;
+use tracing::warn;
 
 use crate::gateway::placement::replicas;
 use crate::gateway::state::State;
@@ -230,8 +231,10 @@
             zone,
             is_accepted,
             control,
+            build,
         }) = frames.next()
         {
+            sender.set_level(build);
             state.placer().set_replicas(&control);
             if is_accepted {
                 return Search::Found(Link {
@@ -262,6 +265,7 @@
         host: settings.host.clone(),
         zone: settings.zone.clone(),
         version: state.version(),
+        build: dispatch::OWN_LEVEL,
     });
     match timeout(ANSWER_TIMEOUT, receiver.next()).await {
         Ok(Ok(frames)) => Some((sender, receiver, frames)),
@@ -342,7 +346,7 @@
             }
             state.update_upstreams(entries.open()?, is_complete);
         }
-        other => return Err(Error::Malformed(format!("unexpected {other:?}"))),
+        other => warn!(frame = ?other, "frame_unexpected"),
     }
     Ok(())
 }
--- a/programs/pb-proxy/src/gateway/meters.rs
+++ b/programs/pb-proxy/src/gateway/meters.rs
@@ -14,6 +14,7 @@
 use persimmonbend_app::meters::Histogram;
 use persimmonbend_app::meters::Registry;
 use persimmonbend_core::error::Kind;
+use persimmonbend_wire::meter;
 
 use crate::gateway::state::State;
 
@@ -33,6 +34,7 @@
     running: Gauge,
     version: Gauge,
     control_heard: Gauge,
+    skipped: Gauge,
 }
 
 impl Meters {
@@ -68,6 +70,10 @@
             ),
             control_heard: registry
                 .gauge("control_heard", "1 while the leader of control is heard."),
+            skipped: registry.gauge(
+                "frames_skipped",
+                "Frames from other processes that this build cannot decode.",
+            ),
             registry,
         }
     }
@@ -124,6 +130,8 @@
         meters.running.set(f64::from(running));
         #[allow(clippy::cast_precision_loss)]
         meters.version.set(self.state.version() as f64);
+        #[allow(clippy::cast_precision_loss)]
+        meters.skipped.set(meter::skipped() as f64);
         meters
             .control_heard
             .set(f64::from(u8::from(self.state.is_current())));
--- a/programs/pb-proxy/src/gateway/placement/link.rs
+++ b/programs/pb-proxy/src/gateway/placement/link.rs
@@ -144,6 +144,7 @@
         version: state.version(),
         relay: Some(settings.relay),
         deputy: matches!(target, Target::Deputy(_)),
+        build: dispatch::OWN_LEVEL,
     });
     match timeout(HELLO_TIMEOUT, receiver.next()).await {
         Ok(Ok(frames)) => Some((sender, receiver, frames)),
@@ -168,7 +169,9 @@
             term,
             leader,
             control,
+            build,
         }) => {
+            sender.set_level(build);
             state.placer().set_replicas(&control);
             let version = state.version();
             match target {
@@ -314,7 +317,7 @@
                 state.placer().note_limits(&stated, &ended, state.now());
             }
             Frame::Ends(ends) => state.placer().apply_ends(&ends, state.now()),
-            other => state.placer().apply_answer(sender, other)?,
+            other => state.placer().apply_answer(sender, other),
         }
     }
     Ok(())
@@ -492,7 +495,7 @@
 
     /// Delivers the dispatcher's answer on a reservation, and withdraws a grant that no request
     /// waits for.
-    fn apply_answer(&self, sender: &Sender, frame: Frame) -> Result<(), Error> {
+    fn apply_answer(&self, sender: &Sender, frame: Frame) {
         self.unanswered_since.set(None);
         let (number, decision) = match frame {
             Frame::Granted {
@@ -516,16 +519,18 @@
                 kind,
                 after_ms,
             } => {
-                let kind = dispatch::kind(kind)?;
+                let kind = dispatch::kind(kind);
                 let retry_after = Duration::from_millis(u64::from(after_ms));
                 (number, Decision::Refused { kind, retry_after })
             }
-            other => return Err(Error::Malformed(format!("unexpected {other:?}"))),
+            other => {
+                warn!(frame = ?other, "frame_unexpected");
+                return;
+            }
         };
         let granted = matches!(decision, Decision::Granted { .. });
         if !self.deliver_decision(number, decision) && granted {
             sender.send(placement::cancellation_frame(number));
         }
-        Ok(())
     }
 }
