fix(proxy): a surplus answer, a change of protocol and a stated length are not passed on as they come

Cause: an upstream may send a surplus answer that the next request on a kept connection finds. One with a status other than 2xx and without an id was passed to the client as its own. A status 101, which nobody asked for, was passed on, and the server closed the client's connection behind it: a request that had run ended without an answer. A listed Content-Length was passed on unread. Change: on a connection that was used before, an answer that a client would get has to name the request, also on another host's way. A 1xx status is no answer. The length of an answer is written anew from what was read (gateway::framing).

--- a/programs/pb-proxy/src/gateway.rs
+++ b/programs/pb-proxy/src/gateway.rs
@@ -14,6 +14,7 @@
 pub mod exchange;
 mod feed;
 pub mod forward;
+mod framing;
 pub mod meters;
 pub mod paths;
 pub mod placement;
--- a/programs/pb-proxy/src/gateway/detour/server.rs
+++ b/programs/pb-proxy/src/gateway/detour/server.rs
@@ -21,6 +21,7 @@
 use http_body_util::StreamBody;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
@@ -38,7 +39,9 @@
 use crate::gateway::detour::REUSE;
 use crate::gateway::detour::REUSE_AGE;
 use crate::gateway::detour::UPSTREAM;
+use crate::gateway::dialect::Verdict;
 use crate::gateway::end_check;
+use crate::gateway::framing;
 use crate::gateway::paths;
 use crate::gateway::state::State;
 use crate::pool::Connection;
@@ -199,6 +202,8 @@
         let number = forwarded.entry.number;
         let announcement = &forwarded.entry.announcement;
         let (service, address) = (announcement.service.clone(), announcement.address);
+        let was_used = connection.reused;
+        let method = forwarded.head.method.clone();
         let request = Request::from_parts(forwarded.head, Full::new(forwarded.body));
         let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
@@ -208,12 +213,19 @@
             }
         };
         let (mut head, body) = response.into_parts();
-        if dialect.classify(&metadata, &head).is_of_upstream() {
+        let verdict = dialect.classify(&metadata, &head);
+        let is_surplus =
+            was_used && verdict == Verdict::Answered && !dialect.is_named(&metadata, &head);
+        if is_surplus || !framing::is_final(head.status) {
+            return Err(Fault::Broken);
+        }
+        if verdict.is_of_upstream() {
             let statement = dialect.statement(&head);
             self.state.note_statement(number, statement);
         }
         callers::strip_hop_by_hop(&mut head.headers);
         head.headers.remove(FAULT);
+        framing::set_length(&mut head.headers, &method, body.size_hint().exact());
         let answer = Answer {
             state: Rc::clone(&self.state),
             body: body.into_data_stream(),
--- a/programs/pb-proxy/src/gateway/dialect.rs
+++ b/programs/pb-proxy/src/gateway/dialect.rs
@@ -82,6 +82,9 @@
     /// Classifies an upstream's answer to the request with this metadata.
     fn classify(&self, metadata: &Metadata, head: &response::Parts) -> Verdict;
 
+    /// Returns whether an answer names the request with this metadata, or the request has no name.
+    fn is_named(&self, metadata: &Metadata, head: &response::Parts) -> bool;
+
     /// Reads what the upstream states about itself in the head of an answer.
     fn statement(&self, head: &response::Parts) -> Statement;
 
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -19,6 +19,7 @@
 use http_body_util::StreamBody;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
@@ -37,6 +38,7 @@
 use crate::gateway::end_check;
 use crate::gateway::end_check::Interruption;
 use crate::gateway::forward::Plan;
+use crate::gateway::framing;
 use crate::gateway::paths;
 use crate::gateway::paths::CONNECT_TIMEOUT;
 use crate::gateway::placement::Reservation;
@@ -392,6 +394,7 @@
             let number = self.reservation.upstream();
             detour::address_to(request.headers_mut(), number, self.plan.route.idempotent);
         }
+        let was_used = connection.reused;
         let sent = connection.sender.try_send_request(request).await;
         let response = sent.map_err(|mut error| match error.take_message() {
             Some(_) => Fault::unsent(Outcome::Unreachable),
@@ -401,12 +404,19 @@
         if let (Way::Detour(_), Some(fault)) = (way, detour::Fault::of(&head.headers)) {
             return Err(Obstacle::Host(fault));
         }
+        if !framing::is_final(head.status) {
+            return Err(BROKEN.into());
+        }
         let verdict = state.dialect().classify(self.metadata, &head);
         if verdict.is_of_upstream() {
             let statement = state.dialect().statement(&head);
             state.note_statement(self.reservation.upstream(), statement);
         }
         match verdict {
+            // An upstream may send a surplus answer, which the next request on its connection finds.
+            Verdict::Answered if was_used && !state.dialect().is_named(self.metadata, &head) => {
+                return Err(BROKEN.into());
+            }
             Verdict::Answered => {}
             Verdict::NotRun => return Err(Fault::not_run(Outcome::Shed).into()),
             Verdict::Moved => return Err(Fault::not_run(Outcome::Moved).into()),
@@ -489,6 +499,12 @@
         };
         callers::strip_hop_by_hop(&mut self.head.headers);
         let bytes = plan.body.len() + self.buffered.len();
+        let rest_bytes = self
+            .rest
+            .as_ref()
+            .map_or(Some(0), |rest| rest.size_hint().exact());
+        let length = rest_bytes.map(|rest| rest + self.buffered.len() as u64);
+        framing::set_length(&mut self.head.headers, &plan.head.method, length);
         if let Some(rest) = self.rest.take() {
             let rest = Rest {
                 state: Rc::clone(state),
