--- a/programs/pb-proxy/src/gateway/meters.rs
+++ b/programs/pb-proxy/src/gateway/meters.rs
@@ -14,6 +14,7 @@
 use persimmonbend_app::meters::Histogram;
 use persimmonbend_app::meters::Registry;
 use persimmonbend_core::error::Kind;
+use persimmonbend_wire::meter;
 
 use crate::gateway::state::State;
 
@@ -36,6 +37,7 @@
     version: Gauge,
     control_heard: Gauge,
     zones_closed: Gauge,
+    skipped: Gauge,
 }
 
 impl Meters {
@@ -85,6 +87,10 @@
                 "zones_closed",
                 "Zones with upstreams, none of which takes requests.",
             ),
+            skipped: registry.gauge(
+                "frames_skipped",
+                "Frames from other processes that this build cannot decode.",
+            ),
             registry,
         }
     }
@@ -151,6 +157,8 @@
         meters.running.set(f64::from(running));
         #[allow(clippy::cast_precision_loss)]
         meters.version.set(self.state.version() as f64);
+        #[allow(clippy::cast_precision_loss)]
+        meters.skipped.set(meter::skipped() as f64);
         meters
             .control_heard
             .set(f64::from(u8::from(self.state.is_current())));
