feat(core): try new upstreams first with requests that may be repeated

Cause: an upstream of which nothing is known was as attractive to a request that must not run twice, and to the last attempt of a read, as to one that can be repeated. No filing went to an upstream that had failed in the nine seconds before.

Change: for a second after an upstream joins it is left to requests that may be repeated, as long as such requests come.

Seen to fail before: `new_upstreams_are_tried_with_requests_that_may_be_repeated`, `the_last_attempt_of_a_read_does_not_go_to_an_upstream_of_which_nothing_is_known`.

--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -41,6 +41,10 @@
 /// request soon.
 const UNUSED_BONUS: f64 = 0.4;
 
+/// Time after it joined for which an upstream that was never used is left to requests that may be retried, where
+/// there are such.
+const SCOUT_TIME: Duration = Duration::from_secs(1);
+
 /// Idle time at which an upstream has earned all of [`IDLE_BONUS`].
 const FULL_IDLE_TIME: Duration = Duration::from_secs(4);
 
@@ -60,6 +64,9 @@
     pub is_idempotent: bool,
     /// Whether another attempt may follow a failure, and the service has retries to spare.
     pub can_retry: bool,
+    /// Whether requests of the service that may be retried came lately, which lose less by trying an upstream of
+    /// which nothing is known.
+    pub has_scouts: bool,
     /// Time left to the objective, or to the deadline once the objective has passed, in seconds.
     pub time_left: f64,
     /// Timing of the route.
@@ -95,7 +102,7 @@
     credit * (failure * loss + (1.0 - failure) * late * LATE_LOSS)
         + transfer
         + utilization * UTILIZATION_COST
-        - idle_bonus(state, now)
+        - idle_bonus(state, !is_retriable && attempt.has_scouts, now)
 }
 
 fn lateness(expected_seconds: f64, time_left: f64) -> f64 {
@@ -103,9 +110,14 @@
     ((share - ON_TIME_SHARE) / (LATE_SHARE - ON_TIME_SHARE)).clamp(0.0, 1.0)
 }
 
-fn idle_bonus(state: &Upstream, now: Instant) -> f64 {
+fn idle_bonus(state: &Upstream, leaves_to_scouts: bool, now: Instant) -> f64 {
     let Some(last_granted) = state.last_granted else {
-        return UNUSED_BONUS;
+        let is_new = now.saturating_duration_since(state.joined) < SCOUT_TIME;
+        return if is_new && leaves_to_scouts {
+            0.0
+        } else {
+            UNUSED_BONUS
+        };
     };
     let idle = now.saturating_duration_since(last_granted);
     IDLE_BONUS * idle.min(FULL_IDLE_TIME).as_secs_f64() / FULL_IDLE_TIME.as_secs_f64()
--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -132,12 +132,18 @@
         self.steps += candidates.len() as u64;
         let timing = self.timing(&request.route, route);
         let unreachable = self.unreachable_upstreams(&request.ticket.host, now);
-        let pool = self.pools.get(&request.service)?;
+        let retries = self.retries();
+        let pool = self.pools.get_mut(&request.service)?;
         let has_attempt_left = request.attempts + 1 < route.attempts;
+        let can_retry = has_attempt_left && !pool.retry_budget.is_scarce(&retries);
+        if route.idempotent && can_retry {
+            pool.last_scout = Some(now);
+        }
         let attempt = Attempt {
             zone: &request.zone,
             is_idempotent: route.idempotent,
-            can_retry: has_attempt_left && !pool.retry_budget.is_scarce(&self.retries()),
+            can_retry,
+            has_scouts: pool.has_scouts(now),
             time_left: time_left(request, route, now).as_secs_f64(),
             timing: &timing,
         };
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -30,6 +30,9 @@
 /// it.
 const TRIAL_AGE: Duration = Duration::from_millis(2_500);
 
+/// Time since a request that may be retried within which more of them are expected.
+const SCOUT_AGE: Duration = Duration::from_millis(100);
+
 /// Share beyond the floor that is kept in use, because some upstreams in use may fail.
 const FLOOR_MARGIN: f64 = 0.08;
 
@@ -60,6 +63,8 @@
     pub next_suspect_offer: Option<Instant>,
     /// When the next request that no upstream could take is told to return.
     pub next_return: Option<Instant>,
+    /// When a request that may be retried was last placed.
+    pub last_scout: Option<Instant>,
     free: Free,
     floor_check: Option<FloorCheck>,
 }
@@ -83,6 +88,7 @@
             slot_time: Estimate::new(),
             next_suspect_offer: None,
             next_return: None,
+            last_scout: None,
             free: Free::default(),
             floor_check: None,
         }
@@ -246,6 +252,13 @@
         })
     }
 
+    /// Returns whether requests that may be retried come so often that new upstreams are left to them.
+    #[must_use]
+    pub fn has_scouts(&self, now: Instant) -> bool {
+        let lately = |at| now.saturating_duration_since(at) < SCOUT_AGE;
+        self.last_scout.is_some_and(lately)
+    }
+
     /// Returns whether an upstream is more likely grey than not.
     #[must_use]
     pub fn is_suspect(&self, number: Number, now: Instant) -> bool {
--- a/crates/core/src/dispatch/upstream.rs
+++ b/crates/core/src/dispatch/upstream.rs
@@ -38,6 +38,8 @@
     pub running: u32,
     /// Estimated probability that the upstream is grey.
     pub belief: Belief,
+    /// When the dispatcher was first told of the upstream.
+    pub joined: Instant,
     /// When a slot was last granted.
     pub last_granted: Option<Instant>,
     /// When a request last failed, was truncated or timed out.
@@ -66,6 +68,7 @@
             slots: announcement.slots,
             running: 0,
             belief: Belief::new(now),
+            joined: now,
             last_granted: None,
             last_failed: None,
             dead_until: None,
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -10,4 +10,5 @@
 mod queueing;
 mod size;
 mod statements;
+mod uneven;
 mod world;
