--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -31,6 +31,9 @@
 /// it.
 const TRIAL_AGE: Duration = Duration::from_millis(2_500);
 
+/// Time since a request that may be retried within which more of them are expected.
+const SCOUT_AGE: Duration = Duration::from_millis(100);
+
 /// Share beyond the floor that is kept in use, because some upstreams in use may fail.
 const FLOOR_MARGIN: f64 = 0.08;
 
@@ -65,6 +68,8 @@
     pub hedges: Hedges,
     /// Requests that are known to run on the upstreams.
     busy: u32,
+    /// When a request that may be retried was last placed.
+    pub last_scout: Option<Instant>,
     free: Free,
     floor_check: Option<FloorCheck>,
 }
@@ -90,6 +95,7 @@
             next_return: None,
             hedges: Hedges::default(),
             busy: 0,
+            last_scout: None,
             free: Free::default(),
             floor_check: None,
         }
@@ -269,6 +275,13 @@
         })
     }
 
+    /// Returns whether requests that may be retried come so often that new upstreams are left to them.
+    #[must_use]
+    pub fn has_scouts(&self, now: Instant) -> bool {
+        let lately = |at| now.saturating_duration_since(at) < SCOUT_AGE;
+        self.last_scout.is_some_and(lately)
+    }
+
     /// Returns whether an upstream is more likely grey than not.
     #[must_use]
     pub fn is_suspect(&self, number: Number, now: Instant) -> bool {
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -14,5 +14,6 @@
 mod queueing;
 mod size;
 mod statements;
+mod uneven;
 mod warmup;
 mod world;
