--- a/crates/core/src/dispatch/hedge.rs
+++ b/crates/core/src/dispatch/hedge.rs
@@ -45,8 +45,9 @@
 /// Shortest time after which a request is sent again; placing and connecting take a few milliseconds.
 const MIN_HEDGE_AFTER: Duration = Duration::from_millis(10);
 
-/// Largest share of the healthy slots that are in use while extra sends are granted.
-const MAX_LOAD: f64 = 0.85;
+/// Largest share of the healthy slots that are in use while extra sends are granted; the rest is left to new
+/// requests.
+const MAX_LOAD: f64 = 0.95;
 
 /// Multiple of the expected time in other zones from which on a zone counts as slow.
 const SLOW_ZONE_RATIO: f64 = 1.5;
