fix(proxy): a trial that reached no upstream is taken back, and cuts are remembered for the bound of the settings

Cause: a request that had ended three upstreams is tried again after a pause. The trial was counted before it was sent: one that found no listener barred the request for 20 s more, though it says nothing about it. Three seconds of failed connections were a constant, though settings name the time to notice a cut. Change: the trial is withdrawn if nothing was sent (trial_unsent). core::reach takes contact_s. Result: the new test of core uses a new function; it was not run on the code before.

--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -202,6 +202,11 @@
         self.trials.insert(content, now);
     }
 
+    /// Takes back the trial of a content that reached no upstream, so that the next request may be one.
+    pub fn withdraw_trial(&mut self, content: Fingerprint) {
+        self.trials.remove(&content);
+    }
+
     /// Records an answer of an upstream to a request that was placed at `placed`: a reported end shortly
     /// before was none.
     pub fn note_alive(&mut self, upstream: Number, placed: Instant) {
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -33,7 +33,7 @@
 /// host is suspected.
 const SUSPICIOUS_FAILURES: usize = 2;
 
-/// Time for which a failure is remembered.
+/// Time for which a failure is remembered, unless the settings bound the time to notice a cut.
 const FAILURE_MEMORY: Duration = Duration::from_secs(3);
 
 /// The path to the upstreams of one service.
@@ -52,9 +52,16 @@
 #[derive(Debug, Clone, Default)]
 pub struct Reach {
     paths: BTreeMap<ServiceId, Path>,
+    /// Time for which a failure is remembered, if it is not [`FAILURE_MEMORY`].
+    memory: Option<Duration>,
 }
 
 impl Reach {
+    /// Sets the time for which a failure is remembered.
+    pub const fn set_memory(&mut self, memory: Duration) {
+        self.memory = Some(memory);
+    }
+
     /// Records that a new connection to an upstream was opened; returns whether that ends a block.
     pub fn note_opened(&mut self, service: &str, upstream: Number) -> bool {
         let Some(path) = self.paths.get_mut(service) else {
@@ -105,7 +112,8 @@
         let Some(path) = self.paths.get(service) else {
             return false;
         };
-        let is_recent = |at: &&Instant| now.saturating_duration_since(**at) < FAILURE_MEMORY;
+        let memory = self.memory.unwrap_or(FAILURE_MEMORY);
+        let is_recent = |at: &&Instant| now.saturating_duration_since(**at) < memory;
         let failures = path.failures.values().filter(is_recent).count();
         let needed = if self.is_any_blocked() {
             1
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -130,6 +130,18 @@
     assert_eq!(ledger.standing(content("a"), again), Standing::Allowed);
 }
 
+/// A listener that is gone has not run the request, and says nothing about it.
+#[test]
+fn a_trial_that_reached_no_upstream_bars_no_other() {
+    let now = Instant::now();
+    let mut ledger = ledger(&[("a", &[1, 2, 3])], now);
+    let later = now + MAX_FIRST_PAUSE;
+    ledger.note_trial(content("a"), later);
+    assert!(is_barred(&ledger, "a", later));
+    ledger.withdraw_trial(content("a"));
+    assert_eq!(ledger.standing(content("a"), later), Standing::Trial);
+}
+
 #[test]
 fn hosts_end_their_pauses_one_after_the_other() {
     let now = Instant::now();
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -213,7 +213,20 @@
 impl Attempt<'_> {
     /// Sends the request directly or through another host.
     async fn run(&self) -> Result<(Answer, Way), Fault> {
-        self.check_standing()?;
+        let is_trial = self.check_standing()?;
+        let result = self.run_allowed().await;
+        if let (true, Err(fault)) = (is_trial, &result)
+            && !fault.was_sent
+        {
+            let content = self.plan.content();
+            info!(request = self.metadata.id.as_deref(), %content, "trial_unsent");
+            self.state.placer().withdraw_trial(content);
+        }
+        result
+    }
+
+    /// Sends a request that is not barred.
+    async fn run_allowed(&self) -> Result<(Answer, Way), Fault> {
         let number = self.reservation.upstream();
         let paths = self.state.paths();
         let is_blocked = paths.is_blocked(&self.plan.service, number);
@@ -236,15 +249,17 @@
     }
 
     /// Checks that the request may still be sent: upstreams may have ended under the same request of another
-    /// client while this one waited.
-    fn check_standing(&self) -> Result<(), Fault> {
+    /// client while this one waited. Returns whether it is a trial.
+    fn check_standing(&self) -> Result<bool, Fault> {
         let (placer, now) = (self.state.placer(), self.state.now());
         match placer.standing(|| self.plan.content(), now) {
-            Standing::Barred(_) => return Err(Fault::barred()),
-            Standing::Trial => placer.note_trial(self.plan.content(), now),
-            Standing::Allowed => {}
+            Standing::Barred(_) => Err(Fault::barred()),
+            Standing::Trial => {
+                placer.note_trial(self.plan.content(), now);
+                Ok(true)
+            }
+            Standing::Allowed => Ok(false),
         }
-        Ok(())
     }
 
     /// Returns an idle connection if the request is idempotent and there is one, or else a new one.
--- a/programs/pb-proxy/src/gateway/paths.rs
+++ b/programs/pb-proxy/src/gateway/paths.rs
@@ -39,6 +39,16 @@
 }
 
 impl Paths {
+    /// Creates the paths of a host that remembers a failure for a time.
+    #[must_use]
+    pub fn new(memory: Duration) -> Self {
+        let mut reach = Reach::default();
+        reach.set_memory(memory);
+        Self {
+            reach: RefCell::new(reach),
+        }
+    }
+
     /// Returns whether an upstream has to be reached through another host.
     #[must_use]
     pub fn is_blocked(&self, service: &str, upstream: Number) -> bool {
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -303,6 +303,12 @@
         local.poison_mut().note_trial(content, now);
     }
 
+    /// Takes back the trial of a content that reached no upstream.
+    pub fn withdraw_trial(&self, content: Fingerprint) {
+        let mut local = self.local_dispatcher.borrow_mut();
+        local.poison_mut().withdraw_trial(content);
+    }
+
     /// Records that an upstream ended under a request, and reports it to the dispatcher.
     pub fn note_end(&self, end: End, now: Instant) {
         if self
--- a/programs/pb-proxy/src/gateway/settings.rs
+++ b/programs/pb-proxy/src/gateway/settings.rs
@@ -37,6 +37,8 @@
     pub grace: Duration,
     /// Time from the stop signal until the client port and its idle connections are closed.
     pub notice: Duration,
+    /// Time within which a host that is cut off, or reached again, has to act on it.
+    pub contact: Duration,
     /// Limits of each service's retry budget over the whole fleet.
     pub retries: Retries,
     /// Share of a service's upstreams that stay in use while some of its requests fail.
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -119,7 +119,7 @@
             publication_changed: Event::new(),
             upstreams: RefCell::default(),
             pool: Pool::new(MAX_UPSTREAM_CONNECTIONS),
-            paths: Paths::default(),
+            paths: Paths::new(settings.contact),
             detours: detour::Hosts::default(),
             meters: Meters::new(),
             rng: RefCell::new(rng),
