feat(proxy): requests of other hosts are taken only from addresses of hosts

Cause: where the fleet has no secret, anything that reaches the port for links could send requests through a host. Change: the address has to be that of a relay that the leader listed, or of a host that the leader knows when it is asked (frames of level 1); hosts that lost their link count for ten minutes, as these need detours most. The rest is closed, logged and counted. With a leader of an older build, or a secret, nothing changes. Result: the new test sends through a host whose leader knows no such address: refused, and no upstream gets it.

--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -22,6 +22,7 @@
 mod packed;
 mod trailing;
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -240,6 +241,15 @@
     },
     /// Reports ends of upstreams under requests to a dispatcher, or tells a host of those that are new to it.
     Ends(Vec<End>),
+    /// Asks the leader whether an address is that of a host.
+    Identify(IpAddr),
+    /// Says whether an address is that of a host.
+    Identified {
+        /// The address.
+        address: IpAddr,
+        /// Whether a host has named it.
+        is_host: bool,
+    },
 }
 
 impl Frame {
@@ -260,7 +270,7 @@
             Self::Published(_) | Self::Announced { .. } => "publications",
             Self::Upstreams { .. } => "upstreams",
             Self::Heartbeat { .. } | Self::Limits { .. } | Self::Ends(_) => "heartbeats",
-            Self::Relays(_) => "relays",
+            Self::Relays(_) | Self::Identify(_) | Self::Identified { .. } => "relays",
             Self::HostHeartbeat | Self::Suspects(_) | Self::Stopping => "host_states",
         }
     }
--- a/crates/wire/src/dispatch/level.rs
+++ b/crates/wire/src/dispatch/level.rs
@@ -16,7 +16,7 @@
 /// Level of the builds that name none.
 pub const FIRST: Level = 0;
 
-/// Level of this build: it names its level, and skips frames that it cannot decode.
+/// Level of this build: it names its level, skips frames that it cannot decode, and identifies hosts.
 pub const OWN: Level = 1;
 
 /// Number of kinds of error that a build of the first level knows.
@@ -38,7 +38,10 @@
     /// A variant that is added gets the level of the build that adds it.
     #[must_use]
     pub const fn since(&self) -> Level {
-        FIRST
+        match self {
+            Self::Identify(_) | Self::Identified { .. } => OWN,
+            _ => FIRST,
+        }
     }
 
     /// Returns the frame as a build of `level` reads it, or `None` if it reads no such frame.
--- a/programs/pb-control/src/dispatch/state.rs
+++ b/programs/pb-control/src/dispatch/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -50,6 +51,9 @@
 /// Hosts in a deputy group, which turn to the same deputy while control is unreachable.
 const HOSTS_PER_DEPUTY: usize = 64;
 
+/// Time for which the address of a host counts as such after its link was lost.
+const LOST_HOST_LIFETIME: Duration = Duration::from_secs(600);
+
 /// Contents of the first frame of a host.
 #[derive(Debug)]
 pub struct Hello {
@@ -79,6 +83,8 @@
     hosts: Hosts,
     publication: Rc<Publication>,
     subscribers: BTreeMap<HostId, Subscriber>,
+    /// Addresses of hosts whose links were lost, with when.
+    lost: BTreeMap<IpAddr, Instant>,
     /// Incarnation and sequence of the latest announcement of each upstream.
     latest_sequences: BTreeMap<UpstreamId, (Incarnation, u64)>,
     /// Changed upstreams that take requests, with the time from which on they are used.
@@ -128,6 +134,7 @@
             hosts: Hosts::new(dispatcher),
             publication,
             subscribers: BTreeMap::new(),
+            lost: BTreeMap::new(),
             latest_sequences: BTreeMap::new(),
             upcoming: VecDeque::new(),
             load: Load::new(now, 0),
@@ -213,13 +220,29 @@
 
     /// Removes a host whose connection ended, unless a later connection has replaced it.
     pub fn disconnect_host(&mut self, host: &str, sender: &Sender, now: Instant) {
-        if self.hosts.disconnect(host, sender, now) {
-            self.subscribers.remove(host);
+        if self.hosts.disconnect(host, sender, now)
+            && let Some(relay) = self.subscribers.remove(host).and_then(|one| one.relay)
+        {
+            self.lost.retain(|_, at| !is_forgotten(*at, now));
+            self.lost.insert(relay.ip(), now);
         }
     }
 
+    /// Returns whether an address is that of a host that is linked, or was until lately: one that is cut off
+    /// from the leader may be cut off from upstreams as well.
+    fn is_host(&self, address: IpAddr, now: Instant) -> bool {
+        let mut relays = self.subscribers.values().filter_map(|one| one.relay);
+        let lost = self.lost.get(&address);
+        relays.any(|relay| relay.ip() == address) || lost.is_some_and(|at| !is_forgotten(*at, now))
+    }
+
     /// Handles a frame of a host.
     pub fn receive_frame(&mut self, host: &str, sender: &Sender, frame: Frame, now: Instant) {
+        if let Frame::Identify(address) = frame {
+            let is_host = self.is_host(address, now);
+            sender.send(Frame::Identified { address, is_host });
+            return;
+        }
         if matches!(frame, Frame::Stopping) && self.hosts.is_current(host, sender) {
             self.subscribers.remove(host);
         }
@@ -345,3 +368,7 @@
         }
     }
 }
+
+fn is_forgotten(lost: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(lost) >= LOST_HOST_LIFETIME
+}
--- a/programs/pb-proxy/src/gateway/detour.rs
+++ b/programs/pb-proxy/src/gateway/detour.rs
@@ -5,6 +5,7 @@
 //! as it arrives. Everything else stays with the host of the client: the slot, the deadline, retries, and what
 //! the client is told.
 
+mod admission;
 mod server;
 
 use std::cell::Cell;
@@ -23,6 +24,7 @@
 use persimmonbend_wire::link;
 use rand::seq::SliceRandom;
 
+pub use admission::Admission;
 pub use server::handler;
 
 use crate::gateway::state::State;
@@ -101,9 +103,16 @@
     helper: Cell<Option<SocketAddr>>,
     /// Hosts that could not help, with the time until which they are not asked.
     refused_until: RefCell<BTreeMap<SocketAddr, Instant>>,
+    admission: Admission,
 }
 
 impl Hosts {
+    /// Returns whose requests this host sends.
+    #[must_use]
+    pub const fn admission(&self) -> &Admission {
+        &self.admission
+    }
+
     /// Returns the hosts to ask in this order: the one that helped last, then others in random order.
     pub fn candidates(&self, state: &State) -> Vec<SocketAddr> {
         let now = state.now();
--- a/programs/pb-proxy/src/gateway/detour/server.rs
+++ b/programs/pb-proxy/src/gateway/detour/server.rs
@@ -77,8 +77,13 @@
         if stop.is_asked() || Rc::strong_count(&endpoint) > MAX_CONNECTIONS {
             return;
         }
-        let (endpoint, stop) = (Rc::clone(&endpoint), stop.clone());
-        spawn(http::serve_connection(stream, from, LIMITS, endpoint, stop)).detach();
+        let (state, endpoint, stop) = (Rc::clone(&state), Rc::clone(&endpoint), stop.clone());
+        spawn(async move {
+            if state.detours().admission().admits(&state, from.ip()).await {
+                http::serve_connection(stream, from, LIMITS, endpoint, stop).await;
+            }
+        })
+        .detach();
     })
 }
 
--- a/programs/pb-proxy/src/gateway/meters.rs
+++ b/programs/pb-proxy/src/gateway/meters.rs
@@ -35,6 +35,7 @@
     version: Gauge,
     control_heard: Gauge,
     skipped: Gauge,
+    detours_refused: Gauge,
 }
 
 impl Meters {
@@ -70,6 +71,10 @@
             ),
             control_heard: registry
                 .gauge("control_heard", "1 while the leader of control is heard."),
+            detours_refused: registry.gauge(
+                "detours_refused",
+                "Connections for requests of other hosts from addresses that are those of no host.",
+            ),
             skipped: registry.gauge(
                 "frames_skipped",
                 "Frames from other processes that this build cannot decode.",
@@ -132,6 +137,9 @@
         meters.version.set(self.state.version() as f64);
         #[allow(clippy::cast_precision_loss)]
         meters.skipped.set(meter::skipped() as f64);
+        let refused = self.state.detours().admission().refused();
+        #[allow(clippy::cast_precision_loss)]
+        meters.detours_refused.set(refused as f64);
         meters
             .control_heard
             .set(f64::from(u8::from(self.state.is_current())));
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -240,6 +240,13 @@
         self.relays.borrow().clone()
     }
 
+    /// Returns the link to the leader, direct or through a relay.
+    #[must_use]
+    pub fn leader_link(&self) -> Option<Sender> {
+        let link = self.link.borrow().clone();
+        link.filter(|_| !self.via_deputy.get())
+    }
+
     /// Returns the address of the leader while this host has a direct link to it.
     #[must_use]
     pub const fn direct_leader(&self) -> Option<SocketAddr> {
--- a/programs/pb-proxy/src/gateway/placement/link.rs
+++ b/programs/pb-proxy/src/gateway/placement/link.rs
@@ -316,6 +316,10 @@
             Frame::Limits { stated, ended } => {
                 state.placer().note_limits(&stated, &ended, state.now());
             }
+            Frame::Identified { address, is_host } => {
+                let admission = state.detours().admission();
+                admission.note_answer(address, is_host, state.now());
+            }
             Frame::Ends(ends) => state.placer().apply_ends(&ends, state.now()),
             other => state.placer().apply_answer(sender, other),
         }
