fix(proxy): an answer without a length whose upstream has ended is not taken for a whole one

Cause: an upstream that is killed in the middle of an answer without a length closes its connections like one that has finished, and the client got the half as a complete success, with a length of its own. Change: behind such an answer the host finds out whether the upstream has ended, as it does behind a broken one: on the own path, behind another host, and while a large answer is passed on, which then aborts. Other answers are passed on as before.

--- a/programs/pb-proxy/src/gateway/detour/server.rs
+++ b/programs/pb-proxy/src/gateway/detour/server.rs
@@ -29,6 +29,7 @@
 use persimmonbend_app::http::Body;
 use persimmonbend_app::http::Handler;
 use persimmonbend_app::http::Limits;
+use persimmonbend_core::id::ServiceId;
 use persimmonbend_core::roster::Entry;
 use persimmonbend_wire::listener;
 use tracing::info;
@@ -228,6 +229,7 @@
             let statement = dialect.statement(&head);
             self.state.note_statement(number, statement);
         }
+        let is_open_ended = framing::is_open_ended(&head, &method);
         callers::strip_hop_by_hop(&mut head.headers);
         head.headers.remove(FAULT);
         framing::set_length(&mut head.headers, &method, body.size_hint().exact());
@@ -235,6 +237,7 @@
             state: Rc::clone(&self.state),
             body: body.into_data_stream(),
             connection,
+            service: is_open_ended.then_some(service),
             address,
             _running: running,
         };
@@ -248,6 +251,8 @@
     state: Rc<State>,
     body: BodyDataStream<Incoming>,
     connection: Connection,
+    /// Service of the upstream, if only the end of the connection ends the body.
+    service: Option<ServiceId>,
     address: SocketAddr,
     _running: Running,
 }
@@ -258,10 +263,21 @@
         stream::unfold(Some(self), |answer| async move { answer?.next().await })
     }
 
+    /// Returns whether the upstream has ended behind a body that only the end of the connection ends.
+    async fn has_ended(&self) -> bool {
+        match &self.service {
+            Some(service) => end_check::has_ended(&self.state, service, self.address).await,
+            None => false,
+        }
+    }
+
     async fn next(mut self) -> Option<(io::Result<Frame<Bytes>>, Option<Self>)> {
         match self.body.next().await {
             Some(Ok(data)) => Some((Ok(Frame::data(data)), Some(self))),
             Some(Err(error)) => Some((Err(io::Error::other(error)), None)),
+            None if self.has_ended().await => {
+                Some((Err(io::ErrorKind::UnexpectedEof.into()), None))
+            }
             None => {
                 let now = self.state.now();
                 let pool = self.state.pool();
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -439,10 +439,19 @@
         }
         let buffered = buffer_body(&mut body).await;
         let (buffered, is_complete) = buffered.map_err(|_| BROKEN)?;
+        // Behind another host, that host finds out.
+        let is_open_ended = way == Way::Direct(self.address)
+            && framing::is_open_ended(&head, &self.plan.head.method);
+        let service = &self.plan.service;
+        if is_complete && is_open_ended && end_check::has_ended(state, service, self.address).await
+        {
+            return Err(BROKEN.into());
+        }
         Ok(Answer {
             head,
             buffered,
             rest: (!is_complete).then_some(body),
+            is_open_ended,
             connection,
         })
     }
@@ -499,6 +508,8 @@
     buffered: Bytes,
     /// The rest of the body, if it exceeds [`MAX_BUFFERED_BYTES`].
     rest: Option<Incoming>,
+    /// Whether only the end of the connection ends the body.
+    is_open_ended: bool,
     connection: Connection,
 }
 
@@ -526,6 +537,7 @@
                 body: rest.into_data_stream(),
                 connection: self.connection,
                 way,
+                is_open_ended: self.is_open_ended,
                 interruption: attempt.interruption(),
                 reservation: attempt.reservation,
                 outcome,
@@ -558,6 +570,8 @@
     body: BodyDataStream<Incoming>,
     connection: Connection,
     way: Way,
+    /// Whether only the end of the connection ends the body.
+    is_open_ended: bool,
     /// The request, if the upstream breaks it off here.
     interruption: Interruption,
     reservation: Reservation,
@@ -582,6 +596,11 @@
                 self.bytes += data.len();
                 return Some((Ok(Frame::data(data)), Some(self)));
             }
+            Ok(None) if self.has_ended().await => {
+                self.reservation.end(Outcome::Truncated, self.bytes);
+                end_check::note_end(&self.state, &self.interruption);
+                io::ErrorKind::UnexpectedEof.into()
+            }
             Ok(None) => {
                 self.complete();
                 return None;
@@ -599,6 +618,14 @@
         Some((Err(error), None))
     }
 
+    /// Returns whether the upstream has ended behind a body that only the end of the connection ends.
+    async fn has_ended(&self) -> bool {
+        let Interruption {
+            service, address, ..
+        } = &self.interruption;
+        self.is_open_ended && end_check::has_ended(&self.state, service, *address).await
+    }
+
     /// Ends the reservation and keeps the connection for another request.
     fn complete(self) {
         self.reservation.end(self.outcome, self.bytes);
