--- a/programs/pb-proxy/src/gateway/detour.rs
+++ b/programs/pb-proxy/src/gateway/detour.rs
@@ -5,6 +5,7 @@
 //! as it arrives. Everything else stays with the host of the client: the slot, the deadline, retries, and what
 //! the client is told.
 
+mod admission;
 mod server;
 
 use std::cell::Cell;
@@ -23,6 +24,7 @@
 use persimmonbend_wire::link;
 use rand::seq::SliceRandom;
 
+pub use admission::Admission;
 pub use server::handler;
 
 use crate::gateway::state::State;
@@ -106,9 +108,16 @@
     refused_until: RefCell<BTreeMap<SocketAddr, Instant>>,
     /// Upstreams that another host could not connect to either, with the time until which none is asked.
     unreached_until: RefCell<BTreeMap<Number, Instant>>,
+    admission: Admission,
 }
 
 impl Hosts {
+    /// Returns whose requests this host sends.
+    #[must_use]
+    pub const fn admission(&self) -> &Admission {
+        &self.admission
+    }
+
     /// Returns the hosts to ask in this order: the one that helped last, then others in random order.
     pub fn candidates(&self, state: &State) -> Vec<SocketAddr> {
         let now = state.now();
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -224,7 +224,20 @@
 impl Attempt<'_> {
     /// Sends the request directly or through another host.
     async fn run(&self) -> Result<(Answer, Way), Fault> {
-        self.check_standing()?;
+        let is_trial = self.check_standing()?;
+        let result = self.run_allowed().await;
+        if let (true, Err(fault)) = (is_trial, &result)
+            && !fault.was_sent
+        {
+            let content = self.plan.content();
+            info!(request = self.metadata.id.as_deref(), %content, "trial_unsent");
+            self.state.placer().withdraw_trial(content);
+        }
+        result
+    }
+
+    /// Sends a request that is not barred.
+    async fn run_allowed(&self) -> Result<(Answer, Way), Fault> {
         let number = self.reservation.upstream();
         let paths = self.state.paths();
         let is_blocked = paths.is_blocked(&self.plan.service, number);
@@ -266,15 +279,17 @@
     }
 
     /// Checks that the request may still be sent: upstreams may have ended under the same request of another
-    /// client while this one waited.
-    fn check_standing(&self) -> Result<(), Fault> {
+    /// client while this one waited. Returns whether it is a trial.
+    fn check_standing(&self) -> Result<bool, Fault> {
         let (placer, now) = (self.state.placer(), self.state.now());
         match placer.standing(|| self.plan.content(), now) {
-            Standing::Barred(_) => return Err(Fault::barred()),
-            Standing::Trial => placer.note_trial(self.plan.content(), now),
-            Standing::Allowed => {}
+            Standing::Barred(_) => Err(Fault::barred()),
+            Standing::Trial => {
+                placer.note_trial(self.plan.content(), now);
+                Ok(true)
+            }
+            Standing::Allowed => Ok(false),
         }
-        Ok(())
     }
 
     /// Returns an idle connection if the request is idempotent and there is one, or else a new one.
@@ -454,10 +469,19 @@
         }
         let buffered = buffer_body(&mut body).await;
         let (buffered, is_complete) = buffered.map_err(|_| BROKEN)?;
+        // Behind another host, that host finds out.
+        let is_open_ended = way == Way::Direct(self.address)
+            && framing::is_open_ended(&head, &self.plan.head.method);
+        let service = &self.plan.service;
+        if is_complete && is_open_ended && end_check::has_ended(state, service, self.address).await
+        {
+            return Err(BROKEN.into());
+        }
         Ok(Answer {
             head,
             buffered,
             rest: (!is_complete).then_some(body),
+            is_open_ended,
             connection,
         })
     }
@@ -514,6 +538,8 @@
     buffered: Bytes,
     /// The rest of the body, if it exceeds [`MAX_BUFFERED_BYTES`].
     rest: Option<Incoming>,
+    /// Whether only the end of the connection ends the body.
+    is_open_ended: bool,
     connection: Connection,
 }
 
@@ -541,6 +567,7 @@
                 body: rest.into_data_stream(),
                 connection: self.connection,
                 way,
+                is_open_ended: self.is_open_ended,
                 interruption: attempt.interruption(),
                 reservation: attempt.reservation,
                 outcome,
@@ -573,6 +600,8 @@
     body: BodyDataStream<Incoming>,
     connection: Connection,
     way: Way,
+    /// Whether only the end of the connection ends the body.
+    is_open_ended: bool,
     /// The request, if the upstream breaks it off here.
     interruption: Interruption,
     reservation: Reservation,
@@ -597,6 +626,11 @@
                 self.bytes += data.len();
                 return Some((Ok(Frame::data(data)), Some(self)));
             }
+            Ok(None) if self.has_ended().await => {
+                self.reservation.end(Outcome::Truncated, self.bytes);
+                end_check::note_end(&self.state, &self.interruption);
+                io::ErrorKind::UnexpectedEof.into()
+            }
             Ok(None) => {
                 self.complete();
                 return None;
@@ -614,6 +648,14 @@
         Some((Err(error), None))
     }
 
+    /// Returns whether the upstream has ended behind a body that only the end of the connection ends.
+    async fn has_ended(&self) -> bool {
+        let Interruption {
+            service, address, ..
+        } = &self.interruption;
+        self.is_open_ended && end_check::has_ended(&self.state, service, *address).await
+    }
+
     /// Ends the reservation and keeps the connection for another request.
     fn complete(self) {
         self.reservation.end(self.outcome, self.bytes);
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -241,6 +241,13 @@
         self.relays.borrow().clone()
     }
 
+    /// Returns the link to the leader, direct or through a relay.
+    #[must_use]
+    pub fn leader_link(&self) -> Option<Sender> {
+        let link = self.link.borrow().clone();
+        link.filter(|_| !self.via_deputy.get())
+    }
+
     /// Returns the address of the leader while this host has a direct link to it.
     #[must_use]
     pub const fn direct_leader(&self) -> Option<SocketAddr> {
@@ -304,6 +311,12 @@
         local.poison_mut().note_trial(content, now);
     }
 
+    /// Takes back the trial of a content that reached no upstream.
+    pub fn withdraw_trial(&self, content: Fingerprint) {
+        let mut local = self.local_dispatcher.borrow_mut();
+        local.poison_mut().withdraw_trial(content);
+    }
+
     /// Records that an upstream ended under a request, and reports it to the dispatcher.
     pub fn note_end(&self, end: End, now: Instant) {
         if self
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -122,7 +122,7 @@
             upstreams: RefCell::default(),
             zones: Zones::default(),
             pool: Pool::new(MAX_UPSTREAM_CONNECTIONS),
-            paths: Paths::default(),
+            paths: Paths::new(settings.contact),
             detours: detour::Hosts::default(),
             meters: Meters::new(),
             rng: RefCell::new(rng),
