--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -133,6 +133,7 @@
         let timing = self.timing(&request.route, route);
         let unreachable = self.unreachable_upstreams(&request.ticket.host, now);
         let retries = self.retries();
+        let is_limited_hedge = self.is_limited_hedge(request);
         let pool = self.pools.get_mut(&request.service)?;
         let has_attempt_left = request.attempts + 1 < route.attempts;
         let can_retry = has_attempt_left && !pool.retry_budget.is_scarce(&retries);
@@ -157,7 +158,7 @@
             pauses,
             now,
         };
-        if self.is_limited_hedge(request) {
+        if is_limited_hedge {
             return search.for_hedge(request.avoid.last().copied());
         }
         let idle = is_below_floor.then(|| search.idle()).flatten();
