feat(core): order the queue by who can still be answered in time, share it by usual rates, and keep slots for urgent requests

While more was asked than a service offers, requests were taken first come, first served up to their deadline: nearly all were answered after their objective, and a tenant at several times its usual had the others refused at arrival. A queued request is now timely or late in its priority (admission.rs), flows of tenants are weighted by their usual rate (usage.rs, usual.rs, line.rs), the expected slot time is that of the kinds queued, and queued requests are looked at again while they wait. Slow requests leave slots to urgent ones that cannot wait until others end (reserve.rs). Requests are found by their ticket and review time instead of a search through the queue (backlog.rs).

Three of the six tests failed before: a burst of slow requests, too much asked, and the excess of one tenant.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -12,21 +12,30 @@
 //! its deadline is refused at once, with the time after which the queue ahead of it will probably
 //! have been served.
 
+mod admission;
+mod backlog;
 mod belief;
 mod contact;
 mod cost;
+mod demand;
 mod failures;
 mod free;
+mod line;
 mod observation;
 mod pace;
 mod placing;
 mod pool;
+mod queueing;
 mod quotas;
+mod refusals;
 mod request;
+mod reserve;
 mod retries;
 mod statements;
 mod timing;
 mod upstream;
+mod usage;
+mod usual;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -36,8 +45,13 @@
 
 use serde::Serialize;
 
+pub use admission::Prospect;
+pub use admission::Verdict;
 pub use belief::Belief;
 pub use cost::Attempt;
+pub use demand::Demand;
+pub use demand::Hold;
+pub use demand::Level;
 pub use failures::Failures;
 pub use free::Free;
 pub use pace::Pace;
@@ -45,14 +59,18 @@
 pub use quotas::Quotas;
 pub use quotas::Share;
 pub use quotas::share_without_leader;
+pub use refusals::Refusals;
 pub use request::Answer;
 pub use request::Completion;
 pub use request::Decision;
 pub use request::Request;
+pub use reserve::Reserve;
 pub use retries::Budget;
 pub use retries::Retries;
 pub use timing::Timing;
 pub use upstream::Upstream;
+pub use usage::Usage;
+pub use usual::Usual;
 
 use crate::dispatch::contact::Contact;
 use crate::error::Kind;
@@ -60,6 +78,7 @@
 use crate::id::RouteId;
 use crate::id::ServiceId;
 use crate::poison;
+use crate::publication::Priority;
 use crate::publication::Publication;
 use crate::publication::Quota;
 use crate::roster::Entry;
@@ -149,6 +168,8 @@
     service: ServiceId,
     upstream: Number,
     route: RouteId,
+    /// What the request takes of the service.
+    hold: Hold,
     since: Instant,
     /// Whether no other attempt of the request may follow.
     is_last: bool,
@@ -207,6 +228,15 @@
     pub paused_hosts: usize,
 }
 
+/// The queued requests of one priority, for operators.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
+pub struct Waiting {
+    /// Requests that will probably be answered within their objective.
+    pub timely: usize,
+    /// Requests that will probably be answered later.
+    pub late: usize,
+}
+
 /// Chooses an upstream for each request of the fleet.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -222,6 +252,7 @@
     slots_in_use: BTreeMap<Ticket, Slot>,
     timings: BTreeMap<RouteId, Timing>,
     quotas: Quotas,
+    usage: Usage,
     hosts: BTreeMap<HostId, Host>,
     /// What upstreams have stated about themselves.
     ledger: Ledger,
@@ -235,6 +266,8 @@
     unreachable_until: BTreeMap<(HostId, Number), Instant>,
     /// Requests and upstreams that were looked at to place requests.
     steps: u64,
+    /// Refused requests since [`Dispatcher::take_refusals`].
+    refusals: Refusals,
 }
 
 impl Dispatcher {
@@ -251,6 +284,7 @@
             slots_in_use: BTreeMap::new(),
             timings: BTreeMap::new(),
             quotas: Quotas::default(),
+            usage: Usage::default(),
             hosts: BTreeMap::new(),
             ledger: Ledger::default(),
             poison: poison::Ledger::default(),
@@ -258,6 +292,7 @@
             ended_limits: Vec::new(),
             unreachable_until: BTreeMap::new(),
             steps: 0,
+            refusals: Refusals::default(),
         }
     }
 
@@ -282,6 +317,8 @@
             known.is_some_and(|tenant| tenant.quota.is_some())
         };
         self.quotas.retain(limited);
+        self.usage
+            .retain(|tenant| publication.tenants.contains_key(tenant));
         self.publication = publication;
     }
 
@@ -439,6 +476,36 @@
         self.pools.get(service).map_or(0, Pool::queued)
     }
 
+    /// Returns the queued requests of each service, by rank.
+    pub fn queues(&self) -> impl Iterator<Item = (&ServiceId, BTreeMap<Priority, Waiting>)> {
+        let pools = self.pools.iter();
+        pools.map(|(service, pool)| {
+            let mut queues: BTreeMap<Priority, Waiting> = BTreeMap::new();
+            for (rank, line) in pool.backlog.lines() {
+                let waiting = queues.entry(rank.priority).or_default();
+                let count = if rank.is_late {
+                    &mut waiting.late
+                } else {
+                    &mut waiting.timely
+                };
+                *count += line.len();
+            }
+            (service, queues)
+        })
+    }
+
+    /// Returns the free slots that each service keeps from its slowest requests of least priority.
+    pub fn kept_slots(&self, now: Instant) -> impl Iterator<Item = (&ServiceId, u32)> {
+        let pools = self.pools.iter();
+        let kept = move |pool: &Pool| pool.kept_slots(Priority::MAX, Duration::MAX, now);
+        pools.map(move |(service, pool)| (service, kept(pool)))
+    }
+
+    /// Returns the refusals since the last call.
+    pub fn take_refusals(&mut self) -> Refusals {
+        std::mem::take(&mut self.refusals)
+    }
+
     /// Returns the ends of upstreams under the requests that they ran.
     #[must_use]
     pub const fn poison(&self) -> &poison::Ledger {
@@ -471,10 +538,15 @@
         if !self.change_upstream(placement.upstream, now, |state| state.running += 1) {
             return;
         }
+        let hold = self.hold(&placement.service, &placement.route, None);
+        if let Some(pool) = self.pools.get_mut(&placement.service) {
+            pool.demand.note_grant(hold);
+        }
         let slot = Slot {
             service: placement.service,
             upstream: placement.upstream,
             route: placement.route,
+            hold,
             since: now,
             is_last: false,
             is_trial: false,
@@ -510,21 +582,15 @@
         {
             pool.retry_budget.deposit(&retries);
         }
+        self.note_arrival(&request, route, now);
         let priority = self.priority(&request, route);
         if self.is_next(&request, route, priority, now)
+            && !self.is_kept_from(&request, now)
             && let Some(choice) = self.choose(&request, now)
         {
             return vec![self.grant(request, choice, now)];
         }
-        if let Some((kind, wait)) = self.refusal(&request, priority, now) {
-            let wait = self.spread_return(&request.service, kind, wait, now);
-            self.refund(&request);
-            if let Some(pool) = self.pools.get_mut(&request.service) {
-                pool.failures.observe_refusal(now);
-            }
-            return vec![refused(request.ticket, kind, wait)];
-        }
-        self.enqueue(request, priority)
+        self.enqueue(request, route, now)
     }
 
     /// Releases the slot of an attempt that has ended and records its outcome, or withdraws a
@@ -538,7 +604,7 @@
         now: Instant,
     ) -> Vec<Answer> {
         let Some(slot) = self.free_slot(ticket, now) else {
-            self.withdraw(|request| request.ticket == *ticket);
+            self.withdraw(ticket);
             return Vec::new();
         };
         self.record_completion(&ticket.host, &slot, completion, now);
@@ -560,11 +626,12 @@
         self.hosts.retain(|_, host| is_kept(host));
         for pool in self.pools.values_mut() {
             pool.refresh_all(now);
+            pool.demand.expire(now);
         }
         let services: Vec<ServiceId> = self.pools.keys().cloned().collect();
         let mut answers = Vec::new();
         for service in services {
-            answers.extend(self.refuse_late(&service, now));
+            answers.extend(self.review(&service, now));
             answers.extend(self.place_queued(&service, now));
         }
         answers
@@ -636,7 +703,7 @@
         for ticket in tickets {
             services.extend(self.free_slot(&ticket, now).map(|slot| slot.service));
         }
-        self.withdraw(|request| request.ticket.host == host);
+        self.withdraw_host(host);
         let served = services
             .iter()
             .map(|service| self.place_queued(service, now));
@@ -645,6 +712,9 @@
 
     fn free_slot(&mut self, ticket: &Ticket, now: Instant) -> Option<Slot> {
         let slot = self.slots_in_use.remove(ticket)?;
+        if let Some(pool) = self.pools.get_mut(&slot.service) {
+            pool.demand.note_end(slot.hold);
+        }
         self.change_upstream(slot.upstream, now, |state| {
             state.running = state.running.saturating_sub(1);
         });
--- /dev/null
+++ b/crates/core/src/dispatch/line.rs
@@ -0,0 +1,245 @@
+//! Queued requests of one rank, fair between tenants by the slot time that they ask for.
+//!
+//! A [`Line`] is a deficit round robin over one flow per tenant. It answers the load of one tenant at
+//! several times its usual: what is queued ahead of a request depends on its own tenant's requests and
+//! weight, not on how many another tenant has queued.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::dispatch::Request;
+use crate::id::TenantId;
+
+/// Least slot time of a request, so that each one counts.
+const MIN_COST: Duration = Duration::from_millis(1);
+
+/// Most slot time of a request that counts, so that a turn of a tenant stays short.
+const MAX_COST: Duration = Duration::from_secs(2);
+
+/// Least and most part of a turn, as a multiple of the largest slot time in the line.
+const MIN_TURN: f64 = 0.125;
+const MAX_TURN: f64 = 64.0;
+
+/// Requests at the front of a flow among which one that can be placed is searched.
+const LOOK_AHEAD: usize = 8;
+
+/// Position of a request in the order of arrival.
+pub type Sequence = u64;
+
+/// The queued requests of one rank.
+#[derive(Debug, Default)]
+pub struct Line {
+    flows: BTreeMap<TenantId, Flow>,
+    /// Tenants in the order of their turns.
+    turns: VecDeque<TenantId>,
+    /// Largest slot time since the line was last empty.
+    quantum: Duration,
+    work: Duration,
+    length: usize,
+    /// Sum of the weights of the tenants.
+    weights: f64,
+}
+
+#[derive(Debug)]
+struct Flow {
+    weight: f64,
+    deficit: Duration,
+    work: Duration,
+    entries: BTreeMap<Sequence, Entry>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    cost: Duration,
+    request: Request,
+}
+
+impl Line {
+    /// Returns the number of requests.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Returns whether there are no requests.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Returns the slot time that all requests are expected to take.
+    #[must_use]
+    pub const fn work(&self) -> Duration {
+        self.work
+    }
+
+    /// Returns the number of tenants with requests.
+    #[must_use]
+    pub fn tenants(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Returns the tenants with requests, the next one first.
+    pub fn turns(&self) -> impl Iterator<Item = &TenantId> {
+        self.turns.iter()
+    }
+
+    /// Returns the number of requests of a tenant.
+    #[must_use]
+    pub fn len_of(&self, tenant: &str) -> usize {
+        self.flows.get(tenant).map_or(0, |flow| flow.entries.len())
+    }
+
+    /// Returns the slot time that is served before a new request of `tenant` that takes `cost`.
+    #[must_use]
+    pub fn work_before(&self, tenant: &str, weight: f64, cost: Duration) -> Duration {
+        self.work_around(tenant, weight, self.work_of(tenant), bounded(cost))
+    }
+
+    /// Returns the slot time that the requests of a tenant are expected to take.
+    #[must_use]
+    pub fn work_of(&self, tenant: &str) -> Duration {
+        let flow = self.flows.get(tenant);
+        flow.map_or(Duration::ZERO, |flow| flow.work)
+    }
+
+    /// Returns the share of a tenant of a weight among those with requests and itself.
+    #[must_use]
+    pub fn share_of(&self, tenant: &str, weight: f64) -> f64 {
+        let own = self.flows.get(tenant).map_or(0.0, |flow| flow.weight);
+        let all = (self.weights - own).max(0.0) + weight;
+        weight / all.max(f64::EPSILON)
+    }
+
+    /// Returns the last request of a tenant, with the slot time that is served before it.
+    #[must_use]
+    pub fn last(&self, tenant: &str) -> Option<(&Request, Duration)> {
+        let flow = self.flows.get(tenant)?;
+        let (_, entry) = flow.entries.last_key_value()?;
+        let own = flow.work.saturating_sub(entry.cost);
+        let before = self.work_around(tenant, flow.weight, own, entry.cost);
+        Some((&entry.request, before))
+    }
+
+    /// Returns a request of a tenant.
+    #[must_use]
+    pub fn get(&self, tenant: &str, sequence: Sequence) -> Option<&Request> {
+        let flow = self.flows.get(tenant)?;
+        flow.entries.get(&sequence).map(|entry| &entry.request)
+    }
+
+    /// Adds a request of a tenant that is expected to hold a slot for `cost`.
+    pub fn push(
+        &mut self,
+        tenant: &str,
+        weight: f64,
+        cost: Duration,
+        sequence: Sequence,
+        request: Request,
+    ) {
+        let cost = bounded(cost);
+        if self.is_empty() {
+            (self.quantum, self.weights) = (cost, 0.0);
+        }
+        self.quantum = self.quantum.max(cost);
+        let quantum = self.quantum;
+        if !self.flows.contains_key(tenant) {
+            self.turns.push_back(tenant.to_owned());
+        }
+        let flow = self.flows.entry(tenant.to_owned()).or_insert_with(|| Flow {
+            weight: 0.0,
+            deficit: quantum,
+            work: Duration::ZERO,
+            entries: BTreeMap::new(),
+        });
+        self.weights += weight - flow.weight;
+        flow.weight = weight;
+        flow.work += cost;
+        flow.entries.insert(sequence, Entry { cost, request });
+        self.work += cost;
+        self.length += 1;
+    }
+
+    /// Removes the next request for which `place` returns a value, and returns both.
+    pub fn take<P, F>(&mut self, mut place: F) -> Option<(Request, P)>
+    where
+        F: FnMut(&Request) -> Option<P>,
+    {
+        let mut skipped = 0;
+        while skipped < self.turns.len() {
+            let tenant = self.turns.front()?.clone();
+            let flow = self.flows.get(&tenant)?;
+            let least = flow.entries.values().take(LOOK_AHEAD);
+            let least = least.map(|entry| entry.cost).min()?;
+            if flow.deficit < least {
+                self.end_turn(&tenant);
+                continue;
+            }
+            let Some((sequence, found)) = flow.find(&mut place) else {
+                skipped += 1;
+                self.turns.rotate_left(1);
+                continue;
+            };
+            let flow = self.flows.get_mut(&tenant)?;
+            let cost = flow.entries.get(&sequence)?.cost;
+            flow.deficit = flow.deficit.saturating_sub(cost);
+            let request = self.remove(&tenant, sequence)?;
+            return Some((request, found));
+        }
+        None
+    }
+
+    /// Removes a request.
+    pub fn remove(&mut self, tenant: &str, sequence: Sequence) -> Option<Request> {
+        let flow = self.flows.get_mut(tenant)?;
+        let entry = flow.entries.remove(&sequence)?;
+        flow.work = flow.work.saturating_sub(entry.cost);
+        self.work = self.work.saturating_sub(entry.cost);
+        self.length -= 1;
+        if flow.entries.is_empty() {
+            self.weights -= flow.weight;
+            self.flows.remove(tenant);
+            self.turns.retain(|other| other != tenant);
+        }
+        Some(entry.request)
+    }
+
+    /// Gives the next tenant its turn; one whose requests were passed over keeps what it has.
+    fn end_turn(&mut self, tenant: &str) {
+        let mean = (self.weights / self.flows.len().max(1) as f64).max(f64::EPSILON);
+        let quantum = self.quantum;
+        if let Some(flow) = self.flows.get_mut(tenant) {
+            let turn = (flow.weight / mean).clamp(MIN_TURN, MAX_TURN);
+            flow.deficit += quantum.mul_f64(turn);
+        }
+        self.turns.rotate_left(1);
+    }
+
+    /// Returns the slot time served before a request of `tenant` that follows `own` of its slot time.
+    fn work_around(&self, tenant: &str, weight: f64, own: Duration, cost: Duration) -> Duration {
+        let reach = (own + cost).as_secs_f64() / weight.max(f64::EPSILON);
+        let before = |flow: &Flow| flow.work.as_secs_f64().min(reach * flow.weight);
+        let all: f64 = self.flows.values().map(before).sum();
+        let others = all - self.flows.get(tenant).map_or(0.0, before);
+        own + Duration::from_secs_f64(others.max(0.0))
+    }
+}
+
+impl Flow {
+    fn find<P, F>(&self, place: &mut F) -> Option<(Sequence, P)>
+    where
+        F: FnMut(&Request) -> Option<P>,
+    {
+        let front = self.entries.iter().take(LOOK_AHEAD);
+        let mut affordable = front.filter(|(_, entry)| entry.cost <= self.deficit);
+        affordable.find_map(|(sequence, entry)| {
+            let found = place(&entry.request)?;
+            Some((*sequence, found))
+        })
+    }
+}
+
+fn bounded(cost: Duration) -> Duration {
+    cost.clamp(MIN_COST, MAX_COST)
+}
--- a/crates/core/src/dispatch/observation.rs
+++ b/crates/core/src/dispatch/observation.rs
@@ -75,6 +75,8 @@
                     state.observe_latency(completion.latency, &timing, now);
                 });
                 timing.observe(completion);
+                pool.route_time
+                    .observe(Duration::from_secs_f64(timing.mean()));
                 self.timings.insert(slot.route.clone(), timing);
             }
             Outcome::TimedOut => {
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -4,20 +4,21 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::dispatch::Request;
+use crate::dispatch::backlog::Backlog;
 use crate::dispatch::cost;
 use crate::dispatch::cost::Attempt;
+use crate::dispatch::demand::Demand;
 use crate::dispatch::failures::Failures;
 use crate::dispatch::free::Free;
 use crate::dispatch::free::MILLIONTHS;
 use crate::dispatch::free::Standing;
+use crate::dispatch::reserve::Reserve;
 use crate::dispatch::retries::Budget;
 use crate::dispatch::upstream::Upstream;
 use crate::publication::Priority;
 use crate::roster::Number;
 use crate::statement::Pauses;
 use crate::steward::Estimate;
-use crate::steward::Queue;
 
 /// Time after a grant during which an upstream counts as in use; operators check two seconds.
 const IN_USE_WINDOW: Duration = Duration::from_millis(1_500);
@@ -48,19 +49,25 @@
 #[derive(Debug)]
 pub struct Pool {
     upstreams: BTreeMap<Number, Upstream>,
-    /// Queued requests by priority.
-    pub queues: BTreeMap<Priority, Queue<Request>>,
+    /// Queued requests.
+    pub backlog: Backlog,
+    /// Requests that arrive and run.
+    pub demand: Demand,
     /// Retries that the service may still send.
     pub retry_budget: Budget,
     /// Recent failures of the service.
     pub failures: Failures,
     /// Estimated time that a request holds a slot.
     pub slot_time: Estimate,
+    /// Mean time of the routes of the answered requests, which [`Pool::cost`] compares a route with.
+    pub route_time: Estimate,
     /// When the free slots of suspects are next offered to queued requests; at once if `None`.
     pub next_suspect_offer: Option<Instant>,
     /// When the next request that no upstream could take is told to return.
     pub next_return: Option<Instant>,
     free: Free,
+    /// Free slots of all open upstreams.
+    free_slots: u32,
     floor_check: Option<FloorCheck>,
 }
 
@@ -77,26 +84,32 @@
     pub fn new(retry_budget: Budget, now: Instant) -> Self {
         Self {
             upstreams: BTreeMap::new(),
-            queues: BTreeMap::new(),
+            backlog: Backlog::default(),
+            demand: Demand::default(),
             retry_budget,
             failures: Failures::new(now),
             slot_time: Estimate::new(),
+            route_time: Estimate::new(),
             next_suspect_offer: None,
             next_return: None,
             free: Free::default(),
+            free_slots: 0,
             floor_check: None,
         }
     }
 
     /// Adds an upstream.
     pub fn add(&mut self, number: Number, state: Upstream, now: Instant) {
+        self.remove(number);
+        self.free_slots += free_slots(&state);
         self.upstreams.insert(number, state);
         self.refresh(number, now);
     }
 
     /// Removes an upstream.
     pub fn remove(&mut self, number: Number) {
-        self.upstreams.remove(&number);
+        let removed = self.upstreams.remove(&number);
+        self.free_slots -= removed.as_ref().map_or(0, free_slots);
         self.free.remove(number);
     }
 
@@ -118,10 +131,14 @@
     where
         F: FnOnce(&mut Upstream),
     {
-        let state = self.upstreams.get_mut(&number);
-        let is_known = state.map(change).is_some();
+        let Some(state) = self.upstreams.get_mut(&number) else {
+            return false;
+        };
+        let before = free_slots(state);
+        change(state);
+        self.free_slots = self.free_slots - before + free_slots(state);
         self.refresh(number, now);
-        is_known
+        true
     }
 
     /// Changes all upstreams.
@@ -132,6 +149,7 @@
         for (number, state) in &mut self.upstreams {
             change(*number, state);
         }
+        self.free_slots = self.upstreams.values().map(free_slots).sum();
         self.refresh_all(now);
     }
 
@@ -165,19 +183,50 @@
         self.slot_time.mean().max(MIN_SLOT_TIME)
     }
 
-    /// Returns the number of queued requests that are served before a new one of `priority`.
+    /// Returns the free slots of all open upstreams.
+    #[must_use]
+    pub const fn free_slots(&self) -> u32 {
+        self.free_slots
+    }
+
+    /// Returns the free slots that requests of a priority, each of which holds its slot for `cost`, leave to
+    /// more urgent ones.
+    #[must_use]
+    pub fn kept_slots(&self, priority: Priority, cost: Duration, now: Instant) -> u32 {
+        let (arrivals, load) = self.demand.above(priority, now);
+        let reserve = Reserve {
+            run_time: cost.as_secs_f64(),
+            arrivals,
+            load: load.lately,
+            patience: self.demand.patience_above(priority).as_secs_f64(),
+            running: self.demand.running_above(priority),
+            ends: self.demand.ends_per_second(),
+        };
+        reserve.slots()
+    }
+
+    /// Returns whether no slot is free but those that are kept for the most urgent requests.
+    #[must_use]
+    pub fn is_full(&self, now: Instant) -> bool {
+        let kept = self.kept_slots(Priority::MAX, Duration::MAX, now);
+        self.free.is_empty() || self.free_slots <= kept
+    }
+
+    /// Returns the time for which a request of a route of a mean time is expected to hold a slot: the mean
+    /// slot time, in the proportion of the route to all routes.
     #[must_use]
-    pub fn count_ahead(&self, priority: Priority) -> usize {
-        self.queues
-            .range(..=priority)
-            .map(|(_, queue)| queue.len())
-            .sum()
+    pub fn cost(&self, route_mean: f64) -> Duration {
+        let all = self.route_time.mean().as_secs_f64();
+        if all <= 0.0 {
+            return Duration::from_secs_f64(route_mean);
+        }
+        self.mean_slot_time().mul_f64(route_mean / all)
     }
 
     /// Returns the number of queued requests.
     #[must_use]
     pub fn queued(&self) -> usize {
-        self.queues.values().map(Queue::len).sum()
+        self.backlog.len()
     }
 
     /// Returns whether requests fail and fewer upstreams are in use than the floor requires.
@@ -297,6 +346,14 @@
     }
 }
 
+const fn free_slots(state: &Upstream) -> u32 {
+    if state.is_open() {
+        state.slots.saturating_sub(state.running)
+    } else {
+        0
+    }
+}
+
 fn standing(state: &Upstream, slot_time: Duration, now: Instant) -> Standing {
     let capacity = state.capacity(slot_time) * MILLIONTHS;
     Standing {
--- a/crates/core/src/dispatch/timing.rs
+++ b/crates/core/src/dispatch/timing.rs
@@ -10,6 +10,10 @@
 /// Multiple of the mean at which an observation is clipped.
 const MAX_MEAN_RATIO: f64 = 4.0;
 
+/// Mean distances to the mean within which nine in ten requests of a route end: for times that are
+/// distributed evenly, and for normal ones.
+const NINE_IN_TEN_SPREADS: f64 = 1.6;
+
 /// Mean time that is assumed before the first answer, as a share of the objective.
 const INITIAL_OBJECTIVE_SHARE: f64 = 0.33;
 
@@ -27,6 +31,8 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Timing {
     mean_seconds: f64,
+    /// Mean distance to the mean, in seconds.
+    spread_seconds: f64,
     bytes: f64,
     timeout_share: f64,
     is_known: bool,
@@ -38,6 +44,7 @@
     pub fn new(objective: Duration) -> Self {
         Self {
             mean_seconds: objective.as_secs_f64() * INITIAL_OBJECTIVE_SHARE,
+            spread_seconds: 0.0,
             bytes: 0.0,
             timeout_share: 0.0,
             is_known: false,
@@ -50,6 +57,12 @@
         self.mean_seconds
     }
 
+    /// Returns the time in seconds within which nine in ten requests are answered.
+    #[must_use]
+    pub const fn probable(&self) -> f64 {
+        self.mean_seconds + NINE_IN_TEN_SPREADS * self.spread_seconds
+    }
+
     /// Returns the mean size of request and answer together, in KiB.
     #[must_use]
     pub const fn kib(&self) -> f64 {
@@ -83,8 +96,9 @@
             self.bytes = bytes;
             return;
         }
-        self.mean_seconds +=
-            (latency.min(self.mean_seconds * MAX_MEAN_RATIO) - self.mean_seconds) * MEAN_GAIN;
+        let distance = latency.min(self.mean_seconds * MAX_MEAN_RATIO) - self.mean_seconds;
+        self.spread_seconds += (distance.abs() - self.spread_seconds) * MEAN_GAIN;
+        self.mean_seconds += distance * MEAN_GAIN;
         self.bytes += (bytes - self.bytes) * MEAN_GAIN;
     }
 }
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -4,6 +4,8 @@
 mod cut_off;
 mod grey;
 mod limits;
+mod load;
+mod overload;
 mod pace;
 mod paced;
 mod queueing;
--- /dev/null
+++ b/crates/core/tests/dispatch/overload.rs
@@ -0,0 +1,202 @@
+//! Services that are asked for more than they offer: who is served, who waits and who is refused.
+
+use std::time::Duration;
+
+use persimmonbend_core::dispatch::Decision;
+
+use crate::load::Kind;
+use crate::load::Load;
+use crate::load::Run;
+use crate::world::LOW_PRIORITY;
+use crate::world::World;
+
+const WEIGHT: Kind = Kind {
+    name: "weight",
+    priority: 0,
+    work_ms: 300,
+    objective_ms: 1_500,
+    deadline_ms: 4_000,
+    per_second: 10.0,
+    burst: 1.0,
+};
+
+const SALE: Kind = Kind {
+    name: "sale",
+    priority: 1,
+    work_ms: 390,
+    deadline_ms: 6_000,
+    per_second: 20.0,
+    ..WEIGHT
+};
+
+const LISTING: Kind = Kind {
+    name: "listing",
+    priority: 2,
+    work_ms: 1_200,
+    objective_ms: 6_000,
+    deadline_ms: 12_000,
+    per_second: 10.0,
+    ..WEIGHT
+};
+
+const LOOKUP: Kind = Kind {
+    name: "lookup",
+    priority: 1,
+    work_ms: 60,
+    objective_ms: 300,
+    deadline_ms: 600,
+    per_second: 300.0,
+    burst: 1.0,
+};
+
+/// The usual load keeps about two of three slots busy.
+fn base() -> Load {
+    Load {
+        upstreams: 12,
+        kinds: vec![WEIGHT, SALE, LISTING],
+        tenants: vec![("only", 1.0, 1.0)],
+        burst_ms: 6_000..12_000,
+        end_ms: 30_000,
+        repeats: 0,
+    }
+}
+
+fn with_bursts(kinds: &[(Kind, f64)]) -> Vec<Kind> {
+    let each = kinds.iter();
+    each.map(|(kind, burst)| Kind {
+        burst: *burst,
+        ..*kind
+    })
+    .collect()
+}
+
+/// A listing holds its slot for four times as long as a weight.
+#[test]
+fn a_burst_of_slow_requests_does_not_hold_up_urgent_ones() {
+    for upstreams in [2, 4, 12] {
+        let scale = f64::from(upstreams) / 12.0;
+        let mut load = base();
+        load.upstreams = upstreams;
+        load.kinds = with_bursts(&[(WEIGHT, 1.0), (SALE, 1.0), (LISTING, 3.0)]);
+        for kind in &mut load.kinds {
+            kind.per_second *= scale;
+        }
+        let run = Run::play(load);
+        run.print();
+        let weights = run.kind("weight");
+        assert!(weights.timely_share() > 0.99, "{upstreams} upstreams");
+        assert!(weights.wait_ms(0.99) < 300, "{upstreams} upstreams");
+        assert!(
+            run.kind("sale").timely_share() > 0.97,
+            "{upstreams} upstreams"
+        );
+        assert!(
+            run.kind("listing").answered_share() > 0.25,
+            "{upstreams} upstreams"
+        );
+    }
+}
+
+/// First come, first served up to the deadline: all answers come after the objective.
+#[test]
+fn while_too_much_is_asked_what_is_served_is_served_in_time() {
+    for (kind, times) in [(LOOKUP, 3.0), (LOOKUP, 4.5)] {
+        let load = Load {
+            kinds: with_bursts(&[(kind, times)]),
+            ..base()
+        };
+        let run = Run::play(load);
+        run.print();
+        let possible = 36.0 / (kind.per_second * times * 0.06);
+        let tally = run.kind(kind.name);
+        assert!(tally.timely_share() > 0.9 * possible.min(1.0), "{possible}");
+        assert!(tally.late_refusals() < 0.05);
+    }
+}
+
+#[test]
+fn a_short_burst_of_all_kinds_is_served_by_priority() {
+    let mut load = base();
+    load.kinds = with_bursts(&[(WEIGHT, 2.4), (SALE, 2.4), (LISTING, 2.4)]);
+    let run = Run::play(load);
+    run.print();
+    assert!(run.kind("weight").timely_share() > 0.99);
+    assert!(run.kind("sale").timely_share() > 0.97);
+    assert!(run.kind("listing").answered_share() > 0.25);
+}
+
+/// A tenant at several times its usual filled the queue, and the others were refused at arrival.
+#[test]
+fn the_excess_of_one_tenant_is_its_own() {
+    for (times, kind) in [(8.0, LOOKUP), (5.0, LOOKUP), (8.0, SALE)] {
+        let mut tenants = vec![("large", 6.0, 1.0), ("loud", 3.0, times)];
+        tenants.extend(["t1", "t2", "t3", "t4", "t5", "t6"].map(|name| (name, 1.0, 1.0)));
+        let per_second = if kind.name == "sale" { 60.0 } else { 400.0 };
+        let load = Load {
+            kinds: vec![Kind { per_second, ..kind }],
+            tenants,
+            ..base()
+        };
+        let run = Run::play(load);
+        run.print();
+        for quiet in ["large", "t1", "t2", "t3", "t4", "t5", "t6"] {
+            let share = run.tenant(quiet).timely_share();
+            assert!(share > 0.995, "{times} times: {quiet} {share}");
+        }
+        // The room that the others leave is used.
+        let busy = per_second * kind.work_ms as f64 / 1_000.0;
+        let possible = (36.0 - busy * 12.0 / 15.0) / (busy * 3.0 / 15.0 * times);
+        let share = run.tenant("loud").answered_share();
+        assert!(share > 0.85 * possible.min(1.0), "{share} of {possible}");
+    }
+}
+
+#[test]
+fn clients_that_repeat_at_once_do_not_push_others_out() {
+    let mut load = base();
+    load.kinds = with_bursts(&[(WEIGHT, 1.0), (SALE, 1.5), (LISTING, 2.5)]);
+    load.repeats = 6;
+    let run = Run::play(load);
+    run.print();
+    assert!(run.kind("weight").timely_share() > 0.99);
+    assert!(run.kind("sale").timely_share() > 0.95);
+}
+
+/// The cost of one request must not grow with those that are queued.
+#[test]
+fn the_work_for_a_request_does_not_grow_with_the_queue() {
+    let steps_at = |upstreams: u32, queued: usize| {
+        let zones: Vec<&str> = ["a", "b", "c"]
+            .into_iter()
+            .cycle()
+            .take(upstreams as usize)
+            .collect();
+        let mut world = World::new(&zones);
+        let held: Vec<_> = (0..upstreams * 3)
+            .filter_map(|_| world.place(LOW_PRIORITY))
+            .collect();
+        for _ in 0..queued {
+            let mut request = world.request(LOW_PRIORITY);
+            request.deadline += Duration::from_secs(3_000);
+            assert_eq!(world.reserve(request), Decision::Queued);
+        }
+        let before = world.dispatcher.steps();
+        for (ticket, _) in held.iter().take(30) {
+            world.advance(Duration::from_millis(10));
+            world.dispatcher.tick(world.now);
+            let outcome = persimmonbend_core::health::Outcome::Answered;
+            world.release(ticket, outcome, Duration::from_millis(200));
+        }
+        (world.dispatcher.steps() - before) / 30
+    };
+    for upstreams in [36, 219, 432, 1_300] {
+        for queued in [40, 4_000] {
+            let steps = steps_at(upstreams, queued);
+            println!("{upstreams} upstreams, {queued} queued: {steps} steps");
+            assert!(
+                steps < 150,
+                "{upstreams} upstreams, {queued} queued: {steps}"
+            );
+        }
+    }
+}
