--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -31,11 +31,13 @@
 mod request;
 mod reserve;
 mod retries;
+mod review;
 mod statements;
 mod timing;
 mod upstream;
 mod usage;
 mod usual;
+mod view;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -71,6 +73,7 @@
 pub use upstream::Upstream;
 pub use usage::Usage;
 pub use usual::Usual;
+pub use view::Waiting;
 
 use crate::dispatch::contact::Contact;
 use crate::error::Kind;
@@ -78,7 +81,6 @@
 use crate::id::RouteId;
 use crate::id::ServiceId;
 use crate::poison;
-use crate::publication::Priority;
 use crate::publication::Publication;
 use crate::publication::Quota;
 use crate::roster::Entry;
@@ -228,15 +230,6 @@
     pub paused_hosts: usize,
 }
 
-/// The queued requests of one priority, for operators.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
-pub struct Waiting {
-    /// Requests that will probably be answered within their objective.
-    pub timely: usize,
-    /// Requests that will probably be answered later.
-    pub late: usize,
-}
-
 /// Chooses an upstream for each request of the fleet.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -476,36 +469,6 @@
         self.pools.get(service).map_or(0, Pool::queued)
     }
 
-    /// Returns the queued requests of each service, by rank.
-    pub fn queues(&self) -> impl Iterator<Item = (&ServiceId, BTreeMap<Priority, Waiting>)> {
-        let pools = self.pools.iter();
-        pools.map(|(service, pool)| {
-            let mut queues: BTreeMap<Priority, Waiting> = BTreeMap::new();
-            for (rank, line) in pool.backlog.lines() {
-                let waiting = queues.entry(rank.priority).or_default();
-                let count = if rank.is_late {
-                    &mut waiting.late
-                } else {
-                    &mut waiting.timely
-                };
-                *count += line.len();
-            }
-            (service, queues)
-        })
-    }
-
-    /// Returns the free slots that each service keeps from its slowest requests of least priority.
-    pub fn kept_slots(&self, now: Instant) -> impl Iterator<Item = (&ServiceId, u32)> {
-        let pools = self.pools.iter();
-        let kept = move |pool: &Pool| pool.kept_slots(Priority::MAX, Duration::MAX, now);
-        pools.map(move |(service, pool)| (service, kept(pool)))
-    }
-
-    /// Returns the refusals since the last call.
-    pub fn take_refusals(&mut self) -> Refusals {
-        std::mem::take(&mut self.refusals)
-    }
-
     /// Returns the ends of upstreams under the requests that they ran.
     #[must_use]
     pub const fn poison(&self) -> &poison::Ledger {
--- a/crates/core/src/dispatch/queueing.rs
+++ b/crates/core/src/dispatch/queueing.rs
@@ -31,16 +31,9 @@
 /// Longest time over which the returns of requests are spread that no upstream could take.
 const MAX_RETURN_SPREAD: Duration = Duration::from_secs(2);
 
-/// Divisor of the estimated wait of a request that is queued already, so that an estimate which varies
-/// does not refuse what it has just let in.
-const REVIEW_DIVISOR: f64 = 1.5;
-
 /// Share of the objective for which an urgent request may wait without harm.
 const PATIENCE_SHARE: f64 = 1.0 / 16.0;
 
-/// Most tenants of a line whose last requests are looked at in one tick.
-const MAX_REVIEWED_TENANTS: usize = 64;
-
 impl Dispatcher {
     /// Records a request that arrives, whatever becomes of it.
     pub(super) fn note_arrival(&mut self, request: &Request, route: &Route, now: Instant) {
@@ -127,16 +120,6 @@
         answers
     }
 
-    /// Looks again at queued requests of a service: puts those behind that can no longer be answered within
-    /// their objective, and refuses those that can no longer be answered in time, or that no upstream can
-    /// take any more.
-    pub(super) fn review(&mut self, service: &str, now: Instant) -> Vec<Answer> {
-        let mut answers = self.refuse_stranded(service, now);
-        answers.extend(self.review_due(service, now));
-        answers.extend(self.review_last(service, now));
-        answers
-    }
-
     /// Removes a queued request and returns its token.
     pub(super) fn withdraw(&mut self, ticket: &Ticket) {
         let mut pools = self.pools.values_mut();
@@ -183,7 +166,13 @@
     }
 
     /// Returns what a request that is not queued can expect.
-    fn prospect(&self, pool: &Pool, request: &Request, route: &Route, now: Instant) -> Prospect {
+    pub(super) fn prospect(
+        &self,
+        pool: &Pool,
+        request: &Request,
+        route: &Route,
+        now: Instant,
+    ) -> Prospect {
         let priority = self.priority(request, route);
         let tenant = request.tenant.as_deref().unwrap_or_default();
         let weight = self.weight(tenant);
@@ -233,7 +222,7 @@
     }
 
     /// Adds a request to the backlog of its service.
-    fn insert(&mut self, request: Request, route: &Route, is_late: bool, now: Instant) {
+    pub(super) fn insert(&mut self, request: Request, route: &Route, is_late: bool, now: Instant) {
         let run_time = self.run_time(&request, route);
         let pool = self.pools.get(&request.service);
         let cost = pool.map_or(run_time, |pool| pool.cost(run_time.as_secs_f64()));
@@ -258,7 +247,13 @@
     }
 
     /// Refuses a request and returns its token.
-    fn refuse(&mut self, request: Request, kind: Kind, wait: Duration, now: Instant) -> Answer {
+    pub(super) fn refuse(
+        &mut self,
+        request: Request,
+        kind: Kind,
+        wait: Duration,
+        now: Instant,
+    ) -> Answer {
         self.refund(&request);
         let wait = if kind == Kind::NoUpstream {
             self.spread_return(&request.service, wait, now)
@@ -269,123 +264,6 @@
         refused(request.ticket, kind, wait)
     }
 
-    /// Refuses the queued requests that no upstream can take any more.
-    fn refuse_stranded(&mut self, service: &str, now: Instant) -> Vec<Answer> {
-        let Some(pool) = self.pools.get(service) else {
-            return Vec::new();
-        };
-        let is_closed = pool.free().capacity() <= 0.0;
-        let only_tried = !is_closed && self.ledger.has_no_pauses();
-        let mut answers = Vec::new();
-        for ticket in pool.backlog.tickets(only_tried) {
-            self.steps += 1;
-            let pool = self.pools.get(service);
-            let request = pool.and_then(|pool| pool.backlog.get(&ticket));
-            let wait = request.and_then(|request| self.time_without_upstream(request, now));
-            if let Some(wait) = wait
-                && let Some(request) = self.remove(service, &ticket)
-            {
-                answers.push(self.refuse(request, Kind::NoUpstream, wait, now));
-            }
-        }
-        answers
-    }
-
-    /// Looks again at the requests whose objective or deadline can no longer be met.
-    fn review_due(&mut self, service: &str, now: Instant) -> Vec<Answer> {
-        let Some(pool) = self.pools.get(service) else {
-            return Vec::new();
-        };
-        let mut answers = Vec::new();
-        for ticket in pool.backlog.due(now) {
-            self.steps += 1;
-            let pool = self.pools.get_mut(service);
-            let Some((rank, request)) = pool.and_then(|pool| pool.backlog.remove(&ticket)) else {
-                continue;
-            };
-            answers.extend(self.demote(request, rank, now));
-        }
-        answers
-    }
-
-    /// Looks again at the last request of each tenant and at those before it, as long as the queue ahead has
-    /// grown too long for them: more urgent ones have arrived, or upstreams were lost.
-    ///
-    /// Requests that wait although slots are free wait for a better one, and get one of these at last.
-    fn review_last(&mut self, service: &str, now: Instant) -> Vec<Answer> {
-        let pool = self.pools.get(service);
-        let Some(pool) = pool.filter(|pool| pool.is_full(now)) else {
-            return Vec::new();
-        };
-        let lines = pool.backlog.lines();
-        let pairs: Vec<(Rank, String)> = lines
-            .flat_map(|(rank, line)| {
-                let tenants = line.turns().take(MAX_REVIEWED_TENANTS);
-                tenants.map(move |tenant| (rank, tenant.clone()))
-            })
-            .collect();
-        let mut answers = Vec::new();
-        for (rank, tenant) in pairs {
-            while let Some(ticket) = self.hopeless(service, rank, &tenant, now) {
-                let Some(request) = self.remove(service, &ticket) else {
-                    break;
-                };
-                answers.extend(self.demote(request, rank, now));
-            }
-        }
-        answers
-    }
-
-    /// Returns the last request of a tenant if it waits too far behind for its rank.
-    fn hopeless(
-        &mut self,
-        service: &str,
-        rank: Rank,
-        tenant: &str,
-        now: Instant,
-    ) -> Option<Ticket> {
-        self.steps += 1;
-        let pool = self.pools.get(service)?;
-        let (request, before) = pool.backlog.line(rank)?.last(tenant)?;
-        let route = self.publication.routes.get(&request.route)?;
-        let mut prospect = self.prospect(pool, request, route, now);
-        let before = (pool.backlog.work_ahead(rank) + before).div_f64(REVIEW_DIVISOR);
-        (prospect.ahead, prospect.behind) = (before, before);
-        let own = pool.backlog.line(rank)?.work_of(tenant);
-        prospect.own = own.div_f64(REVIEW_DIVISOR);
-        let verdict = prospect.verdict();
-        let is_hopeless = match verdict {
-            Verdict::Timely(_) => false,
-            Verdict::Late(_) => !rank.is_late,
-            Verdict::Refused(_) => true,
-        };
-        is_hopeless.then(|| request.ticket.clone())
-    }
-
-    /// Puts a request that was taken from the backlog behind the others of its priority, or refuses it.
-    fn demote(&mut self, request: Request, rank: Rank, now: Instant) -> Option<Answer> {
-        let publication = std::rc::Rc::clone(&self.publication);
-        let route = publication.routes.get(&request.route);
-        let Some(route) = route.filter(|_| !self.is_too_late(&request, now)) else {
-            return Some(self.refuse(request, Kind::Overloaded, MIN_RETRY_AFTER, now));
-        };
-        let Some(pool) = self.pools.get(&request.service) else {
-            return Some(self.refuse(request, Kind::NoUpstream, MIN_RETRY_AFTER, now));
-        };
-        let prospect = self.prospect(pool, &request, route, now);
-        let wait = prospect.late_wait();
-        if rank.is_late || wait + prospect.run_time > prospect.deadline_left {
-            return Some(self.refuse(request, Kind::Overloaded, wait, now));
-        }
-        self.insert(request, route, true, now);
-        None
-    }
-
-    fn remove(&mut self, service: &str, ticket: &Ticket) -> Option<Request> {
-        let pool = self.pools.get_mut(service)?;
-        pool.backlog.remove(ticket).map(|(_, request)| request)
-    }
-
     /// Returns the share of a tenant among those of one priority.
     fn weight(&self, tenant: &str) -> f64 {
         let known = self.publication.tenants.get(tenant);
@@ -394,7 +272,7 @@
         self.usage.weight(tenant, quota)
     }
 
-    fn run_time(&self, request: &Request, route: &Route) -> Duration {
+    pub(super) fn run_time(&self, request: &Request, route: &Route) -> Duration {
         Duration::from_secs_f64(self.timing(&request.route, route).mean())
     }
 
@@ -404,7 +282,11 @@
 
     /// Returns how long no upstream can take a request: none is open, or each of them has been tried or wants
     /// no requests from the host. Returns `None` if there is an upstream to wait for.
-    fn time_without_upstream(&self, request: &Request, now: Instant) -> Option<Duration> {
+    pub(super) fn time_without_upstream(
+        &self,
+        request: &Request,
+        now: Instant,
+    ) -> Option<Duration> {
         let pool = self.pools.get(&request.service)?;
         if pool.free().capacity() <= 0.0 {
             return Some(MIN_RETRY_AFTER * 2);
@@ -440,14 +322,6 @@
         pool.next_return = Some(at + step);
         at - now
     }
-
-    /// Returns whether less than half of the mean time of its route is left to a queued request.
-    fn is_too_late(&self, request: &Request, now: Instant) -> bool {
-        let Some(route) = self.publication.routes.get(&request.route) else {
-            return true;
-        };
-        now + self.run_time(request, route) / 2 > request.deadline
-    }
 }
 
 /// Returns whether a service has a free slot for queued requests: that of a healthy upstream, or of any
--- a/crates/core/tests/dispatch/overload.rs
+++ b/crates/core/tests/dispatch/overload.rs
@@ -2,12 +2,17 @@
 
 use std::time::Duration;
 
+use persimmonbend_core::dispatch::Answer;
 use persimmonbend_core::dispatch::Decision;
+use persimmonbend_core::error;
+use persimmonbend_core::upstream::Stage;
 
 use crate::load::Kind;
 use crate::load::Load;
 use crate::load::Run;
 use crate::world::LOW_PRIORITY;
+use crate::world::NON_IDEMPOTENT;
+use crate::world::SERVICE;
 use crate::world::World;
 
 const WEIGHT: Kind = Kind {
@@ -200,3 +205,47 @@
         }
     }
 }
+
+/// Requests that were queued before most upstreams were lost waited in vain up to their deadline.
+#[test]
+fn queued_requests_are_refused_early_after_the_loss_of_upstreams() {
+    let mut world = World::new(&["a"; 12]);
+    let count = (0..36).filter_map(|_| world.place(NON_IDEMPOTENT)).count();
+    assert_eq!(count, 36);
+    let requests: Vec<_> = (0..60).map(|_| world.request(NON_IDEMPOTENT)).collect();
+    let is_queued = |world: &mut World, request| world.reserve(request) == Decision::Queued;
+    let queued = requests
+        .into_iter()
+        .filter(|request| is_queued(&mut world, request.clone()))
+        .count();
+    assert!(queued > 30, "{queued}");
+    for number in 2..=12 {
+        world.update_upstream(number, "a", Stage::Draining);
+    }
+    world.advance(Duration::from_millis(50));
+    let answers = world.dispatcher.tick(world.now);
+    let is_refused = |answer: &&Answer| {
+        let decision = answer.decision;
+        matches!(
+            decision,
+            Decision::Refused {
+                kind: error::Kind::Overloaded,
+                ..
+            }
+        )
+    };
+    let refused = answers.iter().filter(is_refused).count();
+    let left = world.dispatcher.queued(SERVICE);
+    // Three slots serve about twelve requests of 330 ms before the deadline of 2 s.
+    assert!(refused > queued / 2, "{refused} of {queued}");
+    assert!((3..=24).contains(&left), "{left} of {queued}");
+}
+
+/// Slots that a new dispatcher kept for urgent requests it had not seen would be idle.
+#[test]
+fn a_dispatcher_that_has_seen_nothing_urgent_keeps_no_slots() {
+    let mut world = World::new(&["a"]);
+    for _ in 0..3 {
+        assert!(world.place(LOW_PRIORITY).is_some());
+    }
+}
--- a/programs/pb-control/src/dispatch/state.rs
+++ b/programs/pb-control/src/dispatch/state.rs
@@ -147,8 +147,11 @@
         let queued: usize = queued
             .map(|service| self.hosts.dispatcher().queued(service))
             .sum();
-        let retries: BTreeMap<&String, f64> = self.hosts.dispatcher().retries_left().collect();
+        let refusals = self.hosts.dispatcher_mut().take_refusals();
         let dispatcher = self.hosts.dispatcher();
+        let retries: BTreeMap<&String, f64> = dispatcher.retries_left().collect();
+        let queues: BTreeMap<&String, _> = dispatcher.queues().collect();
+        let kept: BTreeMap<&String, u32> = dispatcher.kept_slots(now).collect();
         info!(
             hosts = self.hosts.len(),
             suspects = dispatcher.suspects(now).len(),
@@ -156,6 +159,9 @@
             retries = %json!(retries),
             joins = self.load.joins,
             queued,
+            queues = %json!(queues),
+            kept = %json!(kept),
+            refusals = %json!(refusals),
             steps = steps - self.load.steps,
             max_delay_ms = dispatch::millis(self.load.max_delay),
             frames = %json!(meter::frames()),
