fix(core): a tenant's turn counts what it took beyond it; test that no kind starves beside shorter ones

The first request of a flow decides whether the turn has enough left, so that a longer one is not passed by shorter ones behind it.

--- a/crates/core/src/dispatch/line.rs
+++ b/crates/core/src/dispatch/line.rs
@@ -44,7 +44,8 @@
 #[derive(Debug)]
 struct Flow {
     weight: f64,
-    deficit: Duration,
+    /// Slot time that the tenant may still take in its turn, in seconds; negative if it has taken more.
+    deficit: f64,
     work: Duration,
     entries: BTreeMap<Sequence, Entry>,
 }
@@ -149,7 +150,7 @@
         }
         let flow = self.flows.entry(tenant.to_owned()).or_insert_with(|| Flow {
             weight: 0.0,
-            deficit: quantum,
+            deficit: quantum.as_secs_f64(),
             work: Duration::ZERO,
             entries: BTreeMap::new(),
         });
@@ -170,9 +171,8 @@
         while skipped < self.turns.len() {
             let tenant = self.turns.front()?.clone();
             let flow = self.flows.get(&tenant)?;
-            let least = flow.entries.values().take(LOOK_AHEAD);
-            let least = least.map(|entry| entry.cost).min()?;
-            if flow.deficit < least {
+            let (_, first) = flow.entries.first_key_value()?;
+            if flow.deficit < first.cost.as_secs_f64() {
                 self.end_turn(&tenant);
                 continue;
             }
@@ -183,7 +183,7 @@
             };
             let flow = self.flows.get_mut(&tenant)?;
             let cost = flow.entries.get(&sequence)?.cost;
-            flow.deficit = flow.deficit.saturating_sub(cost);
+            flow.deficit -= cost.as_secs_f64();
             let request = self.remove(&tenant, sequence)?;
             return Some((request, found));
         }
@@ -211,7 +211,7 @@
         let quantum = self.quantum;
         if let Some(flow) = self.flows.get_mut(tenant) {
             let turn = (flow.weight / mean).clamp(MIN_TURN, MAX_TURN);
-            flow.deficit += quantum.mul_f64(turn);
+            flow.deficit += quantum.as_secs_f64() * turn;
         }
         self.turns.rotate_left(1);
     }
@@ -231,9 +231,8 @@
     where
         F: FnMut(&Request) -> Option<P>,
     {
-        let front = self.entries.iter().take(LOOK_AHEAD);
-        let mut affordable = front.filter(|(_, entry)| entry.cost <= self.deficit);
-        affordable.find_map(|(sequence, entry)| {
+        let mut front = self.entries.iter().take(LOOK_AHEAD);
+        front.find_map(|(sequence, entry)| {
             let found = place(&entry.request)?;
             Some((*sequence, found))
         })
--- a/crates/core/tests/dispatch/overload.rs
+++ b/crates/core/tests/dispatch/overload.rs
@@ -249,3 +249,28 @@
         assert!(world.place(LOW_PRIORITY).is_some());
     }
 }
+
+/// Shorter requests of the same priority can wait for longer within their objective.
+#[test]
+fn no_kind_starves_beside_shorter_requests_of_its_priority() {
+    let slow = Kind {
+        name: "slow",
+        work_ms: 600,
+        per_second: 20.0,
+        ..SALE
+    };
+    let fast = Kind {
+        name: "fast",
+        work_ms: 100,
+        per_second: 120.0,
+        ..SALE
+    };
+    let load = Load {
+        kinds: with_bursts(&[(slow, 2.0), (fast, 2.0)]),
+        ..base()
+    };
+    let run = Run::play(load);
+    run.print();
+    let all = run.tenant("only").answered_share();
+    assert!(run.kind("slow").answered_share() > 0.25 * all);
+}
