--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -12,23 +12,34 @@
 //! its deadline is refused at once, with the time after which the queue ahead of it will probably
 //! have been served.
 
+mod admission;
+mod backlog;
 mod belief;
 mod contact;
 mod cost;
+mod demand;
 mod failures;
 mod free;
 mod hedge;
 mod latencies;
+mod line;
 mod observation;
 mod pace;
 mod placing;
 mod pool;
+mod queueing;
 mod quotas;
+mod refusals;
 mod request;
+mod reserve;
 mod retries;
+mod review;
 mod statements;
 mod timing;
 mod upstream;
+mod usage;
+mod usual;
+mod view;
 mod warmup;
 
 use std::collections::BTreeMap;
@@ -39,8 +50,13 @@
 
 use serde::Serialize;
 
+pub use admission::Prospect;
+pub use admission::Verdict;
 pub use belief::Belief;
 pub use cost::Attempt;
+pub use demand::Demand;
+pub use demand::Hold;
+pub use demand::Level;
 pub use failures::Failures;
 pub use free::Free;
 pub use hedge::Counts;
@@ -49,14 +65,19 @@
 pub use quotas::Quotas;
 pub use quotas::Share;
 pub use quotas::share_without_leader;
+pub use refusals::Refusals;
 pub use request::Answer;
 pub use request::Completion;
 pub use request::Decision;
 pub use request::Request;
+pub use reserve::Reserve;
 pub use retries::Budget;
 pub use retries::Retries;
 pub use timing::Timing;
 pub use upstream::Upstream;
+pub use usage::Usage;
+pub use usual::Usual;
+pub use view::Waiting;
 
 use crate::dispatch::contact::Contact;
 use crate::dispatch::warmup::Cold;
@@ -161,6 +182,8 @@
     /// Zone of the host, if it is known.
     zone: Zone,
     route: RouteId,
+    /// What the request takes of the service.
+    hold: Hold,
     since: Instant,
     /// Whether no other attempt of the request may follow.
     is_last: bool,
@@ -238,6 +261,7 @@
     slots_in_use: BTreeMap<Ticket, Slot>,
     timings: BTreeMap<RouteId, Timing>,
     quotas: Quotas,
+    usage: Usage,
     hosts: BTreeMap<HostId, Host>,
     /// What upstreams have stated about themselves.
     ledger: Ledger,
@@ -253,6 +277,8 @@
     unreachable_until: BTreeMap<(HostId, Number), Instant>,
     /// Requests and upstreams that were looked at to place requests.
     steps: u64,
+    /// Refused requests since [`Dispatcher::take_refusals`].
+    refusals: Refusals,
 }
 
 impl Dispatcher {
@@ -269,6 +295,7 @@
             slots_in_use: BTreeMap::new(),
             timings: BTreeMap::new(),
             quotas: Quotas::default(),
+            usage: Usage::default(),
             hosts: BTreeMap::new(),
             ledger: Ledger::default(),
             cold: Cold::default(),
@@ -277,6 +304,7 @@
             ended_limits: Vec::new(),
             unreachable_until: BTreeMap::new(),
             steps: 0,
+            refusals: Refusals::default(),
         }
     }
 
@@ -307,6 +335,8 @@
         };
         self.quotas.retain(limited);
         let has_new_terms = self.publication.terms != publication.terms;
+        self.usage
+            .retain(|tenant| publication.tenants.contains_key(tenant));
         self.publication = publication;
         if has_new_terms {
             self.apply_terms(now);
@@ -518,11 +548,16 @@
         if !self.change_upstream(placement.upstream, now, |state| state.running += 1) {
             return;
         }
+        let hold = self.hold(&placement.service, &placement.route, None);
+        if let Some(pool) = self.pools.get_mut(&placement.service) {
+            pool.demand.note_grant(hold);
+        }
         let slot = Slot {
             service: placement.service,
             upstream: placement.upstream,
             zone: Zone::new(),
             route: placement.route,
+            hold,
             since: now,
             is_last: false,
             is_trial: false,
@@ -563,21 +598,15 @@
             pool.retry_budget.deposit(&retries);
             self.deposit_hedge(&request.service);
         }
+        self.note_arrival(&request, route, now);
         let priority = self.priority(&request, route);
         if self.is_next(&request, route, priority, now)
+            && !self.is_kept_from(&request, now)
             && let Some(choice) = self.choose(&request, now)
         {
             return vec![self.grant(request, choice, now)];
         }
-        if let Some((kind, wait)) = self.refusal(&request, priority, now) {
-            let wait = self.spread_return(&request.service, kind, wait, now);
-            self.refund(&request);
-            if let Some(pool) = self.pools.get_mut(&request.service) {
-                pool.failures.observe_refusal(now);
-            }
-            return vec![refused(request.ticket, kind, wait)];
-        }
-        self.enqueue(request, priority)
+        self.enqueue(request, route, now)
     }
 
     /// Releases the slot of an attempt that has ended and records its outcome, or withdraws a
@@ -591,7 +620,7 @@
         now: Instant,
     ) -> Vec<Answer> {
         let Some(slot) = self.free_slot(ticket, now) else {
-            self.withdraw(|request| request.ticket == *ticket);
+            self.withdraw(ticket);
             return Vec::new();
         };
         self.record_completion(&ticket.host, &slot, completion, now);
@@ -617,11 +646,12 @@
         self.hosts.retain(|_, host| is_kept(host));
         for pool in self.pools.values_mut() {
             pool.refresh_all(now);
+            pool.demand.expire(now);
         }
         let services: Vec<ServiceId> = self.pools.keys().cloned().collect();
         let mut answers = Vec::new();
         for service in services {
-            answers.extend(self.refuse_late(&service, now));
+            answers.extend(self.review(&service, now));
             answers.extend(self.place_queued(&service, now));
         }
         answers
@@ -693,7 +723,7 @@
         for ticket in tickets {
             services.extend(self.free_slot(&ticket, now).map(|slot| slot.service));
         }
-        self.withdraw(|request| request.ticket.host == host);
+        self.withdraw_host(host);
         let served = services
             .iter()
             .map(|service| self.place_queued(service, now));
@@ -702,6 +732,9 @@
 
     fn free_slot(&mut self, ticket: &Ticket, now: Instant) -> Option<Slot> {
         let slot = self.slots_in_use.remove(ticket)?;
+        if let Some(pool) = self.pools.get_mut(&slot.service) {
+            pool.demand.note_end(slot.hold);
+        }
         self.change_upstream(slot.upstream, now, |state| {
             state.running = state.running.saturating_sub(1);
         });
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -9,6 +9,8 @@
 mod hedge;
 mod hedge_load;
 mod limits;
+mod load;
+mod overload;
 mod pace;
 mod paced;
 mod queueing;
