fix(core): lost answers count once the path of their host is proven, whatever others were answered

A host that met two such upstreams in a row counted as cut off, and what it had seen was dropped, as the upstreams answered others in between.

Change: only a missing listener is refuted by an answer to somebody else; a lost answer counts once an upstream responds to its host within a second.

Seen to fail before: `lost_answers_at_two_upstreams_in_a_row_count_once_a_third_responds_to_the_host`.

--- a/crates/core/src/dispatch/contact.rs
+++ b/crates/core/src/dispatch/contact.rs
@@ -238,22 +238,18 @@
             .collect()
     }
 
-    /// Returns the charge of a silence that speaks against its upstream, unless the upstream has responded to
-    /// another host since.
+    /// Returns the charge of a silence that speaks against its upstream, unless no listener was found and the
+    /// upstream has responded to another host since.
     fn charge(&mut self, host: &str, zone: &str, silence: Silence, now: Instant) -> Option<Charge> {
         let record = self.upstreams.entry(silence.upstream).or_default();
         let is_proven_alive = record.last_response.is_some_and(|at| at > silence.since);
-        if silence.finding == Finding::Unanswered {
-            return (!is_proven_alive || self.hosts.contains_key(host)).then_some(Charge {
-                upstream: silence.upstream,
-                ratio: silence.ratio,
-                dead_until: record.dead_until,
-            });
-        }
-        if is_proven_alive {
-            return None;
+        // An upstream may answer some requests and lose others, but it listens for all of them or for none.
+        if silence.finding != Finding::Unanswered {
+            if is_proven_alive {
+                return None;
+            }
+            record.note_witness(host, zone, silence.ratio, now);
         }
-        record.note_witness(host, zone, silence.ratio, now);
         Some(Charge {
             upstream: silence.upstream,
             ratio: silence.ratio,
--- a/crates/core/tests/dispatch/cut_off.rs
+++ b/crates/core/tests/dispatch/cut_off.rs
@@ -105,3 +105,43 @@
     let most = others.map(grey).fold(0.0, f64::max);
     assert!(grey(failing) > 2.0 * most, "{} and {most}", grey(failing));
 }
+
+/// Many upstreams lost a part of their answers; a host that met two of them in a row counted as cut off, and what
+/// it had seen never counted, though it was answered by a third a moment later.
+#[test]
+fn lost_answers_at_two_upstreams_in_a_row_count_once_a_third_responds_to_the_host() {
+    let mut world = World::new(&["a"; UPSTREAMS]);
+    warm_up(&mut world);
+    let mut losing = Vec::new();
+    for _ in 0..2 {
+        let (ticket, upstream) = place(&mut world, "host-2", NON_IDEMPOTENT);
+        world.advance(Duration::from_millis(20));
+        world.release(&ticket, Outcome::Truncated, Duration::from_millis(20));
+        losing.push(upstream);
+    }
+    assert_ne!(losing[0], losing[1]);
+    // Other hosts are answered by the same upstreams now and then.
+    let placed: Vec<_> = (0..3 * UPSTREAMS)
+        .map(|_| world.place(IDEMPOTENT).expect("a slot"))
+        .collect();
+    world.advance(Duration::from_millis(50));
+    for (ticket, _) in placed {
+        world.release(&ticket, Outcome::Answered, Duration::from_millis(50));
+    }
+    let before: Vec<f64> = losing
+        .iter()
+        .map(|one| world.dispatcher.grey(*one, world.now).expect("a belief"))
+        .collect();
+    let (ticket, other) = place(&mut world, "host-2", NON_IDEMPOTENT);
+    world.release(&ticket, Outcome::Answered, Duration::from_millis(20));
+    for (upstream, before) in losing.into_iter().zip(before) {
+        let grey = world
+            .dispatcher
+            .grey(upstream, world.now)
+            .expect("a belief");
+        assert!(
+            upstream == other || grey > 2.0 * before,
+            "{upstream}: {grey} after {before}"
+        );
+    }
+}
