--- a/crates/core/tests/dispatch/overload.rs
+++ b/crates/core/tests/dispatch/overload.rs
@@ -274,3 +274,25 @@
     let all = run.tenant("only").answered_share();
     assert!(run.kind("slow").answered_share() > 0.25 * all);
 }
+
+/// With equal shares, a large tenant lost what it had to the excess of a smaller one.
+#[test]
+fn a_large_tenant_keeps_what_it_had_beside_the_excess_of_a_small_one() {
+    let kind = Kind {
+        per_second: 500.0,
+        ..LOOKUP
+    };
+    let load = Load {
+        kinds: vec![kind],
+        tenants: vec![
+            ("large", 12.0, 1.0),
+            ("loud", 3.0, 8.0),
+            ("other", 6.0, 1.0),
+        ],
+        ..base()
+    };
+    let run = Run::play(load);
+    run.print();
+    assert!(run.tenant("large").timely_share() > 0.995);
+    assert!(run.tenant("other").timely_share() > 0.995);
+}
