fix(proxy): a request from an address of no host is refused as not sent

Cause: the connection was closed, which the other host read as a request that may have run: in a run of all tests of the platform under load (load average 30) a_request_from_an_address_of_no_host_is_not_sent got another answer than 503. A host that the leader does not know yet would have lost the request of its client. Change: each request is checked, and refused with the fault that says that it was not sent.

--- a/programs/pb-proxy/src/gateway/detour/admission.rs
+++ b/programs/pb-proxy/src/gateway/detour/admission.rs
@@ -1,4 +1,4 @@
-//! Whether a connection for requests of other hosts comes from a host of the fleet.
+//! Whether a request for an upstream comes from a host of the fleet.
 //!
 //! Where the fleet has a secret, its handshake proves that. Without one, the address has to be that of a host: one
 //! of the relays that the leader last listed, or one that the leader names when it is asked. The answer is kept for
@@ -48,7 +48,7 @@
 }
 
 impl Admission {
-    /// Returns whether connections from an address are served; counts and logs those that are not.
+    /// Returns whether requests from an address are sent; counts and logs those that are not.
     pub async fn admits(&self, state: &State, from: IpAddr) -> bool {
         let is_admitted = !state.settings().secret.is_open() || self.is_host(state, from).await;
         if !is_admitted {
@@ -75,7 +75,7 @@
         self.answered.notify(usize::MAX);
     }
 
-    /// Returns the number of connections that were refused.
+    /// Returns the number of requests that were refused.
     #[must_use]
     pub const fn refused(&self) -> u64 {
         self.refused.get()
--- a/programs/pb-proxy/src/gateway/detour/server.rs
+++ b/programs/pb-proxy/src/gateway/detour/server.rs
@@ -29,6 +29,7 @@
 use persimmonbend_app::http::Body;
 use persimmonbend_app::http::Handler;
 use persimmonbend_app::http::Limits;
+use persimmonbend_app::http::Origin;
 use persimmonbend_core::id::ServiceId;
 use persimmonbend_core::roster::Entry;
 use persimmonbend_wire::listener;
@@ -78,13 +79,8 @@
         if stop.is_asked() || Rc::strong_count(&endpoint) > MAX_CONNECTIONS {
             return;
         }
-        let (state, endpoint, stop) = (Rc::clone(&state), Rc::clone(&endpoint), stop.clone());
-        spawn(async move {
-            if state.detours().admission().admits(&state, from.ip()).await {
-                http::serve_connection(stream, from, LIMITS, endpoint, stop).await;
-            }
-        })
-        .detach();
+        let (endpoint, stop) = (Rc::clone(&endpoint), stop.clone());
+        spawn(http::serve_connection(stream, from, LIMITS, endpoint, stop)).detach();
     })
 }
 
@@ -104,6 +100,16 @@
 
 impl Handler for Endpoint {
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let from = request.extensions().get::<Origin>().copied();
+        let admission = self.state.detours().admission();
+        // A host that is not known yet has to learn that its request was not sent.
+        let is_admitted = match from {
+            Some(Origin(from)) => admission.admits(&self.state, from.ip()).await,
+            None => false,
+        };
+        if !is_admitted {
+            return refusal(Fault::Blocked);
+        }
         let running = Running::new(&self.state);
         let id = self.state.dialect().read(request.headers()).id;
         match self.forward(request, running).await {
--- a/programs/pb-proxy/src/gateway/meters.rs
+++ b/programs/pb-proxy/src/gateway/meters.rs
@@ -73,7 +73,7 @@
                 .gauge("control_heard", "1 while the leader of control is heard."),
             detours_refused: registry.gauge(
                 "detours_refused",
-                "Connections for requests of other hosts from addresses that are those of no host.",
+                "Requests for upstreams from addresses that are those of no host.",
             ),
             skipped: registry.gauge(
                 "frames_skipped",
