--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -11,7 +11,7 @@
 //! for both, with [`Frame::Subscribe`].
 //!
 //! Builds of two versions share links while hosts are replaced: fields are only appended, with
-//! [`trailing`], and a new frame is only sent to a build that reads it, see [`Level`]. A frame that
+//! `trailing`, and a new frame is only sent to a build that reads it, see [`Level`]. A frame that
 //! cannot be decoded is skipped.
 //!
 //! A frame is encoded by postcard and preceded by its length; one write carries all queued frames.
