--- a/programs/pb-proxy/src/gateway/meters.rs
+++ b/programs/pb-proxy/src/gateway/meters.rs
@@ -90,7 +90,7 @@
             ),
             detours_refused: registry.gauge(
                 "detours_refused",
-                "Connections for requests of other hosts from addresses that are those of no host.",
+                "Requests for upstreams from addresses that are those of no host.",
             ),
             skipped: registry.gauge(
                 "frames_skipped",
