fix(core): the next request in line gets the next slot, whatever arrives

Cause: a request that waited for the permit of a paced upstream was refused in the review of the queue: the slots that a paced service keeps busy are few, and what had arrived of its own priority was counted against it though nobody was queued before it. Change: with nobody queued before it, only more urgent arrivals count against a request.

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -17,6 +17,7 @@
 //!     ahead: second * 30,
 //!     behind: second * 30,
 //!     own: second * 3,
+//!     cost: second / 4,
 //!     own_share: 0.1,
 //!     capacity: 100.0,
 //!     urgent_load: Level { lately: 40.0, usual: 40.0 },
@@ -60,6 +61,8 @@
     pub behind: Duration,
     /// Slot time of the queued requests of the same tenant and of this one.
     pub own: Duration,
+    /// Slot time of this request.
+    pub cost: Duration,
     /// Least share that its tenant gets of what more urgent requests leave.
     pub own_share: f64,
     /// Slots that the service can keep busy.
@@ -111,7 +114,13 @@
     /// Returns the expected wait behind the requests that will be answered within their objective.
     #[must_use]
     pub fn late_wait(&self) -> Duration {
-        let load = self.urgent_load + self.equal_load;
+        // With nobody queued before it, the request gets the next slot that more urgent ones leave.
+        let is_next = self.behind <= self.cost;
+        let load = if is_next {
+            self.urgent_load
+        } else {
+            self.urgent_load + self.equal_load
+        };
         self.time_for(self.behind, load, MIN_LATE_SHARE, LATE_BURST_SECONDS)
     }
 
--- a/crates/core/src/dispatch/queueing.rs
+++ b/crates/core/src/dispatch/queueing.rs
@@ -192,6 +192,7 @@
         let own_share = line.map_or(1.0, |line| line.share_of(tenant, weight));
         Prospect {
             own: own + cost,
+            cost,
             own_share,
             ahead: before(false),
             behind: before(true),
