--- a/programs/pb-proxy/src/gateway/placement/reserve.rs
+++ b/programs/pb-proxy/src/gateway/placement/reserve.rs
@@ -43,6 +43,10 @@
 /// Number of upstreams to avoid from which on a grant of an unknown one is not given back any more.
 const MAX_UNKNOWN_UPSTREAMS: usize = 8;
 
+/// Number of grants that this host cannot use after which it decides itself: it lags behind the dispatcher, which
+/// may go on granting the upstreams of a zone that was just taken back.
+const MAX_REJECTED_GRANTS: u32 = 3;
+
 /// Longest retry-after of a request that was refused without the leader. Another host may have a
 /// token left, and the next leader is elected within a second or two.
 const MAX_LOCAL_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -73,13 +77,16 @@
         let mut criteria = criteria.clone();
         let criteria = &mut criteria;
         let until = criteria.arrived + criteria.objective.mul_f64(QUOTA_WAIT_FRACTION);
+        let mut rejected = 0;
         loop {
-            if let Some(link) = placer.usable_link(state.now()) {
+            let link = placer.usable_link(state.now());
+            if let Some(link) = link.filter(|_| rejected < MAX_REJECTED_GRANTS) {
                 let number = placer.next_number();
                 let decision = placer.ask_dispatcher(state, &link, number, criteria).await;
                 if let Some(decision) = decision {
                     if placer.rejects_grant(state, number, decision, criteria) {
                         link.send(cancellation_frame(number));
+                        rejected += 1;
                         continue;
                     }
                     if !placer.via_deputy.get() {
