refactor: split the dispatcher by responsibility

Change: policy.rs, slots.rs, hosts.rs, members.rs, tokens.rs and load.rs take them; dispatch.rs keeps the dispatcher's state and the three events. Items moved only, with their visibility set to the parent module.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -21,11 +21,15 @@
 mod failures;
 mod free;
 mod hedge;
+mod hosts;
 mod latencies;
 mod line;
+mod load;
+mod members;
 mod observation;
 mod pace;
 mod placing;
+mod policy;
 mod pool;
 mod queueing;
 mod quotas;
@@ -34,8 +38,10 @@
 mod reserve;
 mod retries;
 mod review;
+mod slots;
 mod statements;
 mod timing;
+mod tokens;
 mod upstream;
 mod usage;
 mod usual;
@@ -48,8 +54,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use serde::Serialize;
-
 pub use admission::Prospect;
 pub use admission::Verdict;
 pub use belief::Belief;
@@ -60,7 +64,11 @@
 pub use failures::Failures;
 pub use free::Free;
 pub use hedge::Counts;
+pub use load::Load;
 pub use pace::Pace;
+pub use policy::Balance;
+pub use policy::Policy;
+pub use policy::Tolerance;
 pub use pool::Pool;
 pub use quotas::Quotas;
 pub use quotas::Share;
@@ -73,6 +81,7 @@
 pub use reserve::Reserve;
 pub use retries::Budget;
 pub use retries::Retries;
+pub use slots::Placement;
 pub use timing::Timing;
 pub use upstream::Upstream;
 pub use usage::Usage;
@@ -80,121 +89,27 @@
 pub use view::Waiting;
 
 use crate::dispatch::contact::Contact;
+use crate::dispatch::hosts::DISCONNECTED_HOST_SHARE_TIME;
+use crate::dispatch::hosts::Host;
+use crate::dispatch::slots::Slot;
 use crate::dispatch::warmup::Cold;
 use crate::error::Kind;
 use crate::health::Outcome;
 use crate::id::HostId;
 use crate::id::RouteId;
 use crate::id::ServiceId;
-use crate::id::Zone;
 use crate::poison;
 use crate::publication::Publication;
-use crate::publication::Quota;
-use crate::roster::Entry;
 use crate::roster::Number;
 use crate::statement::Ledger;
-use crate::statement::Limit;
 use crate::steward::Ticket;
-use crate::upstream::Stage;
 
 /// Shortest time after which a running attempt counts as late.
 const MIN_LATE_AFTER: Duration = Duration::from_millis(200);
 
-/// Time for which the share of a disconnected host is withheld from the quotas of tenants, since
-/// the host may still spend this share on its own.
-const DISCONNECTED_HOST_SHARE_TIME: Duration = Duration::from_secs(30);
-
 /// Shortest time after which a refused request may be retried.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 
-/// Settings of a dispatcher.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Policy {
-    /// Retries that operators allow for each service.
-    pub retries: Retries,
-    /// Time without an announcement after which an upstream counts as silent.
-    pub max_silence: Duration,
-    /// Tokens of a tenant with a quota at its first request.
-    pub initial_balance: Balance,
-    /// Whether this is the first dispatcher that the fleet has had.
-    pub is_first_dispatcher: bool,
-    /// Floor: least share of a service's upstreams that stay in use while some requests fail.
-    pub floor: f64,
-    /// Most extra sends of running requests, as a share of the requests to a service whose terms set none;
-    /// `None` if only the retry budget limits them.
-    pub hedge_share: Option<f64>,
-}
-
-/// Tokens of a tenant with a quota at its first request.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Balance {
-    /// A share of the burst; an earlier dispatcher may have granted the rest.
-    Share(f64),
-    /// A share of the tolerance beyond the quota, up to the burst; an earlier dispatcher may have
-    /// granted the whole quota, and hosts without a dispatcher use another share of the tolerance.
-    Tolerated(Tolerance),
-    /// One token with a probability that follows from the host's share of the tolerance beyond the
-    /// quota, and less than one token otherwise.
-    Sampled {
-        /// Tolerance over the whole fleet.
-        tolerance: Tolerance,
-        /// Random number of the host in `0..1`.
-        draw: f64,
-    },
-}
-
-/// Requests beyond a quota that operators tolerate over the whole fleet.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Tolerance {
-    /// Length of the window in which requests are counted.
-    pub window: Duration,
-    /// Tolerated excess as a share of the quota in one window.
-    pub part: f64,
-    /// Tolerated requests in one window in addition to the share.
-    pub slack: f64,
-}
-
-impl Tolerance {
-    /// Returns the requests beyond a quota that are tolerated in one window.
-    #[must_use]
-    pub fn excess(&self, quota: &Quota) -> f64 {
-        let window = self.window.as_secs_f64() * quota.per_second;
-        self.slack + self.part * (window + quota.burst)
-    }
-}
-
-/// Share of the tolerance that hosts without a dispatcher may use at first; the rest covers what
-/// the last dispatcher has just granted.
-const HOST_TOLERANCE_SHARE: f64 = 0.2;
-
-/// Share of the tolerance that a later dispatcher starts with: three dispatchers within one window,
-/// together with hosts without a dispatcher, stay within the tolerance.
-const INITIAL_TOLERANCE_SHARE: f64 = 0.26;
-
-/// Initial tokens of a host that is not sampled; below one, so that it waits for the refill.
-const UNSAMPLED_TOKENS: f64 = 0.6;
-
-/// A slot of an upstream that a host is using.
-#[derive(Debug, Clone)]
-struct Slot {
-    service: ServiceId,
-    upstream: Number,
-    /// Zone of the host, if it is known.
-    zone: Zone,
-    route: RouteId,
-    /// What the request takes of the service.
-    hold: Hold,
-    since: Instant,
-    /// Whether no other attempt of the request may follow.
-    is_last: bool,
-    /// Whether the upstream was chosen to keep it in use rather than for its cost.
-    is_trial: bool,
-    /// Number of times that the attempt has been recorded as late.
-    late_count: u32,
-    /// The attempt that this one is an extra send to, if the service limits these.
-    hedge_of: Option<Ticket>,
-}
-
 /// An upstream that was chosen for a request.
 #[derive(Debug, Clone, Copy)]
 struct Choice {
@@ -203,49 +118,6 @@
     is_trial: bool,
 }
 
-/// The connection state of a host.
-#[derive(Debug, Clone, Copy)]
-struct Host {
-    /// When the connection was lost; `None` while the host is connected.
-    disconnected_at: Option<Instant>,
-}
-
-/// A running request that a host placed on its own or through another dispatcher.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Placement {
-    /// Identifier of the reservation.
-    pub ticket: Ticket,
-    /// Service of the upstream.
-    pub service: ServiceId,
-    /// The upstream.
-    pub upstream: Number,
-    /// Route of the request.
-    pub route: RouteId,
-}
-
-/// The load of one upstream, for operators.
-#[derive(Debug, Clone, PartialEq, Serialize)]
-pub struct Load {
-    /// Service of the upstream.
-    pub service: ServiceId,
-    /// The upstream.
-    pub upstream: Number,
-    /// Requests that are known to run on the upstream.
-    pub running: u32,
-    /// Requests that the upstream runs at a time.
-    pub slots: u32,
-    /// Probability that the upstream is grey.
-    pub grey: f64,
-    /// Whether the upstream has stated in an answer that it is draining.
-    pub states_draining: bool,
-    /// Requests a second that the upstream has stated to take from all hosts.
-    pub limit: Option<f64>,
-    /// Whether the upstream counts as cold, so that the terms of its service limit its requests.
-    pub is_cold: bool,
-    /// Hosts from which the upstream wants no requests for now.
-    pub paused_hosts: usize,
-}
-
 /// Chooses an upstream for each request of the fleet.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -343,154 +215,6 @@
         }
     }
 
-    /// Adds, updates or removes an upstream by its entry of the roster.
-    ///
-    /// Returns answers to the queued requests that can now be placed.
-    pub fn update_upstream(&mut self, entry: &Entry, now: Instant) -> Vec<Answer> {
-        let announcement = &entry.announcement;
-        if announcement.stage == Stage::Left {
-            self.ledger.forget(entry.number);
-            self.remove_upstream(entry.number);
-            return Vec::new();
-        }
-        let service = announcement.service.clone();
-        let changed_service = self
-            .services
-            .get(&entry.number)
-            .is_some_and(|known| *known != service);
-        if changed_service {
-            self.remove_upstream(entry.number);
-        }
-        self.services.insert(entry.number, service.clone());
-        let before = self.stage(entry.number);
-        let retries = self.retries();
-        let is_first = self.policy.is_first_dispatcher;
-        let pool = self.pools.entry(service.clone());
-        let pool = pool.or_insert_with(|| Pool::new(Budget::new(&retries, is_first), now));
-        if !pool.change(entry.number, now, |state| state.update(announcement)) {
-            pool.add(entry.number, Upstream::new(announcement, now), now);
-            self.apply_ledger(entry.number, now);
-        }
-        self.note_stage(entry.number, before, now);
-        self.place_queued(&service, now)
-    }
-
-    /// Resets the tokens of all tenants to their initial balance, because another dispatcher has
-    /// spent from their quotas in the meantime.
-    pub fn reset_quotas(&mut self) {
-        self.quotas.retain(|_| false);
-    }
-
-    /// Records an announcement of an upstream.
-    pub fn touch_upstream(&mut self, number: Number, now: Instant) {
-        let lives = self.contact.note_announcement(number, now);
-        self.change_upstream(number, now, |state| {
-            state.last_heard = now;
-            state.dead_until = state.dead_until.filter(|_| !lives);
-        });
-    }
-
-    /// Records that a host is connected.
-    pub fn connect_host(&mut self, host: &str) {
-        self.hosts.insert(
-            host.to_owned(),
-            Host {
-                disconnected_at: None,
-            },
-        );
-    }
-
-    /// Releases the slots and withdraws the queued requests of a host whose connection was lost.
-    ///
-    /// Returns answers to requests of other hosts that can now be placed.
-    pub fn disconnect_host(&mut self, host: &str, now: Instant) -> Vec<Answer> {
-        if let Some(known) = self.hosts.get_mut(host) {
-            known.disconnected_at = Some(now);
-        }
-        self.release_host(host, now)
-    }
-
-    /// Removes a host that stops as planned, with its slots and queued requests.
-    ///
-    /// Returns answers to requests of other hosts that can now be placed.
-    pub fn remove_host(&mut self, host: &str, now: Instant) -> Vec<Answer> {
-        self.hosts.remove(host);
-        self.ledger.forget_host(host);
-        self.release_host(host, now)
-    }
-
-    /// Returns the number of hosts that share the quotas.
-    #[must_use]
-    pub fn hosts(&self) -> usize {
-        self.hosts.len()
-    }
-
-    /// Returns the probability that an upstream is grey, or `None` for an unknown upstream.
-    #[must_use]
-    pub fn grey(&self, number: Number, now: Instant) -> Option<f64> {
-        let pool = self.pools.get(self.services.get(&number)?)?;
-        let state = pool.get(number)?;
-        Some(state.belief.grey(now))
-    }
-
-    /// Returns the upstreams that are more likely grey than not.
-    #[must_use]
-    pub fn suspects(&self, now: Instant) -> BTreeSet<Number> {
-        let upstreams = self.pools.values().flat_map(Pool::upstreams);
-        let suspects = upstreams.filter(|(_, state)| state.belief.is_suspect(now));
-        suspects.map(|(number, _)| number).collect()
-    }
-
-    /// Adopts the suspects of another dispatcher for upstreams without an outcome observed here.
-    ///
-    /// With `overrides_observed`, they replace the beliefs about all other upstreams too.
-    pub fn adopt_suspects(
-        &mut self,
-        suspects: &BTreeSet<Number>,
-        overrides_observed: bool,
-        now: Instant,
-    ) {
-        for pool in self.pools.values_mut() {
-            pool.change_all(now, |number, state| {
-                if overrides_observed || !state.belief.is_observed() {
-                    state.belief.adopt(suspects.contains(&number), now);
-                }
-            });
-        }
-    }
-
-    /// Returns the load of every upstream and the probability that it is grey, for operators.
-    #[must_use]
-    pub fn dump(&self, now: Instant) -> Vec<Load> {
-        let pools = self.pools.iter();
-        let upstreams = pools.flat_map(|(service, pool)| {
-            let each = pool.upstreams();
-            each.map(move |(number, state)| Load {
-                service: service.clone(),
-                upstream: number,
-                running: state.running,
-                slots: state.slots,
-                grey: state.belief.grey(now),
-                states_draining: self.ledger.is_draining(number),
-                limit: self.ledger.limit(number).map(Limit::per_second),
-                is_cold: self.cold.contains(number),
-                paused_hosts: self.ledger.count_paused_hosts(number, now),
-            })
-        });
-        upstreams.collect()
-    }
-
-    /// Returns the number of requests that are known to run on an upstream.
-    #[must_use]
-    pub fn running(&self, number: Number) -> u32 {
-        let pool = self
-            .services
-            .get(&number)
-            .and_then(|service| self.pools.get(service));
-        let state = pool.and_then(|pool| pool.get(number));
-        state.map_or(0, |state| state.running)
-    }
-
     /// Returns the number of requests and upstreams that were looked at to place requests so far, which
     /// most of the work of the dispatcher is in proportion to.
     #[must_use]
@@ -498,12 +222,6 @@
         self.steps
     }
 
-    /// Returns the number of queued requests of a service.
-    #[must_use]
-    pub fn queued(&self, service: &str) -> usize {
-        self.pools.get(service).map_or(0, Pool::queued)
-    }
-
     /// Returns the ends of upstreams under the requests that they ran.
     #[must_use]
     pub const fn poison(&self) -> &poison::Ledger {
@@ -515,58 +233,6 @@
         &mut self.poison
     }
 
-    /// Returns the number of hosts that could not connect to some upstream a short time ago.
-    #[must_use]
-    pub fn hosts_with_unreachable(&self, now: Instant) -> usize {
-        let current = self.unreachable_until.iter();
-        let current = current.filter(|(_, until)| now < **until);
-        let hosts: BTreeSet<&HostId> = current.map(|((host, _), _)| host).collect();
-        hosts.len()
-    }
-
-    /// Returns the number of upstreams at which several hosts in contact found no listener.
-    #[must_use]
-    pub fn dead_upstreams(&self, now: Instant) -> usize {
-        self.contact.dead(now)
-    }
-
-    /// Returns the number of hosts whose own paths count as the cause of their failures.
-    #[must_use]
-    pub fn hosts_out_of_contact(&self) -> usize {
-        self.contact.out_of_contact()
-    }
-
-    /// Returns the retries that each service may still send.
-    pub fn retries_left(&self) -> impl Iterator<Item = (&ServiceId, f64)> {
-        let pools = self.pools.iter();
-        pools.map(|(service, pool)| (service, pool.retry_budget.tokens()))
-    }
-
-    /// Records a slot that a host uses without a grant of this dispatcher.
-    pub fn record_running(&mut self, placement: Placement, now: Instant) {
-        self.free_slot(&placement.ticket, now);
-        if !self.change_upstream(placement.upstream, now, |state| state.running += 1) {
-            return;
-        }
-        let hold = self.hold(&placement.service, &placement.route, None);
-        if let Some(pool) = self.pools.get_mut(&placement.service) {
-            pool.demand.note_grant(hold);
-        }
-        let slot = Slot {
-            service: placement.service,
-            upstream: placement.upstream,
-            zone: Zone::new(),
-            route: placement.route,
-            hold,
-            since: now,
-            is_last: false,
-            is_trial: false,
-            late_count: 0,
-            hedge_of: None,
-        };
-        self.slots_in_use.insert(placement.ticket, slot);
-    }
-
     /// Grants a slot of an upstream to a request, queues the request or refuses it.
     pub fn reserve(&mut self, request: Request, now: Instant) -> Vec<Answer> {
         let publication = Rc::clone(&self.publication);
@@ -656,110 +322,6 @@
         }
         answers
     }
-
-    /// Takes a token for the first attempt of a request whose tenant has a quota.
-    fn take_token(&mut self, request: &Request, now: Instant) -> Result<(), Duration> {
-        if !request.is_first_placing() {
-            return Ok(());
-        }
-        let Some(tenant) = &request.tenant else {
-            return Ok(());
-        };
-        let known = self.publication.tenants.get(tenant);
-        let Some(quota) = known.and_then(|known| known.quota) else {
-            return Ok(());
-        };
-        let disconnected = self
-            .hosts
-            .values()
-            .filter(|host| host.disconnected_at.is_some())
-            .count();
-        let all = self.hosts.len().max(1);
-        let connected = 1.0 - disconnected as f64 / all as f64;
-        let share = Share {
-            per_second: quota.per_second * self.share * connected,
-            burst: quota.burst * self.share,
-            initial: match self.policy.initial_balance {
-                Balance::Share(part) => quota.burst * self.share * part,
-                Balance::Tolerated(tolerance) => {
-                    let tokens = tolerance.excess(&quota) * INITIAL_TOLERANCE_SHARE;
-                    tokens.min(quota.burst) * self.share
-                }
-                Balance::Sampled { tolerance, draw } => {
-                    let chance = tolerance.excess(&quota) * HOST_TOLERANCE_SHARE * self.share;
-                    if draw < chance { 1.0 } else { UNSAMPLED_TOKENS }
-                }
-            },
-        };
-        self.quotas.take_token(tenant, share, now)
-    }
-
-    /// Returns the token of a first attempt that was not placed.
-    fn refund(&mut self, request: &Request) {
-        if request.is_first_placing()
-            && let Some(tenant) = &request.tenant
-        {
-            self.quotas.refund(tenant);
-        }
-    }
-
-    fn retries(&self) -> Retries {
-        let retries = self.policy.retries;
-        Retries {
-            ratio: retries.ratio,
-            burst: retries.burst * self.share,
-        }
-    }
-
-    fn release_host(&mut self, host: &str, now: Instant) -> Vec<Answer> {
-        let bound = |number| Ticket {
-            host: host.to_owned(),
-            number,
-        };
-        self.contact.forget_host(host);
-        let own = self.slots_in_use.range(bound(u32::MIN)..=bound(u32::MAX));
-        let tickets: Vec<Ticket> = own.map(|(ticket, _)| ticket.clone()).collect();
-        let mut services = BTreeSet::new();
-        for ticket in tickets {
-            services.extend(self.free_slot(&ticket, now).map(|slot| slot.service));
-        }
-        self.withdraw_host(host);
-        let served = services
-            .iter()
-            .map(|service| self.place_queued(service, now));
-        served.flatten().collect()
-    }
-
-    fn free_slot(&mut self, ticket: &Ticket, now: Instant) -> Option<Slot> {
-        let slot = self.slots_in_use.remove(ticket)?;
-        if let Some(pool) = self.pools.get_mut(&slot.service) {
-            pool.demand.note_end(slot.hold);
-        }
-        self.change_upstream(slot.upstream, now, |state| {
-            state.running = state.running.saturating_sub(1);
-        });
-        Some(slot)
-    }
-
-    /// Removes an upstream until it announces itself again.
-    fn remove_upstream(&mut self, number: Number) {
-        self.cold.remove(number);
-        self.contact.forget_upstream(number);
-        let service = self.services.remove(&number);
-        if let Some(pool) = service.and_then(|service| self.pools.get_mut(&service)) {
-            pool.remove(number);
-        }
-    }
-
-    /// Changes an upstream; returns whether it is known.
-    fn change_upstream<F>(&mut self, number: Number, now: Instant, change: F) -> bool
-    where
-        F: FnOnce(&mut Upstream),
-    {
-        let service = self.services.get(&number);
-        let pool = service.and_then(|service| self.pools.get_mut(service));
-        pool.is_some_and(|pool| pool.change(number, now, change))
-    }
 }
 
 const fn refused(ticket: Ticket, kind: Kind, retry_after: Duration) -> Answer {
--- /dev/null
+++ b/crates/core/src/dispatch/slots.rs
@@ -0,0 +1,94 @@
+//! The slots that hosts are using.
+
+use std::time::Instant;
+
+use crate::dispatch::Dispatcher;
+use crate::dispatch::Hold;
+use crate::id::RouteId;
+use crate::id::ServiceId;
+use crate::id::Zone;
+use crate::roster::Number;
+use crate::steward::Ticket;
+
+/// A slot of an upstream that a host is using.
+#[derive(Debug, Clone)]
+pub(super) struct Slot {
+    pub(super) service: ServiceId,
+    pub(super) upstream: Number,
+    /// Zone of the host, if it is known.
+    pub(super) zone: Zone,
+    pub(super) route: RouteId,
+    /// What the request takes of the service.
+    pub(super) hold: Hold,
+    pub(super) since: Instant,
+    /// Whether no other attempt of the request may follow.
+    pub(super) is_last: bool,
+    /// Whether the upstream was chosen to keep it in use rather than for its cost.
+    pub(super) is_trial: bool,
+    /// Number of times that the attempt has been recorded as late.
+    pub(super) late_count: u32,
+    /// The attempt that this one is an extra send to, if the service limits these.
+    pub(super) hedge_of: Option<Ticket>,
+}
+
+/// A running request that a host placed on its own or through another dispatcher.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placement {
+    /// Identifier of the reservation.
+    pub ticket: Ticket,
+    /// Service of the upstream.
+    pub service: ServiceId,
+    /// The upstream.
+    pub upstream: Number,
+    /// Route of the request.
+    pub route: RouteId,
+}
+
+impl Dispatcher {
+    /// Records a slot that a host uses without a grant of this dispatcher.
+    pub fn record_running(&mut self, placement: Placement, now: Instant) {
+        self.free_slot(&placement.ticket, now);
+        if !self.change_upstream(placement.upstream, now, |state| state.running += 1) {
+            return;
+        }
+        let hold = self.hold(&placement.service, &placement.route, None);
+        if let Some(pool) = self.pools.get_mut(&placement.service) {
+            pool.demand.note_grant(hold);
+        }
+        let slot = Slot {
+            service: placement.service,
+            upstream: placement.upstream,
+            zone: Zone::new(),
+            route: placement.route,
+            hold,
+            since: now,
+            is_last: false,
+            is_trial: false,
+            late_count: 0,
+            hedge_of: None,
+        };
+        self.slots_in_use.insert(placement.ticket, slot);
+    }
+
+    /// Returns the number of requests that are known to run on an upstream.
+    #[must_use]
+    pub fn running(&self, number: Number) -> u32 {
+        let pool = self
+            .services
+            .get(&number)
+            .and_then(|service| self.pools.get(service));
+        let state = pool.and_then(|pool| pool.get(number));
+        state.map_or(0, |state| state.running)
+    }
+
+    pub(super) fn free_slot(&mut self, ticket: &Ticket, now: Instant) -> Option<Slot> {
+        let slot = self.slots_in_use.remove(ticket)?;
+        if let Some(pool) = self.pools.get_mut(&slot.service) {
+            pool.demand.note_end(slot.hold);
+        }
+        self.change_upstream(slot.upstream, now, |state| {
+            state.running = state.running.saturating_sub(1);
+        });
+        Some(slot)
+    }
+}
