feat(core): hosts that are cut off for long use all of their share of a quota

Cause: deputies and hosts on their own hand out 0.8 of their share of each quota for as long as they are cut off, so that what the leader granted just before does not exceed the quota together with it. That no longer counts after the window of the quota. Change: two seconds and a window after the leader was last heard, tokens are refilled at the whole share. The test fails without the change.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -124,6 +124,8 @@
     policy: Policy,
     /// Share of the quotas and retry budgets that this dispatcher hands out.
     share: f64,
+    /// When the leader was last heard, if this dispatcher places without it.
+    leader_heard: Option<Instant>,
     /// Part of an interval after which the first permit of a limit is issued.
     first_permit: f64,
     publication: Rc<Publication>,
@@ -160,6 +162,7 @@
         Self {
             policy,
             share: 1.0,
+            leader_heard: None,
             first_permit: 1.0,
             publication: Rc::default(),
             pools: BTreeMap::new(),
--- a/crates/core/src/dispatch/policy.rs
+++ b/crates/core/src/dispatch/policy.rs
@@ -23,6 +23,19 @@
     pub hedge_share: Option<f64>,
 }
 
+impl Policy {
+    /// Returns the length of the window in which the requests of a tenant are counted, if it is known.
+    #[must_use]
+    pub const fn quota_window(&self) -> Option<Duration> {
+        match self.initial_balance {
+            Balance::Share(_) => None,
+            Balance::Tolerated(tolerance) | Balance::Sampled { tolerance, .. } => {
+                Some(tolerance.window)
+            }
+        }
+    }
+}
+
 /// Tokens of a tenant with a quota at its first request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Balance {
--- a/crates/core/src/dispatch/quotas.rs
+++ b/crates/core/src/dispatch/quotas.rs
@@ -10,8 +10,9 @@
 /// Longest time after which a tenant over its quota may retry.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
 
-/// Fraction of its share of quotas, retry budgets and limits that a dispatcher without the leader uses.
-const LOCAL_SHARE_FRACTION: f64 = 0.8;
+/// Fraction of its share of quotas, retry budgets and limits that a dispatcher without the leader uses; of
+/// quotas only until what the leader granted before can no longer count with it.
+pub(super) const LOCAL_SHARE_FRACTION: f64 = 0.8;
 
 /// Number of hosts that are assumed to share quotas until the leader has told it: the largest fleet that
 /// operators run, since a smaller number would let the hosts of a larger fleet exceed every quota together.
--- a/crates/core/tests/dispatch/limits.rs
+++ b/crates/core/tests/dispatch/limits.rs
@@ -155,6 +155,49 @@
     assert!((18..=22).contains(&given), "{given} in 4 s");
 }
 
+/// Returns the requests of a tenant with a quota of 100 a second that are placed in each second without the leader,
+/// by a dispatcher for all hosts that heard it last when the first of these seconds began.
+fn placed_alone(seconds: usize) -> Vec<usize> {
+    let tolerance = Tolerance {
+        window: WINDOW,
+        part: 0.1,
+        slack: 20.0,
+    };
+    let policy = Policy {
+        initial_balance: Balance::Tolerated(tolerance),
+        ..policy()
+    };
+    let mut world = World::with(policy, &["a"; 20]);
+    world.set_quota(100.0, 100.0);
+    let share = share_without_leader(20, Some(20));
+    world.dispatcher.set_share(share, world.now);
+    world.dispatcher.note_leader_heard(Some(world.now));
+    let second = |world: &mut World| {
+        let mut placed = 0;
+        for _ in 0..200 {
+            world.advance(Duration::from_millis(5));
+            if let Some((ticket, _)) = world.place(IDEMPOTENT) {
+                placed += 1;
+                world.release(&ticket, Outcome::Answered, Duration::from_millis(1));
+            }
+        }
+        placed
+    };
+    (0..seconds).map(|_| second(&mut world)).collect()
+}
+
+#[test]
+fn hosts_that_are_cut_off_for_long_use_all_of_their_quota_and_no_window_exceeds_it() {
+    let placed = placed_alone(16);
+    // The leader may have granted the share of these hosts for two seconds, which count for five.
+    assert!(placed[1..7].iter().all(|one| *one <= 81), "{placed:?}");
+    assert!(placed[9..].iter().all(|one| *one >= 98), "{placed:?}");
+    for window in placed.windows(5) {
+        let sum: usize = window.iter().sum();
+        assert!(sum <= 550 + 20, "{sum} of {placed:?}");
+    }
+}
+
 #[test]
 fn a_draining_upstream_gets_no_new_requests() {
     let mut world = World::new(&["a", "a"]);
--- a/programs/pb-proxy/src/gateway/deputy.rs
+++ b/programs/pb-proxy/src/gateway/deputy.rs
@@ -67,7 +67,9 @@
             }
             self.update_upstreams(state, serving);
             let share = state.placer().share(serving.len());
-            serving.dispatcher_mut().set_share(share, state.now());
+            let dispatcher = serving.dispatcher_mut();
+            dispatcher.set_share(share, state.now());
+            dispatcher.note_leader_heard(state.placer().leader_last_heard());
             serving.tick(0, 0, 0, state.now());
         }
     }
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -199,6 +199,12 @@
         last_heard.is_some_and(|last_heard| now.saturating_duration_since(last_heard) < age)
     }
 
+    /// Returns when this host was last in contact with the leader.
+    #[must_use]
+    pub const fn leader_last_heard(&self) -> Option<Instant> {
+        self.leader_last_heard.get()
+    }
+
     /// Returns whether this host has had a link to the leader or a deputy.
     #[must_use]
     pub const fn was_linked(&self) -> bool {
--- a/programs/pb-proxy/src/gateway/placement/link.rs
+++ b/programs/pb-proxy/src/gateway/placement/link.rs
@@ -493,7 +493,10 @@
 
     /// Runs the timers of the local dispatcher.
     fn tick(&self, state: &State) {
-        let answers = self.local_dispatcher.borrow_mut().tick(state.now());
+        let mut local = self.local_dispatcher.borrow_mut();
+        local.note_leader_heard(self.leader_last_heard.get());
+        let answers = local.tick(state.now());
+        drop(local);
         self.deliver(answers);
     }
 
