feat(core): send a repeatable request again in time for its objective

Cause: without a limit on extra sends a request was sent again after four times the expected time. Change: while a service has slots and retries to spare, the second send starts as late as another upstream still answers it in time more often than not, and not before nine in ten requests would have been answered.

--- a/crates/core/src/dispatch/timing.rs
+++ b/crates/core/src/dispatch/timing.rs
@@ -12,7 +12,7 @@
 
 /// Mean distances to the mean within which nine in ten requests of a route end: for times that are
 /// distributed evenly, and for normal ones.
-const NINE_IN_TEN_SPREADS: f64 = 1.6;
+pub(super) const NINE_IN_TEN_SPREADS: f64 = 1.6;
 
 /// Mean time that is assumed before the first answer, as a share of the objective.
 const INITIAL_OBJECTIVE_SHARE: f64 = 0.33;
@@ -57,6 +57,12 @@
         self.mean_seconds
     }
 
+    /// Returns the mean distance to the mean in seconds.
+    #[must_use]
+    pub const fn spread(&self) -> f64 {
+        self.spread_seconds
+    }
+
     /// Returns the time in seconds within which nine in ten requests are answered.
     #[must_use]
     pub const fn probable(&self) -> f64 {
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -14,6 +14,7 @@
 mod pace;
 mod paced;
 mod queueing;
+mod resend;
 mod size;
 mod statements;
 mod uneven;
