feat: start pipelined requests as they arrive

Cause: hyper runs the requests of a connection one after the other. Change: GET and HEAD without a body run beside the safe request whose turn it is, at most eight of a connection; answers keep their order. A planned stop waits for those that were started, a client that leaves ends them.

--- a/crates/app/src/http.rs
+++ b/crates/app/src/http.rs
@@ -1,6 +1,8 @@
 //! An HTTP/1.1 server on compio and hyper, and functions that build answers.
 
+pub mod pipeline;
 pub mod read_ahead;
+pub mod scanner;
 
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -19,6 +21,7 @@
 use event_listener::Event;
 use futures_util::FutureExt;
 use futures_util::future::Either;
+use futures_util::future::LocalBoxFuture;
 use futures_util::future::select;
 use futures_util::pin_mut;
 use http_body_util::BodyExt;
@@ -26,9 +29,11 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 
+use crate::http::pipeline::Pipeline;
 use crate::http::read_ahead::Activity;
 use crate::http::read_ahead::Stream;
 use crate::stop::Stop;
@@ -80,6 +85,17 @@
     /// Answers one request.
     fn handle(self: Rc<Self>, request: Request<Incoming>) -> impl Future<Output = Response<Body>>;
 
+    /// Starts to answer a request without a body before its turn on the connection has come, or returns `None` if it
+    /// has to wait for its turn.
+    ///
+    /// Called for GET and HEAD only. The future is dropped if the client closes the connection.
+    fn handle_ahead(
+        self: Rc<Self>,
+        _request: Request<()>,
+    ) -> Option<LocalBoxFuture<'static, Response<Body>>> {
+        None
+    }
+
     /// Returns the limits for a new connection, or `None` for those of the server.
     ///
     /// For handlers whose limits change while the server runs.
@@ -209,11 +225,15 @@
 ) {
     let _ = stream.set_nodelay(true);
     let limits = handler.limits().unwrap_or(limits);
-    let (transport, activity) = Stream::new(stream);
+    let head_bytes = limits.head_buffer_bytes;
+    let pipeline = Rc::new(Pipeline::new(Rc::clone(&handler), from, head_bytes));
+    let feed = Rc::clone(&pipeline);
+    let (transport, activity) = Stream::new(stream, move |bytes| feed.feed(bytes));
     let closing = stop.clone();
     let running = Rc::clone(&activity);
+    let answering = Rc::clone(&pipeline);
     let service = service_fn(move |mut request: Request<Incoming>| {
-        let handler = Rc::clone(&handler);
+        let pipeline = Rc::clone(&answering);
         let stop = closing.clone();
         let activity = Rc::clone(&running);
         request.extensions_mut().insert(Origin(from));
@@ -221,9 +241,12 @@
             request.extensions_mut().insert(AmbiguousLength);
         }
         async move {
-            let mut response = handler.handle(request).await;
+            let mut response = pipeline.answer(request).await;
             activity.end_request(Instant::now());
-            if stop.is_asked() {
+            if pipeline.is_ahead() {
+                // The answers of the requests that run already follow over the connection.
+                response.headers_mut().remove(CONNECTION);
+            } else if stop.is_asked() {
                 set_connection_close(&mut response);
             }
             Ok::<_, Infallible>(response)
@@ -244,6 +267,7 @@
     let lingered = async {
         stop.asked().await;
         compio::time::sleep(limits.linger).await;
+        pipeline.close().await;
     };
     pin_mut!(connection, ending);
     let stopped = {
@@ -288,9 +312,7 @@
 /// Adds `connection: close` to an answer, which makes it the last one of its connection.
 pub fn set_connection_close(response: &mut Response<Body>) {
     let value = hyper::header::HeaderValue::from_static("close");
-    response
-        .headers_mut()
-        .insert(hyper::header::CONNECTION, value);
+    response.headers_mut().insert(CONNECTION, value);
 }
 
 /// Count of open connections, with an event at each close.
--- a/crates/app/src/http/read_ahead.rs
+++ b/crates/app/src/http/read_ahead.rs
@@ -128,11 +128,11 @@
 }
 
 impl Stream {
-    /// Starts the task that reads `stream` ahead.
+    /// Starts the task that reads `stream` ahead; `arrived` gets all bytes before hyper does.
     #[must_use]
-    pub fn new(stream: TcpStream) -> (Self, Rc<Activity>) {
+    pub fn new<F: Fn(&[u8]) + 'static>(stream: TcpStream, arrived: F) -> (Self, Rc<Activity>) {
         let activity = Rc::new(Activity::new(Instant::now()));
-        let reader = spawn(read_ahead(stream.clone(), Rc::clone(&activity)));
+        let reader = spawn(read_ahead(stream.clone(), Rc::clone(&activity), arrived));
         let ahead = Self {
             activity: Rc::clone(&activity),
             stream: HyperStream::new_plain(stream),
@@ -195,7 +195,7 @@
 }
 
 /// Reads from the stream into the shared buffer until the client closes it or a read fails.
-async fn read_ahead(mut stream: TcpStream, activity: Rc<Activity>) {
+async fn read_ahead<F: Fn(&[u8])>(mut stream: TcpStream, activity: Rc<Activity>, arrived: F) {
     let mut buffer = Vec::with_capacity(READ_BYTES);
     loop {
         while activity.ahead.borrow().len() >= MAX_BUFFERED_BYTES {
@@ -209,6 +209,7 @@
         buffer = read;
         match result {
             Ok(length) if length > 0 => {
+                arrived(&buffer[..length]);
                 activity.ahead.borrow_mut().extend(&buffer[..length]);
                 activity.wake();
             }
--- a/programs/pb-proxy/src/gateway/clients.rs
+++ b/programs/pb-proxy/src/gateway/clients.rs
@@ -10,6 +10,8 @@
 
 use bytes::Bytes;
 use compio::time::timeout;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -77,11 +79,34 @@
         Self { state }
     }
 
+    /// Answers a request, which has no body if `body` is `None`, and records how it ended.
+    async fn respond(&self, head: Parts, body: Option<Incoming>) -> Response<Body> {
+        let metadata = self.state.dialect().read(&head.headers);
+        let request_id = metadata.id.clone().unwrap_or_default();
+        let record = Record::new(&self.state, request_id);
+        let outcome = self.answer(head, body, &metadata, &record).await;
+        let mut response = match outcome {
+            Ok(response) => {
+                record.end(Ok(response.status().as_u16()));
+                response
+            }
+            Err(failure) => {
+                record.end(Err(failure.kind));
+                let dialect = self.state.dialect();
+                dialect.refuse(&metadata, failure.kind, failure.retry_after)
+            }
+        };
+        if self.state.stop().is_asked() {
+            http::set_connection_close(&mut response);
+        }
+        response
+    }
+
     /// Validates a request and forwards it to an upstream.
     async fn answer(
         &self,
         head: Parts,
-        body: Incoming,
+        body: Option<Incoming>,
         metadata: &Metadata,
         record: &Record,
     ) -> Result<Response<Body>, Failure> {
@@ -99,7 +124,10 @@
         let wait = wait.min(target.route.timeout);
         let deadline = record.arrived() + wait.saturating_sub(ANSWER_MARGIN);
         let limit = limits.body_bytes.min(MAX_BODY_BYTES);
-        let body = self.read_body(body, limit, deadline).await?;
+        let body = match body {
+            Some(body) => self.read_body(body, limit, deadline).await?,
+            None => Bytes::new(),
+        };
         let service = target.route.pick(self.state.random_fraction()).cloned();
         let service = service.ok_or_else(|| Failure::from(Kind::NoUpstream))?;
         let plan = Plan {
@@ -195,25 +223,15 @@
 impl Handler for Endpoint {
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
-        let metadata = self.state.dialect().read(&head.headers);
-        let request_id = metadata.id.clone().unwrap_or_default();
-        let record = Record::new(&self.state, request_id);
-        let outcome = self.answer(head, body, &metadata, &record).await;
-        let mut response = match outcome {
-            Ok(response) => {
-                record.end(Ok(response.status().as_u16()));
-                response
-            }
-            Err(failure) => {
-                record.end(Err(failure.kind));
-                let dialect = self.state.dialect();
-                dialect.refuse(&metadata, failure.kind, failure.retry_after)
-            }
-        };
-        if self.state.stop().is_asked() {
-            http::set_connection_close(&mut response);
-        }
-        response
+        self.respond(head, Some(body)).await
+    }
+
+    fn handle_ahead(
+        self: Rc<Self>,
+        request: Request<()>,
+    ) -> Option<LocalBoxFuture<'static, Response<Body>>> {
+        let (head, ()) = request.into_parts();
+        Some(async move { self.respond(head, None).await }.boxed_local())
     }
 
     fn limits(&self) -> Option<Limits> {
