feat: pb-ctl explain placement, and the same over the operators' API

Cause: the explanation of core had no way to an operator. Change: the leader answers `GET /api/explain` on the platform (translated there) and a typed query (`Query::Placement`) over a link; a replica that does not lead redirects or refuses. The link has the call of the interface of proxies that takes queries, so the schema stays as it is; an earlier build refuses it by name. A redirect keeps the query of the call. `secret_file` of pb-ctl may be left out, for fleets that have no secret: it could not ask them before.

--- a/crates/core/src/explain.rs
+++ b/crates/core/src/explain.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::dispatch::explain::Question;
 use crate::event::Event;
 use crate::id::HostId;
 use crate::id::Revision;
@@ -34,6 +35,8 @@
     Events(u64),
     /// The state of the fleet; answered by an [`Overview`].
     Overview,
+    /// Where a request would go now; answered by the control replica that leads.
+    Placement(Question),
 }
 
 /// Slots in use of a service and its floor, as known to one host.
--- a/crates/wire/src/dispatch/hosts.rs
+++ b/crates/wire/src/dispatch/hosts.rs
@@ -132,6 +132,12 @@
         self.links.keys()
     }
 
+    /// Returns the zone of a connected host.
+    #[must_use]
+    pub fn zone(&self, host: &str) -> Option<&Zone> {
+        self.links.get(host).map(|link| &link.zone)
+    }
+
     /// Closes all connections.
     pub fn close(&self) {
         for link in self.links.values() {
--- a/programs/pb-control/src/api.rs
+++ b/programs/pb-control/src/api.rs
@@ -4,7 +4,6 @@
 //! Only the leader performs calls. The other replicas redirect callers to the leader while they hear
 //! its messages, and answer otherwise that the API is unavailable.
 
-use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,6 +19,7 @@
 use hyper::http::request::Parts;
 use persimmonbend_app::http::Body;
 use persimmonbend_app::http::Handler;
+use persimmonbend_core::dispatch::explain::Question;
 use persimmonbend_core::id::UpstreamId;
 use persimmonbend_core::id::Zone;
 use persimmonbend_core::machine::Command;
@@ -27,11 +27,14 @@
 use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Effect;
 use persimmonbend_core::upstream::Announcement;
+use serde_json::Value;
 use tracing::info;
 use tracing::warn;
 
 use crate::dispatch::Service;
 use crate::error::Error;
+use crate::explain;
+use crate::explain::Explainer;
 use crate::node::Node;
 
 /// Largest body in bytes: a configuration of the target size with 6,100 routes takes about 2 MB.
@@ -58,6 +61,8 @@
     Evacuate(Zone),
     /// Withdraws the order to evacuate a zone.
     Readmit(Zone),
+    /// Explains where a request would go now.
+    Explain(Question),
 }
 
 /// Why a call is refused.
@@ -78,6 +83,8 @@
     Announced(SocketAddr),
     /// The document of the publication in force.
     Document(String),
+    /// The explanation of a placement.
+    Explained(Value),
     /// The replica at this address is the leader.
     Redirect(SocketAddr),
     /// No leader is known, the call could not be committed, or nothing was published yet.
@@ -106,27 +113,25 @@
     dialect: Rc<dyn Dialect>,
     /// Address on which this replica serves the API; all replicas use the same port number.
     address: SocketAddr,
-    /// Zones of the settings.
-    zones: BTreeSet<Zone>,
+    explainer: Rc<Explainer>,
 }
 
 impl Api {
-    /// Creates the handler of a replica that serves the API on `address`; `zones` are those that operators may
-    /// name beside the zones of the upstreams.
+    /// Creates the handler of a replica that serves the API on `address`.
     #[must_use]
     pub const fn new(
         node: Rc<Node>,
         dispatch: Rc<Service>,
         dialect: Rc<dyn Dialect>,
         address: SocketAddr,
-        zones: BTreeSet<Zone>,
+        explainer: Rc<Explainer>,
     ) -> Self {
         Self {
             node,
             dispatch,
             dialect,
             address,
-            zones,
+            explainer,
         }
     }
 
@@ -157,6 +162,7 @@
             Call::Deregister(id) => self.deregister(id).await,
             Call::Evacuate(zone) => self.set_evacuated(zone, true).await,
             Call::Readmit(zone) => self.set_evacuated(zone, false).await,
+            Call::Explain(question) => self.explain(&question),
         }
     }
 
@@ -187,6 +193,16 @@
         Outcome::Document(published.document.clone())
     }
 
+    fn explain(&self, question: &Question) -> Outcome {
+        match self.explainer.answer(question) {
+            Ok(explanation) => Outcome::Explained(explanation),
+            Err(explain::Fault::NotLeader) => self.redirect(),
+            Err(explain::Fault::Unknown(unknown)) => {
+                Outcome::Refused(Fault::Invalid(unknown.to_string()))
+            }
+        }
+    }
+
     async fn announce(&self, announcement: Announcement) -> Outcome {
         let id = announcement.id.clone();
         match self.dispatch.receive_announcement(&announcement) {
@@ -217,7 +233,8 @@
 
     /// Evacuates a zone or takes it back. Orders take effect in the sequence of the log, also repeated ones.
     async fn set_evacuated(&self, zone: Zone, is_evacuated: bool) -> Outcome {
-        if let Err(reason) = self.check_zone(&zone) {
+        if let Err(unknown) = self.explainer.check_zone(&zone) {
+            let reason = unknown.to_string();
             warn!(zone, reason, "evacuation_refused");
             return Outcome::Refused(Fault::Invalid(reason));
         }
@@ -235,24 +252,6 @@
         }
     }
 
-    /// Checks that a zone is one of the settings, of an upstream, or evacuated.
-    fn check_zone(&self, zone: &str) -> Result<(), String> {
-        let known = self.node.read(|machine| {
-            let roster = machine.roster();
-            let known = self.zones.iter().chain(roster.zones());
-            let known = known.chain(roster.evacuations().zones());
-            known.cloned().collect::<BTreeSet<Zone>>()
-        });
-        if known.contains(zone) {
-            return Ok(());
-        }
-        let known: Vec<&str> = known.iter().map(String::as_str).collect();
-        Err(format!(
-            "zone {zone} is unknown; expected one of: {}",
-            known.join(", ")
-        ))
-    }
-
     async fn propose(&self, command: Command) -> Result<(), Outcome> {
         match self.node.propose(command).await {
             Ok(_) => Ok(()),
--- a/programs/pb-control/src/dispatch.rs
+++ b/programs/pb-control/src/dispatch.rs
@@ -20,7 +20,11 @@
 use persimmonbend_core::clock::Clock;
 use persimmonbend_core::dispatch::Balance;
 use persimmonbend_core::dispatch::Policy;
+use persimmonbend_core::dispatch::explain::Explanation;
+use persimmonbend_core::dispatch::explain::Question;
+use persimmonbend_core::dispatch::explain::Unknown;
 use persimmonbend_core::id::Zone;
+use persimmonbend_core::machine::Machine;
 use persimmonbend_core::machine::Reply;
 use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Effect;
@@ -185,6 +189,19 @@
         })
     }
 
+    /// Returns where a request would go now and why, `None` while the replica does not lead.
+    #[must_use]
+    pub fn explain(&self, question: &Question) -> Option<Result<Explanation, Unknown>> {
+        let state = self.state.borrow();
+        let state = state.as_ref().filter(|_| self.node.is_leader())?;
+        let now = self.clock.now();
+        let explain = |machine: &Machine| {
+            let evacuations = machine.roster().evacuations();
+            state.explain(question, evacuations, now)
+        };
+        Some(self.node.read(explain))
+    }
+
     fn control_addresses(&self) -> Vec<SocketAddr> {
         let members = self.node.member_addresses();
         let addresses = members
--- a/programs/pb-control/src/dispatch/state.rs
+++ b/programs/pb-control/src/dispatch/state.rs
@@ -10,6 +10,9 @@
 
 use persimmonbend_core::dispatch::Dispatcher;
 use persimmonbend_core::dispatch::Policy;
+use persimmonbend_core::dispatch::explain::Explanation;
+use persimmonbend_core::dispatch::explain::Question;
+use persimmonbend_core::dispatch::explain::Unknown;
 use persimmonbend_core::id::HostId;
 use persimmonbend_core::id::Incarnation;
 use persimmonbend_core::id::UpstreamId;
@@ -20,6 +23,7 @@
 use persimmonbend_core::roster::Number;
 use persimmonbend_core::roster::Revision;
 use persimmonbend_core::roster::Roster;
+use persimmonbend_core::roster::evacuation::Evacuations;
 use persimmonbend_core::upstream::Announcement;
 use persimmonbend_core::upstream::Stage;
 use persimmonbend_wire::dispatch;
@@ -364,6 +368,29 @@
         })
     }
 
+    /// Returns where a request would go now and why, and changes nothing.
+    ///
+    /// A question that names a host and no zone is about the zone of the host.
+    ///
+    /// # Errors
+    ///
+    /// Returns the name of the question that is not known.
+    pub fn explain(
+        &self,
+        question: &Question,
+        evacuations: &Evacuations,
+        now: Instant,
+    ) -> Result<Explanation, Unknown> {
+        let mut question = question.clone();
+        if let Some(host) = &question.host {
+            let zone = self.hosts.zone(host);
+            let zone = zone.ok_or_else(|| Unknown::new("host", host, self.hosts.names()))?;
+            question.zone.get_or_insert_with(|| zone.clone());
+        }
+        let dispatcher = self.hosts.dispatcher();
+        dispatcher.explain(&question, evacuations, now)
+    }
+
     /// Sends hosts the relays to use when they are cut off from the leader.
     ///
     /// Hosts of one deputy group get the same list, so that they turn to the same deputy.
--- a/programs/pb-control/src/lib.rs
+++ b/programs/pb-control/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod api;
 pub mod dispatch;
 pub mod error;
+pub mod explain;
 mod feed;
 pub mod issuer;
 pub mod leadership;
@@ -35,6 +36,7 @@
 use crate::api::Api;
 use crate::api::Dialect;
 use crate::dispatch::Service;
+use crate::explain::Explainer;
 use crate::issuer::Issuer;
 use crate::links::Links;
 use crate::node::Halt;
@@ -147,6 +149,11 @@
         node.revision()
     );
     on_bound(address);
+    let explainer = Rc::new(Explainer::new(
+        Rc::clone(&node),
+        Rc::clone(&dispatch),
+        settings.zones.clone(),
+    ));
     let ended = Stop::new();
     let mut background = vec![spawn({
         let dispatch = Rc::clone(&dispatch);
@@ -158,7 +165,7 @@
             Rc::clone(&dispatch),
             endpoint.dialect,
             endpoint.listen,
-            settings.zones.clone(),
+            Rc::clone(&explainer),
         );
         let server = Server::bind(endpoint.listen).await;
         let server = server.with_context(|| format!("cannot listen on {}", endpoint.listen))?;
@@ -173,7 +180,7 @@
             issuer,
             records,
         )),
-        peer: None,
+        peer: Some(explainer.client()),
     };
     let serving = listener
         .roles(roles)
--- a/programs/pb-ctl/src/command.rs
+++ b/programs/pb-ctl/src/command.rs
@@ -4,6 +4,7 @@
 mod history;
 mod key;
 mod members;
+mod placement;
 mod publish;
 mod service;
 mod tenant;
@@ -139,7 +140,7 @@
         #[bpaf(external)]
         output: Output,
     },
-    /// Explain an upstream, a tenant, a request or a host
+    /// Explain an upstream, a tenant, a request, a host or a placement
     #[bpaf(command)]
     Explain {
         #[bpaf(external)]
--- a/programs/pb-ctl/src/command/view.rs
+++ b/programs/pb-ctl/src/command/view.rs
@@ -15,6 +15,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::command::placement;
 use crate::exit::Answer;
 use crate::exit::Exit;
 use crate::fleet::Fleet;
@@ -56,6 +57,12 @@
         #[bpaf(positional("NAME"))]
         name: String,
     },
+    /// Explain where a request would go now and why, without sending one
+    #[bpaf(command)]
+    Placement {
+        #[bpaf(external(placement::question))]
+        question: placement::Question,
+    },
 }
 
 impl Subject {
@@ -65,12 +72,16 @@
             Self::Tenant { name } => Query::Tenant(name.clone()),
             Self::Request { name } => Query::Request(name.clone()),
             Self::Host { name } => Query::Host(name.clone()),
+            Self::Placement { question } => Query::Placement(question.into()),
         }
     }
 }
 
-/// Returns the reports of the proxies on a subject.
+/// Returns the reports of the proxies on a subject, or the explanation of the leader.
 pub async fn explain(fleet: &Fleet, subject: &Subject) -> anyhow::Result<Answer> {
+    if let Subject::Placement { question } = subject {
+        return placement::explain(fleet, question).await;
+    }
     let reports = fleet.reports(&subject.query()).await?;
     let known = reports.iter().any(|report| report.known);
     let exit = if known { Exit::Done } else { Exit::Failed };
--- a/programs/pb-ctl/src/fleet.rs
+++ b/programs/pb-ctl/src/fleet.rs
@@ -6,11 +6,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use anyhow::Context;
 use anyhow::anyhow;
 use persimmonbend_core::config::Change;
 use persimmonbend_core::config::Outcome;
 use persimmonbend_core::config::State;
 use persimmonbend_core::config::Submission;
+use persimmonbend_core::dispatch::explain::Question;
+use persimmonbend_core::explain::Query;
 use persimmonbend_core::id::ChangeId;
 use persimmonbend_core::id::Revision;
 use persimmonbend_wire::control::Client;
@@ -182,6 +185,19 @@
         Ok(serde_json::from_value(control.status().await?)?)
     }
 
+    /// Returns the leader's explanation of a placement, or an `error` that names what is not known.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no leader answers, or the leader is of an earlier build.
+    pub async fn placement(&self, question: &Question) -> anyhow::Result<serde_json::Value> {
+        let (link, _control) = self.leader().await?;
+        let peer = link.peer();
+        let peer = peer.context("the leader is of an earlier build and explains no placements")?;
+        let query = Query::Placement(question.clone());
+        Ok(peer.ask(&query).await?)
+    }
+
     /// Waits until a revision is in force on every host, for at most `limit`.
     ///
     /// Calls `on_progress` with the first progress, and each time that the number of hosts that
--- a/programs/pb-ctl/src/settings.rs
+++ b/programs/pb-ctl/src/settings.rs
@@ -16,7 +16,8 @@
     control: Vec<String>,
     #[serde(default)]
     proxies: Vec<String>,
-    secret_file: PathBuf,
+    #[serde(default)]
+    secret_file: Option<PathBuf>,
 }
 
 /// Valid settings.
@@ -28,7 +29,7 @@
     pub control: Vec<SocketAddr>,
     /// Peer addresses of proxies.
     pub proxies: Vec<SocketAddr>,
-    /// Secret shared by all processes of the fleet.
+    /// Secret shared by all processes of the fleet; the open one if the fleet has none.
     pub secret: Secret,
 }
 
@@ -45,12 +46,15 @@
         );
         let control = faults.addresses(&file.control, "control");
         let proxies = faults.addresses(&file.proxies, "proxies");
-        let secret = secret::read(&mut faults, "secret_file", &file.secret_file);
+        let secret = match &file.secret_file {
+            Some(path) => secret::read(&mut faults, "secret_file", path).map(Secret::from),
+            None => Some(Secret::open()),
+        };
         let settings = secret.map(|secret| Self {
             operator: file.operator,
             control,
             proxies,
-            secret: Secret::from(secret),
+            secret,
         });
         faults.into_result(settings)
     }
--- a/programs/pb-proxy/src/explain.rs
+++ b/programs/pb-proxy/src/explain.rs
@@ -32,6 +32,7 @@
             serde_json::to_value(events)
         }
         Query::Overview => serde_json::to_value(overview(node)),
+        Query::Placement(_) => Ok(json!({ "error": "only control explains placements" })),
     }
 }
 
