feat(pb-ctl): status names the evacuated zones

Change: `Status::evacuated_zones`, one line of `pb-ctl status` and a field of its JSON. The literal of `Status` in tests/publishing.rs takes the new field from the default; what it checks is the same.

--- a/programs/pb-ctl/src/command/view.rs
+++ b/programs/pb-ctl/src/command/view.rs
@@ -101,13 +101,22 @@
         Ok(status) => Progress::new(status.revision, status).describe(),
         Err(error) => format!("control is away: {error:#}"),
     }];
+    let evacuated = control.as_ref().map(|status| &status.evacuated_zones[..]);
+    let evacuated = evacuated.unwrap_or_default();
+    if !evacuated.is_empty() {
+        lines.push(format!("evacuated zones: {}", evacuated.join(", ")));
+    }
     match &overview {
         Ok(overview) => lines.extend(describe_overview(overview)),
         Err(error) => lines.push(format!("{error:#}")),
     }
     let progress = control.as_ref().ok();
     let progress = progress.map(|status: &Status| Progress::new(status.revision, status));
-    let value = json!({ "control": progress, "proxy": overview.ok() });
+    let value = json!({
+        "control": progress,
+        "evacuated_zones": evacuated,
+        "proxy": overview.ok(),
+    });
     Ok(Answer::new(Exit::Done, lines.join("\n"), value))
 }
 
--- a/programs/pb-ctl/src/fleet/progress.rs
+++ b/programs/pb-ctl/src/fleet/progress.rs
@@ -4,6 +4,7 @@
 
 use persimmonbend_core::id::HostId;
 use persimmonbend_core::id::Revision;
+use persimmonbend_core::id::Zone;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -32,6 +33,9 @@
     /// Hosts that subscribe to the configuration.
     #[serde(default)]
     pub hosts: Vec<Host>,
+    /// Zones that are evacuated.
+    #[serde(default)]
+    pub evacuated_zones: Vec<Zone>,
 }
 
 /// The number of hosts that have a revision in force, and the hosts that do not.
--- a/programs/pb-ctl/tests/publishing.rs
+++ b/programs/pb-ctl/tests/publishing.rs
@@ -121,7 +121,14 @@
         silent_ms,
     };
     let hosts = vec![host("a", 7, 10), host("b", 6, 40_000), host("c", 6, 100)];
-    let progress = Progress::new(7, &Status { revision: 7, hosts });
+    let progress = Progress::new(
+        7,
+        &Status {
+            revision: 7,
+            hosts,
+            ..Status::default()
+        },
+    );
     assert!(!progress.is_complete());
     assert_eq!(
         progress.describe(),
