--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -127,7 +127,7 @@
   members @11 (order :Data) -> ();
 }
 
-# Served by a proxy to its peers, to pb-ctl and to pb-console.
+# Served by a proxy to its peers, to pb-ctl and to pb-console; control serves `explain` of it.
 interface Peer {
   ping @0 () -> ();
   gossip @1 (message :Data) -> (reply :Data);
