--- a/crates/core/tests/dispatch/explain.rs
+++ b/crates/core/tests/dispatch/explain.rs
@@ -306,3 +306,56 @@
     let text = ask(&tenant).expect_err("an unknown tenant").to_string();
     assert_eq!(text, "tenant nobody is unknown; expected one of: farm");
 }
+
+/// Returns the reason why a request does not go to the upstream 1, if the dispatcher decides as explained.
+fn agreed_reason(world: &mut World, route: &str) -> Option<Reason> {
+    let request = world.request(route);
+    let now = world.now;
+    let branch = world
+        .dispatcher
+        .explain_request(&request, &Evacuations::default(), now);
+    let branch = branch.expect("the route is known");
+    let decision = own_decision(&mut world.dispatcher.clone(), &request, world);
+    assert_eq!(branch.decision, decision);
+    let found = branch.candidates.iter().find(|one| one.upstream == 1);
+    found.expect("the upstream").left_out
+}
+
+#[test]
+fn slots_that_are_kept_for_urgent_requests_are_named_as_the_reason() {
+    let mut world = World::new(&["a"]);
+    let mut seen = Vec::new();
+    for _ in 0..10 {
+        let slow: Vec<_> = (0..2).filter_map(|_| world.place(LOW_PRIORITY)).collect();
+        for _ in 0..10 {
+            // While none of the urgent requests runs, the slots that they will need are free.
+            seen.extend(agreed_reason(&mut world, LOW_PRIORITY));
+            let urgent = world.place(IDEMPOTENT);
+            world.advance(Duration::from_millis(100));
+            if let Some((ticket, _)) = urgent {
+                world.release(&ticket, Outcome::Answered, Duration::from_millis(100));
+            }
+        }
+        for (ticket, _) in slow {
+            world.release(&ticket, Outcome::Answered, Duration::from_secs(1));
+        }
+    }
+    assert!(seen.contains(&Reason::KeptForUrgent), "{seen:?}");
+}
+
+#[test]
+fn a_free_suspect_is_named_as_such_while_a_request_waits_for_a_healthy_upstream() {
+    let mut world = World::new(&["a", "a"]);
+    world.update_upstream(2, "a", Stage::Draining);
+    let (ticket, _) = world.place(IDEMPOTENT).expect("a slot");
+    world.release(&ticket, Outcome::Failed, Duration::from_millis(50));
+    world.update_upstream(2, "a", Stage::Ready);
+    for _ in 0..3 {
+        let (_, upstream) = world.place(NON_IDEMPOTENT).expect("a slot");
+        assert_eq!(upstream, 2);
+    }
+    assert_eq!(
+        agreed_reason(&mut world, NON_IDEMPOTENT),
+        Some(Reason::Suspect)
+    );
+}
