feat(core): bound the bytes of the requests that an upstream holds

Cause: Reserve names the size of each body, and nothing used it. An upstream that holds the bodies of all its requests can run out of memory long before it runs out of slots. Change: the dispatcher sums the bytes of what each upstream runs and places no request that would take one above max_held_bytes, a new optional term of a service; an upstream may always hold one request. Smaller requests pass a large one that fits nowhere; the large one has an upstream earmarked at its turn, and is refused at once if its bytes cannot be served before its deadline. Frame::Running names the bytes, appended. leader_load shows held. Without the passing of large ones many_large_bodies_of_a_tenant_hide_none_of_its_small_ones fails, without the estimate of bytes a_body_that_can_not_be_served_in_time_is_refused_at_once does.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -21,6 +21,8 @@
 mod failures;
 mod free;
 mod hedge;
+mod held;
+mod large;
 mod latencies;
 mod line;
 mod observation;
@@ -60,6 +62,7 @@
 pub use failures::Failures;
 pub use free::Free;
 pub use hedge::Counts;
+pub use held::Held;
 pub use pace::Pace;
 pub use pool::Pool;
 pub use quotas::Quotas;
@@ -184,6 +187,8 @@
     route: RouteId,
     /// What the request takes of the service.
     hold: Hold,
+    /// Size of the request body in bytes.
+    body_bytes: u32,
     since: Instant,
     /// Whether no other attempt of the request may follow.
     is_last: bool,
@@ -221,6 +226,8 @@
     pub upstream: Number,
     /// Route of the request.
     pub route: RouteId,
+    /// Size of the request body in bytes, 0 if it is not known.
+    pub body_bytes: u32,
 }
 
 /// The load of one upstream, for operators.
@@ -234,6 +241,10 @@
     pub running: u32,
     /// Requests that the upstream runs at a time.
     pub slots: u32,
+    /// Bytes of the bodies of the running requests.
+    pub held_bytes: u64,
+    /// Whether a slot is earmarked for a large request that waits for the upstream to have room for it.
+    pub is_earmarked: bool,
     /// Probability that the upstream is grey.
     pub grey: f64,
     /// Whether the upstream has stated in an answer that it is draining.
@@ -470,6 +481,8 @@
                 upstream: number,
                 running: state.running,
                 slots: state.slots,
+                held_bytes: state.held.bytes(),
+                is_earmarked: state.held.is_earmarked(),
                 grey: state.belief.grey(now),
                 states_draining: self.ledger.is_draining(number),
                 limit: self.ledger.limit(number).map(Limit::per_second),
@@ -545,7 +558,12 @@
     /// Records a slot that a host uses without a grant of this dispatcher.
     pub fn record_running(&mut self, placement: Placement, now: Instant) {
         self.free_slot(&placement.ticket, now);
-        if !self.change_upstream(placement.upstream, now, |state| state.running += 1) {
+        let body_bytes = placement.body_bytes;
+        let is_known = self.change_upstream(placement.upstream, now, |state| {
+            state.running += 1;
+            state.held.take(body_bytes);
+        });
+        if !is_known {
             return;
         }
         let hold = self.hold(&placement.service, &placement.route, None);
@@ -558,6 +576,7 @@
             zone: Zone::new(),
             route: placement.route,
             hold,
+            body_bytes,
             since: now,
             is_last: false,
             is_trial: false,
@@ -606,7 +625,7 @@
         {
             return vec![self.grant(request, choice, now)];
         }
-        self.enqueue(request, route, now)
+        self.enqueue_sized(request, route, now)
     }
 
     /// Releases the slot of an attempt that has ended and records its outcome, or withdraws a
@@ -737,6 +756,7 @@
         }
         self.change_upstream(slot.upstream, now, |state| {
             state.running = state.running.saturating_sub(1);
+            state.held.give_back(slot.body_bytes);
         });
         Some(slot)
     }
--- a/crates/core/src/dispatch/backlog.rs
+++ b/crates/core/src/dispatch/backlog.rs
@@ -100,6 +100,18 @@
         self.lines.range(..=rank).map(|(_, line)| line.work()).sum()
     }
 
+    /// Returns the bytes of the bodies of all requests.
+    #[must_use]
+    pub fn bytes(&self) -> u64 {
+        self.lines.values().map(Line::bytes).sum()
+    }
+
+    /// Returns the bytes of the bodies of the requests of lesser rank.
+    #[must_use]
+    pub fn bytes_ahead(&self, rank: Rank) -> u64 {
+        self.lines.range(..rank).map(|(_, line)| line.bytes()).sum()
+    }
+
     /// Returns the slot time that is served before a new request of a rank and tenant.
     #[must_use]
     pub fn work_before(&self, rank: Rank, tenant: &str, weight: f64, cost: Duration) -> Duration {
@@ -146,12 +158,14 @@
     }
 
     /// Removes the next request of a rank for which `place` returns a value, and returns both.
-    pub fn take<P, F>(&mut self, rank: Rank, place: F) -> Option<(Request, P)>
+    ///
+    /// A request larger than `most_bytes` is offered only when it is the first one of its tenant.
+    pub fn take<P, F>(&mut self, rank: Rank, most_bytes: u32, place: F) -> Option<(Request, P)>
     where
         F: FnMut(&Request) -> Option<P>,
     {
         let line = self.lines.get_mut(&rank)?;
-        let (request, found) = line.take(place)?;
+        let (request, found) = line.take(most_bytes, place)?;
         if line.is_empty() {
             self.lines.remove(&rank);
         }
@@ -159,6 +173,17 @@
         Some((request, found))
     }
 
+    /// Removes a request that is served out of turn.
+    pub fn serve(&mut self, ticket: &Ticket) -> Option<Request> {
+        let place = self.forget(ticket)?;
+        let line = self.lines.get_mut(&place.rank)?;
+        let request = line.serve(&place.tenant, place.sequence)?;
+        if line.is_empty() {
+            self.lines.remove(&place.rank);
+        }
+        Some(request)
+    }
+
     /// Removes a request; returns it with its rank.
     pub fn remove(&mut self, ticket: &Ticket) -> Option<(Rank, Request)> {
         let place = self.forget(ticket)?;
--- a/crates/core/src/dispatch/line.rs
+++ b/crates/core/src/dispatch/line.rs
@@ -24,6 +24,9 @@
 /// Requests at the front of a flow among which one that can be placed is searched.
 const LOOK_AHEAD: usize = 8;
 
+/// Requests at the front of a flow among which those that are too large are passed over.
+const MAX_PASSED_OVER: usize = 512;
+
 /// Position of a request in the order of arrival.
 pub type Sequence = u64;
 
@@ -36,6 +39,8 @@
     /// Largest slot time since the line was last empty.
     quantum: Duration,
     work: Duration,
+    /// Bytes of the bodies of the requests.
+    bytes: u64,
     length: usize,
     /// Sum of the weights of the tenants.
     weights: f64,
@@ -47,6 +52,7 @@
     /// Slot time that the tenant may still take in its turn, in seconds; negative if it has taken more.
     deficit: f64,
     work: Duration,
+    bytes: u64,
     entries: BTreeMap<Sequence, Entry>,
 }
 
@@ -75,6 +81,18 @@
         self.work
     }
 
+    /// Returns the bytes of the bodies of all requests.
+    #[must_use]
+    pub const fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// Returns the bytes of the bodies of the requests of a tenant.
+    #[must_use]
+    pub fn bytes_of(&self, tenant: &str) -> u64 {
+        self.flows.get(tenant).map_or(0, |flow| flow.bytes)
+    }
+
     /// Returns the number of tenants with requests.
     #[must_use]
     pub fn tenants(&self) -> usize {
@@ -152,18 +170,24 @@
             weight: 0.0,
             deficit: quantum.as_secs_f64(),
             work: Duration::ZERO,
+            bytes: 0,
             entries: BTreeMap::new(),
         });
         self.weights += weight - flow.weight;
         flow.weight = weight;
         flow.work += cost;
+        flow.bytes += u64::from(request.body_bytes);
+        self.bytes += u64::from(request.body_bytes);
         flow.entries.insert(sequence, Entry { cost, request });
         self.work += cost;
         self.length += 1;
     }
 
     /// Removes the next request for which `place` returns a value, and returns both.
-    pub fn take<P, F>(&mut self, mut place: F) -> Option<(Request, P)>
+    ///
+    /// A request larger than `most_bytes` is offered only when it is the first one of its tenant, so that it
+    /// does not hide the smaller ones behind it.
+    pub fn take<P, F>(&mut self, most_bytes: u32, mut place: F) -> Option<(Request, P)>
     where
         F: FnMut(&Request) -> Option<P>,
     {
@@ -176,26 +200,33 @@
                 self.end_turn(&tenant);
                 continue;
             }
-            let Some((sequence, found)) = flow.find(&mut place) else {
+            let Some((sequence, found)) = flow.find(most_bytes, &mut place) else {
                 skipped += 1;
                 self.turns.rotate_left(1);
                 continue;
             };
-            let flow = self.flows.get_mut(&tenant)?;
-            let cost = flow.entries.get(&sequence)?.cost;
-            flow.deficit -= cost.as_secs_f64();
-            let request = self.remove(&tenant, sequence)?;
+            let request = self.serve(&tenant, sequence)?;
             return Some((request, found));
         }
         None
     }
 
+    /// Removes a request that is served, which its tenant pays for.
+    pub fn serve(&mut self, tenant: &str, sequence: Sequence) -> Option<Request> {
+        let flow = self.flows.get_mut(tenant)?;
+        let cost = flow.entries.get(&sequence)?.cost;
+        flow.deficit -= cost.as_secs_f64();
+        self.remove(tenant, sequence)
+    }
+
     /// Removes a request.
     pub fn remove(&mut self, tenant: &str, sequence: Sequence) -> Option<Request> {
         let flow = self.flows.get_mut(tenant)?;
         let entry = flow.entries.remove(&sequence)?;
         flow.work = flow.work.saturating_sub(entry.cost);
         self.work = self.work.saturating_sub(entry.cost);
+        flow.bytes -= u64::from(entry.request.body_bytes);
+        self.bytes -= u64::from(entry.request.body_bytes);
         self.length -= 1;
         if flow.entries.is_empty() {
             self.weights -= flow.weight;
@@ -227,12 +258,17 @@
 }
 
 impl Flow {
-    fn find<P, F>(&self, place: &mut F) -> Option<(Sequence, P)>
+    fn find<P, F>(&self, most_bytes: u32, place: &mut F) -> Option<(Sequence, P)>
     where
         F: FnMut(&Request) -> Option<P>,
     {
-        let mut front = self.entries.iter().take(LOOK_AHEAD);
-        front.find_map(|(sequence, entry)| {
+        let first = self.entries.keys().next();
+        let is_offered = |(sequence, entry): &(&Sequence, &Entry)| {
+            Some(*sequence) == first || entry.request.body_bytes <= most_bytes
+        };
+        let offered = self.entries.iter().take(MAX_PASSED_OVER);
+        let mut offered = offered.filter(is_offered).take(LOOK_AHEAD);
+        offered.find_map(|(sequence, entry)| {
             let found = place(&entry.request)?;
             Some((*sequence, found))
         })
--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -16,6 +16,7 @@
 use crate::dispatch::Request;
 use crate::dispatch::Slot;
 use crate::dispatch::backlog::Rank;
+use crate::dispatch::held::Bound;
 use crate::publication::Route;
 use crate::roster::Number;
 use crate::statement::Pauses;
@@ -36,6 +37,9 @@
     max_silence: Duration,
     /// Upstreams that were tried for the request.
     avoid: &'a [Number],
+    /// Size of the request body in bytes.
+    body_bytes: u32,
+    held_bound: Bound,
     /// Upstreams that the host could not connect to.
     unreachable: &'a BTreeSet<Number>,
     /// Upstreams that want no requests from the host, whatever else speaks for them.
@@ -76,7 +80,9 @@
     }
 
     fn is_eligible(&self, number: Number) -> bool {
-        !self.avoid.contains(&number) && !self.pauses.contains(number)
+        let state = self.pool.get(number);
+        let fits = state.is_some_and(|state| state.held.fits(self.body_bytes, self.held_bound));
+        fits && !self.avoid.contains(&number) && !self.pauses.contains(number)
     }
 
     pub(super) fn is_reachable(&self, number: Number) -> bool {
@@ -121,6 +127,7 @@
         let unreachable = self.unreachable_upstreams(&request.ticket.host, now);
         let retries = self.retries();
         let is_limited_hedge = self.is_limited_hedge(request);
+        let held_bound = self.held_bound(&request.service);
         let pool = self.pools.get_mut(&request.service)?;
         let has_attempt_left = request.attempts + 1 < route.attempts;
         let can_retry = has_attempt_left && !pool.retry_budget.is_scarce(&retries);
@@ -141,6 +148,8 @@
             attempt: &attempt,
             max_silence: self.policy.max_silence,
             avoid: &request.avoid,
+            body_bytes: request.body_bytes,
+            held_bound,
             unreachable: &unreachable,
             pauses,
             now,
@@ -227,7 +236,11 @@
         let Choice { upstream, is_trial } = choice;
         let attempt_timeout = self.attempt_timeout(&request, upstream, now);
         let hedge_of = self.hedged_attempt(&request);
-        self.change_upstream(upstream, now, |state| state.note_grant(now));
+        let body_bytes = request.body_bytes;
+        self.change_upstream(upstream, now, |state| {
+            state.note_grant(now);
+            state.held.take(body_bytes);
+        });
         let route = self.publication.routes.get(&request.route);
         let is_last =
             route.is_none_or(|route| !route.idempotent || request.attempts + 1 >= route.attempts);
@@ -241,6 +254,7 @@
             zone: request.zone,
             route: request.route,
             hold,
+            body_bytes,
             since: now,
             is_last,
             is_trial,
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -20,6 +20,7 @@
 use crate::roster::Number;
 use crate::statement::Pauses;
 use crate::steward::Estimate;
+use crate::steward::Ticket;
 
 /// Time after a grant during which an upstream counts as in use; operators check two seconds.
 const IN_USE_WINDOW: Duration = Duration::from_millis(1_500);
@@ -71,6 +72,8 @@
     pub next_return: Option<Instant>,
     /// Extra sends of the service.
     pub hedges: Hedges,
+    /// Upstreams that are earmarked for queued requests which are too large for the others.
+    pub earmarks: BTreeMap<Number, Ticket>,
     /// Requests that are known to run on the upstreams.
     busy: u32,
     /// When a request that may be retried was last placed.
@@ -103,6 +106,7 @@
             next_suspect_offer: None,
             next_return: None,
             hedges: Hedges::default(),
+            earmarks: BTreeMap::new(),
             busy: 0,
             last_scout: None,
             free: Free::default(),
@@ -126,6 +130,7 @@
             self.busy -= state.running;
             self.free_slots -= free_slots(&state);
         }
+        self.earmarks.remove(&number);
         self.free.remove(number);
     }
 
--- a/crates/core/src/dispatch/queueing.rs
+++ b/crates/core/src/dispatch/queueing.rs
@@ -85,7 +85,7 @@
     /// only: most queued requests wait for another upstream, and a search through all of them at every event
     /// would take longer than the event is worth.
     pub(super) fn place_queued(&mut self, service: &str, now: Instant) -> Vec<Answer> {
-        let mut answers = Vec::new();
+        let mut answers = self.place_earmarked(service, now);
         let Some(pool) = self.pools.get_mut(service) else {
             return answers;
         };
@@ -98,18 +98,31 @@
             pool.next_suspect_offer = Some(now + SUSPECT_OFFER_INTERVAL);
         }
         let mut backlog = std::mem::take(&mut pool.backlog);
+        let most_bytes = if backlog.bytes() > 0 {
+            self.most_room(service, now)
+        } else {
+            u32::MAX
+        };
         let is_offering = |dispatcher: &Self| {
             let pool = dispatcher.pools.get(service);
             pool.is_some_and(|pool| has_offer(pool, offers_suspects))
         };
         let place = |dispatcher: &mut Self, request: &Request| {
             let is_kept = dispatcher.is_kept_from(request, now);
-            (!is_kept).then(|| dispatcher.choose(request, now))?
+            if is_kept {
+                return None;
+            }
+            let choice = dispatcher.choose(request, now);
+            if choice.is_none() && (request.body_bytes > most_bytes || !request.avoid.is_empty()) {
+                dispatcher.earmark_upstream(request, now);
+            }
+            choice
         };
         let ranks: Vec<Rank> = backlog.lines().map(|(rank, _)| rank).collect();
         for rank in ranks {
             while is_offering(self)
-                && let Some((request, choice)) = backlog.take(rank, |request| place(self, request))
+                && let Some((request, choice)) =
+                    backlog.take(rank, most_bytes, |request| place(self, request))
             {
                 answers.push(self.grant(request, choice, now));
             }
@@ -153,7 +166,7 @@
             return Err(MIN_RETRY_AFTER);
         };
         let prospect = self.prospect(pool, request, route, now);
-        let verdict = prospect.verdict();
+        let verdict = self.verdict_for_bytes(prospect.verdict(), &prospect, request, route);
         let tenant = request.tenant.as_deref().unwrap_or_default();
         let is_full = pool.backlog.len() >= MAX_QUEUED_REQUESTS && {
             let (own, tenants) = pool.backlog.count_tenants(tenant);
@@ -266,7 +279,7 @@
     }
 
     /// Returns the share of a tenant among those of one priority.
-    fn weight(&self, tenant: &str) -> f64 {
+    pub(super) fn weight(&self, tenant: &str) -> f64 {
         let known = self.publication.tenants.get(tenant);
         let quota = known.and_then(|known| known.quota);
         let quota = quota.map(|quota| quota.per_second);
--- a/crates/core/src/dispatch/upstream.rs
+++ b/crates/core/src/dispatch/upstream.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::dispatch::belief::Belief;
+use crate::dispatch::held::Held;
 use crate::dispatch::pace::Pace;
 use crate::dispatch::timing::Timing;
 use crate::health::Outcome;
@@ -36,6 +37,8 @@
     pub slots: u32,
     /// Requests that are known to run on the upstream.
     pub running: u32,
+    /// What the running requests hold at the upstream.
+    pub held: Held,
     /// Estimated probability that the upstream is grey.
     pub belief: Belief,
     /// When the dispatcher was first told of the upstream.
@@ -67,6 +70,7 @@
             zone: announcement.zone.clone(),
             slots: announcement.slots,
             running: 0,
+            held: Held::default(),
             belief: Belief::new(now),
             joined: now,
             last_granted: None,
@@ -125,15 +129,27 @@
         self.stage.takes_requests() && !self.states_draining
     }
 
-    /// Returns whether the upstream takes new requests, has a free slot and, if it limits requests, a permit.
+    /// Returns whether the upstream has a free slot that is not earmarked for a large request, as
+    /// [`Upstream::has_free_slot`].
     #[must_use]
     pub fn has_room(&self, now: Instant) -> bool {
+        let needed = 1 + u32::from(self.held.is_earmarked());
+        self.has_free_slots(needed, now)
+    }
+
+    /// Returns whether the upstream takes new requests, has a free slot and, if it limits requests, a permit.
+    #[must_use]
+    pub fn has_free_slot(&self, now: Instant) -> bool {
+        self.has_free_slots(1, now)
+    }
+
+    fn has_free_slots(&self, needed: u32, now: Instant) -> bool {
         let has_permit = self.pace.is_none_or(|pace| pace.has_permit(now));
         let slots = match self.dead_until {
             None => self.slots,
             Some(until) => u32::from(now >= until),
         };
-        self.is_open() && self.running < slots && has_permit
+        self.is_open() && self.running + needed <= slots && has_permit
     }
 
     /// Returns the mean number of slots that new requests can keep busy, each for `slot_time`.
--- a/crates/core/src/publication/terms.rs
+++ b/crates/core/src/publication/terms.rs
@@ -20,6 +20,10 @@
     /// sends none if it is 0. Without it, only the retry budget limits them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub hedge_share: Option<f64>,
+    /// Most bytes of request bodies that one upstream holds, if there is a bound; it may always hold one
+    /// request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_held_bytes: Option<u64>,
 }
 
 /// The limit on the requests to an upstream that is cold.
@@ -46,5 +50,8 @@
         {
             faults.add(field("hedge_share"), format!("{share} must be from 0 to 1"));
         }
+        if self.max_held_bytes == Some(0) {
+            faults.add(field("max_held_bytes"), "0 must be above 0");
+        }
     }
 }
--- a/crates/core/tests/dispatch/fleet.rs
+++ b/crates/core/tests/dispatch/fleet.rs
@@ -343,5 +343,6 @@
         service: SERVICE.to_owned(),
         upstream: run.upstream,
         route: IDEMPOTENT.to_owned(),
+        body_bytes: 0,
     }
 }
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -8,6 +8,7 @@
 mod grey;
 mod hedge;
 mod hedge_load;
+mod held;
 mod limits;
 mod load;
 mod overload;
--- a/crates/core/tests/dispatch/world.rs
+++ b/crates/core/tests/dispatch/world.rs
@@ -66,18 +66,24 @@
         world
     }
 
+    /// Sets the terms of the service.
+    pub fn set_terms(&mut self, terms: Terms) {
+        let publication = Publication {
+            terms: BTreeMap::from([(SERVICE.to_owned(), terms)]),
+            ..publication(None)
+        };
+        self.dispatcher.publish(Rc::new(publication), self.now);
+    }
+
     /// Limits requests to upstreams that are cold.
     pub fn set_warmup(&mut self, per_second: f64, duration: Duration) {
-        let mut publication = publication(None);
-        let terms = Terms {
+        self.set_terms(Terms {
             warmup: Some(Warmup {
                 per_second,
                 duration,
             }),
             ..Terms::default()
-        };
-        publication.terms.insert(SERVICE.to_owned(), terms);
-        self.dispatcher.publish(Rc::new(publication), self.now);
+        });
     }
 
     /// Sets the quota of the tenant `farm`.
@@ -89,15 +95,10 @@
 
     /// Sets the share of extra sends of the service.
     pub fn set_hedge_share(&mut self, share: f64) {
-        let terms = Terms {
+        self.set_terms(Terms {
             hedge_share: Some(share),
             ..Terms::default()
-        };
-        let publication = Publication {
-            terms: BTreeMap::from([(SERVICE.to_owned(), terms)]),
-            ..publication(None)
-        };
-        self.dispatcher.publish(Rc::new(publication), self.now);
+        });
     }
 
     pub fn update_upstream(&mut self, number: Number, zone: &str, stage: Stage) -> Vec<Answer> {
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -151,6 +151,9 @@
         upstream: Number,
         /// Route of the request.
         route: RouteId,
+        /// Size of the request body in bytes; 0, also where it is not known, from an older build.
+        #[serde(deserialize_with = "trailing::or_default")]
+        body_bytes: u32,
     },
     /// Requests an upstream.
     Reserve(Reserve),
--- a/crates/wire/src/dispatch/hosts.rs
+++ b/crates/wire/src/dispatch/hosts.rs
@@ -207,12 +207,14 @@
                 service,
                 upstream,
                 route,
+                body_bytes,
             } => {
                 let placement = Placement {
                     ticket: ticket(number),
                     service,
                     upstream,
                     route,
+                    body_bytes,
                 };
                 self.dispatcher.record_running(placement, now);
                 Vec::new()
--- a/crates/wire/tests/dispatch.rs
+++ b/crates/wire/tests/dispatch.rs
@@ -162,6 +162,23 @@
     assert_eq!(read, expected);
 }
 
+#[test]
+fn a_slot_in_use_is_reported_with_its_bytes_and_read_without_them() {
+    let running = |body_bytes| Frame::Running {
+        number: 7,
+        service: "herd".to_owned(),
+        upstream: 3,
+        route: "r-1".to_owned(),
+        body_bytes,
+    };
+    let bytes = postcard::to_stdvec(&running(12_000)).expect("the test set-up works");
+    let read: Frame = postcard::from_bytes(&bytes).expect("this build reads it");
+    assert_eq!(read, running(12_000));
+    let without = &bytes[..bytes.len() - 2];
+    let read: Frame = postcard::from_bytes(without).expect("this build reads an older one");
+    assert_eq!(read, running(0));
+}
+
 #[test]
 fn terms_of_services_reach_hosts_and_a_delta_without_them_has_none() {
     let mut publication = Publication {
--- a/programs/pb-control/src/dispatch/state.rs
+++ b/programs/pb-control/src/dispatch/state.rs
@@ -159,6 +159,7 @@
         let retries: BTreeMap<&String, f64> = dispatcher.retries_left().collect();
         let queues: BTreeMap<&String, _> = dispatcher.queues().collect();
         let kept: BTreeMap<&String, u32> = dispatcher.kept_slots(now).collect();
+        let held: BTreeMap<&str, _> = dispatcher.held().collect();
         info!(
             hosts = self.hosts.len(),
             suspects = dispatcher.suspects(now).len(),
@@ -172,6 +173,7 @@
             queued,
             queues = %json!(queues),
             kept = %json!(kept),
+            held = %json!(held),
             refusals = %json!(refusals),
             steps = steps - self.load.steps,
             max_delay_ms = dispatch::millis(self.load.max_delay),
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -98,6 +98,8 @@
     service: ServiceId,
     upstream: Number,
     route: RouteId,
+    /// Size of the request body in bytes.
+    body_bytes: u32,
 }
 
 /// Finds upstreams for the requests of one host.
@@ -382,6 +384,7 @@
             service: slot.service.clone(),
             upstream: slot.upstream,
             route: slot.route.clone(),
+            body_bytes: slot.body_bytes,
         }
     }
 
@@ -429,6 +432,7 @@
         service: slot.service.clone(),
         upstream: slot.upstream,
         route: slot.route.clone(),
+        body_bytes: slot.body_bytes,
     }
 }
 
--- a/programs/pb-proxy/src/gateway/placement/reserve.rs
+++ b/programs/pb-proxy/src/gateway/placement/reserve.rs
@@ -305,6 +305,7 @@
             service: criteria.service.clone(),
             upstream,
             route: criteria.route.clone(),
+            body_bytes: criteria.body_bytes,
         };
         self.slots.borrow_mut().insert(number, slot.clone());
         if by_dispatcher {
