feat(proxy): read answers ahead of slow clients, and bodies, within a budget of the host

Cause: an answer beyond 256 KiB was read only as fast as its client took it, so that a client that reads slowly holds the upstream's slot and the upstream cuts the answer off; request bodies and shorter answers were held without a bound. Change: with buffer_mb in the bounds of a proxy, answers are read by a task of their own into a queue that core::memory::Budget bounds per answer, tenant and host; beyond it as fast as the client reads. A queue without an explicit end breaks the client's connection off. Bodies count until their request has ended, and one without room is refused as overload. Without the bound nothing changes. Rest has a file of its own. Seen: with the bound left out, an_answer_is_read_at_once_for_a_client_that_reads_late fails (the slot is in use for 18 s, until the test gives up) and a_body_without_room_is_refused_as_overload_and_taken_later gets 200 in place of 503; with it both pass, and so do the tests of downloads, detours, endless answers, logs and hedges.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod key;
 pub mod machine;
 pub mod membership;
+pub mod memory;
 pub mod poison;
 pub mod publication;
 pub mod quota;
--- a/programs/pb-proxy/src/gateway.rs
+++ b/programs/pb-proxy/src/gateway.rs
@@ -5,6 +5,7 @@
 //! [`Publication`](persimmonbend_core::publication::Publication), and uses a [`Dialect`] for the
 //! headers of clients and upstreams.
 
+mod bodies;
 pub mod checks;
 pub mod clients;
 pub mod deputy;
@@ -15,12 +16,15 @@
 mod feed;
 pub mod forward;
 mod framing;
+pub mod memory;
 pub mod meters;
 pub mod paths;
 pub mod placement;
 pub mod record;
 pub mod relay;
+mod rest;
 pub mod settings;
+pub mod spool;
 pub mod state;
 pub mod zones;
 
--- a/programs/pb-proxy/src/gateway/clients.rs
+++ b/programs/pb-proxy/src/gateway/clients.rs
@@ -6,16 +6,9 @@
 use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
-use bytes::Bytes;
-use compio::time::timeout;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
@@ -32,6 +25,7 @@
 
 use crate::callers;
 use crate::gateway::LINGER;
+use crate::gateway::bodies;
 use crate::gateway::dialect::Key;
 use crate::gateway::dialect::Metadata;
 use crate::gateway::forward;
@@ -99,7 +93,8 @@
         let wait = wait.min(target.route.timeout);
         let deadline = record.arrived() + wait.saturating_sub(ANSWER_MARGIN);
         let limit = limits.body_bytes.min(MAX_BODY_BYTES);
-        let body = self.read_body(body, limit, deadline).await?;
+        let hold = self.state.memory().hold(target.tenant.as_ref());
+        let body = bodies::read(&self.state, body, limit, deadline, &hold, record).await?;
         let service = target.route.pick(self.state.random_fraction()).cloned();
         let service = service.ok_or_else(|| Failure::from(Kind::NoUpstream))?;
         let plan = Plan {
@@ -109,6 +104,7 @@
             tenant: target.tenant,
             head: callers::upstream_head(head),
             body,
+            hold,
             deadline,
             fingerprint: OnceCell::new(),
         };
@@ -168,28 +164,6 @@
             Failure::from(Kind::ConfigUnverified)
         }
     }
-
-    /// Reads a body of at most `limit` bytes until `deadline`.
-    async fn read_body(
-        &self,
-        body: Incoming,
-        limit: usize,
-        deadline: Instant,
-    ) -> Result<Bytes, Failure> {
-        // A stated length that is too large is refused before the body is read.
-        if body.size_hint().lower() > limit as u64 {
-            return Err(Failure::from(Kind::BodyTooLarge));
-        }
-        let left = deadline.saturating_duration_since(self.state.now());
-        let reading = Limited::new(body, limit).collect();
-        let collected = timeout(left, reading).await;
-        let collected = collected.map_err(|_| Failure::from(Kind::BodyTimeout))?;
-        match collected {
-            Ok(body) => Ok(body.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => Err(Failure::from(Kind::BodyTooLarge)),
-            Err(_) => Err(Failure::from(Kind::BodyTruncated)),
-        }
-    }
 }
 
 impl Handler for Endpoint {
--- a/programs/pb-proxy/src/gateway/detour/server.rs
+++ b/programs/pb-proxy/src/gateway/detour/server.rs
@@ -44,6 +44,7 @@
 use crate::gateway::dialect::Verdict;
 use crate::gateway::end_check;
 use crate::gateway::framing;
+use crate::gateway::memory::Hold;
 use crate::gateway::paths;
 use crate::gateway::state::State;
 use crate::pool::Connection;
@@ -96,6 +97,8 @@
     may_reuse: bool,
     head: Parts,
     body: Bytes,
+    /// What the body takes of the memory of this host.
+    hold: Hold,
 }
 
 impl Handler for Endpoint {
@@ -149,6 +152,13 @@
         if is_blocked || paths::is_suspected(&self.state, service) {
             return Err(Fault::Blocked);
         }
+        // The requests of other hosts count as those of one tenant. Hosts state the length of each body.
+        let hold = self.state.memory().hold(None);
+        let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+        if let Err(bound) = hold.take_body(stated) {
+            self.state.meters().count_refused_body(bound);
+            return Err(Fault::Blocked);
+        }
         let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
         let body = body.map_err(|_| Fault::Unwilling)?.to_bytes();
         Ok(Forwarded {
@@ -156,6 +166,7 @@
             may_reuse,
             head,
             body,
+            hold,
         })
     }
 
@@ -220,6 +231,7 @@
         let (service, address) = (announcement.service.clone(), announcement.address);
         let was_used = connection.reused;
         let method = forwarded.head.method.clone();
+        let _hold = forwarded.hold;
         let request = Request::from_parts(forwarded.head, Full::new(forwarded.body));
         let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -4,16 +4,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
 use bytes::BytesMut;
 use compio::runtime::spawn;
 use compio::time::timeout;
-use futures_util::Stream;
 use futures_util::StreamExt;
 use futures_util::stream;
-use http_body_util::BodyDataStream;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::StreamBody;
@@ -27,6 +24,7 @@
 use persimmonbend_app::http::Body;
 use persimmonbend_core::error::Kind;
 use persimmonbend_core::health::Outcome;
+use persimmonbend_core::memory::Bound;
 use persimmonbend_core::poison::Standing;
 use tracing::info;
 
@@ -39,9 +37,13 @@
 use crate::gateway::end_check::Interruption;
 use crate::gateway::forward::Plan;
 use crate::gateway::framing;
+use crate::gateway::memory::Hold;
 use crate::gateway::paths;
 use crate::gateway::paths::CONNECT_TIMEOUT;
 use crate::gateway::placement::Reservation;
+use crate::gateway::rest::Rest;
+use crate::gateway::spool;
+use crate::gateway::spool::Deadline;
 use crate::gateway::state::State;
 use crate::pool::Connection;
 
@@ -55,6 +57,10 @@
 /// Largest answer that is buffered whole before the client receives its head.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
+/// Part of an answer that is buffered before the client receives its head also where the memory of the host
+/// is short. Answers up to this size are not counted once they are passed on.
+const MIN_BUFFERED_BYTES: usize = 16 * 1024;
+
 /// The fault of a request whose upstream broke it off or gave no valid answer.
 const BROKEN: Fault = Fault::unknown(Kind::UpstreamBroken, Outcome::Truncated);
 
@@ -171,7 +177,7 @@
 
 /// How a request gets to its upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Way {
+pub(super) enum Way {
     /// Over a connection to the upstream at this address.
     Direct(SocketAddr),
     /// Through another host.
@@ -180,7 +186,7 @@
 
 impl Way {
     /// Returns the other end of the connection.
-    const fn address(self) -> SocketAddr {
+    pub(super) const fn address(self) -> SocketAddr {
         match self {
             Self::Direct(address) | Self::Detour(address) => address,
         }
@@ -467,7 +473,8 @@
             Verdict::Moved => return Err(Fault::not_run(Outcome::Moved).into()),
             Verdict::Unverified => return Err(BROKEN.into()),
         }
-        let buffered = buffer_body(&mut body).await;
+        let hold = state.memory().hold(self.plan.tenant.as_ref());
+        let buffered = buffer_body(&mut body, &hold).await;
         let (buffered, is_complete) = buffered.map_err(|_| BROKEN)?;
         // Behind another host, that host finds out.
         let is_open_ended = way == Way::Direct(self.address)
@@ -480,6 +487,7 @@
         Ok(Answer {
             head,
             buffered,
+            hold,
             rest: (!is_complete).then_some(body),
             is_open_ended,
             connection,
@@ -518,14 +526,17 @@
     request
 }
 
-/// Reads a body until its end or [`MAX_BUFFERED_BYTES`]; returns whether it is complete.
-async fn buffer_body(body: &mut Incoming) -> Result<(Bytes, bool), hyper::Error> {
+/// Reads a body until its end, [`MAX_BUFFERED_BYTES`] or a bound of the memory; returns whether it is complete.
+async fn buffer_body(body: &mut Incoming, hold: &Hold) -> Result<(Bytes, bool), hyper::Error> {
     let mut buffered = BytesMut::new();
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame?.into_data() {
             buffered.extend_from_slice(&data);
+            hold.add(data.len());
         }
-        if buffered.len() > MAX_BUFFERED_BYTES {
+        let is_short =
+            buffered.len() > MIN_BUFFERED_BYTES && hold.check_answer(MIN_BUFFERED_BYTES).is_err();
+        if buffered.len() > MAX_BUFFERED_BYTES || is_short {
             return Ok((buffered.freeze(), false));
         }
     }
@@ -536,7 +547,9 @@
 struct Answer {
     head: Parts,
     buffered: Bytes,
-    /// The rest of the body, if it exceeds [`MAX_BUFFERED_BYTES`].
+    /// What the buffered part takes of the memory of the host.
+    hold: Hold,
+    /// The rest of the body, if it exceeds what is buffered.
     rest: Option<Incoming>,
     /// Whether only the end of the connection ends the body.
     is_open_ended: bool,
@@ -574,96 +587,48 @@
                 bytes,
                 deadline: plan.deadline,
             };
-            let first = stream::iter([Ok(Frame::data(self.buffered))]);
-            let body = StreamBody::new(first.chain(rest.into_stream()));
-            return Reply::Answered(Response::from_parts(self.head, Box::pin(body)));
+            let body = pass_on(self.buffered, rest, self.hold);
+            return Reply::Answered(Response::from_parts(self.head, body));
         }
         attempt.reservation.end(outcome, bytes);
         if failed {
-            let response = Response::from_parts(self.head, http::full(self.buffered));
-            return Reply::Failed(response);
+            let body = counted(self.buffered, self.hold);
+            return Reply::Failed(Response::from_parts(self.head, body));
         }
         state.placer().note_answer(|| plan.content(), state.now());
         state
             .pool()
             .put_back(way.address(), self.connection, state.now());
-        Reply::Answered(Response::from_parts(self.head, http::full(self.buffered)))
+        let body = counted(self.buffered, self.hold);
+        Reply::Answered(Response::from_parts(self.head, body))
     }
 }
 
-/// The rest of a body, which is read from the upstream only as fast as the client takes it.
-///
-/// The upstream's slot is in use until the end of the body. Dropping the rest, since the client has
-/// left, releases the slot and closes the connection to the upstream.
-struct Rest {
-    state: Rc<State>,
-    body: BodyDataStream<Incoming>,
-    connection: Connection,
-    way: Way,
-    /// Whether only the end of the connection ends the body.
-    is_open_ended: bool,
-    /// The request, if the upstream breaks it off here.
-    interruption: Interruption,
-    reservation: Reservation,
-    /// Outcome of the attempt if the body arrives complete.
-    outcome: Outcome,
-    bytes: usize,
-    deadline: Instant,
-}
-
-impl Rest {
-    /// Returns the frames of the body. A body that is cut off or not complete by the deadline ends
-    /// with an error, which aborts the connection of the client.
-    fn into_stream(self) -> impl Stream<Item = io::Result<Frame<Bytes>>> {
-        stream::unfold(Some(self), |rest| async move { rest?.next().await })
-    }
-
-    /// Reads the next frame; returns it with the rest behind it, if the body goes on.
-    async fn next(mut self) -> Option<(io::Result<Frame<Bytes>>, Option<Self>)> {
-        let left = self.deadline.saturating_duration_since(self.state.now());
-        let error = match timeout(left, self.body.next()).await {
-            Ok(Some(Ok(data))) => {
-                self.bytes += data.len();
-                return Some((Ok(Frame::data(data)), Some(self)));
-            }
-            Ok(None) if self.has_ended().await => {
-                self.reservation.end(Outcome::Truncated, self.bytes);
-                end_check::note_end(&self.state, &self.interruption);
-                io::ErrorKind::UnexpectedEof.into()
-            }
-            Ok(None) => {
-                self.complete();
-                return None;
-            }
-            Ok(Some(Err(error))) => {
-                self.reservation.end(Outcome::Truncated, self.bytes);
-                spawn(end_check::run(self.state, self.interruption)).detach();
-                io::Error::other(error)
-            }
-            Err(_) => {
-                self.reservation.end(Outcome::TimedOut, self.bytes);
-                io::ErrorKind::TimedOut.into()
-            }
-        };
-        Some((Err(error), None))
-    }
-
-    /// Returns whether the upstream has ended behind a body that only the end of the connection ends.
-    async fn has_ended(&self) -> bool {
-        let Interruption {
-            service, address, ..
-        } = &self.interruption;
-        self.is_open_ended && end_check::has_ended(&self.state, service, *address).await
+/// Returns a whole body, which counts until the client has taken it unless it is small.
+fn counted(body: Bytes, hold: Hold) -> Body {
+    if hold.memory().is_bounded() && body.len() > MIN_BUFFERED_BYTES {
+        return Box::pin(StreamBody::new(spool::whole(body, hold)));
     }
+    http::full(body)
+}
 
-    /// Ends the reservation and keeps the connection for another request.
-    fn complete(self) {
-        self.reservation.end(self.outcome, self.bytes);
-        let now = self.state.now();
-        let content = self.interruption.content;
-        self.state.placer().note_answer(|| content, now);
-        self.state
-            .pool()
-            .put_back(self.way.address(), self.connection, now);
+/// Returns a body whose rest is read ahead of the client where the host has a budget for that, or else as
+/// fast as the client takes it.
+fn pass_on(first: Bytes, rest: Rest, hold: Hold) -> Body {
+    if !hold.memory().is_bounded() {
+        let first = stream::iter([Ok(Frame::data(first))]);
+        return Box::pin(StreamBody::new(first.chain(rest.into_stream())));
     }
+    let state = Rc::clone(&rest.state);
+    let deadline = Deadline {
+        clock: Rc::clone(state.clock()),
+        at: rest.deadline,
+    };
+    let request = rest.interruption.request.clone();
+    let notice = move |bound: Bound, bytes| {
+        state.meters().count_held_back(bound);
+        info!(request, bound = bound.name(), bytes, "answer_held_back");
+    };
+    let body = spool::read_ahead(rest.into_stream(), first, hold, deadline, Box::new(notice));
+    Box::pin(StreamBody::new(body))
 }
--- a/programs/pb-proxy/src/gateway/forward.rs
+++ b/programs/pb-proxy/src/gateway/forward.rs
@@ -39,6 +39,7 @@
 use crate::gateway::exchange;
 use crate::gateway::exchange::Fault;
 use crate::gateway::exchange::Reply;
+use crate::gateway::memory::Hold;
 use crate::gateway::paths;
 use crate::gateway::placement::Criteria;
 use crate::gateway::placement::Placer;
@@ -80,6 +81,8 @@
     pub head: Parts,
     /// The whole body.
     pub body: Bytes,
+    /// What the body takes of the memory of the host.
+    pub hold: Hold,
     /// When the answer is due.
     pub deadline: Instant,
     /// Fingerprint of the content, once it was needed.
--- a/programs/pb-proxy/src/gateway/meters.rs
+++ b/programs/pb-proxy/src/gateway/meters.rs
@@ -14,6 +14,7 @@
 use persimmonbend_app::meters::Histogram;
 use persimmonbend_app::meters::Registry;
 use persimmonbend_core::error::Kind;
+use persimmonbend_core::memory::Bound;
 use persimmonbend_wire::meter;
 
 use crate::gateway::state::State;
@@ -32,8 +33,12 @@
     hedges: Counters,
     refused_hedges: Counters,
     statements: Counters,
+    held_back: Counters,
+    refused_bodies: Counters,
     latency_seconds: Histogram,
     running: Gauge,
+    buffered_bytes: Gauge,
+    buffer_bytes: Gauge,
     version: Gauge,
     control_heard: Gauge,
     zones_closed: Gauge,
@@ -72,12 +77,30 @@
                 "Statements of upstreams about themselves that were new to this host.",
                 "statement",
             ),
+            held_back: registry.counters(
+                "answers_held_back_total",
+                "Answers that were read no faster than their clients took them, by the bound.",
+                "bound",
+            ),
+            refused_bodies: registry.counters(
+                "bodies_refused_total",
+                "Requests that were refused as their bodies had no room, by the bound.",
+                "bound",
+            ),
             latency_seconds: registry.histogram(
                 "request_seconds",
                 "Time from a request's arrival to its answer, in seconds.",
                 &LATENCY_BUCKETS_SECONDS,
             ),
             running: registry.gauge("requests_running", "Requests that run now."),
+            buffered_bytes: registry.gauge(
+                "buffered_bytes",
+                "Bytes of answers and request bodies that are held now, where there is a budget.",
+            ),
+            buffer_bytes: registry.gauge(
+                "buffer_bytes",
+                "Budget for answers and request bodies in bytes, 0 without one.",
+            ),
             version: registry.gauge(
                 "publication_version",
                 "Version of the publication in force.",
@@ -129,6 +152,16 @@
         self.refused_hedges.add(kind.answer().code);
     }
 
+    /// Counts an answer that was not read ahead any further.
+    pub fn count_held_back(&self, bound: Bound) {
+        self.held_back.add(bound.name());
+    }
+
+    /// Counts a request that was refused for the size of its body.
+    pub fn count_refused_body(&self, bound: Bound) {
+        self.refused_bodies.add(bound.name());
+    }
+
     /// Counts a statement of an upstream that was new to this host.
     pub fn count_statement(&self, statement: &str) {
         self.statements.add(statement);
@@ -160,6 +193,11 @@
         let meters = self.state.meters();
         let running = u32::try_from(self.state.running().get()).unwrap_or(u32::MAX);
         meters.running.set(f64::from(running));
+        let (used, limit) = self.state.memory().usage().unwrap_or_default();
+        #[allow(clippy::cast_precision_loss)]
+        meters.buffered_bytes.set(used as f64);
+        #[allow(clippy::cast_precision_loss)]
+        meters.buffer_bytes.set(limit as f64);
         #[allow(clippy::cast_precision_loss)]
         meters.version.set(self.state.version() as f64);
         #[allow(clippy::cast_precision_loss)]
--- a/programs/pb-proxy/src/gateway/settings.rs
+++ b/programs/pb-proxy/src/gateway/settings.rs
@@ -46,6 +46,9 @@
     /// Most extra sends of running requests, as a share of the requests to a service whose terms set none;
     /// `None` if only the retry budget limits them.
     pub hedge_share: Option<f64>,
+    /// Bytes of answers and request bodies that this host holds at most; `None` if it reads answers no faster
+    /// than clients do and counts no bodies.
+    pub buffer_bytes: Option<u64>,
     /// Overshoot of tenants' quotas that operators tolerate.
     pub tolerance: Tolerance,
 }
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -36,6 +36,7 @@
 use crate::gateway::detour;
 use crate::gateway::dialect::Dialect;
 use crate::gateway::feed::Feed;
+use crate::gateway::memory::Memory;
 use crate::gateway::meters::Meters;
 use crate::gateway::paths::Paths;
 use crate::gateway::placement::Placer;
@@ -95,6 +96,7 @@
     paths: Paths,
     detours: detour::Hosts,
     meters: Meters,
+    memory: Rc<Memory>,
     rng: RefCell<ChaCha8Rng>,
     running: Cell<usize>,
     stop: Stop,
@@ -125,6 +127,7 @@
             paths: Paths::new(settings.contact),
             detours: detour::Hosts::default(),
             meters: Meters::new(),
+            memory: Rc::new(Memory::new(settings.buffer_bytes)),
             rng: RefCell::new(rng),
             running: Cell::new(0),
             settings,
@@ -151,6 +154,12 @@
         self.clock.now()
     }
 
+    /// Returns the clock.
+    #[must_use]
+    pub const fn clock(&self) -> &Rc<dyn Clock> {
+        &self.clock
+    }
+
     /// Returns the publication in force.
     #[must_use]
     pub fn in_force(&self) -> Rc<Configuration> {
@@ -210,6 +219,12 @@
         &self.meters
     }
 
+    /// Returns the memory that this host holds for clients and upstreams.
+    #[must_use]
+    pub const fn memory(&self) -> &Rc<Memory> {
+        &self.memory
+    }
+
     /// Returns the stop signal of the process.
     #[must_use]
     pub const fn stop(&self) -> &Stop {
