fix(core): slots of a host without a link stay in use until it reports or its requests are due

A leader freed the slots of a host as soon as its link ended or was replaced by another one, and gave them to requests that waited, although the host may still run requests there: upstreams got more requests at a time than they take. What is late on such a slot speaks no longer against its upstream. A restarted host frees the slots of its earlier process with its first frame.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -12,6 +12,7 @@
 //! its deadline is refused at once, with the time after which the queue ahead of it will probably
 //! have been served.
 
+mod absence;
 mod admission;
 mod backlog;
 mod belief;
@@ -185,6 +186,10 @@
     /// What the request takes of the service.
     hold: Hold,
     since: Instant,
+    /// When the answer to the client is due, after which the host no longer waits for the upstream.
+    deadline: Instant,
+    /// Until when the slot stays in use while its host has no link, or has not reported yet what it runs.
+    absent_until: Option<Instant>,
     /// Whether no other attempt of the request may follow.
     is_last: bool,
     /// Whether the upstream was chosen to keep it in use rather than for its cost.
@@ -390,26 +395,6 @@
         });
     }
 
-    /// Records that a host is connected.
-    pub fn connect_host(&mut self, host: &str) {
-        self.hosts.insert(
-            host.to_owned(),
-            Host {
-                disconnected_at: None,
-            },
-        );
-    }
-
-    /// Releases the slots and withdraws the queued requests of a host whose connection was lost.
-    ///
-    /// Returns answers to requests of other hosts that can now be placed.
-    pub fn disconnect_host(&mut self, host: &str, now: Instant) -> Vec<Answer> {
-        if let Some(known) = self.hosts.get_mut(host) {
-            known.disconnected_at = Some(now);
-        }
-        self.release_host(host, now)
-    }
-
     /// Removes a host that stops as planned, with its slots and queued requests.
     ///
     /// Returns answers to requests of other hosts that can now be placed.
@@ -542,8 +527,13 @@
         pools.map(|(service, pool)| (service, pool.retry_budget.tokens()))
     }
 
-    /// Records a slot that a host uses without a grant of this dispatcher.
+    /// Records a slot that a host uses without a grant of this dispatcher, or still uses after its link ended.
     pub fn record_running(&mut self, placement: Placement, now: Instant) {
+        let known = self.slots_in_use.get_mut(&placement.ticket);
+        if let Some(slot) = known.filter(|slot| slot.upstream == placement.upstream) {
+            slot.absent_until = None;
+            return;
+        }
         self.free_slot(&placement.ticket, now);
         if !self.change_upstream(placement.upstream, now, |state| state.running += 1) {
             return;
@@ -552,6 +542,8 @@
         if let Some(pool) = self.pools.get_mut(&placement.service) {
             pool.demand.note_grant(hold);
         }
+        let route = self.publication.routes.get(&placement.route);
+        let timeout = route.map_or(DISCONNECTED_HOST_SHARE_TIME, |route| route.timeout);
         let slot = Slot {
             service: placement.service,
             upstream: placement.upstream,
@@ -559,6 +551,8 @@
             route: placement.route,
             hold,
             since: now,
+            deadline: now + timeout,
+            absent_until: None,
             is_last: false,
             is_trial: false,
             late_count: 0,
@@ -633,6 +627,7 @@
     /// Does the periodic work: records late attempts, refuses queued requests that can no longer be
     /// answered in time, and removes expired pauses and hosts.
     pub fn tick(&mut self, now: Instant) -> Vec<Answer> {
+        self.expire_absent_slots(now);
         self.record_late_attempts(now);
         self.unreachable_until.retain(|_, until| now < *until);
         self.ledger.expire(now);
@@ -712,18 +707,17 @@
     }
 
     fn release_host(&mut self, host: &str, now: Instant) -> Vec<Answer> {
-        let bound = |number| Ticket {
-            host: host.to_owned(),
-            number,
-        };
         self.contact.forget_host(host);
-        let own = self.slots_in_use.range(bound(u32::MIN)..=bound(u32::MAX));
-        let tickets: Vec<Ticket> = own.map(|(ticket, _)| ticket.clone()).collect();
+        self.withdraw_host(host);
+        self.free_slots(self.tickets(host, |_| true), now)
+    }
+
+    /// Frees slots and returns answers to queued requests that can now be placed.
+    fn free_slots(&mut self, tickets: Vec<Ticket>, now: Instant) -> Vec<Answer> {
         let mut services = BTreeSet::new();
         for ticket in tickets {
             services.extend(self.free_slot(&ticket, now).map(|slot| slot.service));
         }
-        self.withdraw_host(host);
         let served = services
             .iter()
             .map(|service| self.place_queued(service, now));
--- a/crates/core/src/dispatch/observation.rs
+++ b/crates/core/src/dispatch/observation.rs
@@ -170,7 +170,8 @@
         let publication = Rc::clone(&self.publication);
         let mut late = Vec::new();
         for (ticket, slot) in &self.slots_in_use {
-            if slot.late_count >= MAX_LATE_COUNT {
+            // The silence of an absent host says nothing about the upstream.
+            if slot.late_count >= MAX_LATE_COUNT || slot.absent_until.is_some() {
                 continue;
             }
             let Some(route) = publication.routes.get(&slot.route) else {
--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -242,6 +242,8 @@
             route: request.route,
             hold,
             since: now,
+            deadline: request.deadline,
+            absent_until: None,
             is_last,
             is_trial,
             late_count: 0,
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! The dispatcher under load: which requests are placed, queued and refused.
 
+mod absence;
 mod budget;
 mod cut_off;
 mod dead;
--- a/crates/wire/src/dispatch/hosts.rs
+++ b/crates/wire/src/dispatch/hosts.rs
@@ -51,6 +51,8 @@
     sender: Sender,
     zone: Zone,
     last_heartbeat: Instant,
+    /// Whether the host has yet to report all that it runs, which it does before it sends anything else.
+    is_reporting: bool,
     /// Suspects that the host was told of.
     suspects: Rc<BTreeSet<Number>>,
     /// Limits that the host was told of.
@@ -139,16 +141,15 @@
         }
     }
 
-    /// Adds a connected host; closes its earlier connection and cancels the reservations made over
-    /// that connection.
+    /// Adds a connected host and closes its earlier connection; the reservations made over that connection
+    /// stay until the host has reported what it still runs.
     pub fn connect(&mut self, host: &str, zone: Zone, sender: &Sender, now: Instant) {
-        let answers = self.dispatcher.remove_host(host, now);
-        self.send(answers);
-        self.dispatcher.connect_host(host);
+        self.dispatcher.connect_host(host, now);
         let link = Link {
             sender: sender.clone(),
             zone,
             last_heartbeat: now,
+            is_reporting: true,
             suspects: Rc::default(),
             limits: Rc::default(),
             ends: Rc::default(),
@@ -166,8 +167,7 @@
         }
         self.links.remove(host);
         info!(host, hosts = self.links.len(), "host_lost");
-        let answers = self.dispatcher.disconnect_host(host, now);
-        self.send(answers);
+        self.dispatcher.disconnect_host(host, now);
         true
     }
 
@@ -183,6 +183,9 @@
         if !self.is_current(host, sender) {
             return;
         }
+        if !matches!(frame, Frame::Running { .. }) {
+            self.end_report(host, now);
+        }
         let ticket = |number| Ticket {
             host: host.to_owned(),
             number,
@@ -329,6 +332,15 @@
         }
     }
 
+    /// Frees the slots that a host has not reported again over its new connection.
+    fn end_report(&mut self, host: &str, now: Instant) {
+        let link = self.links.get_mut(host);
+        if link.is_some_and(|link| std::mem::take(&mut link.is_reporting)) {
+            let answers = self.dispatcher.end_report(host, now);
+            self.send(answers);
+        }
+    }
+
     fn reserve(&mut self, host: &str, reserve: Reserve, now: Instant) -> Vec<Answer> {
         let zone = self.links.get(host).map(|link| link.zone.clone());
         let waited = Duration::from_millis(u64::from(reserve.waited_ms));
--- a/crates/wire/tests/hosts.rs
+++ b/crates/wire/tests/hosts.rs
@@ -1,5 +1,6 @@
 //! Hosts that reconnect to a dispatcher while frames of the earlier connection still arrive.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -10,14 +11,27 @@
 use persimmonbend_core::dispatch::Dispatcher;
 use persimmonbend_core::dispatch::Policy;
 use persimmonbend_core::dispatch::Retries;
+use persimmonbend_core::publication::Part;
 use persimmonbend_core::publication::Publication;
+use persimmonbend_core::publication::Route;
+use persimmonbend_core::publication::Service;
+use persimmonbend_core::roster::Entry;
+use persimmonbend_core::upstream::Announcement;
+use persimmonbend_core::upstream::Stage;
 use persimmonbend_wire::dispatch;
 use persimmonbend_wire::dispatch::Frame;
 use persimmonbend_wire::dispatch::Hosts;
+use persimmonbend_wire::dispatch::Reserve;
 use persimmonbend_wire::dispatch::Sender;
 
 const HOST: &str = "host-1";
 
+const OTHER_HOST: &str = "host-2";
+
+const SERVICE: &str = "herd";
+
+const ROUTE: &str = "filings";
+
 fn hosts() -> Hosts {
     let mut dispatcher = Dispatcher::new(Policy {
         retries: Retries {
@@ -61,3 +75,94 @@
     hosts.handle(HOST, &late, Frame::Stopping, now);
     assert!(hosts.is_empty() && !late.is_open());
 }
+
+/// Adds a service with one route and one upstream, which runs one request at a time.
+fn add_upstream(hosts: &mut Hosts, now: Instant) {
+    let route = Route {
+        host: "farm.example".to_owned(),
+        prefix: "/".to_owned(),
+        idempotent: false,
+        timeout: Duration::from_secs(2),
+        objective: Duration::from_secs(1),
+        priority: 1,
+        parts: vec![Part {
+            service: SERVICE.to_owned(),
+            weight: 1.0,
+        }],
+        attempts: 1,
+        open: true,
+    };
+    let publication = Publication {
+        version: 1,
+        routes: BTreeMap::from([(ROUTE.to_owned(), route)]),
+        services: BTreeMap::from([(SERVICE.to_owned(), Service::default())]),
+        ..Publication::default()
+    };
+    let entry = Entry {
+        number: 1,
+        announcement: Announcement {
+            id: "u1".to_owned(),
+            service: SERVICE.to_owned(),
+            address: ([10, 0, 0, 1], 80).into(),
+            zone: "a".to_owned(),
+            slots: 1,
+            incarnation: 1,
+            sequence: 1,
+            stage: Stage::Ready,
+        },
+    };
+    let dispatcher = hosts.dispatcher_mut();
+    dispatcher.publish(Rc::new(publication), now);
+    dispatcher.update_upstream(&entry, now);
+}
+
+fn reserve(number: u32) -> Frame {
+    Frame::Reserve(Reserve {
+        number,
+        route: ROUTE.to_owned(),
+        service: SERVICE.to_owned(),
+        tenant: None,
+        waited_ms: 0,
+        left_ms: 1_900,
+        attempts: 0,
+        is_retry: false,
+        avoid: Vec::new(),
+        is_hedge: false,
+        body_bytes: 0,
+    })
+}
+
+#[compio::test]
+async fn the_slot_of_a_host_that_links_anew_is_not_given_away_before_it_reports() {
+    let mut hosts = hosts();
+    let (early, late, other) = (sender().await, sender().await, sender().await);
+    let now = Instant::now();
+    add_upstream(&mut hosts, now);
+    hosts.connect(HOST, "a".to_owned(), &early, now);
+    hosts.connect(OTHER_HOST, "a".to_owned(), &other, now);
+    hosts.handle(HOST, &early, reserve(7), now);
+    hosts.handle(OTHER_HOST, &other, reserve(7), now);
+    assert_eq!(hosts.dispatcher().running(1), 1);
+    assert_eq!(hosts.dispatcher().queued(SERVICE), 1);
+
+    hosts.connect(HOST, "a".to_owned(), &late, now);
+    let running = Frame::Running {
+        number: 7,
+        service: SERVICE.to_owned(),
+        upstream: 1,
+        route: ROUTE.to_owned(),
+    };
+    for frame in [running, Frame::HostHeartbeat] {
+        hosts.handle(HOST, &late, frame, now);
+        hosts.tick(2, 1, 1, now);
+        assert_eq!(hosts.dispatcher().queued(SERVICE), 1);
+        assert_eq!(hosts.dispatcher().running(1), 1);
+    }
+
+    // A host whose process has restarted runs nothing, and uses the same numbers again.
+    let restarted = sender().await;
+    hosts.connect(HOST, "a".to_owned(), &restarted, now);
+    hosts.handle(HOST, &restarted, reserve(7), now);
+    assert_eq!(hosts.dispatcher().running(1), 1);
+    assert_eq!(hosts.dispatcher().queued(SERVICE), 1);
+}
