fix(proxy): an answer that arrived while the process stood still reaches its client

A host that was stopped beyond the deadline of a request found its timer and the answer of the upstream ready at once and took either, so a filing that had run ended with 504. A timer that fires 20 ms late or more now leaves 100 ms to read what has arrived.

--- a/programs/pb-proxy/src/gateway.rs
+++ b/programs/pb-proxy/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod relay;
 pub mod settings;
 pub mod state;
+mod wait;
 pub mod zones;
 
 use std::net::SocketAddr;
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -43,6 +43,7 @@
 use crate::gateway::paths::CONNECT_TIMEOUT;
 use crate::gateway::placement::Reservation;
 use crate::gateway::state::State;
+use crate::gateway::wait;
 use crate::pool::Connection;
 
 /// Longest idle time after which a connection is used again; upstreams close idle connections after
@@ -418,9 +419,10 @@
         if state.upstream(self.reservation.upstream()).is_none() {
             return Err(Fault::unsent(Outcome::Cancelled).into());
         }
-        let left = self.plan.deadline.saturating_duration_since(now);
-        let result = timeout(left, self.exchange(connection, way, left)).await;
-        result.unwrap_or_else(|_| {
+        let deadline = self.plan.deadline;
+        let left = deadline.saturating_duration_since(now);
+        let result = wait::until(state, deadline, self.exchange(connection, way, left)).await;
+        result.unwrap_or_else(|| {
             let timed_out = Fault::unknown(Kind::UpstreamTimeout, Outcome::TimedOut);
             Err(timed_out.into())
         })
