fix(proxy): a host whose reservations lapsed in silence links to its steward anew

A steward drops the reservations of a host after 3 s of silence but kept its connection open for up to 30 s, so a host that stood still and went on never reported again what it runs, and the steward gave these slots away. It now closes the connection of a host whose reservations lapse.

--- a/crates/core/src/steward.rs
+++ b/crates/core/src/steward.rs
@@ -219,17 +219,20 @@
         self.last_contact.remove(host);
     }
 
+    /// Returns the hosts whose reservations lapse with the next [`Steward::tick`]; one that returns has to report
+    /// what it still runs.
+    pub fn lapsing_hosts(&self, now: Instant) -> impl Iterator<Item = &HostId> {
+        let has_reservation = |host: &&HostId| {
+            let mut tickets = self.reservations.keys();
+            tickets.any(|ticket| ticket.host == **host)
+        };
+        self.silent_hosts(now).filter(has_reservation)
+    }
+
     /// Removes the reservations of silent hosts and answers the requests that are due.
     pub fn tick(&mut self, board: &Board, verdicts: &dyn Verdicts) -> Vec<Answer> {
         let now = board.now();
-        let silent: Vec<HostId> = self
-            .last_contact
-            .iter()
-            .filter(|(_, last_contact)| {
-                now.saturating_duration_since(**last_contact) >= RESERVATION_TIMEOUT
-            })
-            .map(|(host, _)| host.clone())
-            .collect();
+        let silent: Vec<HostId> = self.silent_hosts(now).cloned().collect();
         for host in silent {
             self.release_host(&host);
         }
@@ -241,6 +244,14 @@
         answers
     }
 
+    fn silent_hosts(&self, now: Instant) -> impl Iterator<Item = &HostId> {
+        let contacts = self.last_contact.iter();
+        let silent = contacts.filter(move |(_, last_contact)| {
+            now.saturating_duration_since(**last_contact) >= RESERVATION_TIMEOUT
+        });
+        silent.map(|(host, _)| host)
+    }
+
     fn serve_queue(&mut self, board: &Board, verdicts: &dyn Verdicts) -> Vec<Answer> {
         let mut answers = self.refuse_late(board.now());
         while !self.queue.is_empty() {
--- a/programs/pb-proxy/src/slots/stewards.rs
+++ b/programs/pb-proxy/src/slots/stewards.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use log::info;
 use persimmonbend_core::health::Outcome;
 use persimmonbend_core::health::Transition;
 use persimmonbend_core::health::Verdict;
@@ -110,6 +111,7 @@
     /// Drops the reservations of silent hosts and answers the slot requests that are due.
     pub fn tick(&self, node: &Rc<Node>) {
         self.renew(node, &node.settings().host);
+        self.close_lapsing(node);
         let services: Vec<ServiceId> = self.services.borrow().keys().cloned().collect();
         for service in services {
             let answers = self.tick_service(node, &service);
@@ -159,6 +161,20 @@
         })
     }
 
+    /// Closes the sessions of hosts whose reservations lapse: one that was only silent links anew and reports
+    /// what it still runs.
+    fn close_lapsing(&self, node: &Node) {
+        let sessions = self.sessions.borrow();
+        for steward in self.services.borrow().values() {
+            for host in steward.lapsing_hosts(node.now()) {
+                if let Some(sender) = sessions.get(host) {
+                    info!("slots: host {host} is silent");
+                    sender.close();
+                }
+            }
+        }
+    }
+
     /// Drops the reservations and slot requests of a host.
     fn release_host(&self, host: &HostId) {
         for steward in self.services.borrow_mut().values_mut() {
--- a/programs/pb-proxy/tests/slots.rs
+++ b/programs/pb-proxy/tests/slots.rs
@@ -26,9 +26,12 @@
 use persimmonbend_core::health::Outcome;
 use persimmonbend_core::host;
 use persimmonbend_core::rendezvous;
+use persimmonbend_core::steward::RESERVATION_TIMEOUT;
 use persimmonbend_core::upstream::Announcement;
 use persimmonbend_core::upstream::Stage;
+use persimmonbend_wire::handshake::Purpose;
 use persimmonbend_wire::handshake::Secret;
+use persimmonbend_wire::link;
 use persimmonbend_wire::listener::Listener;
 use persimmonbend_wire::slots::Frame;
 use persimmonbend_wire::slots::channel;
@@ -383,6 +386,33 @@
     });
 }
 
+/// The steward forgot what a host ran that was silent for three seconds, and the host never learned of it.
+#[test]
+fn a_host_that_was_silent_with_a_slot_in_use_has_to_link_anew() {
+    run(async {
+        let node = node("host", LONG_TIMEOUT);
+        announce_upstreams(&node, 1);
+        let steward = listen(&node).await;
+        let stream = link::dial(steward, &secret(), Purpose::Slots).await;
+        let stream = stream.unwrap();
+        let (sender, writer, mut receiver) = channel::split(stream);
+        spawn(writer.run()).detach();
+        sender.send(Frame::Hello {
+            host: "silent".to_owned(),
+            zone: "a".to_owned(),
+        });
+        sender.send(Frame::Hold {
+            number: 1,
+            service: SERVICE.to_owned(),
+            tenant: None,
+            upstream: "u0".to_owned(),
+        });
+        let ended = async { while receiver.next().await.is_ok() {} };
+        let limit = RESERVATION_TIMEOUT + Duration::from_secs(1);
+        compio::time::timeout(limit, ended).await.unwrap();
+    });
+}
+
 #[test]
 fn two_concurrent_stewards_overbook_at_worst() {
     run(async {
