fix(proxy): a late roster of the leader does not replace a newer one from a replica

A host that had asked the leader for the roster and then found a replica to follow took the leader's answer whenever it came, over a slow link after newer ones, and an upstream that had left in between was back for good. It now keeps the newer one while it follows a replica. The dispatcher of a deputy also kept upstreams that its host no longer listed, and connections to these stayed open.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -380,6 +380,15 @@
         self.place_queued(&service, now)
     }
 
+    /// Removes the upstreams that are not `listed`.
+    pub fn retain_upstreams(&mut self, listed: &BTreeSet<Number>) {
+        let known: Vec<Number> = self.services.keys().copied().collect();
+        for number in known.into_iter().filter(|one| !listed.contains(one)) {
+            self.ledger.forget(number);
+            self.remove_upstream(number);
+        }
+    }
+
     /// Resets the tokens of all tenants to their initial balance, because another dispatcher has
     /// spent from their quotas in the meantime.
     pub fn reset_quotas(&mut self) {
--- a/crates/core/tests/dispatch/limits.rs
+++ b/crates/core/tests/dispatch/limits.rs
@@ -167,6 +167,18 @@
     assert_eq!(world.reserve(request), Decision::Queued);
 }
 
+/// The dispatcher of a deputy went on to grant upstreams that its host no longer listed.
+#[test]
+fn an_upstream_that_is_no_longer_listed_gets_no_requests() {
+    let mut world = World::new(&["a", "a"]);
+    world.dispatcher.retain_upstreams(&[2].into());
+    for _ in 0..3 {
+        assert_eq!(world.place(NON_IDEMPOTENT).unwrap().1, 2);
+    }
+    let request = world.request(NON_IDEMPOTENT);
+    assert_eq!(world.reserve(request), Decision::Queued);
+}
+
 #[test]
 fn an_upstream_whose_address_was_reused_gets_no_requests() {
     let mut world = World::new(&["a", "a"]);
--- a/crates/core/tests/publication.rs
+++ b/crates/core/tests/publication.rs
@@ -1,10 +1,14 @@
 //! Publications: lookup of routes, weights, checks and deltas.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use persimmonbend_check::properties;
 use persimmonbend_core::key::Digest;
+use persimmonbend_core::machine::Command;
+use persimmonbend_core::machine::Machine;
+use persimmonbend_core::machine::Published;
 use persimmonbend_core::publication::Delta;
 use persimmonbend_core::publication::Part;
 use persimmonbend_core::publication::Publication;
@@ -167,6 +171,31 @@
         Delta::between(&old, &new).apply(&old) == Some(new)
     }
 
+    fn no_order_and_no_restart_brings_an_older_publication_back(steps: Vec<(u8, bool)>) -> bool {
+        let mut machine = Machine::default();
+        let mut newest = 0;
+        for (number, restarts) in steps {
+            let version = u64::from(number);
+            let published = Published {
+                publication: Rc::new(drawn(version, &[(number, 1)])),
+                document: version.to_string(),
+            };
+            let published = Rc::new(published);
+            machine.apply(&Command::Publish { published });
+            newest = newest.max(version);
+            if restarts {
+                let snapshot = serde_json::to_vec(&machine).unwrap();
+                machine = serde_json::from_slice(&snapshot).unwrap();
+            }
+            let in_force = machine.published();
+            let is_newest = in_force.publication.version == newest;
+            if !is_newest || (newest > 0 && in_force.document != newest.to_string()) {
+                return false;
+            }
+        }
+        true
+    }
+
     fn a_delta_applies_to_its_version_only(old: Vec<(u8, u8)>, new: Vec<(u8, u8)>) -> bool {
         let (old, new) = (drawn(3, &old), drawn(8, &new));
         let delta = Delta::between(&old, &new);
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -1,9 +1,11 @@
 //! The roster of upstreams: order of announcements, reused addresses and departures.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use persimmonbend_check::properties;
 use persimmonbend_core::roster::Effect;
+use persimmonbend_core::roster::Entry;
 use persimmonbend_core::roster::Roster;
 use persimmonbend_core::upstream::Announcement;
 use persimmonbend_core::upstream::Stage;
@@ -139,6 +141,38 @@
         stage(&roster, "u") == expected
     }
 
+    fn no_order_and_no_restart_brings_a_departed_start_back(steps: Vec<(u8, u8, u8)>) -> bool {
+        let mut roster = Roster::default();
+        let mut departed: BTreeSet<(String, u64)> = BTreeSet::new();
+        for (id, incarnation, action) in steps {
+            let id = format!("u{}", id % 3);
+            let port = 1 + u16::from(id.as_bytes()[1]);
+            match action % 4 {
+                0 => {
+                    let left = roster.deregister(&id);
+                    departed.extend(left.map(|one| (id, one.announcement.incarnation)));
+                }
+                1 => {
+                    let snapshot = serde_json::to_vec(&roster).unwrap();
+                    roster = serde_json::from_slice(&snapshot).unwrap();
+                }
+                _ => {
+                    let incarnation = u64::from(incarnation % 4);
+                    let sequence = u64::from(action);
+                    roster.apply(&announcement(&id, port, incarnation, sequence, Stage::Ready));
+                }
+            }
+            let mut present = roster.entries().filter(|one| one.announcement.stage != Stage::Left);
+            let has_left = |one: Entry| {
+                departed.contains(&(one.announcement.id, one.announcement.incarnation))
+            };
+            if present.any(has_left) {
+                return false;
+            }
+        }
+        true
+    }
+
     fn numbers_are_never_given_twice(starts: Vec<(u8, u8)>) -> bool {
         let mut roster = Roster::default();
         let mut given: BTreeMap<u32, (String, u64)> = BTreeMap::new();
--- a/programs/pb-proxy/src/gateway/deputy.rs
+++ b/programs/pb-proxy/src/gateway/deputy.rs
@@ -155,8 +155,10 @@
             return;
         }
         let (dispatcher, now) = (serving.dispatcher_mut(), state.now());
+        let upstreams = state.upstreams();
+        dispatcher.retain_upstreams(&upstreams.iter().map(|entry| entry.number).collect());
         let mut answers = Vec::new();
-        for entry in state.upstreams() {
+        for entry in upstreams {
             answers.extend(dispatcher.update_upstream(&entry, now));
         }
         serving.send(answers);
--- a/programs/pb-proxy/src/gateway/feed.rs
+++ b/programs/pb-proxy/src/gateway/feed.rs
@@ -119,6 +119,17 @@
         is_later
     }
 
+    /// Sets the revision to that of a complete roster; returns false if it is an earlier one and the host follows
+    /// a replica. Without one, the leader may begin anew: all replicas have lost their disks.
+    #[must_use]
+    fn replace_revision(&self, revision: Revision) -> bool {
+        if matches!(&*self.source.borrow(), Source::Replica(_)) {
+            return self.advance(revision);
+        }
+        self.revision.set(revision);
+        true
+    }
+
     /// Forgets what was announced over the last link.
     pub fn begin_link(&self) {
         self.announced.borrow_mut().clear();
@@ -319,7 +330,8 @@
     apply_from_leader(state, frame)
 }
 
-/// Applies a frame of the leader, whose roster replaces any other one.
+/// Applies a frame of the leader, whose roster replaces any other one, unless the host has a newer one from a
+/// replica that it follows: a roster takes seconds over a slow link, and the host asked for it before.
 ///
 /// # Errors
 ///
@@ -340,7 +352,10 @@
             entries,
         } => {
             if is_complete {
-                state.feed().revision.set(revision);
+                if !state.feed().replace_revision(revision) {
+                    info!(revision, "roster_outdated");
+                    return Ok(());
+                }
             } else if !state.feed().advance(revision) {
                 return Ok(());
             }
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -364,15 +364,18 @@
     }
 
     /// Updates upstreams; with `is_complete`, those that are not listed are removed.
-    pub fn update_upstreams(&self, entries: Vec<Entry>, is_complete: bool) {
+    pub fn update_upstreams(&self, mut entries: Vec<Entry>, is_complete: bool) {
         let mut upstreams = self.upstreams.borrow_mut();
         if is_complete {
             let listed: BTreeSet<Number> = entries.iter().map(|entry| entry.number).collect();
-            let gone = upstreams.extract_if(.., |number, _| !listed.contains(number));
-            for (_, mut entry) in gone.collect::<Vec<_>>() {
+            let gone = upstreams
+                .values()
+                .filter(|entry| !listed.contains(&entry.number));
+            let gone = gone.cloned().map(|mut entry| {
                 entry.announcement.stage = Stage::Left;
-                self.placer.update_upstream(&entry, self.now());
-            }
+                entry
+            });
+            entries.extend(gone.collect::<Vec<_>>());
         }
         for entry in entries {
             self.placer.update_upstream(&entry, self.now());
