fix(replica): a damaged message neither ends a replica nor leaves it a term that it cannot count on

Messages with numbers beyond a quarter of the range are dropped, and the two others answered. Sums of tokens in the quotas, and the sequence that a host takes over from a newer record of itself, overflow no longer either.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -282,7 +282,12 @@
     }
 
     fn reannounce(&mut self, board: &mut Board) {
-        self.own.sequence += 1;
+        if let Some(next) = self.own.sequence.checked_add(1) {
+            self.own.sequence = next;
+        } else {
+            self.own.incarnation = self.own.incarnation.saturating_add(1);
+            self.own.sequence = 0;
+        }
         board.put_host(self.own.clone(), false);
         self.pending.records.insert(host_key(&self.own.id));
     }
--- a/crates/core/src/quota/holding.rs
+++ b/crates/core/src/quota/holding.rs
@@ -68,7 +68,8 @@
 
     /// Returns the number of tokens that can be spent.
     pub(super) fn held(&self) -> u32 {
-        self.blocks.iter().map(|block| block.tokens).sum()
+        let blocks = self.blocks.iter();
+        blocks.fold(0, |sum, block| sum.saturating_add(block.tokens))
     }
 
     /// Returns for how long the issuer is known to have no token.
--- a/crates/core/src/quota/issuer.rs
+++ b/crates/core/src/quota/issuer.rs
@@ -200,14 +200,13 @@
         if batch.complete_for != Some(self.term) || !self.unreported.remove(&batch.host) {
             return;
         }
-        for demand in batch
-            .demands
-            .iter()
-            .filter(|demand| demand.held + demand.returned > 0)
-        {
-            if let Some(rate) = demand.account.rate(config) {
+        for demand in &batch.demands {
+            let tokens = demand.held.saturating_add(demand.returned);
+            if tokens > 0
+                && let Some(rate) = demand.account.rate(config)
+            {
                 let pool = self.pool(&demand.account, rate, now);
-                pool.adopt(&batch.host, demand.held + demand.returned, now);
+                pool.adopt(&batch.host, tokens, now);
             }
         }
         if self.unreported.is_empty() && self.has_free_seats() {
--- a/crates/core/src/quota/pool.rs
+++ b/crates/core/src/quota/pool.rs
@@ -42,11 +42,8 @@
 
     /// Returns the number of outstanding tokens.
     pub(super) fn outstanding(&self) -> u32 {
-        self.blocks
-            .values()
-            .flatten()
-            .map(|block| block.tokens)
-            .sum()
+        let blocks = self.blocks.values().flatten();
+        blocks.fold(0, |sum, block| sum.saturating_add(block.tokens))
     }
 
     /// Returns the number of free tokens.
@@ -91,7 +88,9 @@
             latest.tokens -= returned;
             self.free.add(returned);
         }
-        let outstanding: u32 = blocks.iter().map(|block| block.tokens).sum();
+        let outstanding = blocks
+            .iter()
+            .fold(0, |sum: u32, block| sum.saturating_add(block.tokens));
         let mut settled = outstanding.saturating_sub(demand.held);
         for block in blocks {
             let part = settled.min(block.tokens);
--- a/crates/replica/src/message.rs
+++ b/crates/replica/src/message.rs
@@ -12,6 +12,10 @@
 use crate::id::Term;
 use crate::members::Members;
 
+/// Largest term, index, size and round of a message that a replica reads; none comes near it in centuries, and a
+/// larger one could not be counted on.
+const MAX_NUMBER: u64 = u64::MAX / 4;
+
 /// Term and index of an entry; of two logs, the one whose last position is greater is newer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Position {
@@ -141,3 +145,48 @@
     /// Content of the message.
     pub body: Body,
 }
+
+impl Message {
+    /// Returns whether terms, indexes and sizes are small enough to count on from there. A replica that adopted a
+    /// larger one could never take part in an election again.
+    #[must_use]
+    pub fn is_plausible(&self) -> bool {
+        let body: [u64; 5] = match &self.body {
+            Body::PreVote(last) | Body::Vote(last) | Body::TransferVote(last) => {
+                [last.term, last.index, 0, 0, 0]
+            }
+            Body::PreVoteReply { term, .. } => [*term, 0, 0, 0, 0],
+            Body::Append(append) => {
+                let previous = append.previous;
+                let newest = append.entries.iter().map(|one| one.term.max(one.index));
+                let newest = newest.max().unwrap_or_default();
+                [
+                    append.round,
+                    previous.term,
+                    previous.index,
+                    append.commit,
+                    newest,
+                ]
+            }
+            Body::Install(install) => [
+                install.round,
+                install.last.term,
+                install.last.index,
+                install.total,
+                install.offset,
+            ],
+            Body::Reply { round, progress } => match progress {
+                Progress::Matched(index) | Progress::Mismatched(index) => [*round, *index, 0, 0, 0],
+                Progress::Received { index, bytes } => [*round, *index, *bytes, 0, 0],
+                Progress::NeedsSnapshot => [*round, 0, 0, 0, 0],
+            },
+            Body::Join { .. }
+            | Body::Bootstrap(_)
+            | Body::VoteReply { .. }
+            | Body::Contacts(_)
+            | Body::Removed
+            | Body::TransferLeadership => [0; 5],
+        };
+        self.term <= MAX_NUMBER && body.iter().all(|number| *number <= MAX_NUMBER)
+    }
+}
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -22,6 +22,7 @@
 use std::time::Instant;
 
 use log::error;
+use log::warn;
 use persimmonbend_core::clock::Clock;
 use persimmonbend_core::id::HostId;
 use rand::SeedableRng;
@@ -289,6 +290,10 @@
         if self.failure.is_some() || message.to != self.id.host || is_for_other_storage {
             return;
         }
+        if !message.is_plausible() {
+            warn!("replica: dropped a message of {:?}", message.from);
+            return;
+        }
         match message.body {
             Body::Join { address } => self.on_join(message.from, message.storage, address),
             Body::Bootstrap(members) => self.on_bootstrap(members),
--- a/crates/replica/src/replica/follower.rs
+++ b/crates/replica/src/replica/follower.rs
@@ -93,7 +93,7 @@
             return last;
         }
         let differing = self.log.term_at(previous.index);
-        let mut index = previous.index - 1;
+        let mut index = previous.index.saturating_sub(1);
         while index > self.commit && self.log.term_at(index) == differing {
             index -= 1;
         }
@@ -114,7 +114,8 @@
             data: Vec::new(),
         });
         let held = partial.data.len() as u64;
-        if install.offset == held && install.total <= MAX_SNAPSHOT_BYTES {
+        let is_next = install.offset == held && install.total <= MAX_SNAPSHOT_BYTES;
+        if is_next && held + install.chunk.len() as u64 <= install.total {
             partial.data.extend_from_slice(&install.chunk);
         }
         if partial.data.len() as u64 == install.total {
--- a/crates/replica/tests/files.rs
+++ b/crates/replica/tests/files.rs
@@ -6,6 +6,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use persimmonbend_check::properties;
 use persimmonbend_replica::entry::Entry;
 use persimmonbend_replica::entry::Payload;
 use persimmonbend_replica::files::Files;
@@ -97,3 +98,38 @@
     let error = Files::open(&folder.0, "b", 2).unwrap_err();
     assert_eq!(error.kind(), ErrorKind::InvalidData);
 }
+
+properties! {
+    fn a_folder_with_a_damaged_file_is_refused_or_read_as_it_was(
+        name: u8,
+        at: usize,
+        bit: u8,
+        cut: Option<usize>,
+        garbage: Vec<u8>
+    ) -> bool {
+        let folder = Folder::new();
+        filled(&folder.0);
+        let file = folder.0.join(["identity", "snapshot", "journal"][usize::from(name % 3)]);
+        let mut bytes = std::fs::read(&file).unwrap();
+        match cut {
+            Some(cut) => bytes.truncate(cut % bytes.len()),
+            None if garbage.len() > 40 => bytes.clone_from(&garbage),
+            None => {
+                let at = at % bytes.len();
+                bytes[at] ^= 1 << (bit % 8);
+            }
+        }
+        std::fs::write(&file, &bytes).unwrap();
+        match Files::open(&folder.0, "a", 2) {
+            // A journal may end within its last record, which was not acknowledged.
+            Ok((_, contents)) => {
+                let whole = [entry(2), entry(3)];
+                contents.id.storage == 1
+                    && contents.snapshot == snapshot()
+                    && whole.starts_with(&contents.records)
+                    && name % 3 == 2
+            }
+            Err(error) => error.kind() != ErrorKind::NotFound,
+        }
+    }
+}
