--- a/crates/wire/tests/gossip.rs
+++ b/crates/wire/tests/gossip.rs
@@ -3,11 +3,15 @@
 #![allow(clippy::unwrap_used)]
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use persimmonbend_check::properties;
+use persimmonbend_core::board::Board;
+use persimmonbend_core::clock::Manual;
 use persimmonbend_core::host;
 use persimmonbend_core::key::Digest;
+use persimmonbend_core::membership::Membership;
 use persimmonbend_core::membership::message::Mark;
 use persimmonbend_core::membership::message::Message;
 use persimmonbend_core::membership::message::Observation;
@@ -103,6 +107,31 @@
         true
     }
 
+    fn messages_with_any_numbers_are_answered(seeds: Vec<u64>) -> bool {
+        let clock = Rc::new(Manual::new());
+        let mut board = Board::new(clock);
+        let own = host(&mut ChaCha8Rng::seed_from_u64(7));
+        let window = Duration::from_secs(5);
+        let mut membership = Membership::new(&mut board, own.clone(), &[], window, 7);
+        for seed in seeds {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let mut received = message(&mut rng);
+            if rng.random() {
+                received.from = host::Announcement {
+                    incarnation: u64::MAX,
+                    sequence: u64::MAX - rng.random_range(0..2),
+                    ..own.clone()
+                };
+            }
+            let sent = board.now();
+            membership.answer(&mut board, &received);
+            membership.handle_answer(&mut board, sent, &received);
+            let answer = membership.answer(&mut board, &message(&mut rng));
+            gossip::encode(&answer).unwrap();
+        }
+        true
+    }
+
     fn decoding_a_damaged_message_never_panics(seed: u64) -> bool {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut bytes = gossip::encode(&message(&mut rng)).unwrap();
--- a/crates/wire/tests/hosts.rs
+++ b/crates/wire/tests/hosts.rs
@@ -166,3 +166,40 @@
     assert_eq!(hosts.dispatcher().running(1), 1);
     assert_eq!(hosts.dispatcher().queued(SERVICE), 1);
 }
+
+/// One frame of each kind, as hexadecimal text.
+const FRAMES: &str = include_str!("fixtures/frames-8b90ec0.txt");
+
+persimmonbend_check::properties! {
+    fn damaged_frames_of_one_host_end_nothing_and_the_next_one_is_served(
+        damage: Vec<(usize, u8)>
+    ) -> bool {
+        let runtime = compio::runtime::Runtime::new().expect("a runtime");
+        runtime.block_on(async {
+            let mut hosts = hosts();
+            let (damaged, sound) = (sender().await, sender().await);
+            let now = Instant::now();
+            add_upstream(&mut hosts, now);
+            hosts.connect(HOST, "a".to_owned(), &damaged, now);
+            hosts.connect(OTHER_HOST, "a".to_owned(), &sound, now);
+            for line in FRAMES.lines() {
+                let mut body = hex::decode(line).expect("a fixture");
+                for (at, value) in damage.iter().take(3) {
+                    let place = 1 + at % body.len();
+                    if let Some(byte) = body.get_mut(place) {
+                        *byte = *value;
+                    }
+                }
+                if let Ok(frame) = postcard::from_bytes::<Frame>(&body) {
+                    hosts.handle(HOST, &damaged, frame, now);
+                }
+            }
+            hosts.tick(2, 1, 1, now);
+            hosts.disconnect(HOST, &damaged, now);
+            let later = now + Duration::from_secs(60);
+            hosts.tick(2, 1, 1, later);
+            hosts.handle(OTHER_HOST, &sound, reserve(1), later);
+            hosts.dispatcher().running(1) == 1 || hosts.dispatcher().queued(SERVICE) == 1
+        })
+    }
+}
