--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -12,6 +12,7 @@
 //! its deadline is refused at once, with the time after which the queue ahead of it will probably
 //! have been served.
 
+mod absence;
 mod admission;
 mod backlog;
 mod belief;
@@ -286,6 +287,7 @@
     /// Does the periodic work: records late attempts, refuses queued requests that can no longer be
     /// answered in time, and removes expired pauses and hosts.
     pub fn tick(&mut self, now: Instant) -> Vec<Answer> {
+        self.expire_absent_slots(now);
         self.record_late_attempts(now);
         self.unreachable_until.retain(|_, until| now < *until);
         self.ledger.expire(now);
--- a/crates/core/src/dispatch/hosts.rs
+++ b/crates/core/src/dispatch/hosts.rs
@@ -20,26 +20,6 @@
 }
 
 impl Dispatcher {
-    /// Records that a host is connected.
-    pub fn connect_host(&mut self, host: &str) {
-        self.hosts.insert(
-            host.to_owned(),
-            Host {
-                disconnected_at: None,
-            },
-        );
-    }
-
-    /// Releases the slots and withdraws the queued requests of a host whose connection was lost.
-    ///
-    /// Returns answers to requests of other hosts that can now be placed.
-    pub fn disconnect_host(&mut self, host: &str, now: Instant) -> Vec<Answer> {
-        if let Some(known) = self.hosts.get_mut(host) {
-            known.disconnected_at = Some(now);
-        }
-        self.release_host(host, now)
-    }
-
     /// Removes a host that stops as planned, with its slots and queued requests.
     ///
     /// Returns answers to requests of other hosts that can now be placed.
@@ -56,18 +36,17 @@
     }
 
     fn release_host(&mut self, host: &str, now: Instant) -> Vec<Answer> {
-        let bound = |number| Ticket {
-            host: host.to_owned(),
-            number,
-        };
         self.contact.forget_host(host);
-        let own = self.slots_in_use.range(bound(u32::MIN)..=bound(u32::MAX));
-        let tickets: Vec<Ticket> = own.map(|(ticket, _)| ticket.clone()).collect();
+        self.withdraw_host(host);
+        self.free_slots(self.tickets(host, |_| true), now)
+    }
+
+    /// Frees slots and returns answers to queued requests that can now be placed.
+    pub(super) fn free_slots(&mut self, tickets: Vec<Ticket>, now: Instant) -> Vec<Answer> {
         let mut services = BTreeSet::new();
         for ticket in tickets {
             services.extend(self.free_slot(&ticket, now).map(|slot| slot.service));
         }
-        self.withdraw_host(host);
         let served = services
             .iter()
             .map(|service| self.place_queued(service, now));
--- a/crates/core/src/dispatch/members.rs
+++ b/crates/core/src/dispatch/members.rs
@@ -45,6 +45,15 @@
         self.place_queued(&service, now)
     }
 
+    /// Removes the upstreams that are not `listed`.
+    pub fn retain_upstreams(&mut self, listed: &BTreeSet<Number>) {
+        let known: Vec<Number> = self.services.keys().copied().collect();
+        for number in known.into_iter().filter(|one| !listed.contains(one)) {
+            self.ledger.forget(number);
+            self.remove_upstream(number);
+        }
+    }
+
     /// Records an announcement of an upstream.
     pub fn touch_upstream(&mut self, number: Number, now: Instant) {
         let lives = self.contact.note_announcement(number, now);
--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -276,6 +276,8 @@
             hold,
             body_bytes,
             since: now,
+            deadline: request.deadline,
+            absent_until: None,
             is_last,
             is_trial,
             late_count: 0,
--- a/crates/core/src/dispatch/slots.rs
+++ b/crates/core/src/dispatch/slots.rs
@@ -4,6 +4,7 @@
 
 use crate::dispatch::Dispatcher;
 use crate::dispatch::Hold;
+use crate::dispatch::hosts::DISCONNECTED_HOST_SHARE_TIME;
 use crate::id::RouteId;
 use crate::id::ServiceId;
 use crate::id::Zone;
@@ -23,6 +24,10 @@
     /// Size of the request body in bytes.
     pub(super) body_bytes: u32,
     pub(super) since: Instant,
+    /// When the answer to the client is due, after which the host no longer waits for the upstream.
+    pub(super) deadline: Instant,
+    /// Until when the slot stays in use while its host has no link, or has not reported yet what it runs.
+    pub(super) absent_until: Option<Instant>,
     /// Whether no other attempt of the request may follow.
     pub(super) is_last: bool,
     /// Whether the upstream was chosen to keep it in use rather than for its cost.
@@ -49,8 +54,13 @@
 }
 
 impl Dispatcher {
-    /// Records a slot that a host uses without a grant of this dispatcher.
+    /// Records a slot that a host uses without a grant of this dispatcher, or still uses after its link ended.
     pub fn record_running(&mut self, placement: Placement, now: Instant) {
+        let known = self.slots_in_use.get_mut(&placement.ticket);
+        if let Some(slot) = known.filter(|slot| slot.upstream == placement.upstream) {
+            slot.absent_until = None;
+            return;
+        }
         self.free_slot(&placement.ticket, now);
         let body_bytes = placement.body_bytes;
         let is_known = self.change_upstream(placement.upstream, now, |state| {
@@ -64,6 +74,8 @@
         if let Some(pool) = self.pools.get_mut(&placement.service) {
             pool.demand.note_grant(hold);
         }
+        let route = self.publication.routes.get(&placement.route);
+        let timeout = route.map_or(DISCONNECTED_HOST_SHARE_TIME, |route| route.timeout);
         let slot = Slot {
             service: placement.service,
             upstream: placement.upstream,
@@ -72,6 +84,8 @@
             hold,
             body_bytes,
             since: now,
+            deadline: now + timeout,
+            absent_until: None,
             is_last: false,
             is_trial: false,
             late_count: 0,
--- a/programs/pb-proxy/src/gateway.rs
+++ b/programs/pb-proxy/src/gateway.rs
@@ -26,6 +26,7 @@
 pub mod settings;
 pub mod spool;
 pub mod state;
+mod wait;
 pub mod zones;
 
 use std::net::SocketAddr;
