fix: signals are taken by a thread and no longer by handlers

Cause: compio's signal handler wakes a task of the interrupted thread, so it changes the executor's lists of tasks and may free memory in the middle of whatever the thread does. After a SIGTERM the handlers were away, so that a second one ended the process at once, with its requests.

Change: signals are blocked for all threads, and a thread takes them by sigwait (app::signals).

--- a/crates/app/src/lib.rs
+++ b/crates/app/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod program;
 pub mod secret;
 pub mod settings;
+pub mod signals;
 pub mod stop;
 pub mod token;
--- a/crates/app/src/program.rs
+++ b/crates/app/src/program.rs
@@ -11,6 +11,8 @@
 
 use crate::logging;
 use crate::settings;
+use crate::signals::Signal;
+use crate::signals::Signals;
 use crate::stop::Stop;
 
 /// Exit code of a program that failed.
@@ -19,6 +21,9 @@
 /// Exit code for invalid settings or arguments.
 pub const EXIT_USAGE: u8 = 2;
 
+/// Signals that ask a program to stop.
+pub const STOP_SIGNALS: [Signal; 2] = [Signal::SIGTERM, Signal::SIGINT];
+
 /// Options of every long-running program.
 #[derive(Debug, Clone, Bpaf)]
 pub struct Options {
@@ -82,13 +87,20 @@
         println!("{}: the settings can be used", options.settings.display());
         return ExitCode::SUCCESS;
     }
+    let signals = match Signals::start(&STOP_SIGNALS) {
+        Ok(signals) => signals,
+        Err(error) => {
+            eprintln!("cannot take signals: {error}");
+            return ExitCode::from(EXIT_FAILURE);
+        }
+    };
     if let Err(error) = logging::start(options.log.level, options.log.file.as_deref()) {
         eprintln!("{error:#}");
         return ExitCode::from(EXIT_USAGE);
     }
     let stop = Stop::new();
     run(async {
-        compio::runtime::spawn(watch_signals(stop.clone())).detach();
+        compio::runtime::spawn(watch_signals(signals, stop.clone())).detach();
         work(checked, stop).await
     })
 }
@@ -111,18 +123,12 @@
     }
 }
 
-/// Requests the stop at the first SIGTERM or SIGINT.
-pub async fn watch_signals(stop: Stop) {
-    let terminate = compio::signal::unix::signal(SIGTERM);
-    let interrupt = compio::signal::unix::signal(SIGINT);
-    futures_util::pin_mut!(terminate, interrupt);
-    let _ = futures_util::future::select(terminate, interrupt).await;
+/// Requests the stop at the first of [`STOP_SIGNALS`]; later ones change nothing.
+pub async fn watch_signals(signals: Signals, stop: Stop) {
+    signals.wait_for(&STOP_SIGNALS).await;
     log::info!("program: stopping after SIGTERM or SIGINT");
     stop.ask();
 }
 
 /// Width of help texts in columns.
 const HELP_COLUMNS: usize = 100;
-
-const SIGINT: i32 = 2;
-const SIGTERM: i32 = 15;
--- a/programs/pb-lab/src/command.rs
+++ b/programs/pb-lab/src/command.rs
@@ -13,6 +13,7 @@
 use persimmonbend_app::program::Log;
 use persimmonbend_app::program::log;
 use persimmonbend_app::settings;
+use persimmonbend_app::signals::Signals;
 use persimmonbend_app::stop::Stop;
 
 use crate::capacity;
@@ -227,7 +228,8 @@
 
 async fn run_upstream(setup: Setup) -> anyhow::Result<()> {
     let stop = Stop::new();
-    compio::runtime::spawn(program::watch_signals(stop.clone())).detach();
+    let signals = Signals::start(&program::STOP_SIGNALS)?;
+    compio::runtime::spawn(program::watch_signals(signals, stop.clone())).detach();
     upstream::run(setup, Ledger::new(), stop, |address| {
         println!("listens on {address}");
     })
