fix: a program whose output nobody reads ends

Cause: found with gdb on four of four hosts whose output is a pipe that nobody reads. The log's writer is stuck in a write and holds the lock of the standard output; the guard that ends it cannot hand over its message, as the queue is full, and prints that to the same output, so the main thread waits for ever while it drops the log. With a queue that is not full it waits 1.1 s, beyond the end of the grace period for a host that uses all of it (4.1 s of 4 s seen).

Change: the guard is dropped on a thread of its own, for which the end of the program waits 100 ms. The margin before the end of the grace period is 250 ms in place of 150 ms, since the last frames (20 ms), the last lines (100 ms) and the end of the runtime have to fit in.

--- a/crates/app/src/logging/lines.rs
+++ b/crates/app/src/logging/lines.rs
@@ -7,9 +7,12 @@
 //! event `lines_left_out` reports the counts of suppressed and of dropped lines.
 
 use std::collections::HashMap;
+use std::mem::ManuallyDrop;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::mpsc;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -38,12 +41,15 @@
 /// Time between two reports of suppressed and dropped lines.
 const REPORT_INTERVAL: Duration = Duration::from_secs(5);
 
-/// The running log; the thread that writes lines ends when this value is dropped.
+/// Longest time for which the end of a program waits for its last lines to be written.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+
+/// The running log; dropping it waits for the last lines to be written, for a limited time.
 #[derive(Debug)]
 pub struct Lines {
     limiter: Limiter,
     dropped: ErrorCounter,
-    _writer: WorkerGuard,
+    writer: Option<WorkerGuard>,
 }
 
 impl Lines {
@@ -73,7 +79,7 @@
         Ok(Self {
             limiter,
             dropped,
-            _writer: guard,
+            writer: Some(guard),
         })
     }
 
@@ -96,6 +102,24 @@
     }
 }
 
+impl Drop for Lines {
+    /// Ends the writer on a thread of its own: while nobody reads the output, its guard waits for ever, as it
+    /// prints to the same output that it cannot stop the writer.
+    fn drop(&mut self) {
+        let Some(writer) = self.writer.take().map(ManuallyDrop::new) else {
+            return;
+        };
+        let (sender, ended) = mpsc::channel();
+        let ending = thread::Builder::new().spawn(move || {
+            drop(ManuallyDrop::into_inner(writer));
+            let _ = sender.send(());
+        });
+        if ending.is_ok() {
+            let _ = ended.recv_timeout(FLUSH_TIME);
+        }
+    }
+}
+
 /// Limits the lines of each kind of event.
 #[derive(Debug, Clone)]
 pub struct Limiter {
--- a/programs/pb-proxy/src/gateway.rs
+++ b/programs/pb-proxy/src/gateway.rs
@@ -48,8 +48,9 @@
 /// Time between two sweeps of idle connections to upstreams.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time before the end of the grace period at which requests that still run are abandoned.
-const GRACE_MARGIN: Duration = Duration::from_millis(150);
+/// Time before the end of the grace period at which requests that still run are abandoned, so that the last frames
+/// and log lines are written and the process has ended by then.
+const GRACE_MARGIN: Duration = Duration::from_millis(250);
 
 /// Time between two looks whether requests of other hosts still run, before this one ends.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
