feat: keep the retries of a service that sheds for urgent requests

Cause: when all upstreams of a service refuse a part of their requests, the retry budget went to whoever asked first, and requests that can be repeated tried the worst upstreams, relying on retries that were not there. Change: core::dispatch::ration keeps back what more urgent requests will probably ask for beyond what is earned; a request for whose rank retries are scarce is placed like one that cannot be repeated. The event loop of tests/dispatch/load.rs plays upstreams that refuse. While the budget covers all retries nothing is kept.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -33,6 +33,7 @@
 mod pool;
 mod queueing;
 mod quotas;
+mod ration;
 mod refusals;
 mod request;
 mod reserve;
@@ -245,9 +246,10 @@
         }
         let retries = self.retries();
         let is_first = self.policy.is_first_dispatcher;
+        let rank = self.rank(&request, route, now);
         let pool = self.pools.entry(request.service.clone());
         let pool = pool.or_insert_with(|| Pool::new(Budget::new(&retries, is_first), now));
-        if request.is_retry && !pool.retry_budget.withdraw() {
+        if request.is_retry && !pool.withdraw_retry(rank, &retries, now) {
             return vec![refused(
                 request.ticket,
                 Kind::RetryBudgetSpent,
@@ -261,12 +263,12 @@
         if request.is_first_placing()
             && let Some(pool) = self.pools.get_mut(&request.service)
         {
-            pool.retry_budget.deposit(&retries);
+            let earned = pool.retry_budget.deposit(&retries);
+            pool.ration.note_request(rank.priority, earned, now);
             self.deposit_hedge(&request.service);
         }
         self.note_arrival(&request, route, now);
-        let priority = self.priority(&request, route);
-        if self.is_next(&request, route, priority, now)
+        if self.is_next(&request, route, rank.priority, now)
             && !self.is_kept_from(&request, now)
             && let Some(choice) = self.choose(&request, now)
         {
--- a/crates/core/src/dispatch/hedge.rs
+++ b/crates/core/src/dispatch/hedge.rs
@@ -279,7 +279,9 @@
         if is_off || !route.idempotent || pool.hedges.account.tokens() < 1.0 {
             return Err(Kind::HedgeLimitReached);
         }
-        if pool.retry_budget.tokens() < 1.0 || pool.retry_budget.is_scarce(&retries) {
+        let rank = self.rank(request, route, now);
+        let kept = pool.ration.kept(rank, &retries, now);
+        if pool.retry_budget.tokens() < 1.0 + kept || pool.retry_budget.is_scarce(&retries) {
             return Err(Kind::RetryBudgetSpent);
         }
         if !has_room_to_spare(pool) {
@@ -291,7 +293,7 @@
         if !pool.hedges.account.withdraw() {
             return Err(Kind::HedgeLimitReached);
         }
-        if !pool.retry_budget.withdraw() {
+        if !pool.retry_budget.withdraw(kept) {
             return Err(Kind::RetryBudgetSpent);
         }
         pool.hedges.counts.sent += 1;
--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -120,10 +120,11 @@
         let timing = self.timing(&request.route, route);
         let unreachable = self.unreachable_upstreams(&request.ticket.host, now);
         let retries = self.retries();
+        let rank = self.rank(request, route, now);
         let is_limited_hedge = self.is_limited_hedge(request);
         let pool = self.pools.get_mut(&request.service)?;
         let has_attempt_left = request.attempts + 1 < route.attempts;
-        let can_retry = has_attempt_left && !pool.retry_budget.is_scarce(&retries);
+        let can_retry = has_attempt_left && pool.has_retry(rank, &retries, now);
         if route.idempotent && can_retry {
             pool.last_scout = Some(now);
         }
@@ -184,17 +185,20 @@
     }
 
     /// Returns whether a request waits for a slot of a healthy upstream rather than take one of a
-    /// suspect: it cannot be retried, and such a slot will probably be free soon enough.
+    /// suspect: it cannot be retried, or the retries left are for others, and such a slot will probably be
+    /// free soon enough.
     ///
     /// Answers the load of a service of which a part is grey. If all of it sheds, too few upstreams
     /// are healthy for those who would wait, and requests take what the service still offers.
     fn waits_for_healthy(&self, request: &Request, route: &Route, now: Instant) -> bool {
-        if route.idempotent && request.attempts + 1 < route.attempts {
-            return false;
-        }
         let Some(pool) = self.pools.get(&request.service) else {
             return false;
         };
+        let has_attempt_left = route.idempotent && request.attempts + 1 < route.attempts;
+        let has_retry = pool.has_retry(self.rank(request, route, now), &self.retries(), now);
+        if has_attempt_left && has_retry {
+            return false;
+        }
         let until = healthy_wait_end(request, route);
         let capacity = pool.free().healthy_capacity();
         if capacity <= 0.0 || now >= until {
@@ -208,7 +212,11 @@
             priority,
             is_late: true,
         };
-        let wait = pool.backlog.work_until(rank).as_secs_f64() / capacity;
+        // More urgent requests wait for healthy upstreams too while retries are scarce.
+        let (_, urgent) = pool.demand.above(priority, now);
+        let urgent = if has_retry { 0.0 } else { urgent.lately };
+        let left = (capacity - urgent).max(0.0);
+        let wait = pool.backlog.work_until(rank).as_secs_f64() / left;
         wait < until.saturating_duration_since(now).as_secs_f64()
     }
 
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -13,6 +13,7 @@
 use crate::dispatch::free::MILLIONTHS;
 use crate::dispatch::free::Standing;
 use crate::dispatch::hedge::Hedges;
+use crate::dispatch::ration::Ration;
 use crate::dispatch::reserve::Reserve;
 use crate::dispatch::retries::Budget;
 use crate::dispatch::upstream::Upstream;
@@ -59,6 +60,8 @@
     pub demand: Demand,
     /// Retries that the service may still send.
     pub retry_budget: Budget,
+    /// Who gets these retries.
+    pub ration: Ration,
     /// Recent failures of the service.
     pub failures: Failures,
     /// Estimated time that a request holds a slot.
@@ -97,6 +100,7 @@
             backlog: Backlog::default(),
             demand: Demand::default(),
             retry_budget,
+            ration: Ration::default(),
             failures: Failures::new(now),
             slot_time: Estimate::new(),
             route_time: Estimate::new(),
--- a/crates/core/src/dispatch/queueing.rs
+++ b/crates/core/src/dispatch/queueing.rs
@@ -277,6 +277,15 @@
         Duration::from_secs_f64(self.timing(&request.route, route).mean())
     }
 
+    /// Returns the rank of a request that is sent now.
+    pub(super) fn rank(&self, request: &Request, route: &Route, now: Instant) -> Rank {
+        let objective_end = request.arrived + route.objective;
+        Rank {
+            priority: self.priority(request, route),
+            is_late: now + self.run_time(request, route) > objective_end,
+        }
+    }
+
     fn probable_time(&self, request: &Request, route: &Route) -> Duration {
         Duration::from_secs_f64(self.timing(&request.route, route).probable())
     }
--- a/crates/core/src/dispatch/retries.rs
+++ b/crates/core/src/dispatch/retries.rs
@@ -41,10 +41,12 @@
         }
     }
 
-    /// Adds the retries that one new request earns.
-    pub fn deposit(&mut self, retries: &Retries) {
+    /// Adds the retries that one new request earns, and returns them.
+    pub fn deposit(&mut self, retries: &Retries) -> f64 {
+        let earned = retries.ratio * RATIO_SHARE;
         let max_tokens = retries.burst * MAX_BURST_SHARE;
-        self.tokens = (self.tokens + retries.ratio * RATIO_SHARE).min(max_tokens);
+        self.tokens = (self.tokens + earned).min(max_tokens);
+        earned
     }
 
     /// Returns the retries that are left.
@@ -59,9 +61,9 @@
         self.tokens < retries.burst * SCARCE_BURST_SHARE
     }
 
-    /// Takes one retry and returns whether one was left.
-    pub fn withdraw(&mut self) -> bool {
-        let is_affordable = self.tokens >= 1.0;
+    /// Takes one retry and returns whether one was left beside those that are `kept` for others.
+    pub fn withdraw(&mut self, kept: f64) -> bool {
+        let is_affordable = self.tokens >= 1.0 + kept;
         if is_affordable {
             self.tokens -= 1.0;
         }
--- a/crates/core/src/dispatch/view.rs
+++ b/crates/core/src/dispatch/view.rs
@@ -47,6 +47,12 @@
         pools.map(move |(service, pool)| (service, kept(pool)))
     }
 
+    /// Returns the retries that each service has kept from requests of a priority for more urgent ones.
+    pub fn retries_withheld(&self) -> impl Iterator<Item = (&ServiceId, &BTreeMap<Priority, u64>)> {
+        let pools = self.pools.iter();
+        pools.map(|(service, pool)| (service, pool.ration.withheld()))
+    }
+
     /// Returns the refusals since the last call.
     pub fn take_refusals(&mut self) -> Refusals {
         std::mem::take(&mut self.refusals)
--- a/crates/core/tests/dispatch/load.rs
+++ b/crates/core/tests/dispatch/load.rs
@@ -9,6 +9,7 @@
 
 use persimmonbend_core::dispatch::Answer;
 use persimmonbend_core::dispatch::Decision;
+use persimmonbend_core::dispatch::Policy;
 use persimmonbend_core::dispatch::Request;
 use persimmonbend_core::health::Outcome;
 use persimmonbend_core::publication::Part;
@@ -26,6 +27,9 @@
 
 const TICK_MS: u64 = 50;
 
+/// Time that an upstream takes to refuse a request.
+const SHED_MS: u64 = 2;
+
 /// A kind of request; times in milliseconds.
 #[derive(Debug, Clone, Copy)]
 pub struct Kind {
@@ -51,6 +55,9 @@
     pub end_ms: u64,
     /// Times that a client repeats a refused request at once.
     pub repeats: u32,
+    /// Shares of the attempts in the span of the burst that upstreams refuse, by turns of their numbers.
+    pub shed: &'static [f64],
+    pub policy: Policy,
 }
 
 /// What became of the requests of one kind and tenant that were sent in the burst.
@@ -61,6 +68,7 @@
     pub timely: u32,
     /// Waits for a slot, and for a refusal as parts of the objective.
     pub waits_ms: Vec<u64>,
+    pub retries: u32,
     pub refused_after: Vec<f64>,
 }
 
@@ -71,6 +79,7 @@
     at: u64,
     repeats: u32,
     granted_at: u64,
+    request: Request,
 }
 
 pub struct Run {
@@ -80,7 +89,7 @@
     now_ms: u64,
     owed: Vec<f64>,
     sent: BTreeMap<u32, Sent>,
-    running: BinaryHeap<Reverse<(u64, Ticket)>>,
+    running: BinaryHeap<Reverse<(u64, Ticket, bool)>>,
     tallies: BTreeMap<(&'static str, &'static str), Tally>,
 }
 
@@ -113,6 +122,7 @@
         self.timely += other.timely;
         self.waits_ms.extend(&other.waits_ms);
         self.refused_after.extend(&other.refused_after);
+        self.retries += other.retries;
     }
 }
 
@@ -124,7 +134,7 @@
             .cycle()
             .take(load.upstreams as usize)
             .collect();
-        let mut world = World::new(&zones);
+        let mut world = World::with(load.policy, &zones);
         let now = world.now;
         world.dispatcher.publish(Rc::new(publication(&load)), now);
         let mut run = Self {
@@ -182,11 +192,15 @@
         if self.now_ms.is_multiple_of(TICK_MS) {
             answers.extend(self.world.dispatcher.tick(self.world.now));
         }
-        while let Some(Reverse((at, _))) = self.running.peek()
+        while let Some(Reverse((at, ..))) = self.running.peek()
             && *at <= self.now_ms
-            && let Some(Reverse((_, ticket))) = self.running.pop()
+            && let Some(Reverse((_, ticket, is_shed))) = self.running.pop()
         {
-            answers.extend(self.end(&ticket));
+            answers.extend(if is_shed {
+                self.retry(&ticket)
+            } else {
+                self.end(&ticket)
+            });
         }
         let is_burst = self.load.burst_ms.contains(&self.now_ms);
         let total: f64 = self.load.tenants.iter().map(|(_, weight, _)| weight).sum();
@@ -222,6 +236,7 @@
             at: self.now_ms,
             repeats,
             granted_at: 0,
+            request: request.clone(),
         };
         if repeats == 0 {
             self.tally(&sent, |tally| tally.sent += 1);
@@ -245,16 +260,52 @@
         self.world.release(ticket, Outcome::Answered, took)
     }
 
+    /// Sends a request that an upstream refused to another one.
+    fn retry(&mut self, ticket: &Ticket) -> Vec<Answer> {
+        let sent = self.sent.remove(&ticket.number).expect("a sent request");
+        let took = Duration::from_millis(SHED_MS);
+        let mut answers = self.world.release(ticket, Outcome::Shed, took);
+        let request = Request {
+            ticket: self.world.request(SERVICE).ticket,
+            is_retry: true,
+            ..sent.request.clone()
+        };
+        self.sent.insert(
+            request.ticket.number,
+            Sent {
+                request: request.clone(),
+                ..sent
+            },
+        );
+        answers.extend(self.world.dispatcher.reserve(request, self.world.now));
+        answers
+    }
+
     fn follow(&mut self, answer: Answer) -> Vec<Answer> {
         let Answer { ticket, decision } = answer;
         match decision {
-            Decision::Granted { .. } => {
+            Decision::Granted { upstream, .. } => {
                 let now = self.now_ms;
                 let sent = self.sent.get_mut(&ticket.number).expect("a sent request");
                 sent.granted_at = now;
+                sent.request.avoid.push(upstream);
+                let sent = sent.clone();
+                let shares = self.load.shed;
+                let is_shed = !shares.is_empty()
+                    && self.load.burst_ms.contains(&now)
+                    && self
+                        .rng
+                        .random_bool(shares[upstream as usize % shares.len()]);
                 let mean = self.load.kinds[sent.kind].work_ms;
-                let work = self.rng.random_range(mean / 2..=mean * 3 / 2);
-                self.running.push(Reverse((now + work, ticket)));
+                let work = if is_shed {
+                    SHED_MS
+                } else {
+                    self.rng.random_range(mean / 2..=mean * 3 / 2)
+                };
+                self.running.push(Reverse((now + work, ticket, is_shed)));
+                if sent.request.is_retry {
+                    self.tally(&sent, |tally| tally.retries += 1);
+                }
                 Vec::new()
             }
             Decision::Refused { .. } => {
@@ -282,13 +333,14 @@
 
 fn line(tally: &Tally) -> String {
     format!(
-        "{} sent, {:.3} answered, {:.3} in time, wait p50 {} ms, p99 {} ms, refused late {:.3}",
+        "{} sent, {:.3} answered, {:.3} in time, wait p50 {} ms, p99 {} ms, refused late {:.3}, {} retries",
         tally.sent,
         tally.answered_share(),
         tally.timely_share(),
         tally.wait_ms(0.5),
         tally.wait_ms(0.99),
         tally.late_refusals(),
+        tally.retries,
     )
 }
 
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -14,6 +14,7 @@
 mod pace;
 mod paced;
 mod queueing;
+mod shed;
 mod size;
 mod statements;
 mod uneven;
--- a/crates/core/tests/dispatch/overload.rs
+++ b/crates/core/tests/dispatch/overload.rs
@@ -14,6 +14,7 @@
 use crate::world::NON_IDEMPOTENT;
 use crate::world::SERVICE;
 use crate::world::World;
+use crate::world::policy;
 
 const WEIGHT: Kind = Kind {
     name: "weight",
@@ -63,6 +64,8 @@
         burst_ms: 6_000..12_000,
         end_ms: 30_000,
         repeats: 0,
+        shed: &[],
+        policy: policy(),
     }
 }
 
