test: two loud tenants at once, and one tenant with many keys

Cause: only one loud tenant was played, and each tenant had one name and no keys. Change: load.rs resolves tenants by their keys; two tenants at five to eight times their usual leave the others more than 99.5 % in time and use what is left; a tenant with 40 keys gets what it gets with one.

--- a/crates/core/tests/dispatch/load.rs
+++ b/crates/core/tests/dispatch/load.rs
@@ -12,6 +12,8 @@
 use persimmonbend_core::dispatch::Policy;
 use persimmonbend_core::dispatch::Request;
 use persimmonbend_core::health::Outcome;
+use persimmonbend_core::id::TenantId;
+use persimmonbend_core::key::Digest;
 use persimmonbend_core::publication::Part;
 use persimmonbend_core::publication::Publication;
 use persimmonbend_core::publication::Route;
@@ -51,6 +53,8 @@
     pub kinds: Vec<Kind>,
     /// Weights of the tenants among the requests, and times of their usual rate in the burst.
     pub tenants: Vec<(&'static str, f64, f64)>,
+    /// Keys of each tenant, which send in turn.
+    pub keys: usize,
     pub burst_ms: Range<u64>,
     pub end_ms: u64,
     /// Times that a client repeats a refused request at once.
@@ -85,6 +89,7 @@
 pub struct Run {
     pub world: World,
     load: Load,
+    tenants: BTreeMap<Digest, TenantId>,
     rng: ChaCha8Rng,
     now_ms: u64,
     owed: Vec<f64>,
@@ -136,9 +141,12 @@
             .collect();
         let mut world = World::with(load.policy, &zones);
         let now = world.now;
-        world.dispatcher.publish(Rc::new(publication(&load)), now);
+        let publication = publication(&load);
+        let tenants = publication.keys();
+        world.dispatcher.publish(Rc::new(publication), now);
         let mut run = Self {
             world,
+            tenants,
             rng: ChaCha8Rng::seed_from_u64(11),
             now_ms: 0,
             owed: vec![0.0; load.kinds.len() * load.tenants.len()],
@@ -228,7 +236,9 @@
     fn send(&mut self, kind: usize, tenant: usize, repeats: u32) -> Vec<Answer> {
         let known = self.load.kinds[kind];
         let mut request: Request = self.world.request(known.name);
-        request.tenant = Some(self.load.tenants[tenant].0.to_owned());
+        let number = request.ticket.number as usize % self.load.keys;
+        let key = key(self.load.tenants[tenant].0, number);
+        request.tenant = self.tenants.get(&key).cloned();
         request.deadline = self.world.now + Duration::from_millis(known.deadline_ms);
         let sent = Sent {
             kind,
@@ -344,6 +354,10 @@
     )
 }
 
+fn key(tenant: &str, number: usize) -> Digest {
+    Digest::of(&format!("{tenant}-{number}"))
+}
+
 fn publication(load: &Load) -> Publication {
     let route = |kind: &Kind| Route {
         host: "farm.example".to_owned(),
@@ -368,7 +382,13 @@
             .collect(),
         services: BTreeMap::from([(SERVICE.to_owned(), Service::default())]),
         tenants: tenants
-            .map(|(name, ..)| ((*name).to_owned(), Tenant::default()))
+            .map(|(name, ..)| {
+                let tenant = Tenant {
+                    keys: (0..load.keys).map(|number| key(name, number)).collect(),
+                    ..Tenant::default()
+                };
+                ((*name).to_owned(), tenant)
+            })
             .collect(),
         ..Publication::default()
     }
--- a/crates/core/tests/dispatch/overload.rs
+++ b/crates/core/tests/dispatch/overload.rs
@@ -61,6 +61,7 @@
         upstreams: 12,
         kinds: vec![WEIGHT, SALE, LISTING],
         tenants: vec![("only", 1.0, 1.0)],
+        keys: 1,
         burst_ms: 6_000..12_000,
         end_ms: 30_000,
         repeats: 0,
@@ -299,3 +300,70 @@
     assert!(run.tenant("large").timely_share() > 0.995);
     assert!(run.tenant("other").timely_share() > 0.995);
 }
+
+/// The excess of two tenants at once, of which each alone would be held back.
+#[test]
+fn two_loud_tenants_take_nothing_from_the_others() {
+    let quiet = ["large", "t1", "t2", "t3", "t4", "t5"];
+    for (upstreams, times, kind) in [
+        (12, [8.0, 8.0], LOOKUP),
+        (12, [5.0, 8.0], LOOKUP),
+        (12, [6.0, 6.0], SALE),
+        (36, [8.0, 5.0], LOOKUP),
+    ] {
+        let mut tenants = vec![("large", 6.0, 1.0), ("loud", 3.0, times[0])];
+        tenants.push(("shrill", 2.0, times[1]));
+        tenants.extend(quiet[1..].iter().map(|name| (*name, 1.0, 1.0)));
+        let slots = f64::from(upstreams) * 3.0;
+        let per_second = slots * 0.66 / (kind.work_ms as f64 / 1_000.0);
+        let load = Load {
+            upstreams,
+            kinds: vec![Kind { per_second, ..kind }],
+            tenants,
+            ..base()
+        };
+        let run = Run::play(load);
+        println!("{upstreams} upstreams, {} at {times:?} times", kind.name);
+        run.print();
+        for name in quiet {
+            let share = run.tenant(name).timely_share();
+            assert!(share > 0.995, "{times:?} times: {name} {share}");
+        }
+        // What the others leave is used.
+        let left = slots * (1.0 - 0.66 * 11.0 / 16.0);
+        let asked = slots * 0.66 * (3.0 * times[0] + 2.0 * times[1]) / 16.0;
+        let served = ["loud", "shrill"].map(|name| run.tenant(name));
+        let answered: u32 = served.iter().map(|tally| tally.answered).sum();
+        let sent: u32 = served.iter().map(|tally| tally.sent).sum();
+        let share = f64::from(answered) / f64::from(sent);
+        assert!(share > 0.85 * left / asked, "{share} of {}", left / asked);
+        // Neither takes it all.
+        for tally in served {
+            assert!(tally.answered_share() > 0.5 * share, "{tally:?}");
+        }
+    }
+}
+
+/// Keys that counted as tenants would raise the share of one that has many.
+#[test]
+fn a_tenant_gets_no_more_with_many_keys() {
+    let play = |keys| {
+        let tenants = vec![("loud", 3.0, 8.0), ("t1", 3.0, 1.0), ("t2", 3.0, 1.0)];
+        let run = Run::play(Load {
+            kinds: vec![Kind {
+                per_second: 400.0,
+                ..LOOKUP
+            }],
+            tenants,
+            keys,
+            ..base()
+        });
+        run.print();
+        for quiet in ["t1", "t2"] {
+            let share = run.tenant(quiet).timely_share();
+            assert!(share > 0.995, "{keys} keys: {quiet} {share}");
+        }
+        run.tenant("loud").answered
+    };
+    assert_eq!(play(1), play(40));
+}
--- a/crates/core/tests/dispatch/shed.rs
+++ b/crates/core/tests/dispatch/shed.rs
@@ -48,6 +48,7 @@
         upstreams,
         kinds: vec![urgent, usual],
         tenants: vec![("only", 1.0, 1.0)],
+        keys: 1,
         burst_ms: 4_000..4_000 + lasting_ms,
         end_ms: 4_000 + lasting_ms + 2_500,
         repeats: 0,
