fix: a decision costs the same however many requests wait for a healthy upstream

Cause: while a service shed, each offer of free slots of suspects looked at all queued requests, the check of the floor found every upstream by number twice, and each tick looked up all slots in use. Change: at most 32 requests of a rank are looked at in vain at one event and the next goes on behind them; the floor is checked over the states; slots younger than the least late time are passed over. size.rs prints the times of decisions at 36 to 1,300 upstreams with 40 and 4,000 queued, and checks the steps of one release.

--- a/crates/core/src/dispatch/backlog.rs
+++ b/crates/core/src/dispatch/backlog.rs
@@ -145,13 +145,14 @@
         self.places.insert(ticket, place);
     }
 
-    /// Removes the next request of a rank for which `place` returns a value, and returns both.
-    pub fn take<P, F>(&mut self, rank: Rank, place: F) -> Option<(Request, P)>
+    /// Removes the next request of a rank for which `place` returns a value, and returns both; looks at
+    /// `looks` requests at most.
+    pub fn take<P, F>(&mut self, rank: Rank, looks: &mut usize, place: F) -> Option<(Request, P)>
     where
         F: FnMut(&Request) -> Option<P>,
     {
         let line = self.lines.get_mut(&rank)?;
-        let (request, found) = line.take(place)?;
+        let (request, found) = line.take(looks, place)?;
         if line.is_empty() {
             self.lines.remove(&rank);
         }
--- a/crates/core/src/dispatch/line.rs
+++ b/crates/core/src/dispatch/line.rs
@@ -163,12 +163,15 @@
     }
 
     /// Removes the next request for which `place` returns a value, and returns both.
-    pub fn take<P, F>(&mut self, mut place: F) -> Option<(Request, P)>
+    ///
+    /// Looks at `looks` requests at most, and counts them down; the next call goes on with the tenants behind
+    /// these.
+    pub fn take<P, F>(&mut self, looks: &mut usize, mut place: F) -> Option<(Request, P)>
     where
         F: FnMut(&Request) -> Option<P>,
     {
         let mut skipped = 0;
-        while skipped < self.turns.len() {
+        while skipped < self.turns.len() && *looks > 0 {
             let tenant = self.turns.front()?.clone();
             let flow = self.flows.get(&tenant)?;
             let (_, first) = flow.entries.first_key_value()?;
@@ -176,7 +179,11 @@
                 self.end_turn(&tenant);
                 continue;
             }
-            let Some((sequence, found)) = flow.find(&mut place) else {
+            let look = |request: &Request| {
+                *looks = looks.saturating_sub(1);
+                place(request)
+            };
+            let Some((sequence, found)) = flow.find(look) else {
                 skipped += 1;
                 self.turns.rotate_left(1);
                 continue;
@@ -227,7 +234,7 @@
 }
 
 impl Flow {
-    fn find<P, F>(&self, place: &mut F) -> Option<(Sequence, P)>
+    fn find<P, F>(&self, mut place: F) -> Option<(Sequence, P)>
     where
         F: FnMut(&Request) -> Option<P>,
     {
--- a/crates/core/src/dispatch/observation.rs
+++ b/crates/core/src/dispatch/observation.rs
@@ -170,7 +170,9 @@
         let publication = Rc::clone(&self.publication);
         let mut late = Vec::new();
         for (ticket, slot) in &self.slots_in_use {
-            if slot.late_count >= MAX_LATE_COUNT {
+            let age = now.saturating_duration_since(slot.since);
+            let is_new = age <= MIN_LATE_AFTER * (slot.late_count + 1);
+            if is_new || slot.late_count >= MAX_LATE_COUNT {
                 continue;
             }
             let Some(route) = publication.routes.get(&slot.route) else {
@@ -188,7 +190,7 @@
             let expected = state.expected_seconds(&timing, now) * LATE_FACTOR;
             let limit =
                 Duration::from_secs_f64(expected).max(MIN_LATE_AFTER) * (slot.late_count + 1);
-            if now.saturating_duration_since(slot.since) > limit {
+            if age > limit {
                 late.push((ticket.clone(), slot.clone()));
             }
         }
--- a/crates/core/src/dispatch/pool.rs
+++ b/crates/core/src/dispatch/pool.rs
@@ -22,13 +22,6 @@
 use crate::statement::Pauses;
 use crate::steward::Estimate;
 
-/// Time after a grant during which an upstream counts as in use; operators check two seconds.
-const IN_USE_WINDOW: Duration = Duration::from_millis(1_500);
-
-/// Time after a failure during which an upstream does not count for the floor; operators count it
-/// again after two seconds, by when it must be in use.
-const FAILURE_WINDOW: Duration = Duration::from_millis(1_500);
-
 /// Time after the last failure of an idle upstream after which requests that may be retried are sent to
 /// it.
 const TRIAL_AGE: Duration = Duration::from_millis(2_500);
@@ -276,10 +269,10 @@
 
     fn lacks_upstreams_in_use(&self, floor: f64, now: Instant) -> bool {
         let (mut all, mut used) = (0.0, 0.0);
-        for number in self.upstreams.keys() {
-            if self.counts_for_floor(*number, now) {
+        for state in self.upstreams.values() {
+            if state.counts_for_floor(now) {
                 all += 1.0;
-                used += f64::from(u8::from(self.is_in_use(*number, now)));
+                used += f64::from(u8::from(state.is_in_use(now)));
             }
         }
         let wanted = if self.upstreams.len() > LARGE_SERVICE_UPSTREAMS {
@@ -293,20 +286,15 @@
     /// Returns whether an upstream is open, limits no requests and has failed none lately.
     #[must_use]
     pub fn counts_for_floor(&self, number: Number, now: Instant) -> bool {
-        self.upstreams.get(&number).is_some_and(|state| {
-            let lately = |at| now.saturating_duration_since(at) < FAILURE_WINDOW;
-            state.is_open() && state.pace().is_none() && !state.last_failed.is_some_and(lately)
-        })
+        let state = self.upstreams.get(&number);
+        state.is_some_and(|state| state.counts_for_floor(now))
     }
 
     /// Returns whether an upstream was granted a request lately.
     #[must_use]
     pub fn is_in_use(&self, number: Number, now: Instant) -> bool {
-        let last_granted = self
-            .upstreams
-            .get(&number)
-            .and_then(|state| state.last_granted);
-        last_granted.is_some_and(|at| now.saturating_duration_since(at) < IN_USE_WINDOW)
+        let state = self.upstreams.get(&number);
+        state.is_some_and(|state| state.is_in_use(now))
     }
 
     /// Returns whether an upstream that failed is idle and has not failed for so long that a request that
--- a/crates/core/src/dispatch/queueing.rs
+++ b/crates/core/src/dispatch/queueing.rs
@@ -22,6 +22,10 @@
 /// Time between two offers of the free slots of suspects to the queued requests of a service.
 const SUSPECT_OFFER_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Most queued requests of a rank that are looked at in vain at one event. Others are looked at with the next
+/// event, so that a decision costs the same however many wait for a healthy upstream.
+const MAX_LOOKS: usize = 32;
+
 /// Most queued requests of one service, beyond which only tenants with less than their part are queued.
 const MAX_QUEUED_REQUESTS: usize = 4_096;
 
@@ -108,9 +112,12 @@
         };
         let ranks: Vec<Rank> = backlog.lines().map(|(rank, _)| rank).collect();
         for rank in ranks {
+            let mut looks = MAX_LOOKS;
             while is_offering(self)
-                && let Some((request, choice)) = backlog.take(rank, |request| place(self, request))
+                && let Some((request, choice)) =
+                    backlog.take(rank, &mut looks, |request| place(self, request))
             {
+                looks += 1;
                 answers.push(self.grant(request, choice, now));
             }
         }
--- a/crates/core/src/dispatch/upstream.rs
+++ b/crates/core/src/dispatch/upstream.rs
@@ -11,6 +11,13 @@
 use crate::upstream::Announcement;
 use crate::upstream::Stage;
 
+/// Time after a grant during which an upstream counts as in use; operators check two seconds.
+const IN_USE_WINDOW: Duration = Duration::from_millis(1_500);
+
+/// Time after a failure during which an upstream does not count for the floor; operators count it
+/// again after two seconds, by when it must be in use.
+const FAILURE_WINDOW: Duration = Duration::from_millis(1_500);
+
 /// Weight of one observation in the slowdown.
 const SLOWDOWN_GAIN: f64 = 0.25;
 
@@ -125,6 +132,20 @@
         self.stage.takes_requests() && !self.states_draining
     }
 
+    /// Returns whether the upstream is open, limits no requests and has failed none lately.
+    #[must_use]
+    pub fn counts_for_floor(&self, now: Instant) -> bool {
+        let lately = |at| now.saturating_duration_since(at) < FAILURE_WINDOW;
+        self.is_open() && self.pace.is_none() && !self.last_failed.is_some_and(lately)
+    }
+
+    /// Returns whether the upstream was granted a request lately.
+    #[must_use]
+    pub fn is_in_use(&self, now: Instant) -> bool {
+        let lately = |at| now.saturating_duration_since(at) < IN_USE_WINDOW;
+        self.last_granted.is_some_and(lately)
+    }
+
     /// Returns whether the upstream takes new requests, has a free slot and, if it limits requests, a permit.
     #[must_use]
     pub fn has_room(&self, now: Instant) -> bool {
--- a/crates/core/tests/dispatch/size.rs
+++ b/crates/core/tests/dispatch/size.rs
@@ -1,9 +1,12 @@
 //! Large services: the work of the dispatcher, and what clients get while all of a service sheds.
 
+use std::collections::VecDeque;
 use std::ops::Range;
 use std::time::Duration;
+use std::time::Instant;
 
 use persimmonbend_core::dispatch::Answer;
+use persimmonbend_core::dispatch::Completion;
 use persimmonbend_core::dispatch::Decision;
 use persimmonbend_core::health::Outcome;
 use persimmonbend_core::steward::Ticket;
@@ -12,11 +15,14 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::world::IDEMPOTENT;
+use crate::world::LOW_PRIORITY;
 use crate::world::NON_IDEMPOTENT;
+use crate::world::SERVICE;
 use crate::world::World;
 
 const ZONES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
 const TENANTS: u32 = 190;
+const HOSTS: u32 = 46;
 const SLOTS: u32 = 3;
 
 /// Time that an upstream takes to answer, and to shed, in milliseconds.
@@ -40,6 +46,9 @@
 /// decisions, each over the candidates of its own zone and of the others.
 const MAX_STEPS: f64 = 150.0;
 
+/// Most that are looked at for one release: some queued requests of each rank, and the candidates of those placed.
+const MAX_RELEASE_STEPS: u64 = 400;
+
 struct Attempt {
     due: u32,
     ticket: Ticket,
@@ -68,6 +77,8 @@
     before: Tally,
     shedding: Tally,
     recovered: Tally,
+    /// Requests and upstreams that were looked at for the release that took most.
+    most_steps: u64,
 }
 
 impl Run {
@@ -85,6 +96,7 @@
             before: Tally::default(),
             shedding: Tally::default(),
             recovered: Tally::default(),
+            most_steps: 0,
         };
         let per_ms = f64::from(upstreams * SLOTS) * LOAD / f64::from(RUN_MS);
         for at in 0..END_MS {
@@ -127,7 +139,10 @@
                 RUN_MS
             };
             let took = Duration::from_millis(u64::from(took));
+            let before = self.world.dispatcher.steps();
             answers.extend(self.world.release(&ticket, outcome, took));
+            let steps = self.world.dispatcher.steps() - before;
+            self.most_steps = self.most_steps.max(steps);
         }
         answers
     }
@@ -195,8 +210,10 @@
     for upstreams in [13, 160, 640] {
         let run = Run::play(upstreams);
         let steps = run.steps_per_request();
-        println!("{upstreams} upstreams: {steps:.0} steps for a request");
+        let most = run.most_steps;
+        println!("{upstreams} upstreams: {steps:.0} steps for a request, {most} for a release");
         assert!(steps < MAX_STEPS, "{upstreams} upstreams: {steps} steps");
+        assert!(most < MAX_RELEASE_STEPS, "{upstreams} upstreams: {most}");
     }
 }
 
@@ -224,3 +241,121 @@
     let last_in_100 = waited.get(waited.len() * 99 / 100).copied();
     assert!(last_in_100.unwrap_or_default() < objective_ms / 8);
 }
+
+/// Times of the decisions of a service with all slots in use and requests queued.
+struct Timed {
+    reserve: Vec<Duration>,
+    release: Vec<Duration>,
+    tick: Vec<Duration>,
+    /// Requests and upstreams that were looked at for one request, and for the release that took most.
+    steps: f64,
+    most_steps: u64,
+}
+
+impl Timed {
+    /// Plays `count` requests of which each takes the slot of one that has ended.
+    fn play(upstreams: u32, queued: usize, is_shedding: bool, count: u32) -> Self {
+        let zones: Vec<&str> = ZONES.into_iter().cycle().take(upstreams as usize).collect();
+        let mut world = World::new(&zones);
+        let mut held = VecDeque::new();
+        let next = |world: &mut World| {
+            let routes = [NON_IDEMPOTENT, IDEMPOTENT, LOW_PRIORITY];
+            let mut request = world.request("");
+            let number = request.ticket.number;
+            request.route = routes[number as usize % routes.len()].to_owned();
+            request.tenant = Some(format!("tenant-{}", number % TENANTS));
+            request.zone = ZONES[number as usize % ZONES.len()].to_owned();
+            request.ticket.host = format!("host-{}", number % HOSTS);
+            request.deadline += Duration::from_secs(3_000);
+            request
+        };
+        while world.dispatcher.queued(SERVICE) < queued {
+            let request = next(&mut world);
+            let answers = world.dispatcher.reserve(request, world.now);
+            hold(&mut held, &answers);
+        }
+        let mut timed = Self {
+            reserve: Vec::new(),
+            release: Vec::new(),
+            tick: Vec::new(),
+            steps: 0.0,
+            most_steps: 0,
+        };
+        let before = world.dispatcher.steps();
+        let gap = Duration::from_millis(u64::from(RUN_MS)) / (upstreams * SLOTS);
+        let mut next_tick = world.now;
+        for number in 0..count {
+            world.advance(gap);
+            if world.now >= next_tick {
+                next_tick += Duration::from_millis(50);
+                let began = Instant::now();
+                let answers = world.dispatcher.tick(world.now);
+                timed.tick.push(began.elapsed());
+                hold(&mut held, &answers);
+            }
+            let request = next(&mut world);
+            let began = Instant::now();
+            let answers = world.dispatcher.reserve(request, world.now);
+            timed.reserve.push(began.elapsed());
+            hold(&mut held, &answers);
+            let Some(ticket) = held.pop_front() else {
+                continue;
+            };
+            let outcome = if is_shedding && number % 2 == 0 {
+                Outcome::Shed
+            } else {
+                Outcome::Answered
+            };
+            let end = Completion {
+                outcome,
+                latency: Duration::from_millis(u64::from(RUN_MS)),
+                bytes: 5_000,
+            };
+            let steps = world.dispatcher.steps();
+            let began = Instant::now();
+            let answers = world.dispatcher.release(&ticket, &end, world.now);
+            timed.release.push(began.elapsed());
+            timed.most_steps = timed.most_steps.max(world.dispatcher.steps() - steps);
+            hold(&mut held, &answers);
+        }
+        timed.steps = (world.dispatcher.steps() - before) as f64 / f64::from(count);
+        timed
+    }
+}
+
+/// Adds the tickets of granted requests to those that hold slots.
+fn hold(held: &mut VecDeque<Ticket>, answers: &[Answer]) {
+    let granted = answers
+        .iter()
+        .filter(|answer| matches!(answer.decision, Decision::Granted { .. }));
+    held.extend(granted.map(|answer| answer.ticket.clone()));
+}
+
+fn p99_micros(mut times: Vec<Duration>) -> u128 {
+    times.sort_unstable();
+    let index = times.len() * 99 / 100;
+    times.get(index).map_or(0, Duration::as_micros)
+}
+
+/// Times count in a release build only.
+#[test]
+fn the_size_of_a_service_and_its_queue_does_not_slow_down_decisions() {
+    let count = if cfg!(debug_assertions) { 500 } else { 100_000 };
+    for is_shedding in [false, true] {
+        for upstreams in [36, 219, 432, 1_300] {
+            for queued in [40, 4_000] {
+                let timed = Timed::play(upstreams, queued, is_shedding, count);
+                println!(
+                    "{upstreams} upstreams, {queued} queued, shedding {is_shedding}: p99 of reserve {} us, \
+                     release {} us, tick {} us; {:.0} steps, {} at most",
+                    p99_micros(timed.reserve),
+                    p99_micros(timed.release),
+                    p99_micros(timed.tick),
+                    timed.steps,
+                    timed.most_steps,
+                );
+                assert!(timed.steps < MAX_STEPS, "{} steps", timed.steps);
+            }
+        }
+    }
+}
