--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -37,6 +37,7 @@
 mod pool;
 mod queueing;
 mod quotas;
+mod ration;
 mod refusals;
 mod request;
 mod resend;
@@ -325,9 +326,10 @@
     ) -> Result<(), (Kind, Duration)> {
         let retries = self.retries();
         let is_first = self.policy.is_first_dispatcher;
+        let rank = self.rank(request, route, now);
         let pool = self.pools.entry(request.service.clone());
         let pool = pool.or_insert_with(|| Pool::new(Budget::new(&retries, is_first), now));
-        if request.is_retry && !pool.retry_budget.withdraw() {
+        if request.is_retry && !pool.withdraw_retry(rank, &retries, now) {
             return Err((Kind::RetryBudgetSpent, MIN_RETRY_AFTER));
         }
         self.take_token(request, now)
@@ -336,7 +338,8 @@
         if request.is_first_placing()
             && let Some(pool) = self.pools.get_mut(&request.service)
         {
-            pool.retry_budget.deposit(&retries);
+            let earned = pool.retry_budget.deposit(&retries);
+            pool.ration.note_request(rank.priority, earned, now);
             self.deposit_hedge(&request.service);
         }
         self.note_arrival(request, route, now);
--- a/crates/core/src/dispatch/backlog.rs
+++ b/crates/core/src/dispatch/backlog.rs
@@ -157,15 +157,22 @@
         self.places.insert(ticket, place);
     }
 
-    /// Removes the next request of a rank for which `place` returns a value, and returns both.
+    /// Removes the next request of a rank for which `place` returns a value, and returns both; looks at
+    /// `looks` requests at most.
     ///
     /// A request larger than `most_bytes` is offered only when it is the first one of its tenant.
-    pub fn take<P, F>(&mut self, rank: Rank, most_bytes: u32, place: F) -> Option<(Request, P)>
+    pub fn take<P, F>(
+        &mut self,
+        rank: Rank,
+        most_bytes: u32,
+        looks: &mut usize,
+        place: F,
+    ) -> Option<(Request, P)>
     where
         F: FnMut(&Request) -> Option<P>,
     {
         let line = self.lines.get_mut(&rank)?;
-        let (request, found) = line.take(most_bytes, place)?;
+        let (request, found) = line.take(most_bytes, looks, place)?;
         if line.is_empty() {
             self.lines.remove(&rank);
         }
--- a/crates/core/src/dispatch/line.rs
+++ b/crates/core/src/dispatch/line.rs
@@ -185,14 +185,20 @@
 
     /// Removes the next request for which `place` returns a value, and returns both.
     ///
-    /// A request larger than `most_bytes` is offered only when it is the first one of its tenant, so that it
+    /// Looks at `looks` requests at most, and counts them down; the next call goes on with the tenants behind
+    /// these. A request larger than `most_bytes` is offered only when it is the first one of its tenant, so that it
     /// does not hide the smaller ones behind it.
-    pub fn take<P, F>(&mut self, most_bytes: u32, mut place: F) -> Option<(Request, P)>
+    pub fn take<P, F>(
+        &mut self,
+        most_bytes: u32,
+        looks: &mut usize,
+        mut place: F,
+    ) -> Option<(Request, P)>
     where
         F: FnMut(&Request) -> Option<P>,
     {
         let mut skipped = 0;
-        while skipped < self.turns.len() {
+        while skipped < self.turns.len() && *looks > 0 {
             let tenant = self.turns.front()?.clone();
             let flow = self.flows.get(&tenant)?;
             let (_, first) = flow.entries.first_key_value()?;
@@ -200,7 +206,11 @@
                 self.end_turn(&tenant);
                 continue;
             }
-            let Some((sequence, found)) = flow.find(most_bytes, &mut place) else {
+            let look = |request: &Request| {
+                *looks = looks.saturating_sub(1);
+                place(request)
+            };
+            let Some((sequence, found)) = flow.find(most_bytes, look) else {
                 skipped += 1;
                 self.turns.rotate_left(1);
                 continue;
@@ -258,7 +268,7 @@
 }
 
 impl Flow {
-    fn find<P, F>(&self, most_bytes: u32, place: &mut F) -> Option<(Sequence, P)>
+    fn find<P, F>(&self, most_bytes: u32, mut place: F) -> Option<(Sequence, P)>
     where
         F: FnMut(&Request) -> Option<P>,
     {
--- a/crates/core/src/dispatch/observation.rs
+++ b/crates/core/src/dispatch/observation.rs
@@ -170,8 +170,11 @@
         let publication = Rc::clone(&self.publication);
         let mut late = Vec::new();
         for (ticket, slot) in &self.slots_in_use {
+            let age = now.saturating_duration_since(slot.since);
+            let is_new = age <= MIN_LATE_AFTER * (slot.late_count + 1);
             // The silence of an absent host says nothing about the upstream.
-            if slot.late_count >= MAX_LATE_COUNT || slot.absent_until.is_some() {
+            let is_absent = slot.absent_until.is_some();
+            if is_new || is_absent || slot.late_count >= MAX_LATE_COUNT {
                 continue;
             }
             let Some(route) = publication.routes.get(&slot.route) else {
@@ -189,7 +192,7 @@
             let expected = state.expected_seconds(&timing, now) * LATE_FACTOR;
             let limit =
                 Duration::from_secs_f64(expected).max(MIN_LATE_AFTER) * (slot.late_count + 1);
-            if now.saturating_duration_since(slot.since) > limit {
+            if age > limit {
                 late.push((ticket.clone(), slot.clone()));
             }
         }
--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -127,7 +127,7 @@
         let timing = self.timing(&request.route, route);
         let unreachable = self.unreachable_upstreams(&request.ticket.host, now);
         let is_limited_hedge = self.is_limited_hedge(request);
-        let can_retry = self.can_retry(request, route);
+        let can_retry = self.can_retry(request, route, now);
         let held_bound = self.held_bound(&request.service);
         let pool = self.pools.get_mut(&request.service)?;
         if route.idempotent && can_retry {
@@ -176,7 +176,7 @@
         Attempt {
             zone: &request.zone,
             is_idempotent: route.idempotent,
-            can_retry: self.can_retry(request, route),
+            can_retry: self.can_retry(request, route, now),
             has_scouts: pool.is_some_and(|pool| pool.has_scouts(now)),
             time_left: time_left(request, route, now).as_secs_f64(),
             timing,
@@ -184,11 +184,11 @@
     }
 
     /// Returns whether another attempt of a request may follow, and its service has retries to spare.
-    fn can_retry(&self, request: &Request, route: &Route) -> bool {
-        let retries = self.retries();
+    fn can_retry(&self, request: &Request, route: &Route, now: Instant) -> bool {
+        let rank = self.rank(request, route, now);
         let pool = self.pools.get(&request.service);
-        let is_scarce = pool.is_none_or(|pool| pool.retry_budget.is_scarce(&retries));
-        request.attempts + 1 < route.attempts && !is_scarce
+        let has_retry = pool.is_some_and(|pool| pool.has_retry(rank, &self.retries(), now));
+        request.attempts + 1 < route.attempts && has_retry
     }
 
     /// Returns whether a new request is placed before the queued ones: none is ahead of it, or those
@@ -213,17 +213,20 @@
     }
 
     /// Returns whether a request waits for a slot of a healthy upstream rather than take one of a
-    /// suspect: it cannot be retried, and such a slot will probably be free soon enough.
+    /// suspect: it cannot be retried, or the retries left are for others, and such a slot will probably be
+    /// free soon enough.
     ///
     /// Answers the load of a service of which a part is grey. If all of it sheds, too few upstreams
     /// are healthy for those who would wait, and requests take what the service still offers.
     pub(super) fn waits_for_healthy(&self, request: &Request, route: &Route, now: Instant) -> bool {
-        if route.idempotent && request.attempts + 1 < route.attempts {
-            return false;
-        }
         let Some(pool) = self.pools.get(&request.service) else {
             return false;
         };
+        let has_attempt_left = route.idempotent && request.attempts + 1 < route.attempts;
+        let has_retry = pool.has_retry(self.rank(request, route, now), &self.retries(), now);
+        if has_attempt_left && has_retry {
+            return false;
+        }
         let until = healthy_wait_end(request, route);
         let capacity = pool.free().healthy_capacity();
         if capacity <= 0.0 || now >= until {
@@ -237,7 +240,11 @@
             priority,
             is_late: true,
         };
-        let wait = pool.backlog.work_until(rank).as_secs_f64() / capacity;
+        // More urgent requests wait for healthy upstreams too while retries are scarce.
+        let (_, urgent) = pool.demand.above(priority, now);
+        let urgent = if has_retry { 0.0 } else { urgent.lately };
+        let left = (capacity - urgent).max(0.0);
+        let wait = pool.backlog.work_until(rank).as_secs_f64() / left;
         wait < until.saturating_duration_since(now).as_secs_f64()
     }
 
--- a/crates/core/src/dispatch/resend.rs
+++ b/crates/core/src/dispatch/resend.rs
@@ -72,7 +72,8 @@
         };
         let busy = f64::from(pool.busy()) + 1.0;
         let is_full = busy > pool.free().healthy_capacity() * MAX_LOAD;
-        if is_full || pool.retry_budget.is_scarce(&self.retries()) {
+        let rank = self.rank(request, route, now);
+        if is_full || !pool.has_retry(rank, &self.retries(), now) {
             return otherwise;
         }
         let objective = request.arrived + route.objective;
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -18,6 +18,7 @@
 mod paced;
 mod queueing;
 mod resend;
+mod shed;
 mod size;
 mod statements;
 mod uneven;
