fix(control): a departed upstream is refused for ten minutes, however many leave after it

The roster keeps 1,024 departed upstreams, so a rollout of more within seconds pushed out one whose registration was still on its way, and a resent registration brought it back. Every replica now remembers the departures that it applies for ten minutes, and the leader refuses announcements of these starts before it proposes them. The replicated state is unchanged, so no command level is needed; a replica that restarts remembers what its roster holds.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -8,6 +8,7 @@
 //! What leaves the roster towards the fleet are effective entries, which show the upstreams of an evacuated
 //! zone as draining, whatever they announce. The announcements themselves are kept as they came.
 
+pub mod departures;
 pub mod evacuation;
 
 use std::collections::BTreeMap;
@@ -30,7 +31,7 @@
 pub type Revision = u64;
 
 /// Most departed upstreams that are kept, so that a delayed announcement cannot register them
-/// again.
+/// again; [`departures`] remembers them by time.
 const MAX_DEPARTED_UPSTREAMS: usize = 1_024;
 
 /// One upstream of the roster.
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -2,11 +2,15 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
 
 use persimmonbend_check::properties;
 use persimmonbend_core::roster::Effect;
 use persimmonbend_core::roster::Entry;
 use persimmonbend_core::roster::Roster;
+use persimmonbend_core::roster::departures;
+use persimmonbend_core::roster::departures::Departures;
 use persimmonbend_core::upstream::Announcement;
 use persimmonbend_core::upstream::Stage;
 
@@ -126,6 +130,47 @@
     assert_eq!(stage(&roster, "u2999"), Some(Stage::Ready));
 }
 
+/// A rollout replaced more upstreams within a second than the roster keeps, and a resent registration brought one
+/// of them back.
+#[test]
+fn a_departed_upstream_is_refused_for_its_time_however_many_leave_after_it() {
+    let mut roster = Roster::default();
+    let mut departures = Departures::default();
+    let start = Instant::now();
+    let resent = announcement("u0", 1, 1, 1, Stage::Ready);
+    for number in 0..3_000_u64 {
+        let id = format!("u{number}");
+        let changed = roster.apply(&announcement(&id, 1, 1 + number, 1, Stage::Ready));
+        for entry in &changed {
+            departures.note(entry, start);
+        }
+    }
+    assert!(roster.deregister("u2999").is_some());
+    assert_eq!(roster.evaluate(&resent), Effect::New);
+    let just_before = start + departures::MEMORY - Duration::from_millis(1);
+    departures.expire(just_before);
+    assert!(departures.refuses(&resent));
+    assert!(!departures.refuses(&announcement("u0", 1, 4_000, 1, Stage::Ready)));
+    departures.expire(start + departures::MEMORY);
+    assert!(!departures.refuses(&resent));
+}
+
+#[test]
+fn a_later_departure_of_an_upstream_outlasts_the_memory_of_an_earlier_one() {
+    let mut departures = Departures::default();
+    let start = Instant::now();
+    let left = |incarnation| Entry {
+        number: 1,
+        announcement: announcement("u", 1, incarnation, 1, Stage::Left),
+    };
+    departures.note(&left(5), start);
+    departures.note(&left(6), start + departures::MEMORY / 2);
+    departures.note(&left(5), start + departures::MEMORY / 2);
+    departures.expire(start + departures::MEMORY);
+    assert!(departures.refuses(&announcement("u", 1, 6, 9, Stage::Ready)));
+    assert!(!departures.refuses(&announcement("u", 1, 7, 1, Stage::Ready)));
+}
+
 properties! {
     fn the_order_of_arrival_in_one_incarnation_is_ignored(sequences: Vec<u8>, drains: u8) -> bool {
         // From the sequence `drains` on, the upstream announces that it drains.
--- a/programs/pb-control/src/dispatch.rs
+++ b/programs/pb-control/src/dispatch.rs
@@ -24,7 +24,9 @@
 use persimmonbend_core::machine::Reply;
 use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Effect;
+use persimmonbend_core::roster::Entry;
 use persimmonbend_core::roster::Revision;
+use persimmonbend_core::roster::departures::Departures;
 use persimmonbend_core::upstream::Announcement;
 use persimmonbend_wire::dispatch;
 use persimmonbend_wire::dispatch::Frame;
@@ -79,6 +81,7 @@
     /// When a leader was last known.
     leader_known: Cell<Instant>,
     state: RefCell<Option<State>>,
+    departures: RefCell<Departures>,
 }
 
 impl Service {
@@ -98,6 +101,7 @@
             policy,
             zone,
             state: RefCell::new(None),
+            departures: RefCell::default(),
         });
         let observer: Rc<dyn Observer> = Rc::new(Forwarder(Rc::clone(&service)));
         service.node.observe(observer);
@@ -160,6 +164,9 @@
         let Some(state) = state.as_mut() else {
             return effect;
         };
+        if self.departures.borrow().refuses(announcement) {
+            return Effect::Outdated;
+        }
         if effect == Effect::Outdated || !state.is_latest(announcement) {
             return Effect::Outdated;
         }
@@ -387,6 +394,10 @@
             let publication = Rc::clone(&machine.published().publication);
             State::new(policy, publication, machine.roster(), now)
         });
+        let departed: Vec<Entry> = self
+            .node
+            .read(|machine| machine.roster().entries().collect());
+        self.note_departures(&departed, now);
         info!(term, "desk_opened");
         *self.state.borrow_mut() = Some(state);
     }
@@ -440,8 +451,20 @@
         }
     }
 
+    /// Remembers the upstreams that have left, also while this replica follows.
+    fn note_departures(&self, changed: &[Entry], now: Instant) {
+        let mut departures = self.departures.borrow_mut();
+        departures.expire(now);
+        for entry in changed {
+            departures.note(entry, now);
+        }
+    }
+
     fn command_applied(&self, reply: &Reply) {
         let now = self.clock.now();
+        if let Reply::Registered { changed } = reply {
+            self.note_departures(changed, now);
+        }
         self.update_feed(reply, now);
         let mut state = self.state.borrow_mut();
         let Some(state) = state.as_mut() else {
