fix(wire): extra sends of hosts of the first level keep to the limit of their service

A retry of such a host now counts as an extra send if an attempt of the route still runs at the upstream that it tried last; it ends a failed attempt before it asks for the next one. Without a limit of the service nothing changes.

extra_sends_that_an_older_host_does_not_mark_keep_to_the_limit: two sends ran on the code before, one is allowed.

--- a/crates/core/src/dispatch/hedge.rs
+++ b/crates/core/src/dispatch/hedge.rs
@@ -20,6 +20,7 @@
 use crate::dispatch::MIN_RETRY_AFTER;
 use crate::dispatch::Pool;
 use crate::dispatch::Request;
+use crate::dispatch::Slot;
 use crate::dispatch::belief::BEATEN_RATIO;
 use crate::dispatch::contact::Finding;
 use crate::dispatch::latencies::Latencies;
@@ -209,6 +210,18 @@
         request.is_hedge && self.hedge_share(&request.service).is_some()
     }
 
+    /// Returns whether a host runs an attempt of a route at the upstream that a retry has tried last. A host that
+    /// does not say which of its retries are extra sends ends a failed attempt before it asks for the next one, so
+    /// this one is added to a running attempt.
+    #[must_use]
+    pub fn runs_attempt_before(&self, host: &str, route: &str, avoid: &[Number]) -> bool {
+        let Some(last) = avoid.last() else {
+            return false;
+        };
+        let before = |slot: &Slot| slot.upstream == *last && slot.route == route;
+        !self.tickets(host, before).is_empty()
+    }
+
     /// Pays the share of a new request into the account of its service.
     pub(super) fn deposit_hedge(&mut self, service: &str) {
         let Some(share) = self.hedge_share(service) else {
--- a/crates/wire/src/dispatch/hosts.rs
+++ b/crates/wire/src/dispatch/hosts.rs
@@ -25,6 +25,7 @@
 use tracing::warn;
 
 use crate::dispatch;
+use crate::dispatch::FIRST_LEVEL;
 use crate::dispatch::Frame;
 use crate::dispatch::Reserve;
 use crate::dispatch::Sender;
@@ -342,7 +343,15 @@
     }
 
     fn reserve(&mut self, host: &str, reserve: Reserve, now: Instant) -> Vec<Answer> {
-        let zone = self.links.get(host).map(|link| link.zone.clone());
+        let link = self.links.get(host);
+        let zone = link.map(|link| link.zone.clone());
+        // A host of the first level marks no extra send, and its limit holds for the fleet.
+        let marks_hedges = link.is_some_and(|link| link.sender.level() > FIRST_LEVEL);
+        let is_hedge = reserve.is_hedge
+            || (!marks_hedges && reserve.is_retry && {
+                let (route, avoid) = (&reserve.route, &reserve.avoid);
+                self.dispatcher.runs_attempt_before(host, route, avoid)
+            });
         let waited = Duration::from_millis(u64::from(reserve.waited_ms));
         let left = Duration::from_millis(u64::from(reserve.left_ms));
         let request = Request {
@@ -359,7 +368,7 @@
             attempts: u32::from(reserve.attempts),
             is_retry: reserve.is_retry,
             avoid: reserve.avoid,
-            is_hedge: reserve.is_hedge,
+            is_hedge,
             body_bytes: reserve.body_bytes,
         };
         self.dispatcher.reserve(request, now)
--- a/crates/wire/tests/hosts.rs
+++ b/crates/wire/tests/hosts.rs
@@ -11,16 +11,20 @@
 use persimmonbend_core::dispatch::Dispatcher;
 use persimmonbend_core::dispatch::Policy;
 use persimmonbend_core::dispatch::Retries;
+use persimmonbend_core::health::Outcome;
 use persimmonbend_core::publication::Part;
 use persimmonbend_core::publication::Publication;
 use persimmonbend_core::publication::Route;
 use persimmonbend_core::publication::Service;
+use persimmonbend_core::publication::Terms;
 use persimmonbend_core::roster::Entry;
 use persimmonbend_core::upstream::Announcement;
 use persimmonbend_core::upstream::Stage;
 use persimmonbend_wire::dispatch;
+use persimmonbend_wire::dispatch::FIRST_LEVEL;
 use persimmonbend_wire::dispatch::Frame;
 use persimmonbend_wire::dispatch::Hosts;
+use persimmonbend_wire::dispatch::OWN_LEVEL;
 use persimmonbend_wire::dispatch::Reserve;
 use persimmonbend_wire::dispatch::Sender;
 
@@ -36,7 +40,7 @@
     let mut dispatcher = Dispatcher::new(Policy {
         retries: Retries {
             ratio: 0.1,
-            burst: 1.0,
+            burst: 20.0,
         },
         max_silence: Duration::MAX,
         initial_balance: Balance::Share(1.0),
@@ -76,12 +80,13 @@
     assert!(hosts.is_empty() && !late.is_open());
 }
 
-/// Adds a service with one route and one upstream, which runs one request at a time.
+/// Adds a service with one route, extra sends of which are limited, and one upstream, which runs one request at a
+/// time.
 fn add_upstream(hosts: &mut Hosts, now: Instant) {
     let route = Route {
         host: "farm.example".to_owned(),
         prefix: "/".to_owned(),
-        idempotent: false,
+        idempotent: true,
         timeout: Duration::from_secs(2),
         objective: Duration::from_secs(1),
         priority: 1,
@@ -89,19 +94,30 @@
             service: SERVICE.to_owned(),
             weight: 1.0,
         }],
-        attempts: 1,
+        attempts: 2,
         open: true,
     };
+    let terms = Terms {
+        hedge_share: Some(0.05),
+        ..Terms::default()
+    };
     let publication = Publication {
         version: 1,
         routes: BTreeMap::from([(ROUTE.to_owned(), route)]),
         services: BTreeMap::from([(SERVICE.to_owned(), Service::default())]),
+        terms: BTreeMap::from([(SERVICE.to_owned(), terms)]),
         ..Publication::default()
     };
-    let entry = Entry {
-        number: 1,
+    let dispatcher = hosts.dispatcher_mut();
+    dispatcher.publish(Rc::new(publication), now);
+    dispatcher.update_upstream(&entry(1), now);
+}
+
+fn entry(number: u32) -> Entry {
+    Entry {
+        number,
         announcement: Announcement {
-            id: "u1".to_owned(),
+            id: format!("u{number}"),
             service: SERVICE.to_owned(),
             address: ([10, 0, 0, 1], 80).into(),
             zone: "a".to_owned(),
@@ -110,10 +126,7 @@
             sequence: 1,
             stage: Stage::Ready,
         },
-    };
-    let dispatcher = hosts.dispatcher_mut();
-    dispatcher.publish(Rc::new(publication), now);
-    dispatcher.update_upstream(&entry, now);
+    }
 }
 
 fn reserve(number: u32) -> Frame {
@@ -167,6 +180,53 @@
     assert_eq!(hosts.dispatcher().queued(SERVICE), 1);
 }
 
+/// A host of the first level marks no extra send, and sent as many as the retry budget allowed.
+#[compio::test]
+async fn extra_sends_that_an_older_host_does_not_mark_keep_to_the_limit() {
+    let now = Instant::now();
+    let release = Frame::Release {
+        number: 1,
+        outcome: dispatch::outcome_code(Outcome::Failed),
+        latency_ms: 20,
+        bytes: 0,
+    };
+    let retry = |hosts: &Hosts, number| {
+        let first = u32::from(hosts.dispatcher().running(2) > 0) + 1;
+        let Frame::Reserve(mut retry) = reserve(number) else {
+            panic!("a reservation");
+        };
+        retry.is_retry = true;
+        retry.attempts = 1;
+        retry.avoid = vec![first];
+        Frame::Reserve(retry)
+    };
+    let cases = [
+        (FIRST_LEVEL, false, 1),
+        (FIRST_LEVEL, true, 1),
+        (OWN_LEVEL, false, 2),
+    ];
+    for (level, has_failed, expected) in cases {
+        let mut hosts = hosts();
+        let link = sender().await;
+        link.set_level(level);
+        add_upstream(&mut hosts, now);
+        hosts.dispatcher_mut().update_upstream(&entry(2), now);
+        hosts.connect(HOST, "a".to_owned(), &link, now);
+        hosts.handle(HOST, &link, reserve(1), now);
+        let second = retry(&hosts, 2);
+        if has_failed {
+            hosts.handle(HOST, &link, release.clone(), now);
+        }
+        hosts.handle(HOST, &link, second, now);
+        let running = [1, 2].map(|one| hosts.dispatcher().running(one));
+        assert_eq!(
+            running.iter().sum::<u32>(),
+            expected,
+            "{level} {has_failed}"
+        );
+    }
+}
+
 /// One frame of each kind, as hexadecimal text.
 const FRAMES: &str = include_str!("fixtures/frames-8b90ec0.txt");
 
