feat: metrics of control, and retries spent and withheld in leader_load

Cause: overload, dead upstreams and the retry budget were in the lines of leader_load only, whose refusals left out those over a quota and those without a retry. Change: control replicas serve gauges at a port of their own (off without Endpoint::metrics; a port that cannot be used is logged and the replica runs on); all refusals of a dispatcher are counted.

--- a/crates/app/src/meters.rs
+++ b/crates/app/src/meters.rs
@@ -41,6 +41,13 @@
         Gauge(self.register(prometheus::Gauge::new(prefixed(name), about)))
     }
 
+    /// Creates a gauge for each combination of values of some labels.
+    #[must_use]
+    pub fn gauges(&self, name: &str, about: &str, labels: &[&str]) -> Gauges {
+        let created = prometheus::GaugeVec::new(Opts::new(prefixed(name), about), labels);
+        Gauges(self.register(created))
+    }
+
     /// Creates a histogram; `buckets` are the upper bounds of its buckets.
     #[must_use]
     pub fn histogram(&self, name: &str, about: &str, buckets: &[f64]) -> Histogram {
@@ -106,6 +113,35 @@
     }
 }
 
+/// Values that go up and down, one for each combination of values of some labels.
+#[derive(Clone)]
+pub struct Gauges(Option<prometheus::GaugeVec>);
+
+impl Gauges {
+    /// Sets the value of a combination; `labels` are in the order of their names.
+    pub fn set(&self, labels: &[&str], value: f64) {
+        if let Some(gauges) = &self.0 {
+            match gauges.get_metric_with_label_values(labels) {
+                Ok(gauge) => gauge.set(value),
+                Err(error) => error!("meters: cannot set a gauge of {labels:?}: {error}"),
+            }
+        }
+    }
+
+    /// Removes all values.
+    pub fn clear(&self) {
+        if let Some(gauges) = &self.0 {
+            gauges.reset();
+        }
+    }
+}
+
+impl fmt::Debug for Gauges {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("Gauges")
+    }
+}
+
 /// Counts of values by bucket.
 #[derive(Debug, Clone)]
 pub struct Histogram(Option<prometheus::Histogram>);
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -250,14 +250,10 @@
         let pool = self.pools.entry(request.service.clone());
         let pool = pool.or_insert_with(|| Pool::new(Budget::new(&retries, is_first), now));
         if request.is_retry && !pool.withdraw_retry(rank, &retries, now) {
-            return vec![refused(
-                request.ticket,
-                Kind::RetryBudgetSpent,
-                MIN_RETRY_AFTER,
-            )];
+            return vec![self.deny(request, Kind::RetryBudgetSpent, MIN_RETRY_AFTER, now)];
         }
         if let Err(wait) = self.take_token(&request, now) {
-            return vec![refused(request.ticket, Kind::RateExceeded, wait)];
+            return vec![self.deny(request, Kind::RateExceeded, wait, now)];
         }
         // A request without a token is placed again as a first one, so it earns its retries only now.
         if request.is_first_placing()
--- a/crates/core/src/dispatch/queueing.rs
+++ b/crates/core/src/dispatch/queueing.rs
@@ -268,6 +268,17 @@
         } else {
             wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
         };
+        self.deny(request, kind, wait, now)
+    }
+
+    /// Refuses a request that has paid no token, and counts the refusal.
+    pub(super) fn deny(
+        &mut self,
+        request: Request,
+        kind: Kind,
+        wait: Duration,
+        now: Instant,
+    ) -> Answer {
         self.refusals.note(&request, kind, &self.publication, now);
         refused(request.ticket, kind, wait)
     }
--- a/crates/core/src/dispatch/refusals.rs
+++ b/crates/core/src/dispatch/refusals.rs
@@ -34,4 +34,16 @@
         };
         *counts.entry(kind.answer().code).or_default() += 1;
     }
+
+    /// Adds other counts.
+    pub fn add(&mut self, other: &Self) {
+        for (sum, counts) in [
+            (&mut self.early, &other.early),
+            (&mut self.late, &other.late),
+        ] {
+            for (reason, count) in counts {
+                *sum.entry(*reason).or_default() += count;
+            }
+        }
+    }
 }
--- a/crates/core/src/dispatch/retries.rs
+++ b/crates/core/src/dispatch/retries.rs
@@ -25,6 +25,8 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Budget {
     tokens: f64,
+    /// Retries that were taken so far.
+    spent: u64,
 }
 
 impl Budget {
@@ -38,6 +40,7 @@
         };
         Self {
             tokens: retries.burst * share,
+            spent: 0,
         }
     }
 
@@ -55,6 +58,12 @@
         self.tokens
     }
 
+    /// Returns the retries that were taken so far.
+    #[must_use]
+    pub const fn spent(&self) -> u64 {
+        self.spent
+    }
+
     /// Returns whether so few retries are left that requests should be placed as if they had none.
     #[must_use]
     pub fn is_scarce(&self, retries: &Retries) -> bool {
@@ -66,6 +75,7 @@
         let is_affordable = self.tokens >= 1.0 + kept;
         if is_affordable {
             self.tokens -= 1.0;
+            self.spent += 1;
         }
         is_affordable
     }
--- a/crates/core/src/dispatch/view.rs
+++ b/crates/core/src/dispatch/view.rs
@@ -53,6 +53,18 @@
         pools.map(|(service, pool)| (service, pool.ration.withheld()))
     }
 
+    /// Returns the retries that each service has sent, extra sends included.
+    pub fn retries_spent(&self) -> impl Iterator<Item = (&ServiceId, u64)> {
+        let pools = self.pools.iter();
+        pools.map(|(service, pool)| (service, pool.retry_budget.spent()))
+    }
+
+    /// Returns the refusals since the last call of [`Dispatcher::take_refusals`].
+    #[must_use]
+    pub const fn refusals(&self) -> &Refusals {
+        &self.refusals
+    }
+
     /// Returns the refusals since the last call.
     pub fn take_refusals(&mut self) -> Refusals {
         std::mem::take(&mut self.refusals)
--- a/programs/pb-control/src/dispatch.rs
+++ b/programs/pb-control/src/dispatch.rs
@@ -4,6 +4,7 @@
 //! leadership, their connections are closed, so that hosts look for the next leader at once. On every
 //! replica it sends the publication and the upstreams to the hosts that take them from this one.
 
+pub mod meters;
 mod state;
 
 use std::cell::Cell;
@@ -34,6 +35,7 @@
 use persimmonbend_wire::listener;
 use tracing::info;
 
+use crate::dispatch::meters::Meters;
 use crate::dispatch::state::Hello;
 use crate::dispatch::state::State;
 use crate::feed::Feed;
@@ -114,6 +116,12 @@
         })
     }
 
+    /// Returns the gauges of the replica as text.
+    #[must_use]
+    pub fn metrics(&self, meters: &Meters) -> String {
+        meters.text(self.state.borrow().as_ref(), self.clock.now())
+    }
+
     /// Handles timers until the future is dropped.
     pub async fn run(&self) {
         let mut before = self.clock.now();
--- a/programs/pb-control/src/dispatch/state.rs
+++ b/programs/pb-control/src/dispatch/state.rs
@@ -10,6 +10,7 @@
 
 use persimmonbend_core::dispatch::Dispatcher;
 use persimmonbend_core::dispatch::Policy;
+use persimmonbend_core::dispatch::Refusals;
 use persimmonbend_core::id::HostId;
 use persimmonbend_core::id::Incarnation;
 use persimmonbend_core::id::UpstreamId;
@@ -90,6 +91,8 @@
     /// Changed upstreams that take requests, with the time from which on they are used.
     upcoming: VecDeque<(Instant, Entry)>,
     load: Load,
+    /// Requests refused before the last log line.
+    refusals: Refusals,
 }
 
 /// What the leader had to do since it last logged it.
@@ -138,6 +141,7 @@
             latest_sequences: BTreeMap::new(),
             upcoming: VecDeque::new(),
             load: Load::new(now, 0),
+            refusals: Refusals::default(),
         }
     }
 
@@ -155,8 +159,11 @@
             .map(|service| self.hosts.dispatcher().queued(service))
             .sum();
         let refusals = self.hosts.dispatcher_mut().take_refusals();
+        self.refusals.add(&refusals);
         let dispatcher = self.hosts.dispatcher();
         let retries: BTreeMap<&String, f64> = dispatcher.retries_left().collect();
+        let spent: BTreeMap<&String, u64> = dispatcher.retries_spent().collect();
+        let withheld: BTreeMap<&String, _> = dispatcher.retries_withheld().collect();
         let queues: BTreeMap<&String, _> = dispatcher.queues().collect();
         let kept: BTreeMap<&String, u32> = dispatcher.kept_slots(now).collect();
         info!(
@@ -167,6 +174,8 @@
             dead_upstreams = dispatcher.dead_upstreams(now),
             hosts_out_of_contact = dispatcher.hosts_out_of_contact(),
             retries = %json!(retries),
+            retries_spent = %json!(spent),
+            retries_withheld = %json!(withheld),
             hedges = %self.hedges(),
             joins = self.load.joins,
             queued,
@@ -189,6 +198,20 @@
         json!(each.collect::<BTreeMap<_, _>>())
     }
 
+    /// Returns the dispatcher of the term.
+    #[must_use]
+    pub const fn dispatcher(&self) -> &Dispatcher {
+        self.hosts.dispatcher()
+    }
+
+    /// Returns the requests refused since the start of the term.
+    #[must_use]
+    pub fn refusals(&self) -> Refusals {
+        let mut all = self.refusals.clone();
+        all.add(self.hosts.dispatcher().refusals());
+        all
+    }
+
     /// Returns the number of connected hosts.
     #[must_use]
     pub fn host_count(&self) -> usize {
--- a/programs/pb-control/src/lib.rs
+++ b/programs/pb-control/src/lib.rs
@@ -19,6 +19,7 @@
 use std::rc::Rc;
 
 use anyhow::Context;
+use compio::runtime::JoinHandle;
 use compio::runtime::spawn;
 use futures_util::FutureExt;
 use futures_util::pin_mut;
@@ -35,6 +36,7 @@
 use crate::api::Api;
 use crate::api::Dialect;
 use crate::dispatch::Service;
+use crate::dispatch::meters::Exporter;
 use crate::issuer::Issuer;
 use crate::links::Links;
 use crate::node::Halt;
@@ -84,6 +86,8 @@
     pub listen: SocketAddr,
     /// Translation between the platform's HTTP calls and this crate's types.
     pub dialect: Rc<dyn Dialect>,
+    /// Address for metrics, if they are served.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// Runs a replica with the API for operators and upstreams until `stop` is requested.
@@ -116,6 +120,18 @@
     }
 }
 
+/// Serves the metrics of a replica; one that cannot is of use without them.
+async fn serve_metrics(
+    address: SocketAddr,
+    dispatch: &Rc<Service>,
+    ended: &Stop,
+) -> Option<JoinHandle<()>> {
+    let server = Server::bind(address).await;
+    let server = server.inspect_err(|error| warn!(%address, %error, "metrics_not_served"));
+    let exporter = Rc::new(Exporter::new(Rc::clone(dispatch)));
+    Some(spawn(server.ok()?.serve(exporter, ended.clone())))
+}
+
 async fn serve<B>(
     socket: TcpListener,
     settings: Settings,
@@ -163,6 +179,9 @@
         let server = Server::bind(endpoint.listen).await;
         let server = server.with_context(|| format!("cannot listen on {}", endpoint.listen))?;
         background.push(spawn(server.serve(Rc::new(api), ended.clone())));
+        if let Some(metrics) = endpoint.metrics {
+            background.extend(serve_metrics(metrics, &dispatch, &ended).await);
+        }
     }
     let links = Rc::new(Links::new(Rc::clone(&node), &settings));
     let replication = Rc::new(Replication::new(Rc::clone(&node), links));
