--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -14,6 +14,7 @@
 mod pace;
 mod paced;
 mod queueing;
+mod recovery;
 mod shed;
 mod size;
 mod statements;
