--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -256,7 +256,7 @@
             return self.reserve_hedge(request, route, now);
         }
         if let Err((kind, wait)) = self.admit(&request, route, now) {
-            return vec![refused(request.ticket, kind, wait)];
+            return vec![self.deny(request, kind, wait, now)];
         }
         match self.find_place(&request, route, now) {
             Some(choice) => vec![self.grant(request, choice, now)],
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -17,6 +17,7 @@
 mod pace;
 mod paced;
 mod queueing;
+mod recovery;
 mod resend;
 mod shed;
 mod size;
