fix: one request body always has room, also if it comes in parts

Cause: what a body of unknown length had taken already counted as held by others of its tenant, so the only request of a tenant was refused as overload once its body passed half of the budget, while the same body with a stated length was taken.

Change: Budget::check_body gets the bytes that the request holds itself, as check_answer does.

Result: one_body_that_comes_in_parts_always_has_room fails on the rule before (Err(Tenant)) and passes now; the other tests of the budget pass with 0 as own bytes, their expectations unchanged.

--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -13,8 +13,8 @@
 //! budget.add("farm", 3_000);
 //! assert_eq!(budget.check_answer("farm", 0, 500), Ok(()));
 //! assert_eq!(budget.check_answer("farm", 800, 500), Err(Bound::Answer));
-//! assert_eq!(budget.check_body("farm", 2_000), Err(Bound::Tenant));
-//! assert_eq!(budget.check_body("mill", 2_000), Ok(()));
+//! assert_eq!(budget.check_body("farm", 0, 2_000), Err(Bound::Tenant));
+//! assert_eq!(budget.check_body("mill", 0, 2_000), Ok(()));
 //! budget.remove("farm", 3_000);
 //! assert_eq!(budget.used(), 0);
 //! ```
@@ -103,22 +103,22 @@
         Ok(())
     }
 
-    /// Checks that a request body of a tenant may take `more` bytes.
+    /// Checks that a request body of a tenant, which holds `own` bytes, may take `more`.
     ///
     /// A tenant or a host that holds nothing else may always hold one body, as it could never be taken otherwise.
     ///
     /// # Errors
     ///
     /// Returns the first bound that would be exceeded.
-    pub fn check_body(&self, tenant: &str, more: u64) -> Result<(), Bound> {
+    pub fn check_body(&self, tenant: &str, own: u64, more: u64) -> Result<(), Bound> {
         if more == 0 {
             return Ok(());
         }
-        let own = self.used_by(tenant);
-        if own > 0 && own + more > self.limit / TENANT_DIVISOR {
+        let used = self.used_by(tenant);
+        if used > own && used + more > self.limit / TENANT_DIVISOR {
             return Err(Bound::Tenant);
         }
-        if self.used > 0 && self.used + more > self.limit {
+        if self.used > own && self.used + more > self.limit {
             return Err(Bound::Host);
         }
         Ok(())
--- a/crates/core/tests/memory.rs
+++ b/crates/core/tests/memory.rs
@@ -92,14 +92,29 @@
 #[test]
 fn one_body_always_has_room_and_more_are_refused() {
     let mut budget = Budget::new(LIMIT);
-    assert_eq!(budget.check_body("farm", LIMIT * 2), Ok(()));
+    assert_eq!(budget.check_body("farm", 0, LIMIT * 2), Ok(()));
     budget.add("farm", LIMIT * 2);
-    assert_eq!(budget.check_body("farm", 0), Ok(()));
-    assert_eq!(budget.check_body("farm", 1), Err(Bound::Tenant));
-    assert_eq!(budget.check_body("mill", 1), Err(Bound::Host));
+    assert_eq!(budget.check_body("farm", 0, 0), Ok(()));
+    assert_eq!(budget.check_body("farm", 0, 1), Err(Bound::Tenant));
+    assert_eq!(budget.check_body("mill", 0, 1), Err(Bound::Host));
     assert_eq!(budget.check_answer("mill", 0, STEP), Err(Bound::Host));
     budget.remove("farm", LIMIT * 2);
-    assert_eq!(budget.check_body("mill", LIMIT / 4), Ok(()));
+    assert_eq!(budget.check_body("mill", 0, LIMIT / 4), Ok(()));
+}
+
+/// A body that came in parts was refused at the part of its tenant, also if it was the only one.
+#[test]
+fn one_body_that_comes_in_parts_always_has_room() {
+    let mut budget = Budget::new(LIMIT);
+    for own in (0..LIMIT * 2).step_by(1_000_000) {
+        assert_eq!(budget.check_body("farm", own, 1_000_000), Ok(()));
+        budget.add("farm", 1_000_000);
+    }
+    budget.add("mill", 1);
+    assert_eq!(budget.check_body("farm", LIMIT * 2, 1), Err(Bound::Host));
+    budget.remove("mill", 1);
+    budget.add("farm", 1);
+    assert_eq!(budget.check_body("farm", LIMIT * 2, 1), Err(Bound::Tenant));
 }
 
 properties! {
@@ -112,7 +127,7 @@
             if *is_freed {
                 budget.remove(&name, bytes);
                 held[index] -= bytes.min(held[index]);
-            } else if budget.check_body(&name, bytes).is_ok() {
+            } else if budget.check_body(&name, 0, bytes).is_ok() {
                 budget.add(&name, bytes);
                 held[index] += bytes;
             }
--- a/programs/pb-proxy/src/gateway/memory.rs
+++ b/programs/pb-proxy/src/gateway/memory.rs
@@ -95,7 +95,8 @@
     /// Returns the bound that they would exceed, and adds none then.
     pub fn take_body(&self, bytes: usize) -> Result<(), Bound> {
         if let Some(budget) = &self.memory.budget {
-            budget.borrow().check_body(&self.tenant, bytes as u64)?;
+            let budget = budget.borrow();
+            budget.check_body(&self.tenant, self.bytes.get(), bytes as u64)?;
         }
         self.add(bytes);
         Ok(())
