fix: a request that hyper reads differently never gets the answer of another one

Cause: a request that was started before its turn was told from the one that hyper read by method and URI only. Had the two read the bytes of a connection differently, a request with the key of another tenant could have got its answer, and the pipeline went on in step with nothing.

Change: the whole head has to be the same. Once it is not, what was started is ended, and the rest of the connection is served one by one.

No such difference between httparse and hyper is known.

--- a/crates/app/src/http/pipeline.rs
+++ b/crates/app/src/http/pipeline.rs
@@ -4,6 +4,9 @@
 //! sent before it. Requests without a body that change nothing are started as they arrive, as long as everything
 //! that runs before them on the connection is of that kind too. Answers still leave in the order of the requests.
 //!
+//! A request that was started has to be the one that hyper reads at its turn, in all of its head. Once one is not,
+//! the two have read the bytes differently, and the rest of the connection is served without the pipeline.
+//!
 //! A [`Handler`] takes part by [`Handler::handle_ahead`].
 
 use std::cell::Cell;
@@ -38,11 +41,20 @@
 
 /// A request that was started before its turn; dropping it cancels the request.
 struct Ahead {
-    method: hyper::Method,
-    uri: hyper::Uri,
+    head: Request<()>,
     task: JoinHandle<Response<Body>>,
 }
 
+impl Entry {
+    /// Returns the head, if it is that of a request that changes nothing.
+    const fn head(&self) -> Option<&Request<()>> {
+        match self {
+            Self::Waiting(head) => head.as_ref(),
+            Self::Started(ahead) => Some(&ahead.head),
+        }
+    }
+}
+
 /// The requests of one connection that have arrived and whose turn has not come.
 pub struct Pipeline<H> {
     handler: Rc<H>,
@@ -82,14 +94,18 @@
     /// Answers the request whose turn it is.
     pub async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let entry = self.entries.borrow_mut().pop_front();
+        let head = entry.as_ref().and_then(Entry::head);
+        let is_same = head.is_some_and(|head| is_same(head, &request));
+        if head.is_some() && !is_same {
+            self.lose();
+        }
         self.taken.notify(usize::MAX);
-        let (is_safe, ahead) = match entry {
-            Some(Entry::Started(ahead)) => (true, Some(ahead)),
-            Some(Entry::Waiting(head)) => (head.is_some(), None),
-            None => (false, None),
-        };
-        self.may_start.set(is_safe);
+        self.may_start.set(is_same);
         self.start_next();
+        let ahead = match entry {
+            Some(Entry::Started(ahead)) if is_same => Some(ahead),
+            _ => None,
+        };
         let response = self.response(request, ahead).await;
         self.may_start.set(false);
         response
@@ -113,9 +129,7 @@
     }
 
     async fn response(&self, request: Request<Incoming>, ahead: Option<Ahead>) -> Response<Body> {
-        let same =
-            ahead.filter(|ahead| ahead.method == *request.method() && ahead.uri == *request.uri());
-        if let Some(ahead) = same
+        if let Some(ahead) = ahead
             && let Ok(response) = ahead.task.await
         {
             return response;
@@ -123,6 +137,12 @@
         Rc::clone(&self.handler).handle(request).await
     }
 
+    /// Ends the requests that were started, and follows the connection no further.
+    fn lose(&self) {
+        self.scanner.borrow_mut().lose();
+        self.entries.borrow_mut().clear();
+    }
+
     /// Starts the requests that may run beside the one whose turn it is.
     fn start_next(&self) {
         if !self.may_start.get() || self.is_closed.get() {
@@ -135,13 +155,21 @@
             let Some(mut head) = head.take() else {
                 return;
             };
-            let (method, uri) = (head.method().clone(), head.uri().clone());
+            let known = head.clone();
             head.extensions_mut().insert(Origin(self.from));
             let Some(answer) = Rc::clone(&self.handler).handle_ahead(head) else {
                 return;
             };
             let task = spawn(answer);
-            *entry = Entry::Started(Ahead { method, uri, task });
+            *entry = Entry::Started(Ahead { head: known, task });
         }
     }
 }
+
+/// Returns whether hyper has read the same head.
+fn is_same(head: &Request<()>, read: &Request<Incoming>) -> bool {
+    head.method() == read.method()
+        && head.uri() == read.uri()
+        && head.version() == read.version()
+        && head.headers() == read.headers()
+}
--- a/crates/app/src/http/scanner.rs
+++ b/crates/app/src/http/scanner.rs
@@ -74,6 +74,12 @@
         heads
     }
 
+    /// Finds no further heads, since where they begin is not known.
+    pub fn lose(&mut self) {
+        self.is_lost = true;
+        self.head = Vec::new();
+    }
+
     /// Returns the head that has arrived whole, with its length in bytes.
     fn parse(&mut self) -> Option<(Head, usize)> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
@@ -103,11 +109,6 @@
         let is_plain = !head.headers().contains_key(EXPECT);
         Some(((is_safe && is_plain && !has_body).then_some(head), length))
     }
-
-    fn lose(&mut self) {
-        self.is_lost = true;
-        self.head = Vec::new();
-    }
 }
 
 /// Converts a parsed head, unless it is malformed.
--- a/crates/app/tests/pipeline.rs
+++ b/crates/app/tests/pipeline.rs
@@ -4,6 +4,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use compio::BufResult;
 use compio::io::AsyncRead;
 use compio::io::AsyncWriteExt;
+use compio::net::TcpListener;
 use compio::net::TcpStream;
 use compio::runtime::Runtime;
 use compio::runtime::spawn;
@@ -22,11 +24,15 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
 use persimmonbend_app::http;
 use persimmonbend_app::http::Body;
 use persimmonbend_app::http::Handler;
 use persimmonbend_app::http::Limits;
 use persimmonbend_app::http::Server;
+use persimmonbend_app::http::pipeline::Pipeline;
+use persimmonbend_app::http::read_ahead::Stream;
 use persimmonbend_app::http::scanner::Scanner;
 use persimmonbend_app::stop::Stop;
 use persimmonbend_check::properties;
@@ -181,6 +187,64 @@
     });
 }
 
+/// Answers with the header `x` of the request.
+struct Echo;
+
+impl Echo {
+    async fn answer<B>(request: Request<B>) -> Response<Body> {
+        sleep(Duration::from_millis(30)).await;
+        let text = request.headers()["x"].to_str().unwrap();
+        http::answer(200, "text/plain", format!("[{text}]"))
+    }
+}
+
+impl Handler for Echo {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        Self::answer(request).await
+    }
+
+    fn handle_ahead(
+        self: Rc<Self>,
+        request: Request<()>,
+    ) -> Option<LocalBoxFuture<'static, Response<Body>>> {
+        Some(Self::answer(request).boxed_local())
+    }
+}
+
+/// The answer of a request started with other headers went to the one whose turn it was.
+#[test]
+fn a_head_that_was_read_differently_gets_no_answer_of_another() {
+    Runtime::new().unwrap().block_on(async {
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = TcpListener::bind(address).await.unwrap();
+        let mut client = TcpStream::connect(listener.local_addr().unwrap())
+            .await
+            .unwrap();
+        let (stream, from) = listener.accept().await.unwrap();
+        let pipeline = Rc::new(Pipeline::new(Rc::new(Echo), from, 4_096));
+        let seen = Rc::clone(&pipeline);
+        // The pipeline is told of `x: 9` where hyper reads `x: 1`.
+        let (transport, _activity) = Stream::new(stream, move |bytes| {
+            seen.feed(
+                String::from_utf8_lossy(bytes)
+                    .replace("x: 1", "x: 9")
+                    .as_bytes(),
+            );
+        });
+        let service = service_fn(move |request| {
+            let pipeline = Rc::clone(&pipeline);
+            async move { Ok::<_, Infallible>(pipeline.answer(request).await) }
+        });
+        spawn(http1::Builder::new().serve_connection(transport, service)).detach();
+        let requests: Vec<String> = (0..4)
+            .map(|number| format!("GET / HTTP/1.1\r\nx: {number}\r\n\r\n"))
+            .collect();
+        send(&mut client, &requests).await;
+        let read = timeout(PATIENCE, answers(&mut client, 4)).await.unwrap();
+        assert_eq!(read, ["0", "1", "2", "3"]);
+    });
+}
+
 properties! {
     fn heads_do_not_depend_on_how_the_bytes_arrive(kinds: Vec<u8>, cuts: Vec<usize>) -> bool {
         let requests = kinds.iter().map(|kind| match kind % 4 {
