fix(core): an upstream that is listed again still runs what it ran

Cause: a deputy takes an upstream out that its host no longer lists, and so does a roster that leaves one out. If the upstream was listed again, its slots and bytes counted as free although its requests went on, and the end of each of these also took away the slot and the bytes of a new one: the upstream got more than it takes.

Change: an upstream that is added gets the slots that are in use there, with their bytes.

Result: an_upstream_that_is_listed_again_still_runs_what_it_ran fails on the code before (0 running, 0 bytes held instead of 1 and 7000); all 136 tests of the dispatcher pass.

--- a/crates/core/src/dispatch/members.rs
+++ b/crates/core/src/dispatch/members.rs
@@ -39,6 +39,7 @@
         let pool = pool.or_insert_with(|| Pool::new(Budget::new(&retries, is_first), now));
         if !pool.change(entry.number, now, |state| state.update(announcement)) {
             pool.add(entry.number, Upstream::new(announcement, now), now);
+            self.restore_slots(entry.number, now);
             self.apply_ledger(entry.number, now);
         }
         self.note_stage(entry.number, before, now);
--- a/crates/core/src/dispatch/slots.rs
+++ b/crates/core/src/dispatch/slots.rs
@@ -105,6 +105,21 @@
         state.map_or(0, |state| state.running)
     }
 
+    /// Counts the slots in use of an upstream that is listed again; their requests went on meanwhile.
+    pub(super) fn restore_slots(&mut self, number: Number, now: Instant) {
+        let own = self.slots_in_use.values();
+        let bodies = own
+            .filter(|slot| slot.upstream == number)
+            .map(|slot| slot.body_bytes);
+        let bodies: Vec<u32> = bodies.collect();
+        self.change_upstream(number, now, |state| {
+            for body_bytes in bodies {
+                state.running += 1;
+                state.held.take(body_bytes);
+            }
+        });
+    }
+
     pub(super) fn free_slot(&mut self, ticket: &Ticket, now: Instant) -> Option<Slot> {
         let slot = self.slots_in_use.remove(ticket)?;
         if let Some(pool) = self.pools.get_mut(&slot.service) {
--- a/crates/core/tests/dispatch/absence.rs
+++ b/crates/core/tests/dispatch/absence.rs
@@ -7,6 +7,7 @@
 use persimmonbend_core::dispatch::Placement;
 use persimmonbend_core::health::Outcome;
 use persimmonbend_core::steward::Ticket;
+use persimmonbend_core::upstream::Stage;
 
 use crate::world::IDEMPOTENT;
 use crate::world::NON_IDEMPOTENT;
@@ -147,3 +148,29 @@
     );
     assert_eq!(world.dispatcher.running(1), 1);
 }
+
+/// An upstream that a roster left out for a moment got its slots, and the bytes it holds, twice.
+#[test]
+fn an_upstream_that_is_listed_again_still_runs_what_it_ran() {
+    let mut world = World::new(&["a", "a"]);
+    let place = |world: &mut World| {
+        let mut request = world.request(NON_IDEMPOTENT);
+        (request.avoid, request.body_bytes) = (vec![2], 7_000);
+        let ticket = request.ticket.clone();
+        let decision = world.reserve(request);
+        assert!(matches!(decision, Decision::Granted { upstream: 1, .. }));
+        ticket
+    };
+    let first = place(&mut world);
+    world.dispatcher.retain_upstreams(&[2].into());
+    world.update_upstream(1, "a", Stage::Ready);
+    let held = |world: &World| {
+        let loads = world.dispatcher.dump(world.now).into_iter();
+        let mut loads = loads.filter(|load| load.upstream == 1);
+        loads.next().map(|load| (load.running, load.held_bytes))
+    };
+    assert_eq!(held(&world), Some((1, 7_000)));
+    place(&mut world);
+    world.release(&first, Outcome::Answered, DUE / 4);
+    assert_eq!(held(&world), Some((1, 7_000)));
+}
