fix(core): a large body is not starved while the upstream with room pauses its host

Cause: an upstream is earmarked for a queued request that is larger than the room of every upstream with a free slot. An upstream that wants nothing from the host of the request counts among these although it is of no use to it, so small requests of other hosts went on taking each byte of the others. Upstreams that were tried are seen to already.

Change: a request whose host is paused by some upstream has one earmarked, too, if none can take it.

--- a/crates/core/src/dispatch/queueing.rs
+++ b/crates/core/src/dispatch/queueing.rs
@@ -117,7 +117,12 @@
                 return None;
             }
             let choice = dispatcher.choose(request, now);
-            if choice.is_none() && (request.body_bytes > most_bytes || !request.avoid.is_empty()) {
+            // Upstreams that were tried, or that pause the host, may be those with room.
+            if choice.is_none()
+                && (request.body_bytes > most_bytes
+                    || !request.avoid.is_empty()
+                    || dispatcher.is_paused_anywhere(request, now))
+            {
                 dispatcher.earmark_upstream(request, now);
             }
             choice
@@ -139,6 +144,12 @@
         answers
     }
 
+    /// Returns whether some upstream wants no requests from the host of a request for now.
+    fn is_paused_anywhere(&self, request: &Request, now: Instant) -> bool {
+        let pauses = self.ledger.pauses(&request.ticket.host, now);
+        !pauses.is_empty()
+    }
+
     /// Removes a queued request and returns its token.
     pub(super) fn withdraw(&mut self, ticket: &Ticket) {
         let mut pools = self.pools.values_mut();
--- a/crates/core/tests/dispatch/held.rs
+++ b/crates/core/tests/dispatch/held.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use persimmonbend_core::dispatch::Answer;
@@ -11,6 +12,7 @@
 use persimmonbend_core::health::Outcome;
 use persimmonbend_core::publication::Terms;
 use persimmonbend_core::roster::Number;
+use persimmonbend_core::statement::Statement;
 use persimmonbend_core::steward::Ticket;
 use persimmonbend_core::upstream::Stage;
 
@@ -285,6 +287,42 @@
 }
 
 /// Requests waited until their deadlines for bytes that could not become free before.
+/// The only upstream with room wanted nothing from the host, so small requests took each byte of the other one.
+#[test]
+fn a_large_body_is_not_starved_while_the_upstream_with_room_pauses_its_host() {
+    let mut world = world(&["a", "a"]);
+    let statement = Statement {
+        pause: Some(Duration::from_secs(3)),
+        ..Statement::default()
+    };
+    world
+        .dispatcher
+        .note_statement("large", 1, &statement, world.now);
+    let small = |world: &mut World, upstream: Number| {
+        let mut request = world.request(IDEMPOTENT);
+        (request.avoid, request.body_bytes) = (vec![3 - upstream], 300_000);
+        request.ticket.host = "small".to_owned();
+        let ticket = request.ticket.clone();
+        (ticket, world.reserve(request))
+    };
+    small(&mut world, 1);
+    let mut running = VecDeque::from([small(&mut world, 2).0, small(&mut world, 2).0]);
+    let mut request = world.request(IDEMPOTENT);
+    request.body_bytes = 600_000;
+    request.ticket.host = "large".to_owned();
+    let large = request.ticket.clone();
+    assert_eq!(world.reserve(request), Decision::Queued);
+    let is_granted = |answers: &[Answer]| answers.iter().any(|answer| answer.ticket == large);
+    let served = (0..10).any(|_| {
+        world.advance(Duration::from_millis(10));
+        running.push_back(small(&mut world, 2).0);
+        let ticket = running.pop_front().expect("a running request");
+        let answers = world.release(&ticket, Outcome::Answered, Duration::from_millis(10));
+        is_granted(&answers)
+    });
+    assert!(served);
+}
+
 #[test]
 fn a_body_that_can_not_be_served_in_time_is_refused_at_once() {
     let mut world = world(&["a"]);
