fix: a head that comes byte by byte is not parsed at each byte

Cause: the scanner of a connection parsed the head that has begun again with all bytes that arrived, so a client that sends a large head in small parts took time in the square of its size, while the host served nobody else. hyper parses only what may end a head.

Change: so does the scanner.

--- a/crates/app/src/http/scanner.rs
+++ b/crates/app/src/http/scanner.rs
@@ -64,6 +64,9 @@
             }
             let known = self.head.len();
             self.head.extend_from_slice(bytes);
+            if !may_end(&self.head, known) && self.head.len() <= self.max_head_bytes {
+                break;
+            }
             let Some((head, length)) = self.parse() else {
                 break;
             };
@@ -111,6 +114,15 @@
     }
 }
 
+/// Returns whether a head may end in the bytes behind the first `known` ones, as it does with an empty line.
+///
+/// A head that comes byte by byte is not parsed at each of them.
+fn may_end(head: &[u8], known: usize) -> bool {
+    let new = &head[known.saturating_sub(2)..];
+    let mut ends = new.windows(2).enumerate();
+    ends.any(|(at, pair)| pair == b"\n\n" || new[at..].starts_with(b"\n\r\n"))
+}
+
 /// Converts a parsed head, unless it is malformed.
 fn convert(parsed: &httparse::Request<'_, '_>) -> Head {
     let version = match parsed.version? {
--- a/crates/app/tests/pipeline.rs
+++ b/crates/app/tests/pipeline.rs
@@ -245,6 +245,21 @@
     });
 }
 
+/// Each byte had the whole head parsed again, while nothing else on the host was served.
+#[test]
+fn a_head_that_comes_byte_by_byte_does_not_hold_up_the_others() {
+    let head = format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "a".repeat(64_000));
+    let mut scanner = Scanner::new(68 * 1_024);
+    let began = Instant::now();
+    let heads = head
+        .as_bytes()
+        .chunks(1)
+        .flat_map(|byte| scanner.feed(byte));
+    assert_eq!(heads.count(), 1);
+    let took = began.elapsed();
+    assert!(took < Duration::from_secs(1), "{took:?}");
+}
+
 properties! {
     fn heads_do_not_depend_on_how_the_bytes_arrive(kinds: Vec<u8>, cuts: Vec<usize>) -> bool {
         let requests = kinds.iter().map(|kind| match kind % 4 {
