--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -130,8 +130,7 @@
     assert_eq!(stage(&roster, "u2999"), Some(Stage::Ready));
 }
 
-/// A rollout replaced more upstreams within a second than the roster keeps, and a resent registration brought one
-/// of them back.
+/// A rollout replaced more upstreams than the roster keeps, and a resent registration brought one back.
 #[test]
 fn a_departed_upstream_is_refused_for_its_time_however_many_leave_after_it() {
     let mut roster = Roster::default();
--- a/crates/wire/tests/hosts.rs
+++ b/crates/wire/tests/hosts.rs
@@ -80,8 +80,7 @@
     assert!(hosts.is_empty() && !late.is_open());
 }
 
-/// Adds a service with one route, extra sends of which are limited, and one upstream, which runs one request at a
-/// time.
+/// Adds a service with a limit on extra sends, one route, and one upstream with one slot.
 fn add_upstream(hosts: &mut Hosts, now: Instant) {
     let route = Route {
         host: "farm.example".to_owned(),
