feat: the times of dead upstreams and lost ways follow the time of contact

Cause: dispatch::contact had times of its own beside the bound contact_s of the settings. Change: Policy::contact; witnesses count for that time, pauses last at most twice that. With 3 s, as before. Result: tests of core, wire and pb-control pass; a new test in dead.rs plays 1 and 3 s.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -173,7 +173,7 @@
             ledger: Ledger::default(),
             cold: Cold::default(),
             poison: poison::Ledger::default(),
-            contact: Contact::default(),
+            contact: Contact::new(policy.contact),
             ended_limits: Vec::new(),
             unreachable_until: BTreeMap::new(),
             steps: 0,
--- a/crates/core/src/dispatch/contact.rs
+++ b/crates/core/src/dispatch/contact.rs
@@ -25,9 +25,6 @@
 /// time; a cut lasts longer.
 const PROOF_TIME: Duration = Duration::from_secs(1);
 
-/// Time for which hosts that found no listener count as witnesses.
-const WITNESS_TIME: Duration = Duration::from_secs(3);
-
 /// Time for which an announcement may be on its way.
 const MAX_ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(300);
 
@@ -44,6 +41,9 @@
 const FIRST_DEAD_TIME: Duration = Duration::from_millis(500);
 const MAX_DEAD_TIME: Duration = Duration::from_secs(4);
 
+/// Multiple of the time of contact by which an upstream that is well again must be tried.
+const MAX_DEAD_CONTACTS: u32 = 2;
+
 /// What the dispatcher has to change in its belief in an upstream.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Charge {
@@ -106,14 +106,39 @@
     dead_time: Duration,
 }
 
+/// Times that follow from the time within which processes find each other again.
+#[derive(Debug, Clone, Copy)]
+struct Times {
+    /// Time for which hosts that found no listener count as witnesses.
+    witness: Duration,
+    /// Longest time for which an upstream that was found dead gets no requests.
+    max_dead: Duration,
+}
+
 /// The hosts to which upstreams did not respond since one last did, and the upstreams that are dead.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Contact {
+    times: Times,
     hosts: BTreeMap<HostId, Doubt>,
     upstreams: BTreeMap<Number, Record>,
 }
 
 impl Contact {
+    /// Creates a record without hosts and upstreams; `contact` is the time after the end of a disturbance by
+    /// which processes have found each other again.
+    #[must_use]
+    pub fn new(contact: Duration) -> Self {
+        let times = Times {
+            witness: contact,
+            max_dead: MAX_DEAD_TIME.min(contact * MAX_DEAD_CONTACTS),
+        };
+        Self {
+            times,
+            hosts: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+        }
+    }
+
     /// Forgets a host that is gone.
     pub fn forget_host(&mut self, host: &str) {
         self.hosts.remove(host);
@@ -172,7 +197,7 @@
     ) -> Vec<Charge> {
         let mut charges = Vec::new();
         let record = self.upstreams.entry(upstream).or_default();
-        let lately = |at: Instant| now.saturating_duration_since(at) < WITNESS_TIME;
+        let lately = |at: Instant| now.saturating_duration_since(at) < self.times.witness;
         let is_contradicted = record.witnesses.iter().any(|(_, _, at)| lately(*at));
         if is_contradicted || record.dead_until.is_some() {
             let ratio = if is_contradicted { record.ratio } else { 1.0 };
@@ -248,7 +273,7 @@
             if is_proven_alive {
                 return None;
             }
-            record.note_witness(host, zone, silence.ratio, now);
+            record.note_witness(host, zone, silence.ratio, self.times, now);
         }
         Some(Charge {
             upstream: silence.upstream,
@@ -302,8 +327,8 @@
     }
 
     /// Records a host that found no listener, and whether the upstream is dead by that.
-    fn note_witness(&mut self, host: &str, zone: &str, ratio: f64, now: Instant) {
-        let lately = |at: Instant| now.saturating_duration_since(at) < WITNESS_TIME;
+    fn note_witness(&mut self, host: &str, zone: &str, ratio: f64, times: Times, now: Instant) {
+        let lately = |at: Instant| now.saturating_duration_since(at) < times.witness;
         if !self.witnesses.iter().any(|(_, _, at)| lately(*at)) {
             self.ratio = 1.0;
         }
@@ -315,7 +340,9 @@
         let are_zones_different = self.witnesses.iter().any(|(_, other, _)| other != zone);
         let are_enough = are_zones_different || self.witnesses.len() >= WITNESSES;
         if are_enough && !self.is_reached(now) {
-            let time = (self.dead_time * 2).clamp(FIRST_DEAD_TIME, MAX_DEAD_TIME);
+            let time = (self.dead_time * 2)
+                .max(FIRST_DEAD_TIME)
+                .min(times.max_dead);
             let is_dead = self.dead_until.is_some_and(|until| now < until);
             if !is_dead {
                 self.dead_time = time;
--- a/crates/core/src/dispatch/observation.rs
+++ b/crates/core/src/dispatch/observation.rs
@@ -25,8 +25,10 @@
 /// Number of times that one attempt can count as late.
 const MAX_LATE_COUNT: u32 = 2;
 
-/// Time for which an upstream is avoided for a host that could not connect to it.
+/// Time for which an upstream is avoided for a host that could not connect to it, and most of it as a multiple of the
+/// time of contact.
 const UNREACHABLE_PAUSE: Duration = Duration::from_secs(4);
+const UNREACHABLE_CONTACTS: u32 = 2;
 
 /// Time up to which an attempt without a connection counts as refused; hosts wait longer for one that is not
 /// answered at all.
@@ -89,7 +91,8 @@
             }
             Outcome::Unreachable => {
                 let pair = (host.to_owned(), slot.upstream);
-                self.unreachable_until.insert(pair, now + UNREACHABLE_PAUSE);
+                let pause = UNREACHABLE_PAUSE.min(self.policy.contact * UNREACHABLE_CONTACTS);
+                self.unreachable_until.insert(pair, now + pause);
             }
             Outcome::Moved => self.remove_upstream(slot.upstream),
             Outcome::Cancelled => pool.forget_unused(slot.upstream),
--- a/crates/core/src/dispatch/policy.rs
+++ b/crates/core/src/dispatch/policy.rs
@@ -12,6 +12,8 @@
     pub retries: Retries,
     /// Time without an announcement after which an upstream counts as silent.
     pub max_silence: Duration,
+    /// Time after the end of a disturbance by which processes have found each other again.
+    pub contact: Duration,
     /// Tokens of a tenant with a quota at its first request.
     pub initial_balance: Balance,
     /// Whether this is the first dispatcher that the fleet has had.
--- a/crates/core/tests/dispatch/dead.rs
+++ b/crates/core/tests/dispatch/dead.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use persimmonbend_core::dispatch::Decision;
+use persimmonbend_core::dispatch::Policy;
 use persimmonbend_core::dispatch::Request;
 use persimmonbend_core::health::Outcome;
 use persimmonbend_core::roster::Number;
@@ -16,6 +17,7 @@
 use crate::world::IDEMPOTENT;
 use crate::world::NON_IDEMPOTENT;
 use crate::world::World;
+use crate::world::policy;
 
 const ZONES: [&str; 3] = ["a", "b", "c"];
 
@@ -289,3 +291,28 @@
         .collect();
     assert!(used.contains(&1), "{used:?}");
 }
+
+#[test]
+fn the_time_for_which_hosts_are_witnesses_follows_the_time_of_contact() {
+    let is_dead = |contact, gap| {
+        let policy = Policy {
+            contact: Duration::from_secs(contact),
+            ..policy()
+        };
+        let mut world = World::with(policy, &ZONES);
+        for (host, zone) in [("host-1", "a"), ("host-2", "b")] {
+            world.advance(gap);
+            let mut request = world.request(IDEMPOTENT);
+            (request.ticket.host, request.zone) = (host.to_owned(), zone.to_owned());
+            request.avoid = vec![2, 3];
+            let ticket = request.ticket.clone();
+            let decision = world.reserve(request);
+            assert!(matches!(decision, Decision::Granted { upstream: 1, .. }));
+            world.release(&ticket, Outcome::Unreachable, millis(2));
+        }
+        world.dispatcher.dead_upstreams(world.now) == 1
+    };
+    assert!(is_dead(3, millis(2_000)));
+    assert!(!is_dead(1, millis(2_000)));
+    assert!(is_dead(1, millis(500)));
+}
--- a/crates/core/tests/dispatch/world.rs
+++ b/crates/core/tests/dispatch/world.rs
@@ -189,6 +189,7 @@
             burst: 20.0,
         },
         max_silence: Duration::from_secs(5),
+        contact: Duration::from_secs(3),
         initial_balance: Balance::Share(1.0),
         is_first_dispatcher: false,
         floor: 0.7,
--- a/crates/wire/tests/builds.rs
+++ b/crates/wire/tests/builds.rs
@@ -176,6 +176,7 @@
             burst: 1.0,
         },
         max_silence: Duration::MAX,
+        contact: Duration::from_secs(3),
         initial_balance: Balance::Share(1.0),
         is_first_dispatcher: true,
         floor: 0.7,
--- a/crates/wire/tests/hosts.rs
+++ b/crates/wire/tests/hosts.rs
@@ -25,6 +25,7 @@
             burst: 1.0,
         },
         max_silence: Duration::MAX,
+        contact: Duration::from_secs(3),
         initial_balance: Balance::Share(1.0),
         is_first_dispatcher: true,
         floor: 0.7,
--- a/programs/pb-control/src/settings.rs
+++ b/programs/pb-control/src/settings.rs
@@ -27,6 +27,7 @@
         burst: 20.0,
     },
     max_silence: Duration::from_secs(6),
+    contact: Duration::from_secs(3),
     initial_balance: Balance::Share(0.5),
     is_first_dispatcher: false,
     floor: 0.7,
--- a/programs/pb-control/tests/hello.rs
+++ b/programs/pb-control/tests/hello.rs
@@ -67,6 +67,7 @@
                 burst: 1.0,
             },
             max_silence: Duration::from_secs(6),
+            contact: Duration::from_secs(3),
             initial_balance: Balance::Share(1.0),
             is_first_dispatcher: true,
             floor: 0.7,
--- a/programs/pb-proxy/src/gateway/deputy.rs
+++ b/programs/pb-proxy/src/gateway/deputy.rs
@@ -173,6 +173,7 @@
     let mut dispatcher = Dispatcher::new(Policy {
         retries: settings.retries,
         max_silence: Duration::MAX,
+        contact: settings.contact,
         initial_balance: Balance::Tolerated(tolerance),
         is_first_dispatcher: false,
         floor: settings.floor,
--- a/programs/pb-proxy/src/gateway/placement.rs
+++ b/programs/pb-proxy/src/gateway/placement.rs
@@ -155,6 +155,7 @@
         let mut local = Dispatcher::new(Policy {
             retries: settings.retries,
             max_silence: Duration::MAX,
+            contact: settings.contact,
             initial_balance: Balance::Sampled {
                 tolerance: settings.tolerance,
                 draw,
