test: one event loop for the played loads of the dispatcher

Cause: load.rs, hedge_load.rs and size.rs each held an event loop. Change: timeline.rs holds the events; the three files use it. All loads, seeds, checks and bounds are as they were; an event at the very end of a run no longer comes.

--- a/crates/core/tests/dispatch/hedge_load.rs
+++ b/crates/core/tests/dispatch/hedge_load.rs
@@ -1,8 +1,6 @@
 //! A service under load whose upstreams are slow by turns, with and without extra sends.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::collections::BinaryHeap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,6 +11,7 @@
 use persimmonbend_core::roster::Number;
 use persimmonbend_core::steward::Ticket;
 
+use crate::timeline::Timeline;
 use crate::world::IDEMPOTENT;
 use crate::world::SERVICE;
 use crate::world::World;
@@ -69,8 +68,7 @@
 /// One play of a service.
 struct Play {
     world: World,
-    start: Instant,
-    events: BinaryHeap<Reverse<(Instant, Event)>>,
+    timeline: Timeline<Event>,
     running: BTreeMap<u32, Running>,
     /// Placed requests by the number of their first ticket, and the first ticket of each extra send.
     requests: BTreeMap<u32, Request>,
@@ -88,9 +86,8 @@
         let mut world = World::new(&["a"; UPSTREAMS]);
         world.set_hedge_share(share);
         Self {
-            start: world.now,
+            timeline: Timeline::new(world.now),
             world,
-            events: BinaryHeap::new(),
             running: BTreeMap::new(),
             requests: BTreeMap::new(),
             hedges: BTreeMap::new(),
@@ -107,12 +104,8 @@
         let gap = MEAN_SECONDS / (SLOTS * SLOW_CAPACITY * load);
         self.push(Duration::ZERO, Event::Arrival);
         self.push(TICK, Event::Tick);
-        while let Some(Reverse((at, event))) = self.events.pop() {
-            let elapsed = at - self.start;
-            if elapsed > length {
-                break;
-            }
-            self.world.now = at;
+        while let Some(event) = self.timeline.next(&mut self.world, length) {
+            let (at, elapsed) = (self.world.now, self.timeline.elapsed(&self.world));
             match event {
                 Event::Tick => {
                     let queued = self.world.dispatcher.queued(SERVICE);
@@ -140,7 +133,7 @@
     }
 
     fn push(&mut self, delay: Duration, event: Event) {
-        self.events.push(Reverse((self.world.now + delay, event)));
+        self.timeline.push(&self.world, delay, event);
     }
 
     /// Returns the next number of a fixed sequence in `0..1`.
@@ -189,7 +182,7 @@
         let usual = if self.draw() < 0.01 { usual * 3 } else { usual };
         let running = f64::from(self.world.dispatcher.running(upstream));
         let usual = usual.mul_f64(1.0 + FULL_SLOWDOWN * running / SLOTS_EACH);
-        let turn = (self.world.now - self.start).as_secs() / TURN.as_secs();
+        let turn = self.timeline.elapsed(&self.world).as_secs() / TURN.as_secs();
         let is_slow = u64::from(upstream) == turn % UPSTREAMS as u64 + 1;
         if is_slow { usual * SLOWNESS } else { usual }
     }
--- a/crates/core/tests/dispatch/load.rs
+++ b/crates/core/tests/dispatch/load.rs
@@ -1,8 +1,6 @@
 //! A service under the load of several kinds of requests and tenants, and what its clients get.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::collections::BinaryHeap;
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,10 +22,14 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::timeline::Timeline;
 use crate::world::SERVICE;
 use crate::world::World;
 
-const TICK_MS: u64 = 50;
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time between two rounds of arrivals.
+const STEP: Duration = Duration::from_millis(1);
 
 /// Time that an upstream takes to refuse a request.
 const SHED_MS: u64 = 2;
@@ -76,6 +78,14 @@
     pub refused_after: Vec<f64>,
 }
 
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Tick,
+    /// An attempt ends, refused or answered.
+    End(Ticket, bool),
+    Arrivals,
+}
+
 #[derive(Debug, Clone)]
 struct Sent {
     kind: usize,
@@ -94,7 +104,7 @@
     now_ms: u64,
     owed: Vec<f64>,
     sent: BTreeMap<u32, Sent>,
-    running: BinaryHeap<Reverse<(u64, Ticket, bool)>>,
+    timeline: Timeline<Event>,
     tallies: BTreeMap<(&'static str, &'static str), Tally>,
 }
 
@@ -151,14 +161,22 @@
             now_ms: 0,
             owed: vec![0.0; load.kinds.len() * load.tenants.len()],
             sent: BTreeMap::new(),
-            running: BinaryHeap::new(),
+            timeline: Timeline::new(now),
             tallies: BTreeMap::new(),
             load,
         };
-        while run.now_ms < run.load.end_ms {
-            run.step();
-            run.now_ms += 1;
-            run.world.advance(Duration::from_millis(1));
+        for event in [Event::Tick, Event::Arrivals] {
+            run.push(Duration::ZERO, event);
+        }
+        let end = Duration::from_millis(run.load.end_ms);
+        while let Some(event) = run.timeline.next(&mut run.world, end) {
+            run.now_ms = run.timeline.elapsed(&run.world).as_millis() as u64;
+            let mut answers = run.handle(event);
+            while !answers.is_empty() {
+                for answer in std::mem::take(&mut answers) {
+                    answers.extend(run.follow(answer));
+                }
+            }
         }
         run
     }
@@ -195,21 +213,27 @@
         sum
     }
 
-    fn step(&mut self) {
-        let mut answers = Vec::new();
-        if self.now_ms.is_multiple_of(TICK_MS) {
-            answers.extend(self.world.dispatcher.tick(self.world.now));
-        }
-        while let Some(Reverse((at, ..))) = self.running.peek()
-            && *at <= self.now_ms
-            && let Some(Reverse((_, ticket, is_shed))) = self.running.pop()
-        {
-            answers.extend(if is_shed {
-                self.retry(&ticket)
-            } else {
-                self.end(&ticket)
-            });
+    fn push(&mut self, delay: Duration, event: Event) {
+        self.timeline.push(&self.world, delay, event);
+    }
+
+    fn handle(&mut self, event: Event) -> Vec<Answer> {
+        match event {
+            Event::Tick => {
+                self.push(TICK, Event::Tick);
+                self.world.dispatcher.tick(self.world.now)
+            }
+            Event::End(ticket, true) => self.retry(&ticket),
+            Event::End(ticket, false) => self.end(&ticket),
+            Event::Arrivals => {
+                self.push(STEP, Event::Arrivals);
+                self.send_arrivals()
+            }
         }
+    }
+
+    fn send_arrivals(&mut self) -> Vec<Answer> {
+        let mut answers = Vec::new();
         let is_burst = self.load.burst_ms.contains(&self.now_ms);
         let total: f64 = self.load.tenants.iter().map(|(_, weight, _)| weight).sum();
         for kind in 0..self.load.kinds.len() {
@@ -226,11 +250,7 @@
                 }
             }
         }
-        while !answers.is_empty() {
-            for answer in std::mem::take(&mut answers) {
-                answers.extend(self.follow(answer));
-            }
-        }
+        answers
     }
 
     fn send(&mut self, kind: usize, tenant: usize, repeats: u32) -> Vec<Answer> {
@@ -312,7 +332,7 @@
                 } else {
                     self.rng.random_range(mean / 2..=mean * 3 / 2)
                 };
-                self.running.push(Reverse((now + work, ticket, is_shed)));
+                self.push(Duration::from_millis(work), Event::End(ticket, is_shed));
                 if sent.request.is_retry {
                     self.tally(&sent, |tally| tally.retries += 1);
                 }
--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -18,6 +18,7 @@
 mod shed;
 mod size;
 mod statements;
+mod timeline;
 mod uneven;
 mod warmup;
 mod world;
--- a/crates/core/tests/dispatch/size.rs
+++ b/crates/core/tests/dispatch/size.rs
@@ -14,6 +14,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::timeline::Timeline;
 use crate::world::IDEMPOTENT;
 use crate::world::LOW_PRIORITY;
 use crate::world::NON_IDEMPOTENT;
@@ -29,6 +30,8 @@
 const RUN_MS: u32 = 240;
 const SHED_MS: u32 = 2;
 
+const TICK_MS: u32 = 50;
+
 /// Share of the slots that the load uses while no upstream sheds.
 const LOAD: f64 = 0.65;
 
@@ -49,10 +52,12 @@
 /// Most that are looked at for one release: some queued requests of each rank, and the candidates of those placed.
 const MAX_RELEASE_STEPS: u64 = 400;
 
-struct Attempt {
-    due: u32,
-    ticket: Ticket,
-    outcome: Outcome,
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Tick,
+    /// An attempt ends, refused or answered.
+    End(Ticket, bool),
+    Arrivals,
 }
 
 /// What became of the requests that were sent within one span of time.
@@ -68,7 +73,7 @@
 struct Run {
     world: World,
     rng: ChaCha8Rng,
-    running: Vec<Attempt>,
+    timeline: Timeline<Event>,
     owed: f64,
     /// When each request was sent, by its number less 1, in milliseconds.
     sent_ms: Vec<u32>,
@@ -86,10 +91,11 @@
     fn play(upstreams: u32) -> Self {
         let zones: Vec<&str> = ZONES.into_iter().cycle().take(upstreams as usize).collect();
         let world = World::new(&zones);
+        let now = world.now;
         let mut run = Self {
             world,
             rng: ChaCha8Rng::seed_from_u64(7),
-            running: Vec::new(),
+            timeline: Timeline::new(now),
             owed: 0.0,
             sent_ms: Vec::new(),
             refused_after_ms: Vec::new(),
@@ -99,51 +105,57 @@
             most_steps: 0,
         };
         let per_ms = f64::from(upstreams * SLOTS) * LOAD / f64::from(RUN_MS);
-        for at in 0..END_MS {
-            run.world.advance(Duration::from_millis(1));
-            run.step(at, per_ms);
+        for event in [Event::Tick, Event::Arrivals] {
+            run.push(0, event);
+        }
+        let end = Duration::from_millis(u64::from(END_MS));
+        while let Some(event) = run.timeline.next(&mut run.world, end) {
+            let at = run.timeline.elapsed(&run.world).as_millis() as u32;
+            for answer in run.handle(at, event, per_ms) {
+                run.follow(at, answer);
+            }
         }
         run
     }
 
-    fn step(&mut self, at: u32, per_ms: f64) {
-        let mut answers = Vec::new();
-        if at.is_multiple_of(50) {
-            answers.extend(self.world.dispatcher.tick(self.world.now));
-        }
-        answers.extend(self.end_attempts(at));
-        self.owed += per_ms;
-        while self.owed >= 1.0 {
-            self.owed -= 1.0;
-            answers.extend(self.send(at));
-        }
-        for answer in answers {
-            self.follow(at, answer);
-        }
+    fn push(&mut self, delay_ms: u32, event: Event) {
+        let delay = Duration::from_millis(u64::from(delay_ms));
+        self.timeline.push(&self.world, delay, event);
     }
 
-    fn end_attempts(&mut self, at: u32) -> Vec<Answer> {
-        let running = std::mem::take(&mut self.running);
-        let (due, left) = running.into_iter().partition(|attempt| attempt.due <= at);
-        self.running = left;
-        let mut answers = Vec::new();
-        for Attempt {
-            ticket, outcome, ..
-        } in due
-        {
-            let took = if outcome == Outcome::Shed {
-                self.tally(&ticket, |tally| tally.shed += 1);
-                SHED_MS
-            } else {
-                self.tally(&ticket, |tally| tally.answered += 1);
-                RUN_MS
-            };
-            let took = Duration::from_millis(u64::from(took));
-            let before = self.world.dispatcher.steps();
-            answers.extend(self.world.release(&ticket, outcome, took));
-            let steps = self.world.dispatcher.steps() - before;
-            self.most_steps = self.most_steps.max(steps);
+    fn handle(&mut self, at: u32, event: Event, per_ms: f64) -> Vec<Answer> {
+        match event {
+            Event::Tick => {
+                self.push(TICK_MS, Event::Tick);
+                self.world.dispatcher.tick(self.world.now)
+            }
+            Event::End(ticket, is_shed) => self.end(&ticket, is_shed),
+            Event::Arrivals => {
+                self.push(1, Event::Arrivals);
+                self.owed += per_ms;
+                let mut answers = Vec::new();
+                while self.owed >= 1.0 {
+                    self.owed -= 1.0;
+                    answers.extend(self.send(at));
+                }
+                answers
+            }
         }
+    }
+
+    fn end(&mut self, ticket: &Ticket, is_shed: bool) -> Vec<Answer> {
+        let (outcome, took) = if is_shed {
+            self.tally(ticket, |tally| tally.shed += 1);
+            (Outcome::Shed, SHED_MS)
+        } else {
+            self.tally(ticket, |tally| tally.answered += 1);
+            (Outcome::Answered, RUN_MS)
+        };
+        let before = self.world.dispatcher.steps();
+        let took = Duration::from_millis(u64::from(took));
+        let answers = self.world.release(ticket, outcome, took);
+        let steps = self.world.dispatcher.steps() - before;
+        self.most_steps = self.most_steps.max(steps);
         answers
     }
 
@@ -165,17 +177,9 @@
         let Answer { ticket, decision } = answer;
         match decision {
             Decision::Granted { .. } => {
-                let sheds = SHEDDING_MS.contains(&at) && self.rng.random_bool(SHED_SHARE);
-                let (outcome, time) = if sheds {
-                    (Outcome::Shed, SHED_MS)
-                } else {
-                    (Outcome::Answered, RUN_MS)
-                };
-                self.running.push(Attempt {
-                    due: at + time,
-                    ticket,
-                    outcome,
-                });
+                let is_shed = SHEDDING_MS.contains(&at) && self.rng.random_bool(SHED_SHARE);
+                let time = if is_shed { SHED_MS } else { RUN_MS };
+                self.push(time, Event::End(ticket, is_shed));
             }
             Decision::Refused { .. } => {
                 let waited = at - self.sent_ms[ticket.number as usize - 1];
