--- a/crates/core/src/dispatch/large.rs
+++ b/crates/core/src/dispatch/large.rs
@@ -81,11 +81,13 @@
         route: &Route,
         now: Instant,
     ) -> Vec<Answer> {
+        if self.held_bound(&request.service).is_none() {
+            return self.enqueue(request, route, now);
+        }
         let (service, ticket) = (request.service.clone(), request.ticket.clone());
         let mut answers = self.enqueue(request, route, now);
         let has_large = |pool: &Pool| pool.backlog.bytes() > 0;
-        let is_bounded = self.held_bound(&service).is_some();
-        if !is_bounded || !self.pools.get(&service).is_some_and(has_large) {
+        if !self.pools.get(&service).is_some_and(has_large) {
             return answers;
         }
         let placed = self.place_queued(&service, now);
