fix(core): an earmarked upstream takes requests without a body

Cause: the sum of what an upstream holds and what it is earmarked for is above the bound while it drains, so that it took no request at all, also in a service that has no other upstream. Change: a request without a body fits there, unless the upstream holds or waits for one body above the bound.

--- a/crates/core/src/dispatch/held.rs
+++ b/crates/core/src/dispatch/held.rs
@@ -57,12 +57,14 @@
     }
 
     /// Returns whether a request of a size fits that the upstream is not earmarked for: those that it holds, the
-    /// one that it is earmarked for and this one stay within the bound.
+    /// one that it is earmarked for and this one stay within the bound. One without a body delays none that is
+    /// within the bound, whatever is held before it.
     #[must_use]
     pub fn fits(&self, bytes: u32, bound: Bound) -> bool {
         let earmark = self.earmark.map_or(0, u64::from);
         let is_alone = self.requests == 0 && self.earmark.is_none();
-        is_alone || is_within(self.bytes + earmark + u64::from(bytes), bound)
+        let is_harmless = bytes == 0 && is_within(self.bytes.max(earmark), bound);
+        is_alone || is_harmless || is_within(self.bytes + earmark + u64::from(bytes), bound)
     }
 
     /// Returns whether the request fits that the upstream is earmarked for.
--- a/crates/core/tests/dispatch/held.rs
+++ b/crates/core/tests/dispatch/held.rs
@@ -258,6 +258,20 @@
     assert!(matches!(decision, Decision::Granted { .. }), "{decision:?}");
 }
 
+/// An upstream that was earmarked took no requests without a body either, until the large one had come.
+#[test]
+fn requests_without_a_body_pass_a_large_one_that_waits() {
+    let mut world = world(&["a"]);
+    place(&mut world, 800_000);
+    let (_, decision) = place(&mut world, 900_000);
+    assert_eq!(decision, Decision::Queued);
+    let (_, decision) = place(&mut world, 0);
+    assert!(matches!(decision, Decision::Granted { .. }), "{decision:?}");
+    // The last slot is that of the large one.
+    let (_, decision) = place(&mut world, 0);
+    assert_eq!(decision, Decision::Queued);
+}
+
 #[test]
 fn an_earmarked_upstream_that_drains_is_exchanged_for_another() {
     let mut world = world(&["a", "a"]);
