--- a/crates/core/src/dispatch/explain.rs
+++ b/crates/core/src/dispatch/explain.rs
@@ -167,7 +167,7 @@
             ledger: self.ledger.clone(),
             cold: self.cold.clone(),
             poison: poison::Ledger::default(),
-            contact: Contact::default(),
+            contact: Contact::new(self.policy.contact),
             ended_limits: Vec::new(),
             unreachable_until: self.unreachable_until.clone(),
             steps: 0,
