fix: no answer is cut off while more of it is awaited, and a stopped port is closed

Cause: a connection counted as idle from the head of its answer on, so an answer whose parts come slower than the idle timeout was cut off. A connection that was accepted as the linger time ended could be dropped at once.

Change: a connection is idle only while a part of the answer waits for the client; the socket is closed after the linger time; an accepted connection comes before the end of that time.

--- a/crates/app/src/http.rs
+++ b/crates/app/src/http.rs
@@ -8,6 +8,8 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,7 +17,6 @@
 use compio::net::TcpListener;
 use compio::net::TcpStream;
 use compio::runtime::spawn;
-use compio::time::timeout;
 use event_listener::Event;
 use futures_util::FutureExt;
 use futures_util::future::Either;
@@ -25,7 +26,9 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::body::SizeHint;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 
@@ -127,21 +130,22 @@
     /// Serves until `stop` is requested, and returns once the last request has ended.
     ///
     /// The socket accepts connections and requests for another [`Limits::linger`] after the stop,
-    /// so that requests of clients which have not noticed the stop yet are not lost.
+    /// so that requests of clients which have not noticed the stop yet are not lost. Then it is closed: a
+    /// connection that the kernel accepts and nobody serves would be reset at the end of the process.
     pub async fn serve<H: Handler + 'static>(self, handler: Rc<H>, stop: Stop) {
         let open = Rc::new(OpenConnections::default());
-        while let Some(accepted) = stop.until(self.socket.accept()).await {
+        let lingered = linger(&stop, self.limits).boxed_local();
+        let mut lingered = lingered.fuse();
+        loop {
+            // A connection that is accepted at the same time as the linger time ends is served.
+            let accepted = futures_util::select_biased! {
+                accepted = self.socket.accept().fuse() => accepted,
+                () = lingered => break,
+            };
             self.spawn_connection(accepted, &open, &handler, &stop)
                 .await;
         }
-        let accept_late = async {
-            loop {
-                let accepted = self.socket.accept().await;
-                self.spawn_connection(accepted, &open, &handler, &stop)
-                    .await;
-            }
-        };
-        let _ = timeout(self.limits.linger, accept_late).await;
+        drop(self);
         open.wait_until_none().await;
     }
 
@@ -221,8 +225,8 @@
             request.extensions_mut().insert(AmbiguousLength);
         }
         async move {
-            let mut response = handler.handle(request).await;
-            activity.end_request(Instant::now());
+            let response = handler.handle(request).await;
+            let mut response = response.map(|body| Tracked::new(body, activity).boxed());
             if stop.is_asked() {
                 set_connection_close(&mut response);
             }
@@ -241,13 +245,9 @@
             () = closed => {},
         }
     };
-    let lingered = async {
-        stop.asked().await;
-        compio::time::sleep(limits.linger).await;
-    };
     pin_mut!(connection, ending);
     let stopped = {
-        let event = select(lingered.boxed_local(), ending.as_mut());
+        let event = select(linger(&stop, limits).boxed_local(), ending.as_mut());
         match select(connection.as_mut(), event).await {
             Either::Left(_) => return,
             Either::Right((Either::Left(_), _)) => true,
@@ -260,6 +260,62 @@
     }
 }
 
+/// Waits until connections and requests are no longer taken after a stop.
+async fn linger(stop: &Stop, limits: Limits) {
+    stop.asked().await;
+    compio::time::sleep(limits.linger).await;
+}
+
+/// The body of an answer, whose connection is not idle while more of the body is awaited.
+///
+/// It is idle once a part is there for the client to take, so that one that takes nothing is given up.
+struct Tracked {
+    body: Body,
+    activity: Rc<Activity>,
+}
+
+impl Tracked {
+    fn new(body: Body, activity: Rc<Activity>) -> Self {
+        activity.end_request(Instant::now());
+        Self { body, activity }
+    }
+
+    fn boxed(self) -> Body {
+        Box::pin(self)
+    }
+}
+
+impl hyper::body::Body for Tracked {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let frame = self.body.as_mut().poll_frame(context);
+        match frame {
+            Poll::Pending => self.activity.await_answer(),
+            Poll::Ready(_) => self.activity.end_request(Instant::now()),
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for Tracked {
+    fn drop(&mut self) {
+        self.activity.end_request(Instant::now());
+    }
+}
+
 /// Waits until the head timeout or the idle timeout of the connection has passed.
 async fn wait_for_timeout(activity: &Activity, limits: Limits) {
     let interval = limits.head_timeout.min(limits.idle_timeout);
--- a/crates/app/src/http/read_ahead.rs
+++ b/crates/app/src/http/read_ahead.rs
@@ -74,7 +74,12 @@
         has_ambiguous_length(&self.head.take())
     }
 
-    /// Records that the request has been answered.
+    /// Records that the rest of an answer is awaited.
+    pub fn await_answer(&self) {
+        self.running.set(true);
+    }
+
+    /// Records that the request, or the next part of its answer, has been answered.
     pub fn end_request(&self, now: Instant) {
         self.running.set(false);
         self.idle_since.set(now);
