fix: the ends of several upstreams at a time are noticed

Cause: an upstream that broke off a request counts as ended if its port refuses while another upstream accepts. Two others of the service were asked, drawn at random; where other upstreams had just ended under the same request, both could refuse (3 ended of 8: one case in 21; 4: one in 7), and the end was never noted. The port was also tried only once, right after the connection broke, and may be closed some milliseconds later.

Change: up to eight others are asked, those not known to have ended first, and at most four that stay silent. A port that still accepts is tried again after 100 ms. Nothing waits for it but the task of the check.

--- a/programs/pb-proxy/src/gateway/end_check.rs
+++ b/programs/pb-proxy/src/gateway/end_check.rs
@@ -3,9 +3,11 @@
 //! A broken connection alone may be due to the path or to one lost answer. An upstream has ended if its port
 //! refuses a new connection while another upstream accepts one; a host that is cut off is refused by both.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use compio::net::TcpStream;
 use compio::time::timeout;
@@ -17,13 +19,19 @@
 use rand::seq::SliceRandom;
 use tracing::info;
 
-use crate::gateway::paths;
 use crate::gateway::paths::CONNECT_TIMEOUT;
 use crate::gateway::state::State;
 
 /// Other upstreams of the service, and of other services, that are tried until one accepts. All of a small
-/// service may have ended.
-const MAX_WITNESSES: usize = 2;
+/// service may have ended, and some of a large one that nobody knows of yet.
+const MAX_WITNESSES: usize = 8;
+
+/// Those among them that do not answer in time, which takes [`CONNECT_TIMEOUT`] each, before no more are tried.
+const MAX_SILENT: usize = 4;
+
+/// Time after which an upstream that still accepts connections is tried once more: the sockets of a process that ends
+/// are closed one after another, the listening one last.
+const SECOND_LOOK: Duration = Duration::from_millis(100);
 
 /// A request that an upstream broke off.
 #[derive(Debug, Clone)]
@@ -40,12 +48,25 @@
     pub address: SocketAddr,
 }
 
+/// What became of a new connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Port {
+    Accepts,
+    Refuses,
+    Silent,
+}
+
 /// Finds out whether the upstream of an interrupted request has ended, and records the end.
 pub async fn run(state: Rc<State>, interruption: Interruption) {
     let Interruption {
         service, address, ..
     } = &interruption;
-    if has_ended(&state, service, *address).await {
+    let mut ended = has_ended(&state, service, *address).await;
+    if !ended {
+        compio::time::sleep(SECOND_LOOK).await;
+        ended = has_ended(&state, service, *address).await;
+    }
+    if ended {
         note_end(&state, &interruption);
     }
 }
@@ -64,22 +85,33 @@
 
 /// Returns whether an upstream refuses connections and another one accepts them.
 pub async fn has_ended(state: &State, service: &str, address: SocketAddr) -> bool {
-    if !is_refused(address).await {
+    if try_port(address).await != Port::Refuses {
         return false;
     }
+    let mut silent = 0;
     for witness in witnesses(state, service, address) {
-        if paths::is_accepted(witness).await {
-            return true;
+        match try_port(witness).await {
+            Port::Accepts => return true,
+            Port::Refuses => {}
+            Port::Silent => silent += 1,
+        }
+        if silent == MAX_SILENT {
+            break;
         }
     }
     false
 }
 
-/// Returns the addresses of a few other upstreams, those of the service first.
+/// Returns the addresses of a few other upstreams, those of the service first, and of these the ones that are not
+/// known to have ended.
 fn witnesses(state: &State, service: &str, address: SocketAddr) -> Vec<SocketAddr> {
     let mut others = state.upstreams();
     others.retain(|entry| entry.announcement.address != address);
     others.shuffle(&mut *state.rng());
+    let ends = state.placer().ends(state.now());
+    let ended = ends.iter().filter(|end| end.holds);
+    let ended: BTreeSet<Number> = ended.map(|end| end.upstream).collect();
+    others.sort_by_key(|entry| ended.contains(&entry.number));
     let is_near = |entry: &Entry| entry.announcement.service == service;
     let (near, far): (Vec<Entry>, Vec<Entry>) = others.into_iter().partition(is_near);
     let near = near.iter().take(MAX_WITNESSES);
@@ -87,7 +119,11 @@
     witnesses.map(|entry| entry.announcement.address).collect()
 }
 
-async fn is_refused(address: SocketAddr) -> bool {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+/// Opens a connection to an upstream and closes it.
+async fn try_port(address: SocketAddr) -> Port {
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Port::Accepts,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Port::Refuses,
+        _ => Port::Silent,
+    }
 }
--- a/programs/pb-proxy/src/gateway/paths.rs
+++ b/programs/pb-proxy/src/gateway/paths.rs
@@ -166,7 +166,7 @@
 }
 
 /// Returns whether an upstream accepts a connection in time.
-pub async fn is_accepted(address: SocketAddr) -> bool {
+async fn is_accepted(address: SocketAddr) -> bool {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     matches!(connected, Ok(Ok(_)))
 }
