--- a/crates/core/src/dispatch/placing.rs
+++ b/crates/core/src/dispatch/placing.rs
@@ -328,7 +328,8 @@
         let expected = state.expected_seconds(&timing, now).max(timing.mean());
         let attempt_timeout =
             Duration::from_secs_f64(expected * ATTEMPT_TIMEOUT_FACTOR).max(MIN_LATE_AFTER);
-        let attempt_timeout = self.resend_after(request, route, &timing, attempt_timeout, now);
+        let attempt_timeout =
+            self.resend_after((route, &timing), request, state, attempt_timeout, now);
         let attempt_timeout = self.hedge_after(request, attempt_timeout);
         let retry_time = Duration::from_secs_f64(timing.mean());
         (now + attempt_timeout + retry_time < request.deadline).then_some(attempt_timeout)
--- a/crates/core/src/dispatch/resend.rs
+++ b/crates/core/src/dispatch/resend.rs
@@ -26,6 +26,7 @@
 use crate::dispatch::Dispatcher;
 use crate::dispatch::Request;
 use crate::dispatch::Timing;
+use crate::dispatch::Upstream;
 use crate::dispatch::timing::NINE_IN_TEN_SPREADS;
 use crate::publication::Route;
 
@@ -61,9 +62,9 @@
     /// keeps its objective and takes neither slots nor retries that others need.
     pub(super) fn resend_after(
         &self,
+        (route, timing): (&Route, &Timing),
         request: &Request,
-        route: &Route,
-        timing: &Timing,
+        state: &Upstream,
         otherwise: Duration,
         now: Instant,
     ) -> Duration {
@@ -72,6 +73,8 @@
         };
         let busy = f64::from(pool.busy()) + 1.0;
         let is_full = busy > pool.free().healthy_capacity() * MAX_LOAD;
+        // A suspect probably does not answer, so the second send only comes earlier.
+        let is_full = is_full && !state.belief.is_suspect(now);
         let rank = self.rank(request, route, now);
         if is_full || !pool.has_retry(rank, &self.retries(), now) {
             return otherwise;
--- a/programs/pb-control/src/dispatch/meters.rs
+++ b/programs/pb-control/src/dispatch/meters.rs
@@ -16,7 +16,7 @@
 use crate::dispatch::Service;
 use crate::dispatch::state::State;
 
-/// Gauges of a replica; but for [`Meters::leading`] they have values only while it leads.
+/// Gauges of a replica; but for `leading` they have values only while it leads.
 #[derive(Debug)]
 pub struct Meters {
     registry: Registry,
