fix: a few retries at once do not count as a lasting shortage

Cause: the first retries of a quiet service were taken for a rate that lasts three seconds, so a late extra send was refused while the budget was nearly full. a_read_is_sent_again_and_gets_one_whole_answer failed once in five runs with 504 in place of 200 for a request that hangs (load average 32); this is the likely cause. Change: what is kept is counted for as long ahead as more has been asked for than earned, up to three seconds.

--- a/crates/core/src/dispatch/ration.rs
+++ b/crates/core/src/dispatch/ration.rs
@@ -22,8 +22,8 @@
 /// Weight of a window in a rate.
 const GAIN: f64 = 0.4;
 
-/// Time for which a service that refuses requests is expected to go on, in seconds.
-const LASTING_SECONDS: f64 = 3.0;
+/// Longest time for which a service that refuses requests is expected to go on: as long again as it has, up to this.
+const MAX_LASTING: Duration = Duration::from_secs(3);
 
 /// Time for which the retries of more urgent requests are kept in stock where those earned are enough for
 /// them, in seconds: retries come in bursts.
@@ -43,6 +43,8 @@
     requests: Rate,
     usual: BTreeMap<Priority, Usual>,
     earned: Rate,
+    /// Since when more is asked for than earned.
+    short_since: Option<Instant>,
     /// Retries that were kept from less urgent requests, by their priority.
     withheld: BTreeMap<Priority, u64>,
 }
@@ -58,6 +60,15 @@
 
     /// Records that a retry is asked for.
     pub fn note_asked(&mut self, rank: Rank, now: Instant) {
+        // A few retries at once say nothing about those to come.
+        let asked: f64 = self
+            .asked
+            .values()
+            .map(|rate| rate.at(now).per_second)
+            .sum();
+        if asked <= self.earned.at(now).per_second {
+            self.short_since = Some(now);
+        }
         self.asked.entry(rank).or_default().add(1.0, now);
     }
 
@@ -85,10 +96,12 @@
         if urgent < MIN_PER_SECOND {
             return 0.0;
         }
-        let needed = urgent * LASTING_SECONDS;
-        let missing = needed - self.earned.per_second(now) * LASTING_SECONDS;
+        let short = self.short_since;
+        let short = short.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let lasting = short.min(MAX_LASTING).as_secs_f64();
+        let missing = (urgent - self.earned.per_second(now)) * lasting;
         // A part of a retry is of no use to anybody.
-        let stock = (urgent * STOCK_SECONDS).max(needed.min(1.0));
+        let stock = (urgent * STOCK_SECONDS).max((urgent * MAX_LASTING.as_secs_f64()).min(1.0));
         stock.min(retries.burst * MAX_STOCK_SHARE) + missing.max(0.0)
     }
 
