--- a/crates/core/tests/dispatch/shed.rs
+++ b/crates/core/tests/dispatch/shed.rs
@@ -1,11 +1,17 @@
 //! Services of which all upstreams refuse part of their requests: who gets the retries.
 
+use std::time::Duration;
+
+use persimmonbend_core::dispatch::Decision;
 use persimmonbend_core::dispatch::Policy;
 use persimmonbend_core::dispatch::Retries;
+use persimmonbend_core::health::Outcome;
 
 use crate::load::Kind;
 use crate::load::Load;
 use crate::load::Run;
+use crate::world::IDEMPOTENT;
+use crate::world::World;
 use crate::world::policy;
 
 const RETRIES: Retries = Retries {
@@ -120,3 +126,32 @@
     let mut withheld = run.world.dispatcher.retries_withheld();
     assert!(withheld.all(|(_, each)| each.is_empty()));
 }
+
+/// The first retries counted as a rate that lasts, and a late one was refused beside a full budget.
+#[test]
+fn a_few_retries_of_a_quiet_service_leave_one_to_a_late_request() {
+    let mut world = World::with(
+        Policy {
+            retries: RETRIES,
+            is_first_dispatcher: true,
+            ..policy()
+        },
+        &["a"; 4],
+    );
+    let mut late = world.request(IDEMPOTENT);
+    for _ in 0..12 {
+        for is_retry in [false, true] {
+            let mut request = world.request(IDEMPOTENT);
+            request.is_retry = is_retry;
+            let ticket = request.ticket.clone();
+            let decision = world.reserve(request);
+            assert!(matches!(decision, Decision::Granted { .. }), "{decision:?}");
+            world.advance(Duration::from_millis(40));
+            world.release(&ticket, Outcome::Answered, Duration::from_millis(40));
+        }
+    }
+    world.advance(Duration::from_millis(40));
+    late.is_retry = true;
+    let decision = world.reserve(late);
+    assert!(matches!(decision, Decision::Granted { .. }), "{decision:?}");
+}
