--- a/crates/core/tests/dispatch/main.rs
+++ b/crates/core/tests/dispatch/main.rs
@@ -22,6 +22,7 @@
 mod shed;
 mod size;
 mod statements;
+mod timeline;
 mod uneven;
 mod warmup;
 mod world;
