fix(proxy): requests that may run only once are not started before their turn

Cause: a GET of a route whose requests must not run twice was started while those before it on the connection still ran; HTTP allows it, the route does not say that it may run although an earlier one fails.

--- a/programs/pb-proxy/src/gateway/clients.rs
+++ b/programs/pb-proxy/src/gateway/clients.rs
@@ -206,7 +206,11 @@
         request: Request<()>,
     ) -> Option<LocalBoxFuture<'static, Response<Body>>> {
         let (head, ()) = request.into_parts();
-        Some(async move { self.respond(head, None).await }.boxed_local())
+        let in_force = self.state.in_force();
+        let name = in_force.table.find(host(&head)?, head.uri.path())?;
+        // A request that may run only once waits until those before it have been answered.
+        let is_repeatable = in_force.publication.routes.get(name)?.idempotent;
+        is_repeatable.then(|| async move { self.respond(head, None).await }.boxed_local())
     }
 
     fn limits(&self) -> Option<Limits> {
