test(review): a ping for a service that is not named takes a sound server out for good

Takes the place of the case of cut answers without a length, for which all servers of a deployment have to crash.

--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,85 +1,40 @@
-//! The servers of a service crash while they send answers without a length; the front machine passes the part that it
-//! has as a whole answer.
+//! A ping of another writer, for a service that no configuration names, takes a sound server out of use for good.
 
 #[path = "../standin/lab.rs"]
 #[allow(dead_code)]
 mod lab;
 
-use std::io::Write;
-use std::net::TcpListener;
-use std::process::Child;
-use std::process::Command;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use lab::*;
 
-const SERVERS: u8 = 2;
-const CONSUMERS: usize = 4;
+/// Bound `min_share` of the settings, and the window of the rule.
+const MIN_SHARE: f64 = 0.7;
+const WINDOW: Duration = Duration::from_secs(2);
 
-/// Bytes of an answer, and those that a server has sent when it crashes.
-const WHOLE_BYTES: usize = 8_000;
-const FIRST_BYTES: usize = 3_000;
+/// Time after a disruption from which on a server is sound: twice `contact_s`.
+const SOUND_AFTER: Duration = Duration::from_secs(6);
 
-/// Time between the two parts of an answer.
-const WORK: Duration = Duration::from_millis(600);
+const SERVERS: usize = 3;
+const SLOTS: u32 = 3;
+const WORK: Duration = Duration::from_millis(200);
 
-/// A server in a process of its own: sends the first part of each answer, works on, and sends the rest. The answers have
-/// no length and end with their connection.
-fn serve(id: &str, address: &str) {
-    let socket = TcpListener::bind(address).unwrap();
-    for stream in socket.incoming().flatten() {
-        let id = id.to_owned();
-        thread::spawn(move || {
-            let mut stream = stream;
-            let mut held = Vec::new();
-            while let Ok(head) = read_head(&mut stream, &mut held) {
-                let value = |name: &str| {
-                    fields(&head)
-                        .into_iter()
-                        .find(|(one, _)| one == name)
-                        .map(|(_, value)| value)
-                        .unwrap_or_default()
-                };
-                if head.starts_with("GET /healthz") {
-                    let _ = stream.write_all(
-                        format!(
-                            "HTTP/1.1 200 OK\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
-                        )
-                        .as_bytes(),
-                    );
-                    continue;
-                }
-                if value("target-instance") != id {
-                    let _ = stream.write_all(format!("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n").as_bytes());
-                    continue;
-                }
-                let request = value("request-id");
-                println!("server {id} runs {request}");
-                let head = format!(
-                    "HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Signature: 3e1b.{id}.{request}\r\nConnection: close\r\n\r\n"
-                );
-                let body = vec![b'x'; WHOLE_BYTES];
-                let _ = stream.write_all(head.as_bytes());
-                let _ = stream.write_all(&body[..FIRST_BYTES]);
-                thread::sleep(WORK);
-                let _ = stream.write_all(&body[FIRST_BYTES..]);
-                println!("server {id} has sent all {WHOLE_BYTES} bytes of the answer to {request}");
-                return;
-            }
-        });
-    }
+/// 38 requests a second; the three servers do 45, two of them 30.
+const CONSUMERS: usize = 38;
+const PERIOD: Duration = Duration::from_secs(1);
+const LOAD: Duration = Duration::from_secs(20);
+
+struct Try {
+    sent: Instant,
+    served: bool,
 }
 
 fn main() {
-    let arguments: Vec<String> = std::env::args().collect();
-    if let [_, command, id, address] = &arguments[..]
-        && command == "serve"
-    {
-        return serve(id, address);
-    }
     let shape = Shape {
         cores: 3,
         fronts: 2,
@@ -87,6 +42,8 @@
         memory_mb: 260,
     };
     let lab = Lab::start(shape);
+    let runs = Arc::new(Runs::default());
+    let behaviour: Arc<Behaviour> = Arc::new(|_, _| Deed::Answer(WORK, vec![b'x'; 400]));
     let routes = [Route {
         prefix: "/herd/",
         kind: "safe",
@@ -95,42 +52,13 @@
         service: "herd",
         attempts: 2,
     }];
-    if lab
-        .put_config(&config(7, &routes, &["herd"], LIMITS))
-        .is_none_or(|answer| answer.status != 200)
-    {
+    let sent = lab.put_config(&config(7, &routes, &["herd"], LIMITS));
+    if sent.is_none_or(|answer| answer.status != 200) {
         lab.finish(NOT_RUN);
     }
-    let mut servers: Vec<(u8, Child)> = Vec::new();
-    for number in 1..=SERVERS {
-        let (id, address) = (format!("i-7f3a91c{number}"), lab.server_address(number));
-        let child = Command::new(std::env::current_exe().unwrap())
-            .args(["serve", &id, &address])
-            .stdout(std::process::Stdio::null())
-            .spawn()
-            .unwrap();
-        servers.push((number, child));
-        let (pinging, born) = (Arc::clone(&lab), now_ms());
-        thread::spawn(move || {
-            for sequence in 1.. {
-                // A server that has crashed sends nothing.
-                if connect(&address, Duration::from_secs(1)).is_err() && sequence > 3 {
-                    return;
-                }
-                let body = format!(
-                    "{{\"service\":\"herd\",\"address\":\"{address}\",\"zone\":\"{}\",\"version\":\"v1\",\"max_concurrency\":3,\"state\":\"ready\",\"warmup_left_s\":0,\"sequence\":{sequence},\"born\":{born}}}",
-                    Lab::zone(number)
-                );
-                let _ = pinging.call_control(
-                    "PUT",
-                    &format!("/api/instances/{id}"),
-                    &body,
-                    Duration::from_secs(4),
-                );
-                thread::sleep(Duration::from_millis(1500));
-            }
-        });
-    }
+    let servers: Vec<Arc<Server>> = (1..=SERVERS as u8)
+        .map(|number| start_server(&lab, number, "herd", SLOTS, &runs, &behaviour))
+        .collect();
     for front in lab.fronts() {
         lab.wait(
             &format!("front {front} is ready"),
@@ -138,83 +66,131 @@
             || lab.is_ready(front),
         );
         lab.wait(
-            &format!("front {front} serves a whole answer"),
+            &format!("front {front} serves"),
             Duration::from_secs(20),
             || {
-                consume(
+                let answer = consume(
                     &lab.front(front),
                     "GET",
                     "/herd/0",
                     &lab.next_id(),
                     1500,
                     b"",
-                )
-                .is_ok_and(|answer| answer.status == 200 && answer.body.len() == WHOLE_BYTES)
+                );
+                answer.is_ok_and(|answer| answer.status == 200)
             },
         );
     }
-    thread::sleep(Duration::from_secs(4));
-    let results = Arc::new(Mutex::new(Vec::new()));
+    lab.wait(
+        "each server has run a request",
+        Duration::from_secs(20),
+        || {
+            let _ = consume(&lab.front(11), "GET", "/herd/0", &lab.next_id(), 1500, b"");
+            let seen: BTreeSet<String> = runs
+                .0
+                .lock()
+                .unwrap()
+                .iter()
+                .map(|run| run.server.clone())
+                .collect();
+            seen.len() == SERVERS
+        },
+    );
+    thread::sleep(Duration::from_secs(3));
+    // The ping of another writer: all fields are there, but the service is one that is not named. It comes once.
+    let target = &servers[0];
+    if has_trouble() {
+        let body = format!(
+            "{{\"service\":\"elsewhere\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"max_concurrency\":3,\"state\":\"ready\",\"warmup_left_s\":0,\"sequence\":1,\"born\":{}}}",
+            target.address,
+            target.zone,
+            now_ms()
+        );
+        lab.record.line(&format!(
+            "another writer: PUT /api/instances/x-0badf00d {body}"
+        ));
+        let answer = lab.call_control(
+            "PUT",
+            "/api/instances/x-0badf00d",
+            &body,
+            Duration::from_secs(4),
+        );
+        lab.record.say(&format!(
+            "another writer: answer {:?}",
+            answer.map(|answer| answer.status)
+        ));
+    }
+    thread::sleep(SOUND_AFTER);
+    let started = Instant::now();
+    let tries = Arc::new(Mutex::new(Vec::new()));
     let consumers: Vec<_> = (0..CONSUMERS)
         .map(|number| {
-            let (lab, results) = (Arc::clone(&lab), Arc::clone(&results));
+            let (lab, tries) = (Arc::clone(&lab), Arc::clone(&tries));
             thread::spawn(move || {
+                thread::sleep(PERIOD.mul_f64(number as f64 / CONSUMERS as f64));
                 let front = lab.fronts()[number % lab.fronts().len()];
-                let id = lab.next_id();
-                lab.record.line(&format!(
-                    "consumer: GET /herd/{number} {id} at front {front}"
-                ));
-                let result = consume(
-                    &lab.front(front),
-                    "GET",
-                    &format!("/herd/{number}"),
-                    &id,
-                    3000,
-                    b"",
-                );
-                let shown = result.as_ref().map(|answer| {
-                    format!(
-                        "{}, signature {:?}, a whole answer of {} bytes",
-                        answer.status,
-                        answer.header("response-signature"),
-                        answer.body.len()
-                    )
-                });
-                lab.record.say(&format!(
-                    "consumer: {id} gets {}",
-                    shown.unwrap_or_else(Clone::clone)
-                ));
-                results.lock().unwrap().push(result);
+                let mut next = Instant::now();
+                while started.elapsed() < LOAD {
+                    let (id, sent) = (lab.next_id(), Instant::now());
+                    let result = consume(&lab.front(front), "GET", "/herd/1", &id, 900, b"");
+                    let shown = result
+                        .as_ref()
+                        .map(|answer| answer.status)
+                        .map_err(Clone::clone);
+                    lab.record.line(&format!(
+                        "consumer: GET /herd/1 {id} at front {front}: {shown:?}"
+                    ));
+                    let served = result.is_ok_and(|answer| answer.status == 200);
+                    tries.lock().unwrap().push(Try { sent, served });
+                    next += PERIOD;
+                    thread::sleep(next.saturating_duration_since(Instant::now()));
+                }
             })
         })
         .collect();
-    // All have sent the first part and none the rest.
-    thread::sleep(WORK / 2);
-    if has_trouble() {
-        for (number, server) in &mut servers {
-            let _ = server.kill();
-            lab.record
-                .line(&format!("server {number} crashes (SIGKILL)"));
-        }
-    }
     for consumer in consumers {
         let _ = consumer.join();
     }
-    for (_, server) in &mut servers {
-        let _ = server.kill();
-        let _ = server.wait();
+    let acked = ping(&lab, target, SLOTS);
+    lab.record.say(&format!(
+        "server 1 still says that it is ready; its ping is acknowledged: {acked}"
+    ));
+    // The rule, for windows that begin each half second.
+    let (tries, runs) = (tries.lock().unwrap(), runs.0.lock().unwrap());
+    let mut broken = 0;
+    let mut windows = 0;
+    for step in 0..36 {
+        let from = started + Duration::from_millis(500) * step;
+        let until = from + WINDOW;
+        let used: BTreeSet<&String> = runs
+            .iter()
+            .filter(|run| run.at >= from && run.at < until)
+            .map(|run| &run.server)
+            .collect();
+        let own: Vec<&Try> = tries
+            .iter()
+            .filter(|one| one.sent >= from && one.sent < until)
+            .collect();
+        let unserved =
+            own.iter().filter(|one| !one.served).count() as f64 / own.len().max(1) as f64;
+        let share = used.len() as f64 / SERVERS as f64;
+        windows += 1;
+        if share > 0.0 && share < MIN_SHARE && unserved > 0.1 && unserved < 0.5 {
+            broken += 1;
+        }
+        lab.record.line(&format!(
+            "window from {:.1} s: {} of {SERVERS} sound servers got requests, {:.2} of {} requests not served",
+            from.duration_since(started).as_secs_f64(), used.len(), unserved, own.len()
+        ));
     }
-    let results = results.lock().unwrap();
-    let cut = results
-        .iter()
-        .flatten()
-        .filter(|answer| answer.status == 200 && answer.body.len() != WHOLE_BYTES)
-        .count();
-    let whole = results
+    let served = tries.iter().filter(|one| one.served).count();
+    let first = runs
         .iter()
-        .flatten()
-        .filter(|answer| answer.status == 200 && answer.body.len() == WHOLE_BYTES)
+        .filter(|run| run.at >= started && run.server == target.id)
         .count();
-    lab.record.say(&format!("{CONSUMERS} requests: {whole} whole answers, {cut} successes whose body is not the server's whole body"));
-    lab.finish(if cut > 0 { BROKEN } else { HELD });
+    lab.record.say(&format!(
+        "{served} of {} requests served, server 1 ran {first}; {broken} of {windows} windows of {} s break the rule",
+        tries.len(), WINDOW.as_secs()
+    ));
+    lab.finish(if broken > 0 { BROKEN } else { HELD });
 }
