--- a/review/standin/lab.rs
+++ b/review/standin/lab.rs
@@ -82,6 +82,28 @@
     exits: u32,
 }
 
+/// Process ids of the programs that run, for an end by a panic.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all programs and the script, which could not run, if a thread panics.
+fn end_at_a_panic() {
+    let usual = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        usual(info);
+        let running = RUNNING
+            .lock()
+            .map(|running| running.clone())
+            .unwrap_or_default();
+        for pid in running {
+            let _ = Command::new("kill")
+                .arg("-KILL")
+                .arg(pid.to_string())
+                .status();
+        }
+        std::process::exit(NOT_RUN);
+    }));
+}
+
 pub struct Lab {
     pub net: u8,
     pub shape: Shape,
@@ -98,6 +120,7 @@
     /// Starts all processes of a deployment. The program of a case is named after the folder of the case, which takes
     /// the record.
     pub fn start(shape: Shape) -> Arc<Self> {
+        end_at_a_panic();
         let own = std::env::current_exe().unwrap();
         let own = own.file_name().unwrap().to_string_lossy().into_owned();
         let case = own.trim_start_matches("case-");
@@ -263,6 +286,13 @@
             .stderr(log())
             .spawn()
             .unwrap();
+        RUNNING.lock().unwrap().push(child.id());
+        // For run.sh, which ends the programs if it is ended itself.
+        if let Ok(list) = std::env::var("STARTED") {
+            let file = File::options().append(true).open(list);
+            let _ =
+                file.and_then(|mut file| file.write_all(format!("{}\n", child.id()).as_bytes()));
+        }
         process.started = true;
         process.stopped = false;
         process.child = Some(child);
@@ -284,6 +314,7 @@
                     continue;
                 }
                 if let Ok(Some(status)) = child.try_wait() {
+                    forget(child.id());
                     process.exits += 1;
                     process.child = None;
                     again.push((process.host, status));
@@ -341,6 +372,7 @@
         if let Some(mut child) = process.child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            forget(child.id());
         }
         drop(processes);
         self.record
@@ -480,6 +512,11 @@
     }
 }
 
+/// Takes a process that has ended off the list of those that run.
+fn forget(pid: u32) {
+    RUNNING.lock().unwrap().retain(|running| *running != pid);
+}
+
 /// Returns a second byte of loopback addresses on which nobody listens.
 fn free_net() -> u8 {
     let start = (std::process::id() % 180) as u8;
