--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -43,6 +43,7 @@
 
 impl Record {
     pub fn new(path: &str) -> Self {
+        end_with_panics();
         let file = File::create(path).unwrap_or_else(|error| fail(&format!("{path}: {error}")));
         Self {
             started: Instant::now(),
@@ -62,6 +63,17 @@
     }
 }
 
+/// Makes a panic of the main thread end the case, and the processes that it started.
+fn end_with_panics() {
+    let print = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        print(info);
+        if thread::current().name() == Some("main") {
+            fail("the main thread panicked");
+        }
+    }));
+}
+
 /// Ends the case as one that could not run.
 pub fn fail(text: &str) -> ! {
     eprintln!("the case could not run: {text}");
