fix(proxy): an answer that is reset during an upload never looks whole

Callers saw: an upstream answers a long upload with a 200 without a length, sends ten bytes and resets the connection; the client gets the ten bytes as a complete answer.

Cause: only the end of the connection ends such an answer. The kernel reports a reset once, to the read or the write that comes first. Where a write of the request is under way it takes the report, and the next read returns no bytes, as at an orderly end. hyper reads before it looks at the result of the write, so it takes the body for complete.

Change: connections to upstreams and to other hosts are read through a transport of our own. It gives the end of the connection to hyper only once the request was taken whole, without an error, and the socket is still connected. An error of a write is no longer reported to hyper: the upstream may have answered before it read the request, and the reading side finds out whether that answer is whole. A connection whose write failed is not used again.

Why it works: the two sides of a socket are looked at together, so it does not matter which of them the kernel tells of the reset.

--- a/programs/pb-proxy/src/forward.rs
+++ b/programs/pb-proxy/src/forward.rs
@@ -333,10 +333,13 @@
     left: Duration,
 ) -> Result<Answer, Failure> {
     let reused = connection.reused;
-    let sent = connection.sender.try_send_request(plan.request(left)).await;
-    let response = sent.map_err(|mut error| match error.take_message() {
-        Some(_) => Failure::unwritten(Kind::ConnectFailed, Outcome::Cancelled),
-        None => Failure::written(Kind::UpstreamBroken, Outcome::Truncated),
+    let sent = connection.send(plan.request(left)).await;
+    let response = sent.map_err(|lost| {
+        if lost.was_sent {
+            Failure::written(Kind::UpstreamBroken, Outcome::Truncated)
+        } else {
+            Failure::unwritten(Kind::ConnectFailed, Outcome::Cancelled)
+        }
     })?;
     if is_shed(&response) {
         return Err(Failure::unwritten(Kind::Shed, Outcome::Shed));
--- a/programs/pb-proxy/src/gateway/detour/server.rs
+++ b/programs/pb-proxy/src/gateway/detour/server.rs
@@ -233,12 +233,9 @@
         let method = forwarded.head.method.clone();
         let _hold = forwarded.hold;
         let request = Request::from_parts(forwarded.head, Full::new(forwarded.body));
-        let response = match connection.sender.try_send_request(request).await {
+        let response = match connection.send(request).await {
             Ok(response) => response,
-            Err(mut error) => {
-                let was_sent = error.take_message().is_none();
-                return Err(self.fault(was_sent, &service, address).await);
-            }
+            Err(lost) => return Err(self.fault(lost.was_sent, &service, address).await),
         };
         let (mut head, body) = response.into_parts();
         let verdict = dialect.classify(&metadata, &head);
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -447,10 +447,13 @@
             detour::address_to(request.headers_mut(), number, self.plan.route.idempotent);
         }
         let was_used = connection.reused;
-        let sent = connection.sender.try_send_request(request).await;
-        let response = sent.map_err(|mut error| match error.take_message() {
-            Some(_) => Fault::unsent(Outcome::Unreachable),
-            None => BROKEN,
+        let sent = connection.send(request).await;
+        let response = sent.map_err(|lost| {
+            if lost.was_sent {
+                BROKEN
+            } else {
+                Fault::unsent(Outcome::Unreachable)
+            }
         })?;
         let (head, mut body) = response.into_parts();
         if let (Way::Detour(_), Some(fault)) = (way, detour::Fault::of(&head.headers)) {
--- a/programs/pb-proxy/src/pool.rs
+++ b/programs/pb-proxy/src/pool.rs
@@ -3,6 +3,8 @@
 //! A connection returns to the pool only after a complete response. After a timeout, a cancelled
 //! request or a truncated response it is closed.
 
+mod transport;
+
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -14,25 +16,58 @@
 use compio::net::TcpStream;
 use compio::runtime::spawn;
 use compio::time::timeout;
-use cyper_core::HyperStream;
 use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 
+use crate::pool::transport::Exchange;
+use crate::pool::transport::Transport;
+
 /// Time after which an idle connection is closed.
 const IDLE_LIFETIME: Duration = Duration::from_secs(20);
 
 /// An open connection to an upstream.
 #[derive(Debug)]
 pub struct Connection {
-    /// Sends one request at a time.
-    pub sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
+    exchange: Rc<Exchange>,
     /// Whether the connection has carried an earlier request.
     pub reused: bool,
     idle_since: Instant,
     _guard: Guard,
 }
 
+/// A request that got no answer.
+#[derive(Debug)]
+pub struct Lost {
+    /// Whether a part of the request may have been sent.
+    pub was_sent: bool,
+    /// Why there is no answer.
+    pub error: hyper::Error,
+}
+
+impl Connection {
+    /// Sends a request and returns the head of its answer; the body ends with an error where the connection is reset.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection ends before the answer.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Lost> {
+        self.exchange.begin();
+        let sent = self.sender.try_send_request(request).await;
+        sent.map_err(|mut error| Lost {
+            was_sent: error.take_message().is_none(),
+            error: error.into_error(),
+        })
+    }
+}
+
 /// Number of open connections by upstream address.
 type OpenCounts = Rc<RefCell<BTreeMap<SocketAddr, u32>>>;
 
@@ -149,8 +184,11 @@
         open(Guard::new(&self.open, address), stream, now).await
     }
 
-    /// Returns a connection to the pool after a complete response.
+    /// Returns a connection to the pool after a complete response, unless it cannot carry another request.
     pub fn put_back(&self, address: SocketAddr, mut connection: Connection, now: Instant) {
+        if !connection.exchange.is_reusable() {
+            return;
+        }
         connection.reused = true;
         connection.idle_since = now;
         let mut idle = self.idle.borrow_mut();
@@ -185,7 +223,9 @@
 }
 
 async fn open(guard: Guard, stream: TcpStream, now: Instant) -> std::io::Result<Connection> {
-    let handshake = http1::handshake(HyperStream::new_plain(stream)).await;
+    let exchange = Rc::new(Exchange::default());
+    let transport = Transport::new(stream, Rc::clone(&exchange));
+    let handshake = http1::handshake(transport).await;
     let (sender, driver) = handshake.map_err(std::io::Error::other)?;
     spawn(async move {
         let _ = driver.await;
@@ -193,6 +233,7 @@
     .detach();
     Ok(Connection {
         sender,
+        exchange,
         reused: false,
         idle_since: now,
         _guard: guard,
