fix(proxy): the bytes of an answer are checked before they are parsed

Cause: the validity of an answer, and what ends it, were decided by the parser of hyper, which is lenient where RFC 9112 is not, and by guesses from the parsed fields beside it. Interim answers, blanks and zeros before a chunk have no bound there, and it reads on as long as there are bytes.

Change: answer::Reader follows the bytes of each connection to an upstream below hyper. It checks the status line, field lines, framing, chunk lines and trailers by the grammar, and bounds each of them. hyper gets a head once it is whole, bodies up to their end, and neither interim answers nor trailers. Whether only the end of the connection ends an answer is the reader's finding; framing::is_open_ended, which took a coding other than chunked for a framing, and framing::is_final are gone. First attempts, retries, hedges, kept connections, detours and the proxy of service files share it, as they share the pool. What is wrong with an answer is logged (answer_malformed).

Why it works: what is passed on has one reading, and all that is not body ends by a bound, so that no poll goes on without end. Already refused before were the status 000, blanks and control bytes in names and values, differing lengths and malformed chunks; their tests are kept.

--- a/crates/app/src/http.rs
+++ b/crates/app/src/http.rs
@@ -1,5 +1,6 @@
 //! An HTTP/1.1 server on compio and hyper, and functions that build answers.
 
+pub mod answer;
 pub mod pipeline;
 pub mod read_ahead;
 pub mod scanner;
--- a/programs/pb-proxy/src/gateway/detour/server.rs
+++ b/programs/pb-proxy/src/gateway/detour/server.rs
@@ -43,6 +43,7 @@
 use crate::gateway::detour::UPSTREAM;
 use crate::gateway::dialect::Verdict;
 use crate::gateway::end_check;
+use crate::gateway::exchange;
 use crate::gateway::framing;
 use crate::gateway::memory::Hold;
 use crate::gateway::paths;
@@ -235,20 +236,23 @@
         let request = Request::from_parts(forwarded.head, Full::new(forwarded.body));
         let response = match connection.send(request).await {
             Ok(response) => response,
-            Err(lost) => return Err(self.fault(lost.was_sent, &service, address).await),
+            Err(lost) => {
+                exchange::log_malformed(metadata.id.as_deref(), address, &lost.error);
+                return Err(self.fault(lost.was_sent, &service, address).await);
+            }
         };
         let (mut head, body) = response.into_parts();
         let verdict = dialect.classify(&metadata, &head);
         let is_surplus =
             was_used && verdict == Verdict::Answered && !dialect.is_named(&metadata, &head);
-        if is_surplus || !framing::is_final(head.status) {
+        if is_surplus {
             return Err(Fault::Broken);
         }
         if verdict.is_of_upstream() {
             let statement = dialect.statement(&head);
             self.state.note_statement(number, statement);
         }
-        let is_open_ended = framing::is_open_ended(&head, &method);
+        let is_open_ended = connection.is_open_ended();
         callers::strip_hop_by_hop(&mut head.headers);
         head.headers.remove(FAULT);
         framing::set_length(&mut head.headers, &method, body.size_hint().exact());
@@ -293,7 +297,10 @@
     async fn next(mut self) -> Option<(io::Result<Frame<Bytes>>, Option<Self>)> {
         match self.body.next().await {
             Some(Ok(data)) => Some((Ok(Frame::data(data)), Some(self))),
-            Some(Err(error)) => Some((Err(io::Error::other(error)), None)),
+            Some(Err(error)) => {
+                exchange::log_malformed(None, self.address, &error);
+                Some((Err(io::Error::other(error)), None))
+            }
             None if self.has_ended().await => {
                 Some((Err(io::ErrorKind::UnexpectedEof.into()), None))
             }
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -21,11 +21,13 @@
 use hyper::http::response::Parts;
 use persimmonbend_app::http;
 use persimmonbend_app::http::Body;
+use persimmonbend_app::http::answer;
 use persimmonbend_core::error::Kind;
 use persimmonbend_core::health::Outcome;
 use persimmonbend_core::memory::Bound;
 use persimmonbend_core::poison::Standing;
 use tracing::info;
+use tracing::warn;
 
 use crate::callers;
 use crate::gateway::detour;
@@ -449,6 +451,7 @@
         let was_used = connection.reused;
         let sent = connection.send(request).await;
         let response = sent.map_err(|lost| {
+            self.log_malformed(&lost.error);
             if lost.was_sent {
                 BROKEN
             } else {
@@ -459,9 +462,6 @@
         if let (Way::Detour(_), Some(fault)) = (way, detour::Fault::of(&head.headers)) {
             return Err(Obstacle::Host(fault));
         }
-        if !framing::is_final(head.status) {
-            return Err(BROKEN.into());
-        }
         let verdict = state.dialect().classify(self.metadata, &head);
         if verdict.is_of_upstream() {
             let statement = state.dialect().statement(&head);
@@ -479,10 +479,12 @@
         }
         let hold = state.memory().hold(self.plan.tenant.as_ref());
         let buffered = buffer_body(&mut body, &hold).await;
-        let (buffered, is_complete) = buffered.map_err(|_| BROKEN)?;
+        let (buffered, is_complete) = buffered.map_err(|error| {
+            self.log_malformed(&error);
+            BROKEN
+        })?;
         // Behind another host, that host finds out.
-        let is_open_ended = way == Way::Direct(self.address)
-            && framing::is_open_ended(&head, &self.plan.head.method);
+        let is_open_ended = way == Way::Direct(self.address) && connection.is_open_ended();
         let service = &self.plan.service;
         if is_complete && is_open_ended && end_check::has_ended(state, service, self.address).await
         {
@@ -498,6 +500,11 @@
         })
     }
 
+    /// Logs what is wrong with an answer, if an error is due to that.
+    fn log_malformed(&self, error: &hyper::Error) {
+        log_malformed(self.metadata.id.as_deref(), self.address, error);
+    }
+
     /// Describes the request, in case its upstream breaks it off.
     fn interruption(&self) -> Interruption {
         Interruption {
@@ -510,6 +517,13 @@
     }
 }
 
+/// Logs what is wrong with the answer of an upstream, if an error is due to that.
+pub(super) fn log_malformed(request: Option<&str>, upstream: SocketAddr, error: &hyper::Error) {
+    if let Some(error) = answer::Error::behind(error) {
+        warn!(request, %upstream, %error, "answer_malformed");
+    }
+}
+
 /// Creates the request for one attempt.
 fn request(
     state: &State,
--- a/programs/pb-proxy/src/gateway/framing.rs
+++ b/programs/pb-proxy/src/gateway/framing.rs
@@ -2,33 +2,12 @@
 //!
 //! The server of this host writes an answer anew. What an upstream states about the length of its answer is
 //! replaced by what was read, as a client would wait for bytes that do not come, or take the next answer for
-//! a part of this one. An answer that ends nothing, such as a change of protocol that nobody asked for, is none:
-//! the server would close the connection of the client behind it.
+//! a part of this one.
 
 use hyper::HeaderMap;
 use hyper::Method;
-use hyper::StatusCode;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::HeaderValue;
-use hyper::header::TRANSFER_ENCODING;
-use hyper::http::response::Parts;
-
-/// Returns whether a status can be that of an answer to a request without an upgrade.
-#[must_use]
-pub fn is_final(status: StatusCode) -> bool {
-    !status.is_informational()
-}
-
-/// Returns whether only the end of the connection ends an answer. An upstream that ends in the middle of such an
-/// answer leaves no other trace.
-#[must_use]
-pub fn is_open_ended(head: &Parts, method: &Method) -> bool {
-    let has_body = method != Method::HEAD
-        && head.status != StatusCode::NO_CONTENT
-        && head.status != StatusCode::NOT_MODIFIED;
-    let is_framed = [CONTENT_LENGTH, TRANSFER_ENCODING];
-    has_body && !is_framed.iter().any(|name| head.headers.contains_key(name))
-}
 
 /// Sets the length of an answer whose body has `length` bytes, or an unknown number.
 ///
--- a/programs/pb-proxy/src/gateway/rest.rs
+++ b/programs/pb-proxy/src/gateway/rest.rs
@@ -17,6 +17,7 @@
 
 use crate::gateway::end_check;
 use crate::gateway::end_check::Interruption;
+use crate::gateway::exchange;
 use crate::gateway::exchange::Way;
 use crate::gateway::placement::Reservation;
 use crate::gateway::state::State;
@@ -67,6 +68,8 @@
                 return None;
             }
             Ok(Some(Err(error))) => {
+                let interruption = &self.interruption;
+                exchange::log_malformed(Some(&interruption.request), interruption.address, &error);
                 self.reservation.end(Outcome::Truncated, self.bytes);
                 spawn(end_check::run(self.state, self.interruption)).detach();
                 io::Error::other(error)
--- a/programs/pb-proxy/src/pool.rs
+++ b/programs/pb-proxy/src/pool.rs
@@ -50,22 +50,30 @@
 }
 
 impl Connection {
-    /// Sends a request and returns the head of its answer; the body ends with an error where the connection is reset.
+    /// Sends a request and returns the head of its answer, which is valid; the body ends with an error unless it is
+    /// whole.
     ///
     /// # Errors
     ///
-    /// Returns an error when the connection ends before the answer.
+    /// Returns an error when the connection ends before the answer or the upstream sends something else.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Lost> {
-        self.exchange.begin();
+        self.exchange.begin(request.method());
         let sent = self.sender.try_send_request(request).await;
         sent.map_err(|mut error| Lost {
             was_sent: error.take_message().is_none(),
             error: error.into_error(),
         })
     }
+
+    /// Returns whether only the end of the connection ends the answer to the last request. An upstream that ends in
+    /// the middle of such an answer leaves no other trace.
+    #[must_use]
+    pub fn is_open_ended(&self) -> bool {
+        self.exchange.is_open_ended()
+    }
 }
 
 /// Number of open connections by upstream address.
--- a/programs/pb-proxy/src/pool/transport.rs
+++ b/programs/pb-proxy/src/pool/transport.rs
@@ -1,9 +1,11 @@
 //! The transport below an HTTP connection to an upstream.
 //!
-//! The HTTP client gets the end of the connection only where that is an orderly one. Every connection to an upstream
-//! or to another host is read through a [`Transport`].
+//! The HTTP client gets only the bytes that an [`answer::Reader`] has checked, and the end of the connection only
+//! where that is the orderly end of an answer. Every connection to an upstream or to another host is read through
+//! a [`Transport`].
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -14,14 +16,14 @@
 
 use compio::io::compat::AsyncStream;
 use compio::net::TcpStream;
-use futures_util::AsyncRead;
+use futures_util::AsyncBufRead;
 use futures_util::AsyncWrite;
+use hyper::Method;
 use hyper::rt::Read;
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
-
-/// Most bytes that are read at a time.
-const READ_BYTES: usize = 8 * 1024;
+use persimmonbend_app::http::answer;
+use persimmonbend_app::http::answer::End;
 
 /// How much of the present request the upstream's side of the connection has taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -37,24 +39,31 @@
 /// The request and the answer on a connection, which the connection shares with its transport.
 #[derive(Debug, Default)]
 pub(super) struct Exchange {
+    reader: RefCell<answer::Reader>,
     sent: Cell<Sent>,
 }
 
 impl Exchange {
     /// Starts a request; called before it is sent.
-    pub(super) fn begin(&self) {
+    pub(super) fn begin(&self, method: &Method) {
+        self.reader.borrow_mut().expect(method);
         if self.sent.get() != Sent::Failed {
             self.sent.set(Sent::Nothing);
         }
     }
 
+    /// Returns whether only the end of the connection ends the answer.
+    pub(super) fn is_open_ended(&self) -> bool {
+        self.reader.borrow().is_open_ended()
+    }
+
     /// Returns whether the connection can carry another request.
     pub(super) fn is_reusable(&self) -> bool {
-        self.sent.get() != Sent::Failed
+        self.reader.borrow().is_idle() && self.sent.get() != Sent::Failed
     }
 }
 
-/// A TCP stream whose end is read only where it is an orderly one.
+/// A TCP stream of which only valid answers are read.
 ///
 /// An error of a write is not reported: the upstream may have answered before it read the request, and the reading
 /// side finds out whether that answer is whole.
@@ -62,6 +71,11 @@
     stream: Pin<Box<AsyncStream<TcpStream>>>,
     socket: TcpStream,
     exchange: Rc<Exchange>,
+    /// Bytes that were checked, of which the first `passed` were passed on.
+    checked: Vec<u8>,
+    passed: usize,
+    /// Why nothing is read behind the checked bytes.
+    failure: Option<io::Error>,
     /// Waits until the request is sent whole.
     waker: Option<Waker>,
 }
@@ -72,24 +86,49 @@
             socket: stream.clone(),
             stream: Box::pin(AsyncStream::new(stream)),
             exchange,
+            checked: Vec::new(),
+            passed: 0,
+            failure: None,
             waker: None,
         }
     }
 
-    /// Finds out whether the end of the connection is an orderly one.
+    /// Reads from the socket until there are checked bytes; returns whether there are, or else the stream has ended.
+    fn poll_checked(&mut self, context: &mut Context<'_>) -> Poll<io::Result<bool>> {
+        while self.passed == self.checked.len() {
+            self.checked.clear();
+            self.passed = 0;
+            if let Some(failure) = self.failure.take() {
+                return Poll::Ready(Err(failure));
+            }
+            let bytes = ready!(self.stream.as_mut().poll_fill_buf(context))?;
+            if bytes.is_empty() {
+                return self.poll_end().map_ok(|()| false);
+            }
+            let length = bytes.len();
+            let mut reader = self.exchange.reader.borrow_mut();
+            let result = reader.feed(bytes, &mut self.checked);
+            self.failure = result.err().map(io::Error::from);
+            drop(reader);
+            self.stream.as_mut().consume(length);
+        }
+        Poll::Ready(Ok(true))
+    }
+
+    /// Finds out whether the end of the connection is an orderly one where it is, or else returns an error.
     ///
-    /// A reset can look like an orderly end: the kernel reports it once, and it may do so to a write. So the end is
-    /// an orderly one where the request was taken whole, without an error.
-    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match self.exchange.sent.get() {
-            Sent::Nothing | Sent::Whole if self.socket.peer_addr().is_ok() => Poll::Ready(Ok(())),
-            Sent::Nothing | Sent::Whole | Sent::Failed => {
+    /// A reset can look like an orderly end: the kernel reports it once, and it may do so to a write. So an answer
+    /// that only the end of the connection ends is whole where the request was taken whole, without an error.
+    fn poll_end(&mut self) -> Poll<io::Result<()>> {
+        let end = self.exchange.reader.borrow().end();
+        match (end, self.exchange.sent.get()) {
+            (End::Clean | End::Unanswered, _) => Poll::Ready(Ok(())),
+            (End::Truncated, _) => Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into())),
+            (End::OfBody, Sent::Whole) if self.socket.peer_addr().is_ok() => Poll::Ready(Ok(())),
+            (End::OfBody, Sent::Whole | Sent::Failed) => {
                 Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
             }
-            Sent::Part => {
-                self.waker = Some(context.waker().clone());
-                Poll::Pending
-            }
+            (End::OfBody, Sent::Nothing | Sent::Part) => Poll::Pending,
         }
     }
 
@@ -112,19 +151,17 @@
         context: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut bytes = [0; READ_BYTES];
-        let length = buffer.remaining().min(READ_BYTES);
-        let read = self
-            .stream
-            .as_mut()
-            .poll_read(context, &mut bytes[..length]);
-        match ready!(read)? {
-            0 => self.poll_end(context),
-            read => {
-                buffer.put_slice(&bytes[..read]);
-                Poll::Ready(Ok(()))
-            }
+        let polled = self.poll_checked(context);
+        if polled.is_pending() {
+            self.waker = Some(context.waker().clone());
+        }
+        if ready!(polled)? {
+            let rest = &self.checked[self.passed..];
+            let length = rest.len().min(buffer.remaining());
+            buffer.put_slice(&rest[..length]);
+            self.passed += length;
         }
+        Poll::Ready(Ok(()))
     }
 }
 
