fix(proxy): an answer without a length is whole only where its upstream is seen alive

Cause: an answer counted as whole unless the upstream's port refused a connection while another upstream accepted one. The port is tried when the client has taken the rest, which may be seconds after the crash, and by then the next start accepts there. Where no other upstream accepts either, or the port is silent, nothing was seen at all.

Change: end_check::is_alive asks the opposite: the address accepts connections, and no later start of an upstream holds it. The first part, the rest and the host behind a detour use it. Whether an end counts against the content of the request is decided as before, with a witness.

Why it works: the roster gives each start a number of its own, and the next start is known once it has announced itself.

--- a/programs/pb-proxy/src/gateway.rs
+++ b/programs/pb-proxy/src/gateway.rs
@@ -15,7 +15,6 @@
 pub mod exchange;
 mod feed;
 pub mod forward;
-mod framing;
 pub mod memory;
 pub mod meters;
 pub mod paths;
--- a/programs/pb-proxy/src/gateway/detour/server.rs
+++ b/programs/pb-proxy/src/gateway/detour/server.rs
@@ -30,12 +30,13 @@
 use persimmonbend_app::http::Handler;
 use persimmonbend_app::http::Limits;
 use persimmonbend_app::http::Origin;
-use persimmonbend_core::id::ServiceId;
 use persimmonbend_core::roster::Entry;
+use persimmonbend_core::roster::Number;
 use persimmonbend_wire::listener;
 use tracing::info;
 
 use crate::callers;
+use crate::framing;
 use crate::gateway::detour::FAULT;
 use crate::gateway::detour::Fault;
 use crate::gateway::detour::REUSE;
@@ -44,11 +45,11 @@
 use crate::gateway::dialect::Verdict;
 use crate::gateway::end_check;
 use crate::gateway::exchange;
-use crate::gateway::framing;
 use crate::gateway::memory::Hold;
 use crate::gateway::paths;
 use crate::gateway::state::State;
 use crate::pool::Connection;
+use crate::port;
 
 /// Most connections of other hosts that are served at a time.
 const MAX_CONNECTIONS: usize = 512;
@@ -190,7 +191,7 @@
         let connecting =
             state
                 .pool()
-                .connect(announcement.address, paths::CONNECT_TIMEOUT, state.now());
+                .connect(announcement.address, port::CONNECT_TIMEOUT, state.now());
         let Ok(connection) = connecting.await else {
             state.paths().note_failure(service, number, state.now());
             let is_suspected = paths::is_suspected(state, service);
@@ -260,8 +261,9 @@
             state: Rc::clone(&self.state),
             body: body.into_data_stream(),
             connection,
-            service: is_open_ended.then_some(service),
+            upstream: number,
             address,
+            is_open_ended,
             _running: running,
         };
         let body: Body = Box::pin(StreamBody::new(answer.into_stream()));
@@ -274,9 +276,10 @@
     state: Rc<State>,
     body: BodyDataStream<Incoming>,
     connection: Connection,
-    /// Service of the upstream, if only the end of the connection ends the body.
-    service: Option<ServiceId>,
+    upstream: Number,
     address: SocketAddr,
+    /// Whether only the end of the connection ends the body.
+    is_open_ended: bool,
     _running: Running,
 }
 
@@ -286,12 +289,9 @@
         stream::unfold(Some(self), |answer| async move { answer?.next().await })
     }
 
-    /// Returns whether the upstream has ended behind a body that only the end of the connection ends.
-    async fn has_ended(&self) -> bool {
-        match &self.service {
-            Some(service) => end_check::has_ended(&self.state, service, self.address).await,
-            None => false,
-        }
+    /// Returns whether a body is whole that has come to its end.
+    async fn is_whole(&self) -> bool {
+        !self.is_open_ended || end_check::is_alive(&self.state, self.upstream, self.address).await
     }
 
     async fn next(mut self) -> Option<(io::Result<Frame<Bytes>>, Option<Self>)> {
@@ -301,7 +301,7 @@
                 exchange::log_malformed(None, self.address, &error);
                 Some((Err(io::Error::other(error)), None))
             }
-            None if self.has_ended().await => {
+            None if !self.is_whole().await => {
                 Some((Err(io::ErrorKind::UnexpectedEof.into()), None))
             }
             None => {
--- a/programs/pb-proxy/src/gateway/end_check.rs
+++ b/programs/pb-proxy/src/gateway/end_check.rs
@@ -1,16 +1,16 @@
-//! Finds out whether an upstream that broke off a request has ended.
+//! Finds out whether an upstream has ended.
 //!
 //! A broken connection alone may be due to the path or to one lost answer. An upstream has ended if its port
 //! refuses a new connection while another upstream accepts one; a host that is cut off is refused by both.
+//!
+//! An answer without a length may end because its upstream has ended. It counts as whole only if that start of the
+//! upstream is seen alive behind it.
 
 use std::collections::BTreeSet;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use compio::net::TcpStream;
-use compio::time::timeout;
 use persimmonbend_core::id::ServiceId;
 use persimmonbend_core::poison::End;
 use persimmonbend_core::poison::Fingerprint;
@@ -19,14 +19,15 @@
 use rand::seq::SliceRandom;
 use tracing::info;
 
-use crate::gateway::paths::CONNECT_TIMEOUT;
 use crate::gateway::state::State;
+use crate::port;
+use crate::port::Port;
 
 /// Other upstreams of the service, and of other services, that are tried until one accepts. All of a small
 /// service may have ended, and some of a large one that nobody knows of yet.
 const MAX_WITNESSES: usize = 8;
 
-/// Those among them that do not answer in time, which takes [`CONNECT_TIMEOUT`] each, before no more are tried.
+/// Those among them that do not answer in time, which takes [`port::CONNECT_TIMEOUT`] each, before no more are tried.
 const MAX_SILENT: usize = 4;
 
 /// Time after which an upstream that still accepts connections is tried once more: the sockets of a process that ends
@@ -48,14 +49,6 @@
     pub address: SocketAddr,
 }
 
-/// What became of a new connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Port {
-    Accepts,
-    Refuses,
-    Silent,
-}
-
 /// Finds out whether the upstream of an interrupted request has ended, and records the end.
 pub async fn run(state: Rc<State>, interruption: Interruption) {
     let Interruption {
@@ -83,14 +76,19 @@
     state.placer().note_end(end, state.now());
 }
 
+/// Returns whether an upstream accepts connections, and no later start of one holds its address.
+pub async fn is_alive(state: &State, upstream: Number, address: SocketAddr) -> bool {
+    port::accepts(address).await && !state.is_replaced(upstream, address)
+}
+
 /// Returns whether an upstream refuses connections and another one accepts them.
 pub async fn has_ended(state: &State, service: &str, address: SocketAddr) -> bool {
-    if try_port(address).await != Port::Refuses {
+    if port::check(address).await != Port::Refuses {
         return false;
     }
     let mut silent = 0;
     for witness in witnesses(state, service, address) {
-        match try_port(witness).await {
+        match port::check(witness).await {
             Port::Accepts => return true,
             Port::Refuses => {}
             Port::Silent => silent += 1,
@@ -118,12 +116,3 @@
     let witnesses = near.chain(far.iter().take(MAX_WITNESSES));
     witnesses.map(|entry| entry.announcement.address).collect()
 }
-
-/// Opens a connection to an upstream and closes it.
-async fn try_port(address: SocketAddr) -> Port {
-    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Port::Accepts,
-        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Port::Refuses,
-        _ => Port::Silent,
-    }
-}
--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -30,6 +30,7 @@
 use tracing::warn;
 
 use crate::callers;
+use crate::framing;
 use crate::gateway::detour;
 use crate::gateway::dialect;
 use crate::gateway::dialect::Metadata;
@@ -37,10 +38,8 @@
 use crate::gateway::end_check;
 use crate::gateway::end_check::Interruption;
 use crate::gateway::forward::Plan;
-use crate::gateway::framing;
 use crate::gateway::memory::Hold;
 use crate::gateway::paths;
-use crate::gateway::paths::CONNECT_TIMEOUT;
 use crate::gateway::placement::Reservation;
 use crate::gateway::rest::Rest;
 use crate::gateway::spool;
@@ -48,6 +47,7 @@
 use crate::gateway::state::State;
 use crate::gateway::wait;
 use crate::pool::Connection;
+use crate::port::CONNECT_TIMEOUT;
 
 /// Longest idle time after which a connection is used again; upstreams close idle connections after
 /// ten seconds or more.
@@ -485,10 +485,11 @@
         })?;
         // Behind another host, that host finds out.
         let is_open_ended = way == Way::Direct(self.address) && connection.is_open_ended();
-        let service = &self.plan.service;
-        if is_complete && is_open_ended && end_check::has_ended(state, service, self.address).await
-        {
-            return Err(BROKEN.into());
+        if is_complete && is_open_ended {
+            let number = self.reservation.upstream();
+            if !end_check::is_alive(state, number, self.address).await {
+                return Err(BROKEN.into());
+            }
         }
         Ok(Answer {
             head,
--- a/programs/pb-proxy/src/gateway/paths.rs
+++ b/programs/pb-proxy/src/gateway/paths.rs
@@ -4,14 +4,11 @@
 //! place; [`check`] tries a path over which an answer is overdue.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
-use compio::net::TcpStream;
 use compio::runtime::spawn;
-use compio::time::timeout;
 use persimmonbend_core::id::ServiceId;
 use persimmonbend_core::reach::Reach;
 use persimmonbend_core::roster::Entry;
@@ -21,14 +18,12 @@
 use tracing::warn;
 
 use crate::gateway::state::State;
+use crate::port;
+use crate::port::Port;
 
 /// Time between two rounds in which blocked paths are tried.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time limit for a new connection to an upstream. A round trip takes one or two milliseconds; an upstream
-/// that does not accept in time is given up for another one.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// Upstreams of a service that are tried until one accepts.
 const MAX_TRIED: usize = 2;
 
@@ -154,7 +149,7 @@
 /// Tries to connect to an upstream, and records whether it accepts.
 async fn try_path(state: &State, target: &Entry) -> bool {
     let service = &target.announcement.service;
-    let accepts = is_accepted(target.announcement.address).await;
+    let accepts = port::check(target.announcement.address).await == Port::Accepts;
     if accepts {
         state.paths().note_opened(service, target.number);
     } else {
@@ -165,12 +160,6 @@
     accepts
 }
 
-/// Returns whether an upstream accepts a connection in time.
-async fn is_accepted(address: SocketAddr) -> bool {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connected, Ok(Ok(_)))
-}
-
 /// Returns the services of the known upstreams.
 fn services(state: &State) -> Vec<ServiceId> {
     let entries = state.upstreams();
--- a/programs/pb-proxy/src/gateway/rest.rs
+++ b/programs/pb-proxy/src/gateway/rest.rs
@@ -58,9 +58,9 @@
                 self.bytes += data.len();
                 return Some((Ok(Frame::data(data)), Some(self)));
             }
-            Ok(None) if self.has_ended().await => {
+            Ok(None) if !self.is_whole().await => {
                 self.reservation.end(Outcome::Truncated, self.bytes);
-                end_check::note_end(&self.state, &self.interruption);
+                spawn(end_check::run(self.state, self.interruption)).detach();
                 io::ErrorKind::UnexpectedEof.into()
             }
             Ok(None) => {
@@ -82,12 +82,12 @@
         Some((Err(error), None))
     }
 
-    /// Returns whether the upstream has ended behind a body that only the end of the connection ends.
-    async fn has_ended(&self) -> bool {
+    /// Returns whether a body is whole that has come to its end.
+    async fn is_whole(&self) -> bool {
         let Interruption {
-            service, address, ..
+            upstream, address, ..
         } = &self.interruption;
-        self.is_open_ended && end_check::has_ended(&self.state, service, *address).await
+        !self.is_open_ended || end_check::is_alive(&self.state, *upstream, *address).await
     }
 
     /// Ends the reservation and keeps the connection for another request.
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fmt;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -260,6 +261,16 @@
         self.upstreams.borrow().values().cloned().collect()
     }
 
+    /// Returns whether a later start of an upstream holds the address that one had.
+    #[must_use]
+    pub fn is_replaced(&self, number: Number, address: SocketAddr) -> bool {
+        let upstreams = self.upstreams.borrow();
+        let mut holders = upstreams
+            .values()
+            .filter(|one| one.announcement.address == address);
+        holders.any(|one| one.number > number)
+    }
+
     /// Returns an upstream if it takes requests, by its stage and by what it has stated to this host.
     #[must_use]
     pub fn upstream(&self, number: Number) -> Option<Entry> {
