fix(proxy): the proxy of service files looks for the end of an answer as well

Cause: this proxy took each orderly end of a connection for that of the body, and passed on the length that the upstream had stated, in as many fields as it came.

Change: an answer that only the end of the connection ends is whole where its upstream accepts connections and is of the same incarnation, for the buffered part and for the rest. The length is set as the gateway sets it. Why an answer is not passed on is logged at the level of other failures of an attempt.

--- /dev/null
+++ b/programs/pb-lab/tests/answers.rs
@@ -0,0 +1,171 @@
+//! Answers of upstreams that break off or are no valid answers, through the proxy of service files.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use pb_lab::fleet::Files;
+use persimmonbend_core::key::Secret;
+use persimmonbend_core::upstream::Announcement;
+use persimmonbend_core::upstream::Stage;
+
+use crate::support::Fleet;
+use crate::support::client;
+use crate::support::wait_until;
+
+/// Deadline of the routes, with the time in which the proxy answers.
+const MAX_TIME: Duration = Duration::from_millis(2_200);
+
+/// Starts of answers by the last segment of the path, and what they repeat without end.
+const ANSWERS: [(&str, &str, &str); 9] = [
+    (
+        "whole",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabcd",
+        "",
+    ),
+    (
+        "open-ended",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabcd",
+        "",
+    ),
+    (
+        "twice",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\nabcd",
+        "",
+    ),
+    (
+        "ended",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nab",
+        "",
+    ),
+    (
+        "status",
+        "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nabcd",
+        "",
+    ),
+    (
+        "name",
+        "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 4\r\n\r\nabcd",
+        "",
+    ),
+    (
+        "coding",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabcd",
+        "",
+    ),
+    (
+        "digits",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "0",
+    ),
+    ("interim", "", "HTTP/1.1 102 Processing\r\n\r\n"),
+];
+
+/// The listening socket of an upstream, until it ends.
+type Socket = Arc<Mutex<Option<TcpListener>>>;
+
+/// Starts an upstream that answers one request a connection, and returns its address.
+fn start_upstream() -> SocketAddr {
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    let listener = socket.try_clone().unwrap();
+    let open: Socket = Arc::new(Mutex::new(Some(socket)));
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            if open.lock().unwrap().is_none() {
+                return;
+            }
+            let open = Arc::clone(&open);
+            thread::spawn(move || answer(stream, &open));
+        }
+    });
+    address
+}
+
+fn answer(mut stream: TcpStream, open: &Socket) {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        if stream.read(&mut byte).unwrap_or(0) == 0 {
+            return;
+        }
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&head).into_owned();
+    let path = head.split(' ').nth(1).unwrap();
+    let mode = path.rsplit('/').next().unwrap();
+    let (_, start, repeated) = ANSWERS.iter().find(|(one, ..)| *one == mode).unwrap();
+    if mode == "ended" {
+        // The thread that accepts holds the other handle of the socket.
+        drop(open.lock().unwrap().take());
+        let _ = TcpStream::connect(stream.local_addr().unwrap());
+        thread::sleep(Duration::from_millis(100));
+    }
+    let _ = stream.write_all(start.as_bytes());
+    let bytes = repeated.repeat(1_000);
+    while !bytes.is_empty() && stream.write_all(bytes.as_bytes()).is_ok() {}
+    let _ = stream.shutdown(Shutdown::Write);
+}
+
+/// Announces an upstream to a proxy.
+fn announce(proxy: SocketAddr, address: SocketAddr) {
+    let announcement = Announcement {
+        id: "upstream-0".to_owned(),
+        service: "herd".to_owned(),
+        address,
+        zone: "a".to_owned(),
+        slots: 50,
+        incarnation: 1,
+        sequence: 1,
+        stage: Stage::Ready,
+    };
+    let body = serde_json::to_string(&announcement).unwrap();
+    let mut stream = TcpStream::connect(proxy).unwrap();
+    let length = body.len();
+    let head = format!(
+        "POST /announce HTTP/1.1\r\nhost: test\r\ncontent-type: application/json\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n"
+    );
+    stream.write_all((head + &body).as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 2"), "{answer}");
+}
+
+#[test]
+fn only_whole_and_valid_answers_are_passed_on() {
+    let fleet = Fleet::start(Files::create().unwrap(), 1);
+    let secret = Secret::generate(&mut rand::rng());
+    fleet.configure(&secret);
+    let addresses = fleet.proxies[0].addresses;
+    announce(addresses.platform, start_upstream());
+    let get = |mode: &str| client::get(addresses.callers, &format!("/herd/{mode}"), &secret);
+    wait_until("the first answer", || {
+        get("whole").is_ok_and(|answer| answer.status == 200)
+    });
+    let sound = ["whole", "open-ended", "twice"];
+    let broken = ["status", "name", "coding", "digits", "interim", "ended"];
+    for mode in sound.into_iter().chain(broken) {
+        let since = Instant::now();
+        let answer = get(mode).unwrap();
+        let expected = if sound.contains(&mode) { 200 } else { 502 };
+        assert_eq!(answer.status, expected, "{mode}: {answer:?}");
+        assert!(
+            expected != 200 || answer.text == "abcd",
+            "{mode}: {answer:?}"
+        );
+        assert!(since.elapsed() < MAX_TIME, "{mode}: {:?}", since.elapsed());
+    }
+    fleet.end();
+}
--- a/programs/pb-proxy/src/forward.rs
+++ b/programs/pb-proxy/src/forward.rs
@@ -1,6 +1,7 @@
 //! Forwarding of one request to upstreams, with retries, and of the answer to the client.
 
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -8,13 +9,16 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use compio::time::timeout;
+use futures_util::Stream;
 use futures_util::StreamExt;
 use futures_util::stream;
+use http_body_util::BodyDataStream;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::StreamBody;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -23,6 +27,8 @@
 use persimmonbend_app::http::Body;
 use persimmonbend_core::error::Kind;
 use persimmonbend_core::health::Outcome;
+use persimmonbend_core::id::Incarnation;
+use persimmonbend_core::id::ServiceId;
 use persimmonbend_core::id::TenantId;
 use persimmonbend_core::id::UpstreamId;
 use persimmonbend_core::key::Digest;
@@ -30,8 +36,10 @@
 use persimmonbend_core::retry::Step;
 use persimmonbend_core::route::Target;
 
+use crate::framing;
 use crate::node::Node;
 use crate::pool::Connection;
+use crate::port;
 use crate::slots::Criteria;
 use crate::slots::Report;
 use crate::slots::Reservation;
@@ -333,8 +341,14 @@
     left: Duration,
 ) -> Result<Answer, Failure> {
     let reused = connection.reused;
+    let origin = Origin::new(node, plan, reservation);
     let sent = connection.send(plan.request(left)).await;
     let response = sent.map_err(|lost| {
+        debug!(
+            "forward: {} gave no answer: {}",
+            reservation.upstream(),
+            lost.error
+        );
         if lost.was_sent {
             Failure::written(Kind::UpstreamBroken, Outcome::Truncated)
         } else {
@@ -349,11 +363,28 @@
     } else {
         Outcome::Answered
     };
-    let (head, mut body) = response.into_parts();
+    let (mut head, mut body) = response.into_parts();
     let buffered = buffer_body(&mut body, node.settings().answer_hold_bytes).await;
-    let (buffered, is_complete) =
-        buffered.map_err(|_| Failure::written(Kind::UpstreamBroken, Outcome::Truncated))?;
+    let broken = Failure::written(Kind::UpstreamBroken, Outcome::Truncated);
+    let (buffered, is_complete) = buffered.map_err(|error| {
+        debug!("forward: {} broke off: {error}", reservation.upstream());
+        broken
+    })?;
+    let origin = connection.is_open_ended().then_some(origin);
+    if is_complete
+        && let Some(origin) = &origin
+        && !origin.is_alive(node).await
+    {
+        return Err(broken);
+    }
     reservation.report(Report { outcome, reused });
+    let rest_bytes = if is_complete {
+        Some(0)
+    } else {
+        body.size_hint().exact()
+    };
+    let length = rest_bytes.map(|rest| rest + buffered.len() as u64);
+    framing::set_length(&mut head.headers, &plan.head.method, length);
     if is_complete {
         node.pool()
             .put_back(reservation.address(), connection, node.now());
@@ -363,12 +394,16 @@
             _ => Answer::Whole(response),
         });
     }
-    Ok(Answer::Partial(Partial {
+    Ok(Answer::Partial(Box::new(Partial {
         head,
         buffered,
-        body,
-        connection,
-    }))
+        rest: Rest {
+            node: Rc::clone(node),
+            body: body.into_data_stream(),
+            _connection: connection,
+            origin,
+        },
+    })))
 }
 
 /// Returns whether the upstream says that it did not run the request.
@@ -401,15 +436,14 @@
     /// Complete, with a server error.
     Failed(Response<Body>),
     /// Larger than the buffer; the rest is streamed.
-    Partial(Partial),
+    Partial(Box<Partial>),
 }
 
-/// The buffered start of an answer, and the body that the rest is read from.
+/// The buffered start of an answer, and the rest that is still to be read.
 struct Partial {
     head: hyper::http::response::Parts,
     buffered: Bytes,
-    body: Incoming,
-    connection: Connection,
+    rest: Rest,
 }
 
 impl Partial {
@@ -417,11 +451,77 @@
     /// breaks off.
     fn stream(self, reservation: Reservation) -> Response<Body> {
         let first = stream::iter([Ok(Frame::data(self.buffered))]);
-        let connection = self.connection;
-        let rest = self.body.into_data_stream().map(move |chunk| {
-            let _keep = (&reservation, &connection);
-            chunk.map(Frame::data).map_err(io::Error::other)
+        let rest = self.rest.into_stream().map(move |frame| {
+            let _keep = &reservation;
+            frame
         });
         Response::from_parts(self.head, Box::pin(StreamBody::new(first.chain(rest))))
     }
 }
+
+/// The rest of an answer that exceeds the buffer.
+struct Rest {
+    node: Rc<Node>,
+    body: BodyDataStream<Incoming>,
+    _connection: Connection,
+    /// Where the answer comes from, if only the end of the connection ends it.
+    origin: Option<Origin>,
+}
+
+impl Rest {
+    /// Returns the frames of the body; one that is cut off ends with an error.
+    fn into_stream(self) -> impl Stream<Item = io::Result<Frame<Bytes>>> {
+        stream::unfold(Some(self), |rest| async move { rest?.next().await })
+    }
+
+    async fn next(mut self) -> Option<(io::Result<Frame<Bytes>>, Option<Self>)> {
+        match self.body.next().await {
+            Some(Ok(data)) => Some((Ok(Frame::data(data)), Some(self))),
+            Some(Err(error)) => Some((Err(io::Error::other(error)), None)),
+            None if self.is_whole().await => None,
+            None => Some((Err(io::ErrorKind::UnexpectedEof.into()), None)),
+        }
+    }
+
+    async fn is_whole(&self) -> bool {
+        match &self.origin {
+            Some(origin) => origin.is_alive(&self.node).await,
+            None => true,
+        }
+    }
+}
+
+/// The start of an upstream that a request is sent to.
+#[derive(Debug)]
+struct Origin {
+    service: ServiceId,
+    upstream: UpstreamId,
+    address: SocketAddr,
+    /// Incarnation at the time of the request, unless the upstream had left by then.
+    incarnation: Option<Incarnation>,
+}
+
+impl Origin {
+    fn new(node: &Node, plan: &Plan, reservation: &Reservation) -> Self {
+        let (service, upstream) = (plan.target.service.clone(), reservation.upstream().clone());
+        Self {
+            incarnation: incarnation(node, &service, &upstream),
+            address: reservation.address(),
+            service,
+            upstream,
+        }
+    }
+
+    /// Returns whether the upstream accepts connections and has not started again.
+    async fn is_alive(&self, node: &Node) -> bool {
+        port::accepts(self.address).await
+            && incarnation(node, &self.service, &self.upstream) == self.incarnation
+    }
+}
+
+/// Returns the incarnation of an upstream that the host knows.
+fn incarnation(node: &Node, service: &str, upstream: &str) -> Option<Incarnation> {
+    let board = node.board();
+    let known = board.upstream(service, upstream);
+    known.map(|known| known.announcement.incarnation)
+}
