fix(proxy): a stopping host sends no request so late that its end cuts it

Callers saw: a host gets SIGTERM while requests wait for a slot.

Cause: the notice bounds when a request is read, and nothing bounded when one that was read is sent. At the end of the grace period the process dropped what still ran.

Change: in the second half of the grace period a request that was not sent yet is refused as not run (stopping, with Retry-After 0), so that another host can serve it.

Why it works: the half that is left is the time that the notice already leaves for requests that were read last. A refusal at once costs a waiting client less than an answer that the end cuts.

--- a/programs/pb-proxy/src/gateway.rs
+++ b/programs/pb-proxy/src/gateway.rs
@@ -56,6 +56,12 @@
 /// and log lines are written and the process has ended by then.
 const GRACE_MARGIN: Duration = Duration::from_millis(250);
 
+/// Time before the end at which requests whose upstreams have not answered get an error, so that it is written.
+const GIVING_UP_TIME: Duration = Duration::from_millis(100);
+
+/// Share of the grace period in which requests are sent for the first time; the rest is left for their answers.
+const SENDING_SHARE: f64 = 0.5;
+
 /// Time between two looks whether requests of other hosts still run, before this one ends.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -110,13 +116,17 @@
         background.push(spawn(metrics.serve(exporter, ended.clone())));
     }
     let closing = spawn(close_after_notice(Rc::clone(&state)));
+    let sending = spawn(end_sends(Rc::clone(&state), grace));
     let serving = clients.serve(
         Rc::new(clients::Endpoint::new(Rc::clone(&state))),
         state.closing().clone(),
     );
     let until_grace = async {
         state.stop().asked().await;
-        compio::time::sleep(grace.saturating_sub(GRACE_MARGIN)).await;
+        let left = grace.saturating_sub(GRACE_MARGIN);
+        compio::time::sleep(left.saturating_sub(GIVING_UP_TIME)).await;
+        state.giving_up().ask();
+        compio::time::sleep(GIVING_UP_TIME).await;
     };
     let until_idle = async {
         serving.await;
@@ -131,7 +141,7 @@
     }
     state.placer().announce_stop();
     compio::time::sleep(FLUSH_TIME).await;
-    drop(closing);
+    drop((closing, sending));
     drop(background);
     info!(host = state.settings().host, "stopped");
     Ok(())
@@ -172,3 +182,12 @@
     let _ = timeout(notice, std::future::pending::<()>()).await;
     state.closing().ask();
 }
+
+/// Ends the time in which a stopping host sends requests that wait for a slot. A request that is sent later may be cut
+/// by the end of the process; one that is refused can be served by another host.
+async fn end_sends(state: Rc<State>, grace: Duration) {
+    state.stop().asked().await;
+    let reading = state.settings().notice + LINGER;
+    compio::time::sleep(grace.mul_f64(SENDING_SHARE).max(reading)).await;
+    state.last_send().ask();
+}
--- a/programs/pb-proxy/src/gateway/forward.rs
+++ b/programs/pb-proxy/src/gateway/forward.rs
@@ -66,6 +66,12 @@
 /// it.
 const SHED_RETRY_AFTER: Duration = Duration::from_millis(120);
 
+/// The refusal of a request that a stopping host has not sent; another host takes it at once.
+const STOPPING: Refusal = Refusal {
+    kind: Kind::Stopping,
+    retry_after: Duration::ZERO,
+};
+
 /// A request that is ready to be sent.
 #[derive(Debug)]
 pub struct Plan {
@@ -250,9 +256,14 @@
         Standing::Trial | Standing::Allowed => {}
     }
     let criteria = attempts.criteria(plan, record);
-    Placer::reserve(state, &criteria)
-        .await
-        .map_err(Failure::from)
+    let reserving = Placer::reserve(state, &criteria);
+    let last_call = if attempts.is_any_started() {
+        state.giving_up()
+    } else {
+        state.last_send()
+    };
+    let reserved = last_call.until(reserving).await;
+    reserved.unwrap_or(Err(STOPPING)).map_err(Failure::from)
 }
 
 /// Logs that a request is not sent since upstreams ended under its content, and returns the refusal.
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -102,6 +102,8 @@
     running: Cell<usize>,
     stop: Stop,
     closing: Stop,
+    last_send: Stop,
+    giving_up: Stop,
 }
 
 impl State {
@@ -134,6 +136,8 @@
             settings,
             stop,
             closing: Stop::new(),
+            last_send: Stop::new(),
+            giving_up: Stop::new(),
         }
     }
 
@@ -238,6 +242,18 @@
         &self.closing
     }
 
+    /// Returns the signal after which a stopping host no longer sends requests for the first time.
+    #[must_use]
+    pub const fn last_send(&self) -> &Stop {
+        &self.last_send
+    }
+
+    /// Returns the signal after which a stopping host waits for no answer any more.
+    #[must_use]
+    pub const fn giving_up(&self) -> &Stop {
+        &self.giving_up
+    }
+
     /// Returns the count of requests that are running.
     #[must_use]
     pub const fn running(&self) -> &Cell<usize> {
