fix(proxy): what a stopping host gives up is no evidence about upstreams

A request that a stopping host gave up was reported as timed out, which counts against its upstream at the leader and starts a check of the path. It is reported as cancelled now, and its attempt is logged as abandoned. A request that upstreams only turned away, and that was not run, is refused as not run in the second half of the grace period like one that was never sent; it was sent again before, and could be cut. Found on reading the change again; no test of its own.

--- a/programs/pb-proxy/src/gateway/exchange.rs
+++ b/programs/pb-proxy/src/gateway/exchange.rs
@@ -142,6 +142,7 @@
                 Outcome::Moved => "moved",
                 Outcome::TimedOut => "timed_out",
                 Outcome::Truncated => "broken",
+                Outcome::Cancelled if fault.was_sent => "abandoned",
                 Outcome::Cancelled => "unsent",
                 Outcome::Answered | Outcome::Failed => "failed",
             },
@@ -430,8 +431,13 @@
         let left = deadline.saturating_duration_since(now);
         let result = wait::until(state, deadline, self.exchange(connection, way, left)).await;
         result.unwrap_or_else(|| {
-            let timed_out = Fault::unknown(Kind::UpstreamTimeout, Outcome::TimedOut);
-            Err(timed_out.into())
+            // That this host ends is no evidence about the upstream.
+            let outcome = if state.giving_up().is_asked() {
+                Outcome::Cancelled
+            } else {
+                Outcome::TimedOut
+            };
+            Err(Fault::unknown(Kind::UpstreamTimeout, outcome).into())
         })
     }
 
--- a/programs/pb-proxy/src/gateway/forward.rs
+++ b/programs/pb-proxy/src/gateway/forward.rs
@@ -257,12 +257,12 @@
     }
     let criteria = attempts.criteria(plan, record);
     let reserving = Placer::reserve(state, &criteria);
-    let last_call = if attempts.is_any_started() {
+    let end = if attempts.may_have_run() {
         state.giving_up()
     } else {
         state.last_send()
     };
-    let reserved = last_call.until(reserving).await;
+    let reserved = end.until(reserving).await;
     reserved.unwrap_or(Err(STOPPING)).map_err(Failure::from)
 }
 
@@ -364,6 +364,11 @@
         self.was_sent || !self.in_flight.is_empty()
     }
 
+    /// Returns whether an upstream may run the request, or may have run it.
+    fn may_have_run(&self) -> bool {
+        self.possible_runs > 0 || !self.in_flight.is_empty()
+    }
+
     fn in_flight_count(&self) -> u32 {
         u32::try_from(self.in_flight.len()).unwrap_or(u32::MAX)
     }
