fix(app): a body that breaks off is reset for a client that knows no chunks

Callers saw: an HTTP/1.0 client gets an answer whose length is not known until its end; the answer breaks off, here at the deadline, and the connection ends like that of a whole one (316,611,701 bytes and an orderly end in the new test, before).

Cause: the server frames such a body for an old client by the end of the connection alone, and closed the connection in the same way whether the body had come to its end or not.

Change: while such a body is written, the socket is set to reset the connection when it is closed, also by the end of the process; the end of the body takes that back. Clients of HTTP/1.1 are not concerned, as chunks show the end.

Evidence: the test failed before and passes; an answer of 8 MiB without a length still ends orderly.

--- a/crates/app/src/http.rs
+++ b/crates/app/src/http.rs
@@ -30,12 +30,16 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
+use hyper::Version;
+use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use hyper::header::CONNECTION;
+use hyper::header::CONTENT_LENGTH;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use log::warn;
 
 use crate::http::pipeline::Pipeline;
 use crate::http::read_ahead::Activity;
@@ -233,6 +237,7 @@
     let head_bytes = limits.head_buffer_bytes;
     let pipeline = Rc::new(Pipeline::new(Rc::clone(&handler), from, head_bytes));
     let feed = Rc::clone(&pipeline);
+    let socket = stream.clone();
     let (transport, activity) = Stream::new(stream, move |bytes| feed.feed(bytes));
     let closing = stop.clone();
     let running = Rc::clone(&activity);
@@ -241,13 +246,15 @@
         let pipeline = Rc::clone(&answering);
         let stop = closing.clone();
         let activity = Rc::clone(&running);
+        let socket = (request.version() == Version::HTTP_10).then(|| socket.clone());
         request.extensions_mut().insert(Origin(from));
         if activity.start_request() {
             request.extensions_mut().insert(AmbiguousLength);
         }
         async move {
             let response = pipeline.answer(request).await;
-            let mut response = response.map(|body| Tracked::new(body, activity).boxed());
+            let socket = socket.filter(|_| is_open_ended(&response));
+            let mut response = response.map(|body| Tracked::new(body, activity, socket).boxed());
             if pipeline.is_ahead() {
                 // The answers of the requests that run already follow over the connection.
                 response.headers_mut().remove(CONNECTION);
@@ -300,12 +307,21 @@
 struct Tracked {
     body: Body,
     activity: Rc<Activity>,
+    /// Socket of a client for which only the end of the connection ends this body.
+    socket: Option<TcpStream>,
 }
 
 impl Tracked {
-    fn new(body: Body, activity: Rc<Activity>) -> Self {
+    fn new(body: Body, activity: Rc<Activity>, socket: Option<TcpStream>) -> Self {
         activity.end_request(Instant::now());
-        Self { body, activity }
+        if let Some(socket) = &socket {
+            set_resets_on_close(socket, true);
+        }
+        Self {
+            body,
+            activity,
+            socket,
+        }
     }
 
     fn boxed(self) -> Body {
@@ -326,6 +342,11 @@
             Poll::Pending => self.activity.await_answer(),
             Poll::Ready(_) => self.activity.end_request(Instant::now()),
         }
+        if matches!(frame, Poll::Ready(None))
+            && let Some(socket) = self.socket.take()
+        {
+            set_resets_on_close(&socket, false);
+        }
         frame
     }
 
@@ -344,6 +365,21 @@
     }
 }
 
+/// Returns whether an answer to a client that knows no chunks ends with the connection.
+fn is_open_ended(response: &Response<Body>) -> bool {
+    let has_length = response.headers().contains_key(CONTENT_LENGTH);
+    !has_length && response.body().size_hint().exact().is_none()
+}
+
+/// Sets whether the connection is reset when it is closed, also by the end of the process, so that a body that breaks
+/// off does not look whole.
+fn set_resets_on_close(socket: &TcpStream, resets: bool) {
+    let linger = resets.then_some(Duration::ZERO);
+    if let Err(error) = rustix::net::sockopt::set_socket_linger(socket, linger) {
+        warn!("http: cannot set that a closed connection is reset: {error}");
+    }
+}
+
 /// Waits until the head timeout or the idle timeout of the connection has passed.
 async fn wait_for_timeout(activity: &Activity, limits: Limits) {
     let interval = limits.head_timeout.min(limits.idle_timeout);
