perf(proxy): the transport to an upstream wakes its reader only where it waits

Every flushed request woke the task of its connection once more, whether or not an end of the connection waited for the request to be taken whole. The waker is kept only in that case now. A read that failed counts as a failure of the connection, so that no later end of it can look orderly.

--- a/programs/pb-proxy/src/pool/transport.rs
+++ b/programs/pb-proxy/src/pool/transport.rs
@@ -101,10 +101,14 @@
             if let Some(failure) = self.failure.take() {
                 return Poll::Ready(Err(failure));
             }
-            let bytes = ready!(self.stream.as_mut().poll_fill_buf(context))?;
-            if bytes.is_empty() {
-                return self.poll_end().map_ok(|()| false);
-            }
+            let bytes = match ready!(self.stream.as_mut().poll_fill_buf(context)) {
+                Ok([]) => return self.poll_end(context).map_ok(|()| false),
+                Ok(bytes) => bytes,
+                Err(error) => {
+                    self.exchange.sent.set(Sent::Failed);
+                    return Poll::Ready(Err(error));
+                }
+            };
             let length = bytes.len();
             let mut reader = self.exchange.reader.borrow_mut();
             let result = reader.feed(bytes, &mut self.checked);
@@ -119,7 +123,7 @@
     ///
     /// A reset can look like an orderly end: the kernel reports it once, and it may do so to a write. So an answer
     /// that only the end of the connection ends is whole where the request was taken whole, without an error.
-    fn poll_end(&mut self) -> Poll<io::Result<()>> {
+    fn poll_end(&mut self, context: &Context<'_>) -> Poll<io::Result<()>> {
         let end = self.exchange.reader.borrow().end();
         match (end, self.exchange.sent.get()) {
             (End::Clean | End::Unanswered, _) => Poll::Ready(Ok(())),
@@ -128,7 +132,10 @@
             (End::OfBody, Sent::Whole | Sent::Failed) => {
                 Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
             }
-            (End::OfBody, Sent::Nothing | Sent::Part) => Poll::Pending,
+            (End::OfBody, Sent::Nothing | Sent::Part) => {
+                self.waker = Some(context.waker().clone());
+                Poll::Pending
+            }
         }
     }
 
@@ -151,11 +158,7 @@
         context: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let polled = self.poll_checked(context);
-        if polled.is_pending() {
-            self.waker = Some(context.waker().clone());
-        }
-        if ready!(polled)? {
+        if ready!(self.poll_checked(context))? {
             let rest = &self.checked[self.passed..];
             let length = rest.len().min(buffer.remaining());
             buffer.put_slice(&rest[..length]);
