fix: a publication of version 0 is in force like any other

Cause: version 0 stood for "nothing was published" in the replicated state, the feed, the frames between hosts and control, deltas and the host. Api::publish proposes only what is above the version held, which was 0, and acknowledged what it did not propose.

Change: Publication::version is an Option, and so is each version compared with it. A publication of version 0 is a command of level 3, as older builds would not apply it. A publication that is not in force after its commit is not acknowledged.

The level named in a test of pb-control follows the constant.

--- a/crates/core/src/dispatch/explain/answer.rs
+++ b/crates/core/src/dispatch/explain/answer.rs
@@ -25,7 +25,7 @@
     /// The request.
     pub question: Question,
     /// Version of the publication in force.
-    pub version: Version,
+    pub version: Option<Version>,
     /// Priority of the request; 0 is the highest.
     pub priority: Priority,
     /// Whether the priority is that of the tenant rather than of the route.
--- a/crates/core/src/dispatch/explain/text.rs
+++ b/crates/core/src/dispatch/explain/text.rs
@@ -51,9 +51,13 @@
         } else {
             ""
         };
+        let version = self.version.map_or_else(
+            || "no publication".to_owned(),
+            |version| format!("version {version}"),
+        );
         format!(
-            "{text}{again} with {} bytes, by version {}",
-            question.body_bytes, self.version
+            "{text}{again} with {} bytes, by {version}",
+            question.body_bytes
         )
     }
 
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
 
 use crate::config;
@@ -36,8 +37,8 @@
 /// Commands of the builds that name no level.
 pub const FIRST_COMMANDS: Commands = 1;
 
-/// Commands that this build applies: 2 adds evacuations.
-pub const OWN_COMMANDS: Commands = 2;
+/// Commands that this build applies: 2 adds evacuations, 3 a publication of version 0.
+pub const OWN_COMMANDS: Commands = 3;
 
 /// A command in the log.
 ///
@@ -114,9 +115,11 @@
     /// Returns the level from which on a build applies the command. A replica whose build does not have it
     /// cannot go on after the command, so it is proposed only once all members of the log have it.
     #[must_use]
-    pub const fn level(&self) -> Commands {
+    pub fn level(&self) -> Commands {
         match self {
             Self::Evacuate { .. } | Self::Readmit { .. } => 2,
+            // Builds of lower levels take version 0 for nothing.
+            Self::Publish { published } if published.publication.version == Some(0) => 3,
             _ => FIRST_COMMANDS,
         }
     }
@@ -182,7 +185,11 @@
     seats: Seats,
     #[serde(default)]
     records: Table,
-    #[serde(default)]
+    #[serde(
+        default,
+        skip_serializing_if = "is_unpublished",
+        deserialize_with = "published_or_none"
+    )]
     published: Rc<Published>,
     #[serde(default)]
     roster: Roster,
@@ -201,6 +208,19 @@
     *commands == FIRST_COMMANDS
 }
 
+fn is_unpublished(published: &Rc<Published>) -> bool {
+    published.publication.version.is_none()
+}
+
+/// Reads the publication in force. Builds of lower levels write version 0 and no document for none.
+fn published_or_none<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Rc<Published>, D::Error> {
+    let published = Rc::<Published>::deserialize(deserializer)?;
+    let is_none = published.publication.version == Some(0) && published.document.is_empty();
+    Ok(if is_none { Rc::default() } else { published })
+}
+
 impl Default for Machine {
     fn default() -> Self {
         Self {
@@ -233,7 +253,7 @@
         &self.records
     }
 
-    /// Returns the publication in force, with version 0 before the first one.
+    /// Returns the publication in force, without a version before the first one.
     #[must_use]
     pub const fn published(&self) -> &Rc<Published> {
         &self.published
--- a/crates/core/src/publication.rs
+++ b/crates/core/src/publication.rs
@@ -33,7 +33,7 @@
 use crate::id::TenantId;
 use crate::key::Digest;
 
-/// Number of a publication, raised by its author.
+/// Number of a publication, raised by its author; any number, 0 included, is a version.
 pub type Version = u64;
 
 /// Longest time that a route may keep a request waiting.
@@ -42,8 +42,9 @@
 /// The configuration of one version.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Publication {
-    /// Version that the author chose.
-    pub version: Version,
+    /// Version that the author chose; `None` before anything was published.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<Version>,
     /// Routes by name.
     pub routes: BTreeMap<RouteId, Route>,
     /// Services by name.
@@ -112,14 +113,17 @@
 }
 
 impl Publication {
-    /// Checks routes and tenants for contradictions.
+    /// Checks the version, and routes and tenants for contradictions.
     ///
     /// # Errors
     ///
-    /// Returns all faults: a route without a service or to an unknown one, a weight that is
+    /// Returns all faults: no version, a route without a service or to an unknown one, a weight that is
     /// negative or not finite, a timeout out of bounds, or a key of two tenants.
     pub fn check(&self) -> Result<(), Faults> {
         let mut faults = Faults::new();
+        if self.version.is_none() {
+            faults.add("version", "must be set");
+        }
         for (name, route) in &self.routes {
             self.check_route(name, route, &mut faults);
         }
--- a/crates/core/src/publication/delta.rs
+++ b/crates/core/src/publication/delta.rs
@@ -22,44 +22,64 @@
 /// The changes that lead from one publication to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Delta {
-    /// Version that the delta applies to; 0 before the first publication.
-    pub from: Version,
-    /// Version that the delta leads to.
-    pub to: Version,
+    /// Version that the delta applies to if `has_base` is set, and 0 otherwise.
+    from: Version,
+    to: Version,
     routes: Changes<Route>,
     services: Changes<Service>,
     tenants: Changes<Tenant>,
     limits: Option<Limits>,
-    /// The last field, as builds before it neither send nor read it.
+    /// Builds before this field neither send nor read it, nor what follows.
     #[serde(with = "terms")]
     terms: Changes<Terms>,
+    /// Whether the delta applies to a publication. Builds before this field send none; a delta of theirs from
+    /// version 0 applies before the first publication.
+    #[serde(deserialize_with = "flag::or_unset")]
+    has_base: bool,
 }
 
 impl Delta {
-    /// Returns the changes that lead from `old` to `new`.
+    /// Returns the changes that lead from `old` to `new`, or `None` if nothing was published with `new`.
     #[must_use]
-    pub fn between(old: &Publication, new: &Publication) -> Self {
-        Self {
-            from: old.version,
-            to: new.version,
+    pub fn between(old: &Publication, new: &Publication) -> Option<Self> {
+        Some(Self {
+            from: old.version.unwrap_or_default(),
+            to: new.version?,
             routes: changes::<RouteId, _>(&old.routes, &new.routes),
             services: changes::<ServiceId, _>(&old.services, &new.services),
             tenants: changes::<TenantId, _>(&old.tenants, &new.tenants),
             limits: (old.limits != new.limits).then_some(new.limits),
             terms: changes::<ServiceId, _>(&old.terms, &new.terms),
+            has_base: old.version.is_some(),
+        })
+    }
+
+    /// Returns the version that the delta applies to, `None` for one from before the first publication.
+    #[must_use]
+    pub const fn base(&self) -> Option<Version> {
+        if self.has_base || self.from > 0 {
+            Some(self.from)
+        } else {
+            None
         }
     }
 
+    /// Returns the version that the delta leads to.
+    #[must_use]
+    pub const fn to(&self) -> Version {
+        self.to
+    }
+
     /// Applies the delta to `old` and returns the new publication.
     ///
     /// Returns `None` if the delta starts from another version or leads to no higher one.
     #[must_use]
     pub fn apply(self, old: &Publication) -> Option<Publication> {
-        if self.from != old.version || self.to <= old.version {
+        if self.base() != old.version || Some(self.to) <= old.version {
             return None;
         }
         let mut new = old.clone();
-        new.version = self.to;
+        new.version = Some(self.to);
         merge(&mut new.routes, self.routes);
         merge(&mut new.services, self.services);
         merge(&mut new.tenants, self.tenants);
@@ -96,6 +116,17 @@
     }
 }
 
+/// A flag behind the fields of builds that do not send it.
+mod flag {
+    use serde::Deserialize;
+    use serde::Deserializer;
+
+    /// Reads a flag; it is not set where a delta of an older build ends before it.
+    pub fn or_unset<'de, D: Deserializer<'de>>(deserializer: D) -> Result<bool, D::Error> {
+        Ok(bool::deserialize(deserializer).unwrap_or_default())
+    }
+}
+
 /// The encoding of changed terms: text that names its fields.
 mod terms {
     use serde::Deserialize;
--- a/crates/core/tests/dispatch/load.rs
+++ b/crates/core/tests/dispatch/load.rs
@@ -396,7 +396,7 @@
     let kinds = load.kinds.iter();
     let tenants = load.tenants.iter();
     Publication {
-        version: 1,
+        version: Some(1),
         routes: kinds
             .map(|kind| (kind.name.to_owned(), route(kind)))
             .collect(),
--- a/crates/core/tests/dispatch/world.rs
+++ b/crates/core/tests/dispatch/world.rs
@@ -218,7 +218,7 @@
         ..Tenant::default()
     };
     Publication {
-        version: 1,
+        version: Some(1),
         routes: BTreeMap::from([
             (NON_IDEMPOTENT.to_owned(), route(false, 1)),
             (IDEMPOTENT.to_owned(), route(true, 1)),
--- a/crates/core/tests/publication.rs
+++ b/crates/core/tests/publication.rs
@@ -8,6 +8,7 @@
 use persimmonbend_core::key::Digest;
 use persimmonbend_core::machine::Command;
 use persimmonbend_core::machine::Machine;
+use persimmonbend_core::machine::OWN_COMMANDS;
 use persimmonbend_core::machine::Published;
 use persimmonbend_core::publication::Delta;
 use persimmonbend_core::publication::Part;
@@ -42,7 +43,7 @@
         .iter()
         .map(|(name, route)| ((*name).to_owned(), route.clone()));
     Publication {
-        version,
+        version: Some(version),
         routes: routes.collect(),
         services: BTreeMap::from(services),
         ..Publication::default()
@@ -117,7 +118,11 @@
         changed(&|route| route.timeout = Duration::ZERO),
         changed(&|route| route.timeout = Duration::from_millis(600_001)),
     ];
-    for one in faulty {
+    let unnumbered = Publication {
+        version: None,
+        ..sound.clone()
+    };
+    for one in faulty.into_iter().chain([unnumbered]) {
         assert!(one.check().is_err(), "{one:?}");
     }
     let mut shared = sound;
@@ -145,6 +150,54 @@
     assert_eq!(even.pick(0.7).unwrap(), "tags");
 }
 
+/// Version 0 was taken for "nothing published": a publication of that version was acknowledged and lost.
+#[test]
+fn version_zero_is_a_version_like_any_other() {
+    let (none, zero, five) = (
+        Publication::default(),
+        publication(0, &[("r", route("h", "/", &[("herd", 1.0)]))]),
+        publication(5, &[]),
+    );
+    let between = |old, new| Delta::between(old, new).expect("a change");
+    assert_eq!(Delta::between(&zero, &none), None);
+    let first = between(&none, &zero);
+    assert_eq!((first.base(), first.to()), (None, 0));
+    assert_eq!(first.clone().apply(&none), Some(zero.clone()));
+    assert_eq!(first.apply(&zero), None);
+    let next = between(&zero, &five);
+    assert_eq!(next.base(), Some(0));
+    assert_eq!(next.clone().apply(&none), None);
+    assert_eq!(next.apply(&zero), Some(five));
+
+    let mut machine = Machine::default();
+    let published = Rc::new(Published {
+        publication: Rc::new(zero.clone()),
+        document: "{}".to_owned(),
+    });
+    let command = Command::Publish { published };
+    assert_eq!(
+        command.level(),
+        OWN_COMMANDS,
+        "older builds do not apply it"
+    );
+    machine.apply(&command);
+    let snapshot = serde_json::to_vec(&machine).unwrap();
+    let restored: Machine = serde_json::from_slice(&snapshot).unwrap();
+    assert_eq!(*restored.published().publication, zero);
+}
+
+/// A snapshot of a build that writes version 0 for "nothing published" must not put an empty publication in force.
+#[test]
+fn a_snapshot_of_an_older_build_without_a_publication_has_none() {
+    let mut snapshot = serde_json::to_value(Machine::default()).unwrap();
+    assert!(snapshot.get("published").is_none(), "older builds read it");
+    let mut blank = serde_json::to_value(Published::default()).unwrap();
+    blank["publication"]["version"] = 0.into();
+    snapshot["published"] = blank;
+    let machine: Machine = serde_json::from_value(snapshot).unwrap();
+    assert_eq!(machine.published().publication.version, None);
+}
+
 fn drawn(version: u64, choices: &[(u8, u8)]) -> Publication {
     let mut one = publication(version, &[]);
     for (name, content) in choices {
@@ -168,12 +221,13 @@
 properties! {
     fn a_delta_leads_from_the_old_to_the_new(old: Vec<(u8, u8)>, new: Vec<(u8, u8)>) -> bool {
         let (old, new) = (drawn(3, &old), drawn(8, &new));
-        Delta::between(&old, &new).apply(&old) == Some(new)
+        let delta = Delta::between(&old, &new);
+        delta.is_some_and(|delta| delta.apply(&old) == Some(new))
     }
 
     fn no_order_and_no_restart_brings_an_older_publication_back(steps: Vec<(u8, bool)>) -> bool {
         let mut machine = Machine::default();
-        let mut newest = 0;
+        let mut newest = None;
         for (number, restarts) in steps {
             let version = u64::from(number);
             let published = Published {
@@ -182,14 +236,15 @@
             };
             let published = Rc::new(published);
             machine.apply(&Command::Publish { published });
-            newest = newest.max(version);
+            newest = newest.max(Some(version));
             if restarts {
                 let snapshot = serde_json::to_vec(&machine).unwrap();
                 machine = serde_json::from_slice(&snapshot).unwrap();
             }
             let in_force = machine.published();
             let is_newest = in_force.publication.version == newest;
-            if !is_newest || (newest > 0 && in_force.document != newest.to_string()) {
+            let document = newest.map_or_else(String::new, |version| version.to_string());
+            if !is_newest || in_force.document != document {
                 return false;
             }
         }
@@ -198,8 +253,9 @@
 
     fn a_delta_applies_to_its_version_only(old: Vec<(u8, u8)>, new: Vec<(u8, u8)>) -> bool {
         let (old, new) = (drawn(3, &old), drawn(8, &new));
-        let delta = Delta::between(&old, &new);
-        let backwards = Delta::between(&new, &old);
+        let between = |old: &_, new: &_| Delta::between(old, new).expect("a change");
+        let delta = between(&old, &new);
+        let backwards = between(&new, &old);
         delta.clone().apply(&drawn(2, &[])).is_none()
             && delta.apply(&new).is_none()
             && backwards.apply(&new).is_none()
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -80,7 +80,7 @@
         host: HostId,
         /// Zone of the host.
         zone: Zone,
-        /// Version of the publication that the host holds, 0 for none.
+        /// Version of the publication that the host holds; see [`held_version`].
         version: Version,
         /// Address at which the host relays links of hosts that cannot reach the leader, if any.
         relay: Option<SocketAddr>,
@@ -90,6 +90,9 @@
         /// Level of the build that sends the frame.
         #[serde(deserialize_with = "trailing::or_default")]
         build: Level,
+        /// Whether the host holds a publication.
+        #[serde(deserialize_with = "trailing::or_default")]
+        is_published: bool,
     },
     /// The first frame of the leader or of a deputy.
     Welcome {
@@ -116,11 +119,14 @@
         host: HostId,
         /// Zone of the host.
         zone: Zone,
-        /// Version of the publication that the host holds, 0 for none.
+        /// Version of the publication that the host holds; see [`held_version`].
         version: Version,
         /// Level of the build that sends the frame.
         #[serde(deserialize_with = "trailing::or_default")]
         build: Level,
+        /// Whether the host holds a publication.
+        #[serde(deserialize_with = "trailing::or_default")]
+        is_published: bool,
     },
     /// The answer of a replica to [`Frame::Follow`].
     Followed {
@@ -136,8 +142,11 @@
     },
     /// Asks the leader for the publication and the upstreams, and all changes of them.
     Subscribe {
-        /// Version of the publication that the host holds, 0 for none.
+        /// Version of the publication that the host holds; see [`held_version`].
         version: Version,
+        /// Whether the host holds a publication.
+        #[serde(deserialize_with = "trailing::or_default")]
+        is_published: bool,
     },
     /// Ends a subscription, as the host follows a replica.
     Unsubscribe,
@@ -211,7 +220,7 @@
     Heartbeat {
         /// Number of hosts that share the quotas, 0 while unknown.
         hosts: u32,
-        /// Version of the publication in force, 0 while unknown.
+        /// Version of the publication in force; see [`held_version`].
         version: Version,
         /// Revision of the roster, 0 while unknown.
         revision: Revision,
@@ -219,6 +228,9 @@
         suspected: Vec<Number>,
         /// Upstreams that are no suspects any more.
         cleared: Vec<Number>,
+        /// Whether a publication is in force and the sender knows which.
+        #[serde(deserialize_with = "trailing::or_default")]
+        is_published: bool,
     },
     /// Addresses of the hosts that relay links to the leader.
     Relays(Vec<SocketAddr>),
@@ -391,6 +403,18 @@
     }
 }
 
+/// Returns the version that a frame names by a number and whether there is one.
+///
+/// Builds that do not send the flag name no version by 0.
+#[must_use]
+pub const fn held_version(number: Version, is_published: bool) -> Option<Version> {
+    if is_published || number > 0 {
+        Some(number)
+    } else {
+        None
+    }
+}
+
 /// Returns the code of a kind of error.
 #[must_use]
 pub fn kind_code(kind: Kind) -> u8 {
--- a/crates/wire/src/dispatch/hosts.rs
+++ b/crates/wire/src/dispatch/hosts.rs
@@ -284,9 +284,9 @@
 
     /// Does the periodic work of the dispatcher and sends the heartbeats that are due.
     ///
-    /// `hosts` is the number of hosts that share the quotas, `version` that of the publication in
-    /// force and `revision` that of the roster; each is 0 while unknown.
-    pub fn tick(&mut self, hosts: u32, version: Version, revision: Revision, now: Instant) {
+    /// `hosts` is the number of hosts that share the quotas and `revision` that of the roster; each is 0
+    /// while unknown. `version` is that of the publication in force, if there is one and it is known.
+    pub fn tick(&mut self, hosts: u32, version: Option<Version>, revision: Revision, now: Instant) {
         let answers = self.dispatcher.tick(now);
         self.send(answers);
         let suspects = Rc::new(self.dispatcher.suspects(now));
@@ -309,10 +309,11 @@
                 let known = std::mem::replace(&mut link.suspects, Rc::clone(&suspects));
                 link.sender.send(Frame::Heartbeat {
                     hosts,
-                    version,
+                    version: version.unwrap_or_default(),
                     revision,
                     suspected: suspects.difference(&known).copied().collect(),
                     cleared: known.difference(&suspects).copied().collect(),
+                    is_published: version.is_some(),
                 });
             }
         }
--- a/crates/wire/tests/builds.rs
+++ b/crates/wire/tests/builds.rs
@@ -117,6 +117,7 @@
         relay: None,
         deputy: true,
         build: OWN_LEVEL,
+        is_published: true,
     };
     let sent = postcard::to_stdvec(&hello).expect("a frame");
     let FirstFrame::Hello {
--- a/crates/wire/tests/dispatch.rs
+++ b/crates/wire/tests/dispatch.rs
@@ -26,7 +26,7 @@
 
 fn large_publication() -> Publication {
     let mut publication = Publication {
-        version: 9,
+        version: Some(9),
         ..Publication::default()
     };
     for number in 0..ROUTE_COUNT {
@@ -52,7 +52,7 @@
 #[test]
 fn a_large_change_takes_few_bytes_per_route() {
     let publication = large_publication();
-    let delta = Delta::between(&Publication::default(), &publication);
+    let delta = Delta::between(&Publication::default(), &publication).expect("a change");
     let packed = Packed::new(&delta).expect("the test set-up works");
     let mut bytes = Vec::new();
     Codec::default()
@@ -112,6 +112,7 @@
         relay: None,
         deputy: false,
         build: dispatch::OWN_LEVEL,
+        is_published: false,
     });
     let total = reader.await.expect("the test set-up works");
     assert!(
@@ -182,7 +183,7 @@
 #[test]
 fn terms_of_services_reach_hosts_and_a_delta_without_them_has_none() {
     let mut publication = Publication {
-        version: 2,
+        version: Some(2),
         ..Publication::default()
     };
     publication
@@ -193,7 +194,7 @@
         ..Terms::default()
     };
     publication.terms.insert("herd".to_owned(), terms);
-    let delta = Delta::between(&Publication::default(), &publication);
+    let delta = Delta::between(&Publication::default(), &publication).expect("a change");
     let packed = Packed::new(&delta).expect("the test set-up works");
     let read = packed.open().expect("this build reads it");
     assert_eq!(read.apply(&Publication::default()), Some(publication));
--- a/crates/wire/tests/hosts.rs
+++ b/crates/wire/tests/hosts.rs
@@ -102,7 +102,7 @@
         ..Terms::default()
     };
     let publication = Publication {
-        version: 1,
+        version: Some(1),
         routes: BTreeMap::from([(ROUTE.to_owned(), route)]),
         services: BTreeMap::from([(SERVICE.to_owned(), Service::default())]),
         terms: BTreeMap::from([(SERVICE.to_owned(), terms)]),
@@ -168,7 +168,7 @@
     };
     for frame in [running, Frame::HostHeartbeat] {
         hosts.handle(HOST, &late, frame, now);
-        hosts.tick(2, 1, 1, now);
+        hosts.tick(2, Some(1), 1, now);
         assert_eq!(hosts.dispatcher().queued(SERVICE), 1);
         assert_eq!(hosts.dispatcher().running(1), 1);
     }
@@ -255,10 +255,10 @@
                     hosts.handle(HOST, &damaged, frame, now);
                 }
             }
-            hosts.tick(2, 1, 1, now);
+            hosts.tick(2, Some(1), 1, now);
             hosts.disconnect(HOST, &damaged, now);
             let later = now + Duration::from_secs(60);
-            hosts.tick(2, 1, 1, later);
+            hosts.tick(2, Some(1), 1, later);
             hosts.handle(OTHER_HOST, &sound, reserve(1), later);
             hosts.dispatcher().running(1) == 1 || hosts.dispatcher().queued(SERVICE) == 1
         })
--- a/programs/pb-control/src/api.rs
+++ b/programs/pb-control/src/api.rs
@@ -194,13 +194,17 @@
             }
         }
         let in_force = self.version();
+        if in_force < version {
+            warn!(version, known, in_force, "publication_not_in_force");
+            return Outcome::Unavailable;
+        }
         info!(version, known, in_force, "publication_acknowledged");
-        Outcome::Done(Some(in_force))
+        Outcome::Done(in_force)
     }
 
     fn read(&self) -> Outcome {
         let published = self.node.read(|machine| Rc::clone(machine.published()));
-        if published.publication.version == 0 || !self.node.is_leader() {
+        if published.publication.version.is_none() || !self.node.is_leader() {
             return Outcome::Unavailable;
         }
         Outcome::Document(published.document.clone())
@@ -276,7 +280,8 @@
         }
     }
 
-    fn version(&self) -> Version {
+    /// Returns the version of the publication in force, `None` before the first one.
+    fn version(&self) -> Option<Version> {
         self.node
             .read(|machine| machine.published().publication.version)
     }
--- a/programs/pb-control/src/dispatch.rs
+++ b/programs/pb-control/src/dispatch.rs
@@ -249,12 +249,13 @@
                 relay,
                 deputy: _,
                 build,
+                is_published,
             }) => {
                 sender.set_level(build);
                 Hello {
                     host,
                     zone,
-                    version,
+                    version: dispatch::held_version(version, is_published),
                     relay,
                 }
             }
@@ -263,8 +264,10 @@
                 zone,
                 version,
                 build,
+                is_published,
             }) => {
                 sender.set_level(build);
+                let version = dispatch::held_version(version, is_published);
                 return self
                     .serve_follower(&host, &zone, version, sender, receiver)
                     .await;
@@ -307,7 +310,7 @@
         &self,
         host: &str,
         zone: &str,
-        version: Version,
+        version: Option<Version>,
         sender: &Sender,
         mut receiver: Receiver,
     ) -> Error {
@@ -335,7 +338,7 @@
         error
     }
 
-    fn add_to_feed(&self, host: &str, version: Version, sender: &Sender) {
+    fn add_to_feed(&self, host: &str, version: Option<Version>, sender: &Sender) {
         let now = self.clock.now();
         let mut feed = self.feed.borrow_mut();
         self.node
@@ -355,7 +358,7 @@
 
     /// Waits until this replica has applied what the leader had committed, and holds `version`;
     /// returns whether it does so in time.
-    async fn wait_for_feed(&self, version: Version) -> bool {
+    async fn wait_for_feed(&self, version: Option<Version>) -> bool {
         let has_it = || {
             let feed = self.feed.borrow();
             let is_applied = self.node.read(|machine| feed.is_of(machine));
@@ -405,7 +408,13 @@
         };
         for frame in frames {
             match frame {
-                Frame::Subscribe { version } => self.add_to_feed(host, version, sender),
+                Frame::Subscribe {
+                    version,
+                    is_published,
+                } => {
+                    let version = dispatch::held_version(version, is_published);
+                    self.add_to_feed(host, version, sender);
+                }
                 Frame::Unsubscribe => self.feed.borrow_mut().remove(host, sender),
                 frame => state.receive_frame(host, sender, frame, now),
             }
--- a/programs/pb-control/src/dispatch/state.rs
+++ b/programs/pb-control/src/dispatch/state.rs
@@ -66,8 +66,8 @@
     pub host: HostId,
     /// Zone that the host runs in.
     pub zone: Zone,
-    /// Version of the publication that the host has, 0 for none.
-    pub version: Version,
+    /// Version of the publication that the host has, if any.
+    pub version: Option<Version>,
     /// Address at which the host relays links, if it does.
     pub relay: Option<SocketAddr>,
 }
--- a/programs/pb-control/src/feed.rs
+++ b/programs/pb-control/src/feed.rs
@@ -53,7 +53,7 @@
     revision: Revision,
     followers: BTreeMap<HostId, Follower>,
     /// Deltas to the publication in force, by the version that they start from.
-    deltas: BTreeMap<Version, Packed<Delta>>,
+    deltas: BTreeMap<Option<Version>, Packed<Delta>>,
     /// All upstreams, packed for hosts that connect; `None` after a change.
     roster: Option<Packed<Vec<Entry>>>,
     /// Changed upstreams that hosts were not told of yet, by number.
@@ -83,9 +83,9 @@
         self.followers.len()
     }
 
-    /// Returns the version of the publication in force.
+    /// Returns the version of the publication in force, `None` before the first one.
     #[must_use]
-    pub fn version(&self) -> Version {
+    pub fn version(&self) -> Option<Version> {
         self.publication.version
     }
 
@@ -108,7 +108,7 @@
     pub fn add(
         &mut self,
         host: &str,
-        version: Version,
+        version: Option<Version>,
         sender: &Sender,
         machine: &Machine,
         now: Instant,
@@ -204,16 +204,18 @@
     /// Sends a host the changes of the publication, if there are any and the last ones were sent long
     /// enough ago.
     fn push_to(&mut self, follower: &mut Follower, now: Instant) {
-        let version = self.version();
-        let is_behind = follower.sent.version < version;
+        let Some(version) = self.version() else {
+            return;
+        };
+        let is_behind = follower.sent.version < Some(version);
         if !is_behind || now.saturating_duration_since(follower.last_push) < MIN_PUSH_INTERVAL {
             return;
         }
         let from = follower.sent.version;
         if !self.deltas.contains_key(&from) {
             let delta = Delta::between(&follower.sent, &self.publication);
-            self.deltas
-                .extend(packed(&delta).map(|delta| (from, delta)));
+            let delta = delta.and_then(|delta| packed(&delta));
+            self.deltas.extend(delta.map(|delta| (from, delta)));
         }
         let Some(delta) = self.deltas.get(&from) else {
             return;
--- a/programs/pb-control/tests/builds.rs
+++ b/programs/pb-control/tests/builds.rs
@@ -192,7 +192,7 @@
     assert!(matches!(halt, Halt::Unreadable(_)), "{halt}");
     assert!(!node.is_current() && node.leader_within(ELECTION).is_none());
     let version = node.read(|machine| machine.published().publication.version);
-    assert_eq!(version, 0, "what comes behind is not applied");
+    assert_eq!(version, None, "what comes behind is not applied");
     clock.advance(ELECTION);
     node.receive(vec![append([&publication, &publication])]);
     assert!(node.advance().is_err(), "it stays out of the log");
@@ -239,7 +239,12 @@
     };
     node.note_build("control-9", None);
     let refused = node.change_members(&add).await.expect_err("an older build");
-    assert!(refused.to_string().contains("level 2"), "{refused}");
+    assert!(
+        refused
+            .to_string()
+            .contains(&format!("level {OWN_COMMANDS}")),
+        "{refused}"
+    );
     node.note_build("control-9", Some(OWN_COMMANDS));
     let refused = node.change_members(&add).await.expect_err("it did not ask");
     assert!(!refused.to_string().contains("level"), "{refused}");
--- a/programs/pb-control/tests/hello.rs
+++ b/programs/pb-control/tests/hello.rs
@@ -99,6 +99,7 @@
         relay: None,
         deputy: false,
         build: dispatch::OWN_LEVEL,
+        is_published: false,
     });
     let frames = receiver.next().await.expect("the replica answers");
     (
--- a/programs/pb-control/tests/record.rs
+++ b/programs/pb-control/tests/record.rs
@@ -9,7 +9,7 @@
 
 fn publish(document: &str) -> Command {
     let publication = Publication {
-        version: 7,
+        version: Some(7),
         ..Publication::default()
     };
     Command::Publish {
--- a/programs/pb-control/tests/storage.rs
+++ b/programs/pb-control/tests/storage.rs
@@ -19,7 +19,7 @@
 
 fn publication(version: Version) -> Command {
     let publication = Publication {
-        version,
+        version: Some(version),
         ..Publication::default()
     };
     Command::Publish {
@@ -41,7 +41,7 @@
     Ok(())
 }
 
-fn version(node: &Node) -> Version {
+fn version(node: &Node) -> Option<Version> {
     node.read(|machine| machine.published().publication.version)
 }
 
@@ -64,7 +64,7 @@
     advance_for(&node, &clock, Duration::from_secs(3)).expect("the storage works");
     assert!(node.is_leader());
     publish(&node, &clock, 5).await;
-    assert_eq!(version(&node), 5);
+    assert_eq!(version(&node), Some(5));
 
     disk.full.set(true);
     let halt = {
@@ -82,9 +82,9 @@
     node.reopen().expect("the storage works again");
     advance_for(&node, &clock, Duration::from_secs(5)).expect("the storage works again");
     assert!(node.is_leader());
-    assert_eq!(version(&node), 5);
+    assert_eq!(version(&node), Some(5));
     publish(&node, &clock, 7).await;
-    assert_eq!(version(&node), 7);
+    assert_eq!(version(&node), Some(7));
 }
 
 #[test]
--- a/programs/pb-proxy/src/gateway/clients.rs
+++ b/programs/pb-proxy/src/gateway/clients.rs
@@ -108,7 +108,7 @@
         let max_wait = metadata.timeout.unwrap_or(MAX_START_WAIT) / 2;
         let limit = MAX_START_WAIT.min(max_wait);
         let in_force = self.state.wait_for_start(limit).await;
-        if in_force.publication.version == 0 {
+        if in_force.publication.version.is_none() {
             return Err(Failure::from(Kind::NotReady));
         }
         let limits = in_force.publication.limits;
--- a/programs/pb-proxy/src/gateway/deputy.rs
+++ b/programs/pb-proxy/src/gateway/deputy.rs
@@ -70,7 +70,7 @@
             let dispatcher = serving.dispatcher_mut();
             dispatcher.set_share(share, state.now());
             dispatcher.note_leader_heard(state.placer().leader_last_heard());
-            serving.tick(0, 0, 0, state.now());
+            serving.tick(0, None, 0, state.now());
         }
     }
 
--- a/programs/pb-proxy/src/gateway/feed.rs
+++ b/programs/pb-proxy/src/gateway/feed.rs
@@ -63,7 +63,7 @@
 /// What the leader announced with one heartbeat.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Announced {
-    version: Version,
+    version: Option<Version>,
     revision: Revision,
 }
 
@@ -138,7 +138,11 @@
     /// Notes what a heartbeat of the leader announces; returns whether the host, which has `version`,
     /// still lacks what was announced some heartbeats before.
     #[must_use]
-    pub fn is_behind(&self, announced: (Version, Revision), version: Version) -> bool {
+    pub fn is_behind(
+        &self,
+        announced: (Option<Version>, Revision),
+        version: Option<Version>,
+    ) -> bool {
         let mut earlier = self.announced.borrow_mut();
         earlier.push(Announced {
             version: announced.0,
@@ -275,8 +279,9 @@
     sender.send(Frame::Follow {
         host: settings.host.clone(),
         zone: settings.zone.clone(),
-        version: state.version(),
+        version: state.version().unwrap_or_default(),
         build: dispatch::OWN_LEVEL,
+        is_published: state.version().is_some(),
     });
     match timeout(ANSWER_TIMEOUT, receiver.next()).await {
         Ok(Ok(frames)) => Some((sender, receiver, frames)),
@@ -345,7 +350,7 @@
                 return Err(Error::Malformed(text.to_owned()));
             }
         }
-        Frame::Announced { version } => state.note_announced(version),
+        Frame::Announced { version } => state.note_announced(Some(version)),
         Frame::Upstreams {
             revision,
             is_complete,
--- a/programs/pb-proxy/src/gateway/meters.rs
+++ b/programs/pb-proxy/src/gateway/meters.rs
@@ -103,7 +103,7 @@
             ),
             version: registry.gauge(
                 "publication_version",
-                "Version of the publication in force.",
+                "Version of the publication in force, NaN before the first one.",
             ),
             control_heard: registry
                 .gauge("control_heard", "1 while the leader of control is heard."),
@@ -199,7 +199,11 @@
         #[allow(clippy::cast_precision_loss)]
         meters.buffer_bytes.set(limit as f64);
         #[allow(clippy::cast_precision_loss)]
-        meters.version.set(self.state.version() as f64);
+        let version = self
+            .state
+            .version()
+            .map_or(f64::NAN, |version| version as f64);
+        meters.version.set(version);
         #[allow(clippy::cast_precision_loss)]
         meters.skipped.set(meter::skipped() as f64);
         let refused = self.state.detours().admission().refused();
--- a/programs/pb-proxy/src/gateway/placement/link.rs
+++ b/programs/pb-proxy/src/gateway/placement/link.rs
@@ -141,10 +141,11 @@
     sender.send(Frame::Hello {
         host: settings.host.clone(),
         zone: settings.zone.clone(),
-        version: state.version(),
+        version: state.version().unwrap_or_default(),
         relay: Some(settings.relay),
         deputy: matches!(target, Target::Deputy(_)),
         build: dispatch::OWN_LEVEL,
+        is_published: state.version().is_some(),
     });
     match timeout(HELLO_TIMEOUT, receiver.next()).await {
         Ok(Ok(frames)) => Some((sender, receiver, frames)),
@@ -307,7 +308,9 @@
                 revision,
                 suspected,
                 cleared,
+                is_published,
             } => {
+                let version = dispatch::held_version(version, is_published);
                 note_announced(state, version, revision)?;
                 let placer = state.placer();
                 placer.note_hosts(hosts, state.now());
@@ -329,7 +332,11 @@
 
 /// Notes what a heartbeat announces. A host that lacks what earlier ones announced takes it from the
 /// leader, or links anew if it does so already.
-fn note_announced(state: &State, version: Version, revision: Revision) -> Result<(), Error> {
+fn note_announced(
+    state: &State,
+    version: Option<Version>,
+    revision: Revision,
+) -> Result<(), Error> {
     state.note_announced(version);
     if !state.feed().is_behind((version, revision), state.version()) {
         return Ok(());
@@ -341,7 +348,8 @@
         state.placer().subscribe(state);
         return Ok(());
     }
-    let text = format!("version {version} and roster {revision} were announced and did not arrive");
+    let text =
+        format!("version {version:?} and roster {revision} were announced and did not arrive");
     Err(Error::Malformed(text))
 }
 
@@ -423,7 +431,8 @@
         };
         if !self.is_subscribed.replace(true) {
             link.send(Frame::Subscribe {
-                version: state.version(),
+                version: state.version().unwrap_or_default(),
+                is_published: state.version().is_some(),
             });
         }
     }
--- a/programs/pb-proxy/src/gateway/state.rs
+++ b/programs/pb-proxy/src/gateway/state.rs
@@ -87,7 +87,7 @@
     clock: Rc<dyn Clock>,
     in_force: RefCell<Rc<Configuration>>,
     /// Newest version that the leader announced.
-    announced_version: Cell<Version>,
+    announced_version: Cell<Option<Version>>,
     publication_changed: Event,
     upstreams: RefCell<BTreeMap<Number, Entry>>,
     zones: Zones,
@@ -122,7 +122,7 @@
             dialect,
             clock,
             in_force: RefCell::default(),
-            announced_version: Cell::new(0),
+            announced_version: Cell::new(None),
             publication_changed: Event::new(),
             upstreams: RefCell::default(),
             zones: Zones::default(),
@@ -175,7 +175,7 @@
     /// dispatcher, for at most `limit`; returns the publication in force.
     pub async fn wait_for_start(&self, limit: Duration) -> Rc<Configuration> {
         let deadline = self.now() + limit;
-        while self.version() == 0 || !self.placer.was_linked() {
+        while self.version().is_none() || !self.placer.was_linked() {
             let left = deadline.saturating_duration_since(self.now());
             if left.is_zero() {
                 break;
@@ -349,8 +349,7 @@
     /// Returns whether the load balancer may send new clients to this host.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let configured = self.in_force.borrow().publication.version > 0;
-        configured
+        self.version().is_some()
             && !self.stop.is_asked()
             && self
                 .placer
@@ -366,15 +365,15 @@
                 .has_heard_leader(CURRENT_SILENCE_TIMEOUT, self.now())
     }
 
-    /// Notes that the leader announced the changes up to a version.
-    pub fn note_announced(&self, version: Version) {
+    /// Notes that the leader announced the changes up to a version, if it knows one.
+    pub fn note_announced(&self, version: Option<Version>) {
         self.announced_version
             .set(self.announced_version.get().max(version));
     }
 
-    /// Returns the version of the publication in force, 0 before the first one.
+    /// Returns the version of the publication in force, `None` before the first one.
     #[must_use]
-    pub fn version(&self) -> Version {
+    pub fn version(&self) -> Option<Version> {
         self.in_force.borrow().publication.version
     }
 
@@ -383,8 +382,8 @@
     pub fn publish(&self, delta: Delta) -> bool {
         let current = self.in_force();
         let blank = Publication::default();
-        let from = delta.from;
-        let base = if from == 0 {
+        let from = delta.base();
+        let base = if from.is_none() {
             &blank
         } else {
             &*current.publication
