test(review): a request sent ahead cuts a slowly read answer off

Shown: while a consumer reads a large answer, its next safe request on the connection starts the timeout of request heads, and the proxy closes the connection in the middle of the answer (rule LOST).

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod http;
 mod limits;
+mod pipelined;
 mod server;
 mod unframed;
 
@@ -29,6 +30,7 @@
         "unframed" => unframed::run,
         "limits" => limits::run,
         "departed" => departed::run,
+        "pipelined" => pipelined::run,
         _ => return ExitCode::from(2),
     };
     let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| run(&record, has_trouble)));
