--- a/review/standin-3/departed.rs
+++ b/review/standin-3/departed.rs
@@ -39,7 +39,9 @@
         format!("end={}", END.as_millis()),
     ];
     let server = fleet.start_server(3, &options);
-    record.line(&format!("server i-3: starts; its heartbeats arrive {delay:?} late"));
+    record.line(&format!(
+        "server i-3: starts; its heartbeats arrive {delay:?} late"
+    ));
     let end = started + LEAVE + END;
     let mut number: u32 = 0;
     while Instant::now() < end {
@@ -57,12 +59,25 @@
     for line in &lines {
         record.line(&format!("server: {line}"));
     }
-    let millis = |line: &String| line.split(" at ").nth(1)?.split(' ').next()?.parse::<u64>().ok();
-    let left = lines.iter().find(|line| line.contains("departure acknowledged"));
+    let millis = |line: &String| {
+        line.split(" at ")
+            .nth(1)?
+            .split(' ')
+            .next()?
+            .parse::<u64>()
+            .ok()
+    };
+    let left = lines
+        .iter()
+        .find(|line| line.contains("departure acknowledged"));
     let left = left.and_then(millis).expect("an acknowledged departure");
     let late = lines.iter().filter(|line| line.contains(": ran "));
-    let late = late.filter_map(millis).filter(|at| *at > left + DRAIN.as_millis() as u64);
+    let late = late
+        .filter_map(millis)
+        .filter(|at| *at > left + DRAIN.as_millis() as u64);
     let count = late.count();
-    record.line(&format!("{count} requests reached i-3 later than {DRAIN:?} after its departure was acknowledged"));
+    record.line(&format!(
+        "{count} requests reached i-3 later than {DRAIN:?} after its departure was acknowledged"
+    ));
     count == 0
 }
--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -263,7 +263,10 @@
                     return;
                 }
             }
-            assert!(Instant::now() < deadline, "no configuration was acknowledged");
+            assert!(
+                Instant::now() < deadline,
+                "no configuration was acknowledged"
+            );
             std::thread::sleep(Duration::from_millis(100));
         }
     }
--- a/review/standin-3/floor.rs
+++ b/review/standin-3/floor.rs
@@ -86,7 +86,9 @@
         let control = &fleet.control_addresses()[0];
         let answer = http::call(control, "PUT", "/api/instances/i-foreign", &body);
         let status = answer.map(|answer| answer.status);
-        record.line(&format!("control: a ping of i-foreign for the address of i-3 gets {status:?}"));
+        record.line(&format!(
+            "control: a ping of i-foreign for the address of i-3 gets {status:?}"
+        ));
     }
     holds(&fleet, record)
 }
@@ -98,7 +100,11 @@
     let before = counts(fleet);
     let seen = consume(fleet, since);
     let after = counts(fleet);
-    let used: Vec<usize> = before.iter().zip(&after).map(|(before, after)| after - before).collect();
+    let used: Vec<usize> = before
+        .iter()
+        .zip(&after)
+        .map(|(before, after)| after - before)
+        .collect();
     record.line(&format!("requests that the servers ran: {used:?}"));
     let in_use = used.iter().filter(|count| **count > 0).count();
     let share = in_use as f64 / f64::from(SERVERS);
@@ -106,11 +112,16 @@
     let mut windows = 0;
     while since + WINDOW * (windows + 1) <= since + COUNTED {
         let start = since + WINDOW * windows;
-        let sent = seen.iter().filter(|(at, _)| *at >= start && *at < start + WINDOW);
+        let sent = seen
+            .iter()
+            .filter(|(at, _)| *at >= start && *at < start + WINDOW);
         let sent: Vec<&(Instant, bool)> = sent.collect();
         let unserved = sent.iter().filter(|(_, is_served)| !is_served).count();
         let lost = unserved as f64 / sent.len().max(1) as f64;
-        record.line(&format!("window {windows}: {unserved} of {} requests are not served", sent.len()));
+        record.line(&format!(
+            "window {windows}: {unserved} of {} requests are not served",
+            sent.len()
+        ));
         let is_between = lost > MIN_UNSERVED && lost < MAX_UNSERVED;
         broken += u32::from(in_use > 0 && share < MIN_SHARE && is_between);
         windows += 1;
@@ -124,7 +135,10 @@
     for control in fleet.control_addresses() {
         let answer = http::call(&control, "DELETE", "/api/instances/i-3", "");
         if let Some(answer) = answer.filter(|answer| answer.status == 200) {
-            fleet.record.line(&format!("control: the DELETE of i-3 has arrived, {}", answer.status));
+            fleet.record.line(&format!(
+                "control: the DELETE of i-3 has arrived, {}",
+                answer.status
+            ));
             return;
         }
     }
--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -160,7 +160,10 @@
 
     /// Reads the body behind a head.
     pub fn body(&mut self, mut head: Answer) -> Answer {
-        if let Some(length) = head.header("content-length").and_then(|one| one.parse().ok()) {
+        if let Some(length) = head
+            .header("content-length")
+            .and_then(|one| one.parse().ok())
+        {
             (head.body, head.is_whole) = self.take(length);
             return head;
         }
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -32,7 +32,8 @@
         "foreign-ping" => floor::foreign_ping,
         _ => return ExitCode::from(2),
     };
-    let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| run(&record, has_trouble)));
+    let outcome =
+        std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| run(&record, has_trouble)));
     match outcome {
         Ok(true) => {
             record.line("result: the rule held");
--- a/review/standin-3/server.rs
+++ b/review/standin-3/server.rs
@@ -132,7 +132,9 @@
             std::thread::spawn(move || {
                 std::thread::sleep(registration.delivery);
                 let is_known = heartbeat(&registration, replica, sequence);
-                server.note(&format!("heartbeat {sequence} has arrived, acknowledged: {is_known}"));
+                server.note(&format!(
+                    "heartbeat {sequence} has arrived, acknowledged: {is_known}"
+                ));
             });
             replica += 1;
             ANSWER_TIMEOUT
@@ -205,11 +207,16 @@
     let mut lines = head.split("\r\n");
     let target = lines.next()?.split(' ').nth(1)?.to_owned();
     let field = |name: &str| {
-        let mut lines = head.split("\r\n").skip(1).filter_map(|line| line.split_once(':'));
+        let mut lines = head
+            .split("\r\n")
+            .skip(1)
+            .filter_map(|line| line.split_once(':'));
         let found = lines.find(|(known, _)| known.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.trim().to_owned())
     };
-    let length = field("content-length").and_then(|one| one.parse().ok()).unwrap_or(0);
+    let length = field("content-length")
+        .and_then(|one| one.parse().ok())
+        .unwrap_or(0);
     while buffer.len() < length {
         let mut bytes = [0; 16 * 1024];
         let read = stream.read(&mut bytes).ok().filter(|read| *read > 0)?;
@@ -229,7 +236,10 @@
     let mut buffer = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut buffer) {
         if request.target == "/healthz" {
-            let text = format!("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n", server.id);
+            let text = format!(
+                "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                server.id
+            );
             if stream.write_all(text.as_bytes()).is_err() {
                 return;
             }
@@ -254,7 +264,12 @@
 
 /// Answers a request; returns whether the connection goes on.
 fn answer(server: &Server, stream: &mut TcpStream, request: &Arrived) -> bool {
-    server.note(&format!("ran {} {} with {} bytes", request.id, request.target, request.body.len()));
+    server.note(&format!(
+        "ran {} {} with {} bytes",
+        request.id,
+        request.target,
+        request.body.len()
+    ));
     let mode = request.target.rsplit('/').next().unwrap_or_default();
     let (mode, number) = mode.split_once('-').unwrap_or((mode, "0"));
     let number: usize = number.parse().unwrap_or(0);
@@ -267,7 +282,8 @@
                 "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: {}\r\nConnection: close\r\n\r\n",
                 signature(&body)
             );
-            let is_sent = stream.write_all(head.as_bytes()).is_ok() && stream.write_all(&body).is_ok();
+            let is_sent =
+                stream.write_all(head.as_bytes()).is_ok() && stream.write_all(&body).is_ok();
             server.note(&format!("{id} sent whole: {is_sent}"));
             false
         }
--- a/review/standin-3/unframed.rs
+++ b/review/standin-3/unframed.rs
@@ -42,7 +42,10 @@
     let mut reader = Reader::new(stream);
     let head = reader.head().expect("the head of the answer");
     let since = Instant::now();
-    record.line(&format!("client: head with status {}, reads on later", head.status));
+    record.line(&format!(
+        "client: head with status {}, reads on later",
+        head.status
+    ));
     let mut next = None;
     if has_trouble {
         http::sleep_until(since + CRASH);
@@ -58,7 +61,10 @@
     }
     http::sleep_until(since + READ_ON);
     let answer = reader.body(head);
-    let expected = answer.header("response-signature").unwrap_or_default().to_owned();
+    let expected = answer
+        .header("response-signature")
+        .unwrap_or_default()
+        .to_owned();
     let is_signed = server::signature(&answer.body) == expected;
     record.line(&format!(
         "client: {} bytes of {ANSWER_BYTES}, ends as a whole answer: {}, signature fits: {is_signed}",
