--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -3,6 +3,7 @@
 use std::fs::File;
 use std::io::Write;
 use std::net::TcpListener;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -210,15 +211,21 @@
         let path = self.folder.join(format!("{host}.toml"));
         std::fs::write(&path, self.settings(role, host)).expect("a settings file");
         let log = File::create(self.folder.join(format!("{host}.log"))).expect("a log file");
-        let child = Command::new("target/release/persimmonbend")
+        let mut command = Command::new("target/release/persimmonbend");
+        command
             .arg(role)
             .env_clear()
             .env("PERSIMMONBEND_SETTINGS", &path)
             .env("PATH", "/usr/bin:/bin")
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("a file"))
-            .stderr(log)
-            .spawn();
+            .stderr(log);
+        // The process ends with this one, also if this one is ended before its time.
+        let bind = || {
+            end_with_parent();
+            Ok(())
+        };
+        let child = unsafe { command.pre_exec(bind) }.spawn();
         Process {
             child: child.expect("target/release/persimmonbend, the build of the deploy file"),
         }
