fix(control): a departure binds also where the roster does not know its start

The same where the id was known by a start that had crashed.

Cause: Roster::deregister left nothing for an id that it did not know, and noted the incarnation of whatever start it knew; the late heartbeat was then new, or newer. Departures kept in memory covered only entries that changed, and only until the process ended. Api::deregister acknowledged in each case.

Nothing is acknowledged before the roster refuses what arrives later. A start whose clock is ahead of the leader's is doubted too. Anybody can send departures for any id, so those of unknown ids are at most 512, half of the departed entries; ForgetDepartures, of level 4, removes the oldest ones. An announcement that is refused is answered with 409, logged and counted: a 200 told neither its sender nor an operator.

--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -4,6 +4,7 @@
 
 use std::cell::Cell;
 use std::fmt;
+use std::rc::Rc;
 use std::sync::OnceLock;
 use std::time::Duration;
 use std::time::Instant;
@@ -17,7 +18,7 @@
     /// Returns the monotonic time, for timeouts and intervals.
     fn now(&self) -> Instant;
 
-    /// Returns the wall time, for what operators read.
+    /// Returns the wall time, for what operators read and for a first guess at the order of starts.
     fn wall(&self) -> SystemTime;
 }
 
@@ -58,6 +59,35 @@
     suspended
 }
 
+/// The wall time that does not go back when the wall clock of the machine is set back.
+///
+/// It is the later one of the wall time and of the wall time at the start plus the monotonic time since then.
+#[derive(Debug)]
+pub struct LatestWall {
+    clock: Rc<dyn Clock>,
+    start: Instant,
+    wall_at_start: SystemTime,
+}
+
+impl LatestWall {
+    /// Creates the wall time of a clock from now on.
+    #[must_use]
+    pub fn new(clock: Rc<dyn Clock>) -> Self {
+        Self {
+            start: clock.now(),
+            wall_at_start: clock.wall(),
+            clock,
+        }
+    }
+
+    /// Returns the time now.
+    #[must_use]
+    pub fn now(&self) -> SystemTime {
+        let passed = self.clock.now().saturating_duration_since(self.start);
+        self.clock.wall().max(self.wall_at_start + passed)
+    }
+}
+
 fn read(clock: ClockId) -> Duration {
     let time = clock_gettime(clock);
     let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -37,8 +37,9 @@
 /// Commands of the builds that name no level.
 pub const FIRST_COMMANDS: Commands = 1;
 
-/// Commands that this build applies: 2 adds evacuations, 3 a publication of version 0.
-pub const OWN_COMMANDS: Commands = 3;
+/// Commands that this build applies: 2 adds evacuations, 3 a publication of version 0, 4 what corrects
+/// departures of upstreams.
+pub const OWN_COMMANDS: Commands = 4;
 
 /// A command in the log.
 ///
@@ -109,6 +110,11 @@
         /// The zone.
         zone: Zone,
     },
+    /// Forgets departures of upstreams that the roster has not known; a command of level 4.
+    ForgetDepartures {
+        /// The upstreams.
+        ids: Vec<UpstreamId>,
+    },
 }
 
 impl Command {
@@ -120,6 +126,7 @@
             Self::Evacuate { .. } | Self::Readmit { .. } => 2,
             // Builds of lower levels take version 0 for nothing.
             Self::Publish { published } if published.publication.version == Some(0) => 3,
+            Self::ForgetDepartures { .. } => 4,
             _ => FIRST_COMMANDS,
         }
     }
@@ -304,6 +311,10 @@
             },
             Command::Evacuate { zone } => self.set_evacuated(zone, true),
             Command::Readmit { zone } => self.set_evacuated(zone, false),
+            Command::ForgetDepartures { ids } => {
+                self.roster.forget_departures(ids);
+                Reply::Applied
+            }
         }
     }
 
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -5,13 +5,22 @@
 //! are ordered by incarnation and sequence. If several upstreams announce one address, the latest
 //! incarnation holds it.
 //!
+//! A departure is an announcement of the stage [`Stage::Left`], also for an upstream that the roster does not know,
+//! so it refuses what arrives after it, on every replica. One that names its start is final. One that
+//! does not is taken for the departure of every start up to the time of its arrival. [`admission`] decides what the
+//! leader makes of an announcement.
+//!
 //! What leaves the roster towards the fleet are effective entries, which show the upstreams of an evacuated
 //! zone as draining, whatever they announce. The announcements themselves are kept as they came.
 
+pub mod admission;
 pub mod departures;
 pub mod evacuation;
 
 use std::collections::BTreeMap;
+use std::fmt;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -22,6 +31,7 @@
 use crate::id::Zone;
 use crate::roster::evacuation::Evacuations;
 use crate::upstream::Announcement;
+use crate::upstream::LAST_SEQUENCE;
 use crate::upstream::Stage;
 
 /// Number of an upstream, assigned at its first announcement and again after each restart.
@@ -34,6 +44,16 @@
 /// again; [`departures`] remembers them by time.
 const MAX_DEPARTED_UPSTREAMS: usize = 1_024;
 
+/// Most departures of upstreams that the roster has not known. Anybody can send them, so they must not push
+/// out those of others.
+pub const MAX_UNKNOWN_DEPARTURES: usize = MAX_DEPARTED_UPSTREAMS / 2;
+
+/// Departures of unknown upstreams that are removed at a time once there are too many.
+const REMOVED_UNKNOWN_DEPARTURES: usize = MAX_UNKNOWN_DEPARTURES / 4;
+
+/// Address of an entry that only notes a departure.
+const NO_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
 /// One upstream of the roster.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -50,8 +70,56 @@
     New,
     /// The announcement repeats the known state with a new sequence.
     Renewal,
-    /// A later announcement is already known, or the upstream has left.
+    /// A later announcement of the same start is already known.
     Outdated,
+    /// The start that sends the announcement is not used.
+    Refused(Refusal),
+}
+
+/// Why the start that sends an announcement is not used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// The start has left, or may be one that has.
+    Left,
+    /// A later start of the upstream is known.
+    Replaced,
+    /// Another upstream with a later start holds the address.
+    AddressHeld,
+}
+
+impl Refusal {
+    /// Returns the reason as it stands in log lines.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Left => "left",
+            Self::Replaced => "replaced",
+            Self::AddressHeld => "address_held",
+        }
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Left => "it has left",
+            Self::Replaced => "a later start of it is known",
+            Self::AddressHeld => "a later start of another upstream holds its address",
+        })
+    }
+}
+
+impl Entry {
+    /// Returns whether the start has left by its own word, so that none of its announcements is of use any more.
+    #[must_use]
+    pub fn is_final(&self) -> bool {
+        self.announcement.stage == Stage::Left && self.announcement.sequence == LAST_SEQUENCE
+    }
+
+    /// Returns whether the entry only notes the departure of an upstream that the roster has not known.
+    fn is_of_unknown(&self) -> bool {
+        self.announcement.stage == Stage::Left && self.announcement.service.is_empty()
+    }
 }
 
 /// Returns the entry of an upstream that has now left, or `None` if it had left before.
@@ -87,7 +155,8 @@
 
     /// Returns the zones of all upstreams, including those that have left.
     pub fn zones(&self) -> impl Iterator<Item = &Zone> {
-        self.entries.values().map(|entry| &entry.announcement.zone)
+        let known = self.entries.values().filter(|entry| !entry.is_of_unknown());
+        known.map(|entry| &entry.announcement.zone)
     }
 
     /// Returns the number of changes so far; equal revisions of one log are equal rosters.
@@ -110,9 +179,13 @@
             .get(&announcement.id)
             .map(|one| &one.announcement);
         if let Some(known) = known {
-            let same = known.incarnation == announcement.incarnation;
-            let has_left = same && known.stage == Stage::Left;
-            if has_left || (known != announcement && !announcement.supersedes(known)) {
+            if known.stage == Stage::Left && known.incarnation >= announcement.incarnation {
+                return Effect::Refused(Refusal::Left);
+            }
+            if known.incarnation > announcement.incarnation {
+                return Effect::Refused(Refusal::Replaced);
+            }
+            if known != announcement && !announcement.supersedes(known) {
                 return Effect::Outdated;
             }
             if announcement.renews(known) {
@@ -120,8 +193,8 @@
             }
         }
         let held = self.holder(announcement.address, &announcement.id);
-        if held.is_some_and(|(_, incarnation)| incarnation > announcement.incarnation) {
-            return Effect::Outdated;
+        if held.is_some_and(|holder| holder.incarnation > announcement.incarnation) {
+            return Effect::Refused(Refusal::AddressHeld);
         }
         Effect::New
     }
@@ -131,8 +204,80 @@
         if self.evaluate(announcement) != Effect::New {
             return Vec::new();
         }
+        self.insert(announcement)
+    }
+
+    /// Returns whether the start of an announcement has left by its own word.
+    #[must_use]
+    pub fn is_final(&self, announcement: &Announcement) -> bool {
+        let known = self.entries.get(&announcement.id);
+        known.is_some_and(|known| {
+            known.is_final() && known.announcement.incarnation == announcement.incarnation
+        })
+    }
+
+    /// Returns the announcement that notes the departure of an upstream.
+    ///
+    /// Without a `start` the departure may be that of any start up to `latest`, or of the known one. The same holds for
+    /// a `start` that is not known and later than that, which cannot be true.
+    #[must_use]
+    pub fn departure(
+        &self,
+        id: &str,
+        start: Option<Incarnation>,
+        latest: Incarnation,
+    ) -> Announcement {
+        let known = self.entries.get(id).map(|entry| &entry.announcement);
+        let known_start = known.map_or(0, |known| known.incarnation);
+        let start = start.filter(|start| *start <= latest || *start == known_start);
+        let last = start.unwrap_or_else(|| latest.max(known_start));
+        if let Some(known) = known.filter(|known| known.incarnation == last) {
+            return Announcement {
+                sequence: start.map_or(known.sequence.saturating_add(1), |_| LAST_SEQUENCE),
+                stage: Stage::Left,
+                ..known.clone()
+            };
+        }
+        Announcement {
+            id: id.to_owned(),
+            service: known.map_or_else(String::new, |known| known.service.clone()),
+            address: NO_ADDRESS,
+            zone: known.map_or_else(String::new, |known| known.zone.clone()),
+            slots: 0,
+            incarnation: last,
+            sequence: start.map_or(0, |_| LAST_SEQUENCE),
+            stage: Stage::Left,
+        }
+    }
+
+    /// Returns the oldest departures of unknown upstreams, to be removed before another one is noted; none while
+    /// there are few.
+    #[must_use]
+    pub fn surplus_departures(&self) -> Vec<UpstreamId> {
+        let unknown = self.entries.values().filter(|entry| entry.is_of_unknown());
+        let mut unknown: Vec<&Entry> = unknown.collect();
+        if unknown.len() < MAX_UNKNOWN_DEPARTURES {
+            return Vec::new();
+        }
+        unknown.sort_unstable_by_key(|entry| entry.number);
+        let oldest = unknown.iter().take(REMOVED_UNKNOWN_DEPARTURES);
+        oldest.map(|entry| entry.announcement.id.clone()).collect()
+    }
+
+    /// Removes the departures of unknown upstreams among those named.
+    pub fn forget_departures(&mut self, ids: &[UpstreamId]) {
+        for id in ids {
+            if self.entries.get(id).is_some_and(Entry::is_of_unknown) {
+                self.entries.remove(id);
+            }
+        }
+    }
+
+    /// Puts an announcement in place of the known one, whose number it keeps if it is of the same start.
+    fn insert(&mut self, announcement: &Announcement) -> Vec<Entry> {
         let mut changed = Vec::new();
-        if let Some((other, _)) = self.holder(announcement.address, &announcement.id) {
+        let holder = self.holder(announcement.address, &announcement.id);
+        if let Some(other) = holder.map(|holder| holder.id.clone()) {
             changed.extend(self.deregister(&other));
         }
         let known = self.entries.get(&announcement.id);
@@ -182,12 +327,12 @@
         changed
     }
 
-    /// Returns the upstream other than `id` that holds an address, with its incarnation.
-    fn holder(&self, address: SocketAddr, id: &str) -> Option<(UpstreamId, Incarnation)> {
+    /// Returns the announcement of the upstream other than `id` that holds an address.
+    #[must_use]
+    pub fn holder(&self, address: SocketAddr, id: &str) -> Option<&Announcement> {
         let others = self.entries.values().map(|entry| &entry.announcement);
         let mut others = others.filter(|one| one.id != id && one.stage != Stage::Left);
-        let holder = others.find(|one| one.address == address)?;
-        Some((holder.id.clone(), holder.incarnation))
+        others.find(|one| one.address == address)
     }
 
     fn remove_oldest_departed(&mut self) {
--- /dev/null
+++ b/crates/core/src/roster/admission.rs
@@ -0,0 +1,176 @@
+//! What the leader makes of the announcements of upstreams.
+//!
+//! The roster orders announcements by what they say; they may also arrive late, out of order, or from another
+//! writer. [`Admission`] adds what the roster does not hold: departures beyond its bound and the time of day.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::id::Incarnation;
+use crate::id::UpstreamId;
+use crate::roster::Effect;
+use crate::roster::Entry;
+use crate::roster::Refusal;
+use crate::roster::Roster;
+use crate::roster::departures::Departures;
+use crate::upstream::Announcement;
+use crate::upstream::Stage;
+
+/// How far the calls of upstreams can be trusted to arrive in order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Difference between the clocks of two machines that must not matter.
+    pub skew: Duration,
+}
+
+impl Default for Bounds {
+    /// Returns the bounds for upstreams that announce themselves every 2 s.
+    fn default() -> Self {
+        Self {
+            skew: Duration::from_secs(1),
+        }
+    }
+}
+
+/// The state of control that a decision depends on.
+#[derive(Debug, Clone, Copy)]
+pub struct Context<'a> {
+    /// The roster.
+    pub roster: &'a Roster,
+    /// Unix milliseconds now.
+    pub wall: Incarnation,
+}
+
+/// What to do with an announcement.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Decision {
+    /// It renews what the roster holds.
+    Renew,
+    /// It says nothing that still matters.
+    Ignore,
+    /// This announcement is to be applied.
+    Apply(Announcement),
+    /// Its start is not used and leaves, which this announcement is to note.
+    Depart(Announcement),
+    /// Its start is not used.
+    Refuse(Refusal),
+}
+
+/// What the leader knows of upstreams beside the roster.
+#[derive(Debug)]
+pub struct Admission {
+    bounds: Bounds,
+    departures: Departures,
+}
+
+impl Admission {
+    /// Creates the admission of a replica that has heard nothing.
+    #[must_use]
+    pub fn new(bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            departures: Departures::default(),
+        }
+    }
+
+    /// Begins anew with the roster of a replica that has just become the leader.
+    pub fn begin_term(&mut self, roster: &Roster, now: Instant) {
+        let departed = roster.entries();
+        let departed = departed.filter(|entry| entry.announcement.stage == Stage::Left);
+        self.note_changes(&departed.collect::<Vec<_>>(), now);
+    }
+
+    /// Notes the entries that a command has changed, also while the replica follows.
+    pub fn note_changes(&mut self, changed: &[Entry], now: Instant) {
+        self.departures.expire(now);
+        for entry in changed {
+            self.departures.note(entry, now);
+        }
+    }
+
+    /// Decides what to do with an announcement that has arrived.
+    #[must_use]
+    pub fn decide(&self, announcement: &Announcement, context: &Context<'_>) -> Decision {
+        let refusal = match self.evaluate(announcement, context) {
+            Effect::Renewal => return Decision::Renew,
+            Effect::New => return Decision::Apply(announcement.clone()),
+            Effect::Outdated => return drained(announcement, context.roster),
+            Effect::Refused(refusal) => refusal,
+        };
+        let is_final = self.is_final(announcement, context.roster);
+        if announcement.stage != Stage::Draining {
+            return Decision::Refuse(refusal);
+        }
+        if is_final {
+            return Decision::Ignore;
+        }
+        let (id, start) = (&announcement.id, announcement.incarnation);
+        Decision::Depart(context.roster.departure(id, Some(start), start))
+    }
+
+    /// Returns the announcement that notes the departure of an upstream.
+    ///
+    /// A departure without a `start` may be that of any start up to now: an announcement of one may be on its way.
+    /// The skew is added to the first departure of a start only, which serves on for longer than that; senders
+    /// repeat their departures until they end, and the next start may follow at once.
+    #[must_use]
+    pub fn departure(
+        &self,
+        id: &UpstreamId,
+        start: Option<Incarnation>,
+        context: &Context<'_>,
+    ) -> Announcement {
+        let known = context.roster.get(id);
+        let is_repeated = known.is_some_and(|one| one.announcement.stage == Stage::Left);
+        let skew = if is_repeated { 0 } else { self.skew() };
+        let latest = context.wall.saturating_add(skew);
+        context.roster.departure(id, start, latest)
+    }
+
+    fn evaluate(&self, announcement: &Announcement, context: &Context<'_>) -> Effect {
+        let roster = context.roster;
+        let effect = roster.evaluate(announcement);
+        if effect != Effect::New {
+            return effect;
+        }
+        if self.departures.refuses(announcement) || self.is_early(announcement, context) {
+            return Effect::Refused(Refusal::Left);
+        }
+        effect
+    }
+
+    /// Returns whether a start seems to come after a departure that named none, but by a clock that is ahead of this
+    /// one: by the same clock it may have started before.
+    fn is_early(&self, announcement: &Announcement, context: &Context<'_>) -> bool {
+        let known = context.roster.get(&announcement.id);
+        let is_in_doubt =
+            known.is_some_and(|one| one.announcement.stage == Stage::Left && !one.is_final());
+        is_in_doubt && announcement.incarnation > context.wall.saturating_add(self.skew())
+    }
+
+    fn is_final(&self, announcement: &Announcement, roster: &Roster) -> bool {
+        roster.is_final(announcement) || self.departures.is_final(announcement)
+    }
+
+    /// Returns the skew in milliseconds.
+    fn skew(&self) -> Incarnation {
+        Incarnation::try_from(self.bounds.skew.as_millis()).unwrap_or(Incarnation::MAX)
+    }
+}
+
+/// Returns what to do with an announcement that a later one of its start has overtaken: a start that drains does not
+/// return from that, whatever sequence it states.
+fn drained(announcement: &Announcement, roster: &Roster) -> Decision {
+    let known = roster.get(&announcement.id).map(|one| &one.announcement);
+    let known = known.filter(|one| one.stage.takes_requests());
+    let (Some(known), Stage::Draining) = (known, announcement.stage) else {
+        return Decision::Ignore;
+    };
+    match known.sequence.checked_add(1) {
+        Some(sequence) => Decision::Apply(Announcement {
+            sequence,
+            ..announcement.clone()
+        }),
+        None => Decision::Refuse(Refusal::Replaced),
+    }
+}
--- a/crates/core/src/roster/departures.rs
+++ b/crates/core/src/roster/departures.rs
@@ -1,7 +1,7 @@
 //! Upstreams that have left lately, remembered by time beside the roster.
 //!
-//! Answers the load of a rollout: a roster remembers the departed by number, so many departures in a short time
-//! push one out whose registration may still be on its way. Every replica notes what it applies, and the leader asks
+//! A roster remembers the departed by number, so many departures in a short time, as in a rollout, push one out whose
+//! registration may still be on its way. Every replica notes what it applies, and the leader asks
 //! before it proposes an announcement. The replicated state is not concerned, so builds that do not remember come
 //! to the same one.
 
@@ -22,24 +22,43 @@
 /// Most departures that are remembered, a few MB.
 const MAX_DEPARTURES: usize = 32_768;
 
+/// Departure of the starts of an upstream up to an incarnation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Departure {
+    incarnation: Incarnation,
+    /// Whether the start has left by its own word.
+    is_final: bool,
+}
+
 /// The departures of the last [`MEMORY`].
 #[derive(Debug, Default)]
 pub struct Departures {
-    /// Latest incarnation of each upstream that has left.
-    incarnations: BTreeMap<UpstreamId, Incarnation>,
+    /// Latest start of each upstream that has left.
+    latest: BTreeMap<UpstreamId, Departure>,
     /// When upstreams left, from the oldest on.
     order: VecDeque<(Instant, UpstreamId, Incarnation)>,
 }
 
 impl Departures {
-    /// Notes an entry that the roster has changed, if its upstream has left.
+    /// Notes an entry that the roster has changed: its upstream has left, or a start of it is in use.
     pub fn note(&mut self, entry: &Entry, now: Instant) {
         let announcement = &entry.announcement;
-        if announcement.stage != Stage::Left || self.refuses(announcement) {
+        if announcement.stage != Stage::Left {
+            // The order of the roster decides; a start that it has reinstated is no departed one.
+            if self.refuses(announcement) {
+                self.latest.remove(&announcement.id);
+            }
+            return;
+        }
+        if self.refuses(announcement) {
             return;
         }
         let (id, incarnation) = (announcement.id.clone(), announcement.incarnation);
-        self.incarnations.insert(id.clone(), incarnation);
+        let departure = Departure {
+            incarnation,
+            is_final: entry.is_final(),
+        };
+        self.latest.insert(id.clone(), departure);
         self.order.push_back((now, id, incarnation));
         if self.order.len() > MAX_DEPARTURES {
             self.forget_oldest();
@@ -49,8 +68,15 @@
     /// Returns whether an announcement is of a start that has left, or of an earlier one.
     #[must_use]
     pub fn refuses(&self, announcement: &Announcement) -> bool {
-        let left = self.incarnations.get(&announcement.id);
-        left.is_some_and(|left| announcement.incarnation <= *left)
+        let left = self.latest.get(&announcement.id);
+        left.is_some_and(|left| announcement.incarnation <= left.incarnation)
+    }
+
+    /// Returns whether an announcement is of a start that has left by its own word.
+    #[must_use]
+    pub fn is_final(&self, announcement: &Announcement) -> bool {
+        let left = self.latest.get(&announcement.id);
+        left.is_some_and(|left| left.is_final && announcement.incarnation == left.incarnation)
     }
 
     /// Forgets the departures that are older than [`MEMORY`].
@@ -66,8 +92,9 @@
             return;
         };
         // A later start of the upstream may have left since.
-        if self.incarnations.get(&id) == Some(&incarnation) {
-            self.incarnations.remove(&id);
+        let left = self.latest.get(&id);
+        if left.is_some_and(|left| left.incarnation == incarnation) {
+            self.latest.remove(&id);
         }
     }
 }
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -15,6 +15,9 @@
 /// Time after which an announcement lapses unless the upstream renews it.
 pub const LIFETIME: Duration = Duration::from_secs(10);
 
+/// Sequence of the announcement by which a start itself says that it has left; nothing follows it.
+pub const LAST_SEQUENCE: u64 = u64::MAX;
+
 /// The stage in the life of an upstream that the upstream announces.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -51,7 +54,7 @@
     pub zone: Zone,
     /// Requests that the upstream runs at a time.
     pub slots: u32,
-    /// Incarnation, raised at each start.
+    /// Incarnation, raised at each start: the Unix milliseconds of the start where the roster of control holds it.
     pub incarnation: Incarnation,
     /// Sequence, raised at each announcement of one incarnation.
     pub sequence: u64,
--- a/programs/pb-control/src/api.rs
+++ b/programs/pb-control/src/api.rs
@@ -20,12 +20,16 @@
 use persimmonbend_app::http::Body;
 use persimmonbend_app::http::Handler;
 use persimmonbend_core::dispatch::explain::Question;
+use persimmonbend_core::id::Incarnation;
 use persimmonbend_core::id::UpstreamId;
 use persimmonbend_core::id::Zone;
 use persimmonbend_core::machine::Command;
+use persimmonbend_core::machine::Machine;
 use persimmonbend_core::machine::Published;
+use persimmonbend_core::machine::Reply;
 use persimmonbend_core::publication::Version;
 use persimmonbend_core::roster::Effect;
+use persimmonbend_core::roster::admission::Decision;
 use persimmonbend_core::upstream::Announcement;
 use serde_json::Value;
 use tracing::info;
@@ -55,8 +59,8 @@
     Read,
     /// Adds an upstream or updates its state.
     Announce(Announcement),
-    /// Removes an upstream.
-    Deregister(UpstreamId),
+    /// Removes an upstream that leaves, as its start with this incarnation says, or one that it does not name.
+    Deregister(UpstreamId, Option<Incarnation>),
     /// Orders that the upstreams of a zone get no more requests.
     Evacuate(Zone),
     /// Withdraws the order to evacuate a zone.
@@ -72,6 +76,8 @@
     Unknown,
     /// The call cannot be parsed or its content is not valid.
     Invalid(String),
+    /// The call is valid, but what is known speaks against it.
+    Conflict(String),
 }
 
 /// Outcome of a call.
@@ -172,7 +178,7 @@
             Call::Publish(published) => self.publish(*published).await,
             Call::Read => self.read(),
             Call::Announce(announcement) => self.announce(announcement).await,
-            Call::Deregister(id) => self.deregister(id).await,
+            Call::Deregister(id, start) => self.deregister(id, start).await,
             Call::Evacuate(zone) => self.set_evacuated(zone, true).await,
             Call::Readmit(zone) => self.set_evacuated(zone, false).await,
             Call::Explain(question) => self.explain(&question),
@@ -221,31 +227,95 @@
     }
 
     async fn announce(&self, announcement: Announcement) -> Outcome {
-        let id = announcement.id.clone();
-        match self.dispatch.receive_announcement(&announcement) {
-            Effect::Renewal => return Outcome::Announced(self.address),
-            Effect::Outdated => {
+        let proposed = match self.dispatch.receive_announcement(&announcement) {
+            Decision::Apply(announcement) => self.propose(Command::Announce { announcement }).await,
+            Decision::Depart(departure) => return self.note_departure(departure).await,
+            decision => return self.answer(&announcement, &decision),
+        };
+        match proposed {
+            Ok(Reply::Registered { changed }) if !changed.is_empty() => {
+                Outcome::Announced(self.address)
+            }
+            // Another command came first in the log.
+            Ok(_) => {
+                let decision = self.dispatch.receive_announcement(&announcement);
+                self.answer(&announcement, &decision)
+            }
+            Err(outcome) => outcome,
+        }
+    }
+
+    /// Returns the outcome of an announcement that changes nothing.
+    fn answer(&self, announcement: &Announcement, decision: &Decision) -> Outcome {
+        match decision {
+            Decision::Renew => Outcome::Announced(self.address),
+            Decision::Ignore => {
                 info!(
-                    upstream = %id,
+                    upstream = %announcement.id,
                     incarnation = announcement.incarnation,
                     sequence = announcement.sequence,
                     "announcement_outdated"
                 );
-                return Outcome::Done(None);
+                Outcome::Done(None)
+            }
+            Decision::Refuse(refusal) => {
+                let reason = refusal.as_str();
+                warn!(
+                    upstream = %announcement.id,
+                    incarnation = announcement.incarnation,
+                    sequence = announcement.sequence,
+                    reason,
+                    "announcement_refused"
+                );
+                let id = &announcement.id;
+                Outcome::Refused(Fault::Conflict(format!(
+                    "upstream {id} is not used: {refusal}"
+                )))
             }
-            Effect::New => {}
+            Decision::Apply(_) | Decision::Depart(_) => Outcome::Unavailable,
         }
-        match self.propose(Command::Announce { announcement }).await {
-            Ok(()) => Outcome::Announced(self.address),
-            Err(outcome) => outcome,
+    }
+
+    async fn deregister(&self, id: UpstreamId, start: Option<Incarnation>) -> Outcome {
+        if let Err(outcome) = self.forget_surplus_departures().await {
+            return outcome;
         }
+        let departure = self.dispatch.departure(&id, start);
+        self.note_departure(departure).await
     }
 
-    async fn deregister(&self, id: UpstreamId) -> Outcome {
-        match self.propose(Command::Deregister { id }).await {
-            Ok(()) => Outcome::Done(None),
-            Err(outcome) => outcome,
+    /// Notes a departure in the log.
+    async fn note_departure(&self, departure: Announcement) -> Outcome {
+        let Announcement {
+            id, incarnation, ..
+        } = departure.clone();
+        let proposed = Command::Announce {
+            announcement: departure.clone(),
+        };
+        if let Err(outcome) = self.propose(proposed).await {
+            return outcome;
+        }
+        let effect = |machine: &Machine| machine.roster().evaluate(&departure);
+        if !matches!(self.node.read(effect), Effect::Refused(_)) {
+            warn!(upstream = %id, incarnation, "departure_not_noted");
+            return Outcome::Unavailable;
+        }
+        info!(upstream = %id, incarnation, "departure_acknowledged");
+        Outcome::Done(None)
+    }
+
+    /// Makes room for the departure of an upstream that the roster may not know.
+    async fn forget_surplus_departures(&self) -> Result<(), Outcome> {
+        let ids = self
+            .node
+            .read(|machine| machine.roster().surplus_departures());
+        let command = Command::ForgetDepartures { ids };
+        // Members of an older build keep the departures that come last, whoever sent them.
+        let is_due = matches!(&command, Command::ForgetDepartures { ids } if !ids.is_empty());
+        if is_due && self.node.all_members_apply(command.level()) {
+            self.propose(command).await?;
         }
+        Ok(())
     }
 
     /// Evacuates a zone or takes it back. Orders take effect in the sequence of the log, also repeated ones.
@@ -261,7 +331,7 @@
             Command::Readmit { zone: zone.clone() }
         };
         match self.propose(command).await {
-            Ok(()) => {
+            Ok(_) => {
                 info!(zone, is_evacuated, "evacuation_acknowledged");
                 Outcome::Done(None)
             }
@@ -269,9 +339,9 @@
         }
     }
 
-    async fn propose(&self, command: Command) -> Result<(), Outcome> {
+    async fn propose(&self, command: Command) -> Result<Reply, Outcome> {
         match self.node.propose(command).await {
-            Ok(_) => Ok(()),
+            Ok(reply) => Ok(reply),
             Err(Error::Invalid(reason)) => Err(Outcome::Refused(Fault::Invalid(reason))),
             Err(error) => {
                 warn!(error = %error, "order_not_committed");
--- a/programs/pb-control/src/dispatch.rs
+++ b/programs/pb-control/src/dispatch.rs
@@ -13,25 +13,29 @@
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::UNIX_EPOCH;
 
 use compio::net::TcpStream;
 use compio::runtime::spawn;
 use compio::time::timeout;
 use futures_util::future::Either;
 use persimmonbend_core::clock::Clock;
+use persimmonbend_core::clock::LatestWall;
 use persimmonbend_core::dispatch::Balance;
 use persimmonbend_core::dispatch::Policy;
 use persimmonbend_core::dispatch::explain::Explanation;
 use persimmonbend_core::dispatch::explain::Question;
 use persimmonbend_core::dispatch::explain::Unknown;
+use persimmonbend_core::id::Incarnation;
+use persimmonbend_core::id::UpstreamId;
 use persimmonbend_core::id::Zone;
 use persimmonbend_core::machine::Machine;
 use persimmonbend_core::machine::Reply;
 use persimmonbend_core::publication::Version;
-use persimmonbend_core::roster::Effect;
-use persimmonbend_core::roster::Entry;
 use persimmonbend_core::roster::Revision;
-use persimmonbend_core::roster::departures::Departures;
+use persimmonbend_core::roster::admission::Admission;
+use persimmonbend_core::roster::admission::Context;
+use persimmonbend_core::roster::admission::Decision;
 use persimmonbend_core::upstream::Announcement;
 use persimmonbend_wire::dispatch;
 use persimmonbend_wire::dispatch::Frame;
@@ -48,6 +52,7 @@
 use crate::leadership::Leadership;
 use crate::leadership::Observer;
 use crate::node::Node;
+use crate::settings::Settings;
 
 /// Time between two checks of timers.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -87,27 +92,24 @@
     /// When a leader was last known.
     leader_known: Cell<Instant>,
     state: RefCell<Option<State>>,
-    departures: RefCell<Departures>,
+    admission: RefCell<Admission>,
+    wall: LatestWall,
 }
 
 impl Service {
     /// Creates the dispatch service of a replica and observes its leadership.
     #[must_use]
-    pub fn new(
-        node: Rc<Node>,
-        clock: Rc<dyn Clock>,
-        policy: Policy,
-        zone: Option<Zone>,
-    ) -> Rc<Self> {
+    pub fn new(node: Rc<Node>, clock: Rc<dyn Clock>, settings: &Settings) -> Rc<Self> {
         let service = Rc::new(Self {
             feed: RefCell::new(node.read(Feed::new)),
             leader_known: Cell::new(clock.now()),
             node,
+            wall: LatestWall::new(Rc::clone(&clock)),
             clock,
-            policy,
-            zone,
+            policy: settings.policy,
+            zone: settings.zone.clone(),
             state: RefCell::new(None),
-            departures: RefCell::default(),
+            admission: RefCell::new(Admission::new(settings.announcements)),
         });
         let observer: Rc<dyn Observer> = Rc::new(Forwarder(Rc::clone(&service)));
         service.node.observe(observer);
@@ -165,34 +167,60 @@
         feed.revision()
     }
 
-    /// Returns the effect of an announcement on the roster. Unless the announcement is outdated,
+    /// Decides what to do with an announcement. Unless its start is not used or a later announcement was received,
     /// records that its upstream was in contact.
     #[must_use]
-    pub fn receive_announcement(&self, announcement: &Announcement) -> Effect {
-        let effect = self
-            .node
-            .read(|machine| machine.roster().evaluate(announcement));
+    pub fn receive_announcement(&self, announcement: &Announcement) -> Decision {
+        let decision = self.with_context(|context| {
+            let admission = self.admission.borrow();
+            admission.decide(announcement, context)
+        });
         let mut state = self.state.borrow_mut();
         let Some(state) = state.as_mut() else {
-            return effect;
+            return decision;
         };
-        if self.departures.borrow().refuses(announcement) {
-            return Effect::Outdated;
+        match &decision {
+            Decision::Renew | Decision::Apply(_) => {}
+            Decision::Refuse(_) => {
+                state.count_refused_announcement();
+                return decision;
+            }
+            Decision::Ignore | Decision::Depart(_) => return decision,
         }
-        if effect == Effect::Outdated || !state.is_latest(announcement) {
-            return Effect::Outdated;
+        if !state.is_latest(announcement) && announcement.stage.takes_requests() {
+            return Decision::Ignore;
         }
         let known = self.node.read(|machine| {
-            machine
-                .roster()
-                .get(&announcement.id)
-                .map(|entry| entry.number)
+            let entry = machine.roster().get(&announcement.id);
+            entry.map(|entry| entry.number)
         });
         if let Some(number) = known {
-            let is_renewal = effect == Effect::Renewal;
+            let is_renewal = decision == Decision::Renew;
             state.touch_upstream(number, is_renewal, self.clock.now());
         }
-        effect
+        decision
+    }
+
+    /// Returns the announcement that notes the departure of an upstream. `start` is the start that has left, if the departure names it.
+    pub fn departure(&self, id: &UpstreamId, start: Option<Incarnation>) -> Announcement {
+        self.with_context(|context| {
+            let admission = self.admission.borrow();
+            admission.departure(id, start, context)
+        })
+    }
+
+    fn with_context<T, F>(&self, use_context: F) -> T
+    where
+        F: FnOnce(&Context<'_>) -> T,
+    {
+        let wall = self.wall.now().duration_since(UNIX_EPOCH);
+        let wall = wall.unwrap_or_default().as_millis();
+        self.node.read(|machine| {
+            use_context(&Context {
+                roster: machine.roster(),
+                wall: Incarnation::try_from(wall).unwrap_or(Incarnation::MAX),
+            })
+        })
     }
 
     /// Returns the state of the service as JSON, null while the replica does not lead.
@@ -428,10 +456,10 @@
             let publication = Rc::clone(&machine.published().publication);
             State::new(policy, publication, machine.roster(), now)
         });
-        let departed: Vec<Entry> = self
-            .node
-            .read(|machine| machine.roster().entries().collect());
-        self.note_departures(&departed, now);
+        self.node.read(|machine| {
+            let mut admission = self.admission.borrow_mut();
+            admission.begin_term(machine.roster(), now);
+        });
         info!(term, "desk_opened");
         *self.state.borrow_mut() = Some(state);
     }
@@ -485,19 +513,10 @@
         }
     }
 
-    /// Remembers the upstreams that have left, also while this replica follows.
-    fn note_departures(&self, changed: &[Entry], now: Instant) {
-        let mut departures = self.departures.borrow_mut();
-        departures.expire(now);
-        for entry in changed {
-            departures.note(entry, now);
-        }
-    }
-
     fn command_applied(&self, reply: &Reply) {
         let now = self.clock.now();
         if let Reply::Registered { changed } = reply {
-            self.note_departures(changed, now);
+            self.admission.borrow_mut().note_changes(changed, now);
         }
         self.update_feed(reply, now);
         let mut state = self.state.borrow_mut();
--- a/programs/pb-control/src/dispatch/meters.rs
+++ b/programs/pb-control/src/dispatch/meters.rs
@@ -29,6 +29,7 @@
     upstreams: Gauges,
     hedges_sent: Gauges,
     hedges_left: Gauges,
+    announcements_refused: Gauge,
 }
 
 impl Meters {
@@ -70,6 +71,10 @@
                 "Extra sends since this replica leads.",
                 &["service"],
             ),
+            announcements_refused: registry.gauge(
+                "announcements_refused",
+                "Announcements of upstreams that are not used, since this replica leads.",
+            ),
             hedges_left: gauges("hedges_left", "Extra sends that may be made.", &["service"]),
             registry,
         }
@@ -77,6 +82,7 @@
 
     /// Returns the gauges as text; `state` is that of the leader, if this replica leads.
     #[must_use]
+    #[allow(clippy::cast_precision_loss)]
     pub fn text(&self, state: Option<&State>, now: Instant) -> String {
         self.leading.set(f64::from(u8::from(state.is_some())));
         for gauges in [
@@ -91,6 +97,8 @@
         ] {
             gauges.clear();
         }
+        let admitted = state.map(State::admitted).unwrap_or_default();
+        self.announcements_refused.set(admitted.refused as f64);
         if let Some(state) = state {
             self.update(state, now);
         }
--- a/programs/pb-control/src/dispatch/state.rs
+++ b/programs/pb-control/src/dispatch/state.rs
@@ -97,6 +97,14 @@
     load: Load,
     /// Requests refused before the last log line.
     refusals: Refusals,
+    admitted: Admitted,
+}
+
+/// What the leader made of announcements since it leads.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Admitted {
+    /// Announcements of starts that are not used.
+    pub refused: u64,
 }
 
 /// What the leader had to do since it last logged it.
@@ -146,6 +154,7 @@
             upcoming: VecDeque::new(),
             load: Load::new(now, 0),
             refusals: Refusals::default(),
+            admitted: Admitted::default(),
         }
     }
 
@@ -218,6 +227,17 @@
         all
     }
 
+    /// Returns what the leader made of announcements.
+    #[must_use]
+    pub const fn admitted(&self) -> Admitted {
+        self.admitted
+    }
+
+    /// Counts an announcement of a start that is not used.
+    pub const fn count_refused_announcement(&mut self) {
+        self.admitted.refused += 1;
+    }
+
     /// Returns the number of connected hosts.
     #[must_use]
     pub fn host_count(&self) -> usize {
--- a/programs/pb-control/src/lib.rs
+++ b/programs/pb-control/src/lib.rs
@@ -149,12 +149,7 @@
         return Ok(());
     };
     let node = Rc::new(node?);
-    let dispatch = Service::new(
-        Rc::clone(&node),
-        clock,
-        settings.policy,
-        settings.zone.clone(),
-    );
+    let dispatch = Service::new(Rc::clone(&node), clock, &settings);
     let issuer = Issuer::new(Rc::clone(&node), Rc::new(System), settings.seats);
     let records = Records::new(Rc::clone(&node), Rc::new(System));
     let listener = Listener::adopt(socket, settings.secret.clone())?;
--- a/programs/pb-control/src/settings.rs
+++ b/programs/pb-control/src/settings.rs
@@ -12,6 +12,7 @@
 use persimmonbend_core::fault::Faults;
 use persimmonbend_core::id::HostId;
 use persimmonbend_core::id::Zone;
+use persimmonbend_core::roster::admission::Bounds;
 use persimmonbend_replica::settings::Limits;
 use persimmonbend_wire::handshake::Secret;
 use serde::Deserialize;
@@ -96,6 +97,8 @@
     pub voters: Option<usize>,
     /// Policy by which the dispatcher places requests.
     pub policy: Policy,
+    /// How far the calls of upstreams can be trusted to arrive in order.
+    pub announcements: Bounds,
     /// Availability zones that operators may name, beside those of the upstreams.
     pub zones: BTreeSet<Zone>,
     /// Intervals and limits of the replication protocol.
@@ -123,6 +126,7 @@
             may_bootstrap: true,
             voters: None,
             policy: DEFAULT_POLICY,
+            announcements: Bounds::default(),
             zones: BTreeSet::new(),
             limits: Limits::default(),
         });
--- a/programs/pb-control/tests/disk/mod.rs
+++ b/programs/pb-control/tests/disk/mod.rs
@@ -12,6 +12,7 @@
 use persimmonbend_core::dispatch::Balance;
 use persimmonbend_core::dispatch::Policy;
 use persimmonbend_core::dispatch::Retries;
+use persimmonbend_core::roster::admission::Bounds;
 use persimmonbend_replica::id::Id;
 use persimmonbend_replica::settings::Limits;
 use persimmonbend_replica::storage::Contents;
@@ -103,6 +104,7 @@
             floor: 0.7,
             hedge_share: None,
         },
+        announcements: Bounds::default(),
         zones: BTreeSet::new(),
         limits: Limits::default(),
     }
--- a/programs/pb-control/tests/hello.rs
+++ b/programs/pb-control/tests/hello.rs
@@ -18,6 +18,7 @@
 use persimmonbend_core::dispatch::Balance;
 use persimmonbend_core::dispatch::Policy;
 use persimmonbend_core::dispatch::Retries;
+use persimmonbend_core::roster::admission::Bounds;
 use persimmonbend_replica::settings::Limits;
 use persimmonbend_wire::dispatch;
 use persimmonbend_wire::dispatch::Frame;
@@ -73,6 +74,7 @@
             floor: 0.7,
             hedge_share: None,
         },
+        announcements: Bounds::default(),
         zones: BTreeSet::new(),
         limits: Limits::default(),
     };
