fix(control): a start that goes on announcing itself is used again

Cause: the roster decides on one message by its arrival, and nothing that comes later can correct it. The same for a start whose clock was set back, and for the holder of an address that another writer names once.

Evidence: departures::a_late_departure_leaves_the_next_start_out_for_a_bounded_time fails on (still out after 9.0 s).

Change: the leader follows the starts that the roster refuses. One that is heard with rising sequences, three times or more, over the longest time by which a call is delayed (twice contact_s less an interval), is reinstated by a command of level 4, unless something was heard of what stands against it or it has left by its own word. Whatever a departure or drain that was sent before can still bring is over by then. A departure starts that time anew, and goes through the log also if the roster holds it, since a reinstatement may be on its way. A sound start is left out for at most twice contact_s and an interval.

--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -110,6 +110,11 @@
         /// The zone.
         zone: Zone,
     },
+    /// Reinstates a start of an upstream that the roster refuses; a command of level 4.
+    Reinstate {
+        /// An announcement of the start.
+        announcement: Announcement,
+    },
     /// Forgets departures of upstreams that the roster has not known; a command of level 4.
     ForgetDepartures {
         /// The upstreams.
@@ -126,7 +131,7 @@
             Self::Evacuate { .. } | Self::Readmit { .. } => 2,
             // Builds of lower levels take version 0 for nothing.
             Self::Publish { published } if published.publication.version == Some(0) => 3,
-            Self::ForgetDepartures { .. } => 4,
+            Self::Reinstate { .. } | Self::ForgetDepartures { .. } => 4,
             _ => FIRST_COMMANDS,
         }
     }
@@ -311,6 +316,9 @@
             },
             Command::Evacuate { zone } => self.set_evacuated(zone, true),
             Command::Readmit { zone } => self.set_evacuated(zone, false),
+            Command::Reinstate { announcement } => Reply::Registered {
+                changed: self.roster.reinstate(announcement),
+            },
             Command::ForgetDepartures { ids } => {
                 self.roster.forget_departures(ids);
                 Reply::Applied
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -7,8 +7,8 @@
 //!
 //! A departure is an announcement of the stage [`Stage::Left`], also for an upstream that the roster does not know,
 //! so it refuses what arrives after it, on every replica. One that names its start is final. One that
-//! does not is taken for the departure of every start up to the time of its arrival. [`admission`] decides what the
-//! leader makes of an announcement.
+//! does not is taken for the departure of every start up to the time of its arrival; a start that goes on announcing
+//! itself after it is [reinstated](Roster::reinstate). [`admission`] decides what the leader makes of an announcement.
 //!
 //! What leaves the roster towards the fleet are effective entries, which show the upstreams of an evacuated
 //! zone as draining, whatever they announce. The announcements themselves are kept as they came.
@@ -16,6 +16,7 @@
 pub mod admission;
 pub mod departures;
 pub mod evacuation;
+pub mod refused;
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -204,7 +205,23 @@
         if self.evaluate(announcement) != Effect::New {
             return Vec::new();
         }
-        self.insert(announcement)
+        self.insert(announcement, |known| {
+            known.incarnation == announcement.incarnation
+        })
+    }
+
+    /// Applies an announcement of a start although the roster may refuse it, and returns the effective entries that
+    /// this changes. A start that has left by its own word is not reinstated.
+    pub fn reinstate(&mut self, announcement: &Announcement) -> Vec<Entry> {
+        match self.evaluate(announcement) {
+            Effect::New => self.apply(announcement),
+            Effect::Refused(_)
+                if announcement.stage.takes_requests() && !self.is_final(announcement) =>
+            {
+                self.insert(announcement, |_| false)
+            }
+            _ => Vec::new(),
+        }
     }
 
     /// Returns whether the start of an announcement has left by its own word.
@@ -273,15 +290,18 @@
         }
     }
 
-    /// Puts an announcement in place of the known one, whose number it keeps if it is of the same start.
-    fn insert(&mut self, announcement: &Announcement) -> Vec<Entry> {
+    /// Puts an announcement in place of the known one, whose number it keeps if that `is_same_start`.
+    fn insert<F>(&mut self, announcement: &Announcement, is_same_start: F) -> Vec<Entry>
+    where
+        F: Fn(&Announcement) -> bool,
+    {
         let mut changed = Vec::new();
         let holder = self.holder(announcement.address, &announcement.id);
         if let Some(other) = holder.map(|holder| holder.id.clone()) {
             changed.extend(self.deregister(&other));
         }
         let known = self.entries.get(&announcement.id);
-        let is_same_start = |one: &&Entry| one.announcement.incarnation == announcement.incarnation;
+        let is_same_start = |one: &&Entry| is_same_start(&one.announcement);
         let same_start = known.filter(is_same_start);
         changed.extend(known.filter(|one| !is_same_start(one)).and_then(departed));
         let number = same_start.map_or(self.next + 1, |one| one.number);
--- a/crates/core/src/roster/admission.rs
+++ b/crates/core/src/roster/admission.rs
@@ -1,7 +1,8 @@
 //! What the leader makes of the announcements of upstreams.
 //!
 //! The roster orders announcements by what they say; they may also arrive late, out of order, or from another
-//! writer. [`Admission`] adds what the roster does not hold: departures beyond its bound and the time of day.
+//! writer. [`Admission`] adds what the roster does not hold: departures beyond its bound, the time of day, and which
+//! refused starts go on announcing themselves.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -13,12 +14,15 @@
 use crate::roster::Refusal;
 use crate::roster::Roster;
 use crate::roster::departures::Departures;
+use crate::roster::refused::Refused;
 use crate::upstream::Announcement;
 use crate::upstream::Stage;
 
 /// How far the calls of upstreams can be trusted to arrive in order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bounds {
+    /// Longest time by which calls are delayed.
+    pub delay: Duration,
     /// Difference between the clocks of two machines that must not matter.
     pub skew: Duration,
 }
@@ -27,6 +31,7 @@
     /// Returns the bounds for upstreams that announce themselves every 2 s.
     fn default() -> Self {
         Self {
+            delay: Duration::from_secs(4),
             skew: Duration::from_secs(1),
         }
     }
@@ -39,6 +44,8 @@
     pub roster: &'a Roster,
     /// Unix milliseconds now.
     pub wall: Incarnation,
+    /// Monotonic time now.
+    pub now: Instant,
 }
 
 /// What to do with an announcement.
@@ -50,6 +57,8 @@
     Ignore,
     /// This announcement is to be applied.
     Apply(Announcement),
+    /// Its start is to be reinstated.
+    Reinstate,
     /// Its start is not used and leaves, which this announcement is to note.
     Depart(Announcement),
     /// Its start is not used.
@@ -61,6 +70,7 @@
 pub struct Admission {
     bounds: Bounds,
     departures: Departures,
+    refused: Refused,
 }
 
 impl Admission {
@@ -70,11 +80,13 @@
         Self {
             bounds,
             departures: Departures::default(),
+            refused: Refused::new(bounds.delay),
         }
     }
 
     /// Begins anew with the roster of a replica that has just become the leader.
     pub fn begin_term(&mut self, roster: &Roster, now: Instant) {
+        self.refused = Refused::new(self.bounds.delay);
         let departed = roster.entries();
         let departed = departed.filter(|entry| entry.announcement.stage == Stage::Left);
         self.note_changes(&departed.collect::<Vec<_>>(), now);
@@ -89,37 +101,48 @@
     }
 
     /// Decides what to do with an announcement that has arrived.
-    #[must_use]
-    pub fn decide(&self, announcement: &Announcement, context: &Context<'_>) -> Decision {
+    pub fn decide(&mut self, announcement: &Announcement, context: &Context<'_>) -> Decision {
         let refusal = match self.evaluate(announcement, context) {
-            Effect::Renewal => return Decision::Renew,
-            Effect::New => return Decision::Apply(announcement.clone()),
+            Effect::Renewal => {
+                self.refused.forget(announcement);
+                return Decision::Renew;
+            }
+            Effect::New => {
+                self.refused.forget(announcement);
+                return Decision::Apply(announcement.clone());
+            }
             Effect::Outdated => return drained(announcement, context.roster),
             Effect::Refused(refusal) => refusal,
         };
         let is_final = self.is_final(announcement, context.roster);
+        let goes_on = self.refused.note(announcement, context.now);
+        if goes_on && !is_final {
+            return Decision::Reinstate;
+        }
         if announcement.stage != Stage::Draining {
             return Decision::Refuse(refusal);
         }
         if is_final {
             return Decision::Ignore;
         }
+        // In the log it follows a reinstatement that is on its way.
         let (id, start) = (&announcement.id, announcement.incarnation);
         Decision::Depart(context.roster.departure(id, Some(start), start))
     }
 
-    /// Returns the announcement that notes the departure of an upstream.
+    /// Returns the announcement that notes the departure of an upstream. It goes through the log also if the roster
+    /// holds the departure already, since a reinstatement may be on its way.
     ///
     /// A departure without a `start` may be that of any start up to now: an announcement of one may be on its way.
     /// The skew is added to the first departure of a start only, which serves on for longer than that; senders
     /// repeat their departures until they end, and the next start may follow at once.
-    #[must_use]
     pub fn departure(
-        &self,
+        &mut self,
         id: &UpstreamId,
         start: Option<Incarnation>,
         context: &Context<'_>,
     ) -> Announcement {
+        self.refused.remove(id);
         let known = context.roster.get(id);
         let is_repeated = known.is_some_and(|one| one.announcement.stage == Stage::Left);
         let skew = if is_repeated { 0 } else { self.skew() };
--- a/crates/core/tests/admission/world.rs
+++ b/crates/core/tests/admission/world.rs
@@ -19,6 +19,9 @@
 use persimmonbend_core::upstream::Announcement;
 use persimmonbend_core::upstream::Stage;
 
+/// Longest delay of a call in milliseconds.
+pub const DELAY_MS: u64 = 4_500;
+
 /// Difference between clocks that must not matter, in milliseconds.
 pub const SKEW_MS: u64 = 1_000;
 
@@ -34,6 +37,9 @@
 /// Step in which time passes, in milliseconds.
 const STEP_MS: u64 = 10;
 
+/// Shortest time between the start of an upstream and its departure in milliseconds, longer than clocks differ.
+const MIN_LIFE_MS: u64 = 900;
+
 /// Index of a start.
 pub type Start = usize;
 
@@ -43,6 +49,8 @@
     id: String,
     port: u16,
     born: u64,
+    /// When it truly began.
+    since: u64,
     sequence: u64,
     /// When it announces itself next, if it does so by itself.
     next: Option<u64>,
@@ -121,6 +129,7 @@
             id: id.to_owned(),
             port,
             born: (EPOCH_MS + self.now).strict_add_signed(ahead_ms),
+            since: self.now,
             sequence: 0,
             next: None,
             delay_ms: 0,
@@ -206,6 +215,21 @@
         self.settle();
     }
 
+    /// Sends a departure of a start that its upstream has not sent.
+    pub fn leave_as_start(&mut self, id: &str, born: u64) {
+        let call = Call::Leave(id.to_owned(), Some(born), None);
+        self.calls.push((self.now, call));
+        self.settle();
+    }
+
+    /// Another replica, which has applied the same, becomes the leader.
+    pub fn change_leader(&mut self) {
+        self.settle();
+        let now = self.instant();
+        self.admission = new_admission();
+        self.admission.begin_term(self.machine.roster(), now);
+    }
+
     /// All replicas are killed and start again with what they had committed.
     pub fn kill_all(&mut self) {
         self.log.clear();
@@ -233,6 +257,10 @@
         self.machine.commands()
     }
 
+    pub const fn machine(&self) -> &Machine {
+        &self.machine
+    }
+
     /// Lets time pass: starts announce themselves, calls arrive and commands are applied.
     pub fn pass(&mut self, time_ms: u64) {
         let end = self.now + time_ms;
@@ -249,6 +277,89 @@
         }
     }
 
+    /// Does what two bytes say: `action` what, `who` to whom.
+    pub fn act(&mut self, action: u8, who: u8, delay: u8) {
+        // Half of all calls are on time.
+        let delay_ms = u64::from(delay).saturating_sub(128) * (DELAY_MS - STEP_MS) / 127;
+        let id = ["u", "v"][usize::from(who % 2)];
+        let port = 1 + u16::from(who / 2 % 2);
+        let running = self
+            .lives
+            .iter()
+            .position(|life| life.id == id && life.runs);
+        match (action % 12, running) {
+            (0..=2, None) => self.begin(id, port, who, delay_ms),
+            (3, Some(start)) => self.crash(start),
+            (4 | 5, Some(start)) => self.depart(start, delay_ms),
+            (6, Some(start)) => self.begin_drain(start, delay_ms),
+            (7, Some(start)) => self.lives[start].delay_ms = delay_ms,
+            (8, _) => self.change_leader(),
+            (9, _) => self.kill_all(),
+            (10, _) => {
+                let call = Call::Leave(id.to_owned(), None, None);
+                self.calls.push((self.now + delay_ms, call));
+            }
+            (11, _) => {
+                let service = ["herd", "nobody"][usize::from(who / 4 % 2)];
+                let name = [id, "stranger"][usize::from(who / 8 % 2)];
+                let born = EPOCH_MS + self.now + u64::from(who / 16) * 1_000;
+                let foreign = announcement(name, port, service, born, 1, Stage::Ready);
+                let at = self.now + delay_ms;
+                self.calls.push((at, Call::Announce(foreign, None)));
+            }
+            _ => {}
+        }
+    }
+
+    /// Lets all announcements from here on arrive at once.
+    pub fn end_delays(&mut self) {
+        for life in &mut self.lives {
+            life.delay_ms = 0;
+        }
+    }
+
+    /// Returns whether no start whose departure was acknowledged is used.
+    pub fn departures_bind(&self) -> bool {
+        self.departed.iter().all(|start| !self.is_used(*start))
+    }
+
+    /// Returns whether all starts that run and do not leave are used.
+    pub fn all_sound_are_used(&self) -> bool {
+        let sound = |life: &Life| life.runs && life.stage == Stage::Ready;
+        (0..self.lives.len()).all(|start| !sound(&self.lives[start]) || self.is_used(start))
+    }
+
+    /// Starts an upstream that announces itself, unless another one runs at its address.
+    fn begin(&mut self, id: &str, port: u16, who: u8, delay_ms: u64) {
+        if self.lives.iter().any(|life| life.runs && life.port == port) {
+            return;
+        }
+        let ahead_ms = i64::from(who / 16) * 120 - 900;
+        let start = self.start(id, port, ahead_ms);
+        self.lives[start].delay_ms = delay_ms;
+        self.lives[start].next = Some(self.now);
+    }
+
+    fn depart(&mut self, start: Start, delay_ms: u64) {
+        let life = &mut self.lives[start];
+        if self.now < life.since + MIN_LIFE_MS {
+            return;
+        }
+        life.next = None;
+        life.stage = Stage::Left;
+        let call = Call::Leave(life.id.clone(), None, Some(start));
+        self.calls.push((self.now + delay_ms, call));
+    }
+
+    fn begin_drain(&mut self, start: Start, delay_ms: u64) {
+        if self.lives[start].stage != Stage::Ready {
+            return;
+        }
+        let draining = self.announcement(start, Stage::Draining);
+        let at = self.now + delay_ms;
+        self.calls.push((at, Call::Announce(draining, Some(start))));
+    }
+
     fn announce_delayed(&mut self, start: Start) {
         let Life {
             stage, delay_ms, ..
@@ -304,6 +415,9 @@
             Decision::Apply(announcement) | Decision::Depart(announcement) => {
                 Command::Announce { announcement }
             }
+            Decision::Reinstate => Command::Reinstate {
+                announcement: announcement.clone(),
+            },
         };
         self.propose(command, departs);
         true
@@ -368,6 +482,7 @@
         let context = Context {
             roster: self.machine.roster(),
             wall: EPOCH_MS + self.now,
+            now: self.started + Duration::from_millis(self.now),
         };
         use_context(&mut self.admission, &context)
     }
@@ -375,6 +490,7 @@
 
 fn new_admission() -> Admission {
     Admission::new(Bounds {
+        delay: Duration::from_millis(DELAY_MS),
         skew: Duration::from_millis(SKEW_MS),
     })
 }
--- a/programs/pb-control/src/api.rs
+++ b/programs/pb-control/src/api.rs
@@ -229,6 +229,7 @@
     async fn announce(&self, announcement: Announcement) -> Outcome {
         let proposed = match self.dispatch.receive_announcement(&announcement) {
             Decision::Apply(announcement) => self.propose(Command::Announce { announcement }).await,
+            Decision::Reinstate => self.reinstate(&announcement).await,
             Decision::Depart(departure) => return self.note_departure(departure).await,
             decision => return self.answer(&announcement, &decision),
         };
@@ -272,10 +273,19 @@
                     "upstream {id} is not used: {refusal}"
                 )))
             }
-            Decision::Apply(_) | Decision::Depart(_) => Outcome::Unavailable,
+            Decision::Apply(_) | Decision::Reinstate | Decision::Depart(_) => Outcome::Unavailable,
         }
     }
 
+    async fn reinstate(&self, announcement: &Announcement) -> Result<Reply, Outcome> {
+        let announcement = announcement.clone();
+        let (id, incarnation) = (announcement.id.clone(), announcement.incarnation);
+        let reply = self.propose(Command::Reinstate { announcement }).await?;
+        warn!(upstream = %id, incarnation, "upstream_reinstated");
+        self.dispatch.note_reinstated();
+        Ok(reply)
+    }
+
     async fn deregister(&self, id: UpstreamId, start: Option<Incarnation>) -> Outcome {
         if let Err(outcome) = self.forget_surplus_departures().await {
             return outcome;
--- a/programs/pb-control/src/dispatch.rs
+++ b/programs/pb-control/src/dispatch.rs
@@ -172,7 +172,7 @@
     #[must_use]
     pub fn receive_announcement(&self, announcement: &Announcement) -> Decision {
         let decision = self.with_context(|context| {
-            let admission = self.admission.borrow();
+            let mut admission = self.admission.borrow_mut();
             admission.decide(announcement, context)
         });
         let mut state = self.state.borrow_mut();
@@ -185,7 +185,7 @@
                 state.count_refused_announcement();
                 return decision;
             }
-            Decision::Ignore | Decision::Depart(_) => return decision,
+            Decision::Ignore | Decision::Reinstate | Decision::Depart(_) => return decision,
         }
         if !state.is_latest(announcement) && announcement.stage.takes_requests() {
             return Decision::Ignore;
@@ -204,11 +204,18 @@
     /// Returns the announcement that notes the departure of an upstream. `start` is the start that has left, if the departure names it.
     pub fn departure(&self, id: &UpstreamId, start: Option<Incarnation>) -> Announcement {
         self.with_context(|context| {
-            let admission = self.admission.borrow();
+            let mut admission = self.admission.borrow_mut();
             admission.departure(id, start, context)
         })
     }
 
+    /// Counts a start that was reinstated.
+    pub fn note_reinstated(&self) {
+        if let Some(state) = self.state.borrow_mut().as_mut() {
+            state.count_reinstated();
+        }
+    }
+
     fn with_context<T, F>(&self, use_context: F) -> T
     where
         F: FnOnce(&Context<'_>) -> T,
@@ -219,6 +226,7 @@
             use_context(&Context {
                 roster: machine.roster(),
                 wall: Incarnation::try_from(wall).unwrap_or(Incarnation::MAX),
+                now: self.clock.now(),
             })
         })
     }
--- a/programs/pb-control/src/dispatch/meters.rs
+++ b/programs/pb-control/src/dispatch/meters.rs
@@ -30,6 +30,7 @@
     hedges_sent: Gauges,
     hedges_left: Gauges,
     announcements_refused: Gauge,
+    upstreams_reinstated: Gauge,
 }
 
 impl Meters {
@@ -75,6 +76,10 @@
                 "announcements_refused",
                 "Announcements of upstreams that are not used, since this replica leads.",
             ),
+            upstreams_reinstated: registry.gauge(
+                "upstreams_reinstated",
+                "Upstreams that were used again as they went on announcing themselves, since this replica leads.",
+            ),
             hedges_left: gauges("hedges_left", "Extra sends that may be made.", &["service"]),
             registry,
         }
@@ -99,6 +104,7 @@
         }
         let admitted = state.map(State::admitted).unwrap_or_default();
         self.announcements_refused.set(admitted.refused as f64);
+        self.upstreams_reinstated.set(admitted.reinstated as f64);
         if let Some(state) = state {
             self.update(state, now);
         }
--- a/programs/pb-control/src/dispatch/state.rs
+++ b/programs/pb-control/src/dispatch/state.rs
@@ -100,11 +100,13 @@
     admitted: Admitted,
 }
 
-/// What the leader made of announcements since it leads.
+/// Announcements and starts that were not treated as the roster alone would, since the replica leads.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Admitted {
     /// Announcements of starts that are not used.
     pub refused: u64,
+    /// Starts that were reinstated as they went on announcing themselves.
+    pub reinstated: u64,
 }
 
 /// What the leader had to do since it last logged it.
@@ -227,7 +229,7 @@
         all
     }
 
-    /// Returns what the leader made of announcements.
+    /// Returns the announcements that were refused and the starts that were reinstated.
     #[must_use]
     pub const fn admitted(&self) -> Admitted {
         self.admitted
@@ -238,6 +240,11 @@
         self.admitted.refused += 1;
     }
 
+    /// Counts a start that was reinstated.
+    pub const fn count_reinstated(&mut self) {
+        self.admitted.reinstated += 1;
+    }
+
     /// Returns the number of connected hosts.
     #[must_use]
     pub fn host_count(&self) -> usize {
