fix(control): an announcement for an unknown service displaces nobody

Cause: the roster gives an address to the later start whatever its service is, and an id as well.

Change: where the publication in force does not name the service of an announcement, it takes neither the place nor the address of an upstream whose service is named, and is answered with 409. Its sender announces itself again, so a service that is named later gets it within an interval; an address that passes on to a named service is followed at once, as before.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -86,6 +86,8 @@
     Replaced,
     /// Another upstream with a later start holds the address.
     AddressHeld,
+    /// No configuration names the service, and another upstream holds the address.
+    UnknownService,
 }
 
 impl Refusal {
@@ -96,6 +98,7 @@
             Self::Left => "left",
             Self::Replaced => "replaced",
             Self::AddressHeld => "address_held",
+            Self::UnknownService => "unknown_service",
         }
     }
 }
@@ -106,6 +109,9 @@
             Self::Left => "it has left",
             Self::Replaced => "a later start of it is known",
             Self::AddressHeld => "a later start of another upstream holds its address",
+            Self::UnknownService => {
+                "no configuration names its service, and another upstream holds its place"
+            }
         })
     }
 }
--- a/crates/core/src/roster/admission.rs
+++ b/crates/core/src/roster/admission.rs
@@ -1,14 +1,15 @@
 //! What the leader makes of the announcements of upstreams.
 //!
 //! The roster orders announcements by what they say; they may also arrive late, out of order, or from another
-//! writer. [`Admission`] adds what the roster does not hold: departures beyond its bound, the time of day, and which
-//! refused starts go on announcing themselves.
+//! writer. [`Admission`] adds what the roster does not hold: departures beyond its bound, the time of day, the
+//! services in force, and which refused starts go on announcing themselves.
 
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::id::Incarnation;
 use crate::id::UpstreamId;
+use crate::publication::Publication;
 use crate::roster::Effect;
 use crate::roster::Entry;
 use crate::roster::Refusal;
@@ -42,6 +43,8 @@
 pub struct Context<'a> {
     /// The roster.
     pub roster: &'a Roster,
+    /// The publication in force.
+    pub publication: &'a Publication,
     /// Unix milliseconds now.
     pub wall: Incarnation,
     /// Monotonic time now.
@@ -119,7 +122,7 @@
         if goes_on && !is_final {
             return Decision::Reinstate;
         }
-        if announcement.stage != Stage::Draining {
+        if announcement.stage != Stage::Draining || refusal == Refusal::UnknownService {
             return Decision::Refuse(refusal);
         }
         if is_final {
@@ -159,6 +162,18 @@
         if self.departures.refuses(announcement) || self.is_early(announcement, context) {
             return Effect::Refused(Refusal::Left);
         }
+        let is_named = |service: &String| context.publication.services.contains_key(service);
+        if is_named(&announcement.service) {
+            return effect;
+        }
+        let known = roster.get(&announcement.id).map(|one| &one.announcement);
+        let known = known.filter(|one| one.stage != Stage::Left);
+        let known = known.filter(|one| one.service != announcement.service);
+        let holder = roster.holder(announcement.address, &announcement.id);
+        let mut displaced = known.into_iter().chain(holder);
+        if displaced.any(|one| is_named(&one.service)) {
+            return Effect::Refused(Refusal::UnknownService);
+        }
         effect
     }
 
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -133,6 +133,27 @@
     }
 }
 
+/// One announcement for a service of no configuration took the upstream at its address out for good.
+#[test]
+fn an_announcement_for_an_unknown_service_displaces_nobody() {
+    let mut world = World::new();
+    let sound = world.start("u", 1, 0);
+    world.announce(sound);
+    world.pass(1_000);
+    for (id, port) in [("other", 1), ("u", 1), ("u", 2)] {
+        assert!(
+            !world.announce_as(id, port, "nobody", 100_000),
+            "{id} {port}"
+        );
+        assert!(world.is_used(sound), "{id} {port}");
+    }
+    // A service that is named later gets its upstream with the next announcement, and a withdrawn one loses none.
+    assert!(world.announce_as("free", 3, "nobody", 0));
+    world.publish(&["nobody"]);
+    assert!(world.announce_as("other", 1, "nobody", 100_000));
+    assert!(!world.is_used(sound), "the address has passed on");
+}
+
 #[test]
 fn an_address_that_passes_on_is_followed_at_once_and_one_that_does_not_returns() {
     let mut world = World::new();
--- a/crates/core/tests/admission/world.rs
+++ b/crates/core/tests/admission/world.rs
@@ -173,6 +173,15 @@
         self.receive(&late, None);
     }
 
+    /// Announces another writer's upstream; returns whether that is acknowledged.
+    pub fn announce_as(&mut self, id: &str, port: u16, service: &str, ahead_ms: u64) -> bool {
+        let born = EPOCH_MS + self.now + ahead_ms;
+        self.receive(
+            &announcement(id, port, service, born, 1, Stage::Ready),
+            None,
+        )
+    }
+
     /// Announces starts, one after the other in each interval, for some time.
     pub fn announce_for(&mut self, starts: &[Start], time_ms: u64) {
         let end = self.now + time_ms;
@@ -481,6 +490,7 @@
     {
         let context = Context {
             roster: self.machine.roster(),
+            publication: &self.machine.published().publication,
             wall: EPOCH_MS + self.now,
             now: self.started + Duration::from_millis(self.now),
         };
--- a/programs/pb-control/src/dispatch.rs
+++ b/programs/pb-control/src/dispatch.rs
@@ -225,6 +225,7 @@
         self.node.read(|machine| {
             use_context(&Context {
                 roster: machine.roster(),
+                publication: &machine.published().publication,
                 wall: Incarnation::try_from(wall).unwrap_or(Incarnation::MAX),
                 now: self.clock.now(),
             })
