fix(control): a new leader goes by the roster, not by what it remembers

Change: at the start of a term a replica notes all entries of the roster, which go before what it remembers. Beside it, a drain that a later sequence has overtaken and cannot be numbered is no longer answered with a reason that does not fit.

Evidence: admission::a_leader_that_remembers_a_departure_goes_by_the_roster fails on the commit before. Tests for what held already: an overtaken drain binds, and a start that returns at another address is used at once.

--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -94,7 +94,8 @@
         /// The announcement.
         announcement: Announcement,
     },
-    /// Removes an upstream that has left from the roster.
+    /// Marks the known start of an upstream as left. Builds before level 4 propose it for departures, which are
+    /// announcements since.
     #[serde(rename = "part")]
     Deregister {
         /// The upstream.
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -86,7 +86,7 @@
     Replaced,
     /// Another upstream with a later start holds the address.
     AddressHeld,
-    /// No configuration names the service, and another upstream holds the address.
+    /// No configuration names the service, and an upstream whose service is named holds the id or the address.
     UnknownService,
 }
 
@@ -110,7 +110,7 @@
             Self::Replaced => "a later start of it is known",
             Self::AddressHeld => "a later start of another upstream holds its address",
             Self::UnknownService => {
-                "no configuration names its service, and another upstream holds its place"
+                "no configuration names its service, and another upstream holds its id or address"
             }
         })
     }
@@ -160,7 +160,7 @@
         &self.evacuations
     }
 
-    /// Returns the zones of all upstreams, including those that have left.
+    /// Returns the zones of all upstreams, including those that have left, but for departures of unknown ones.
     pub fn zones(&self) -> impl Iterator<Item = &Zone> {
         let known = self.entries.values().filter(|entry| !entry.is_of_unknown());
         known.map(|entry| &entry.announcement.zone)
--- a/crates/core/src/roster/admission.rs
+++ b/crates/core/src/roster/admission.rs
@@ -90,9 +90,8 @@
     /// Begins anew with the roster of a replica that has just become the leader.
     pub fn begin_term(&mut self, roster: &Roster, now: Instant) {
         self.refused = Refused::new(self.bounds.delay);
-        let departed = roster.entries();
-        let departed = departed.filter(|entry| entry.announcement.stage == Stage::Left);
-        self.note_changes(&departed.collect::<Vec<_>>(), now);
+        let entries: Vec<Entry> = roster.entries().collect();
+        self.note_changes(&entries, now);
     }
 
     /// Notes the entries that a command has changed, also while the replica follows.
@@ -114,7 +113,7 @@
                 self.refused.forget(announcement);
                 return Decision::Apply(announcement.clone());
             }
-            Effect::Outdated => return drained(announcement, context.roster),
+            Effect::Outdated => return overtaken(announcement, context.roster),
             Effect::Refused(refusal) => refusal,
         };
         let is_final = self.is_final(announcement, context.roster);
@@ -198,7 +197,7 @@
 
 /// Returns what to do with an announcement that a later one of its start has overtaken: a start that drains does not
 /// return from that, whatever sequence it states.
-fn drained(announcement: &Announcement, roster: &Roster) -> Decision {
+fn overtaken(announcement: &Announcement, roster: &Roster) -> Decision {
     let known = roster.get(&announcement.id).map(|one| &one.announcement);
     let known = known.filter(|one| one.stage.takes_requests());
     let (Some(known), Stage::Draining) = (known, announcement.stage) else {
@@ -209,6 +208,10 @@
             sequence,
             ..announcement.clone()
         }),
-        None => Decision::Refuse(Refusal::Replaced),
+        None => Decision::Depart(roster.departure(
+            &known.id,
+            Some(known.incarnation),
+            known.incarnation,
+        )),
     }
 }
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -58,7 +58,13 @@
 
 #[test]
 fn a_start_that_returns_is_used_at_once() {
-    for (is_repeated, pause_ms) in [(false, SKEW_MS + 1), (true, 1), (true, 5_000)] {
+    let cases = [
+        (false, SKEW_MS + 1, 1),
+        (false, SKEW_MS + 1, 2),
+        (true, 1, 1),
+        (true, 5_000, 2),
+    ];
+    for (is_repeated, pause_ms, port) in cases {
         let mut world = World::new();
         let first = world.start("u", 1, 0);
         world.announce(first);
@@ -69,7 +75,7 @@
         }
         world.crash(first);
         world.pass(pause_ms);
-        let second = world.start("u", 1, 0);
+        let second = world.start("u", port, 0);
         assert!(world.announce(second), "{is_repeated} {pause_ms}");
         assert!(world.is_used(second), "{is_repeated} {pause_ms}");
     }
@@ -217,6 +223,33 @@
     assert!(!world.is_used(start));
 }
 
+/// A drain that a later sequence had overtaken was acknowledged and ignored.
+#[test]
+fn an_acknowledged_drain_binds_whatever_its_sequence() {
+    let mut world = World::new();
+    let start = world.start("u", 1, 0);
+    world.announce_late(start, 7);
+    assert!(world.is_used(start));
+    assert!(world.drain(start));
+    assert!(!world.is_used(start));
+    world.announce_late(start, 6);
+    assert!(!world.is_used(start));
+}
+
+/// A replica that had missed how a start was reinstated refused it once it led.
+#[test]
+fn a_leader_that_remembers_a_departure_goes_by_the_roster() {
+    let mut world = World::new();
+    let start = world.start("u", 1, 0);
+    world.announce(start);
+    world.leave_as("u");
+    let before = world.admission_of_a_follower();
+    world.announce_for(&[start], RETURN_MS);
+    world.lead_with(before);
+    assert!(world.announce_as_starting(start));
+    assert!(world.is_used(start));
+}
+
 /// Anybody can send departures of upstreams that do not exist.
 #[test]
 fn departures_of_unknown_upstreams_push_no_others_out() {
--- a/crates/core/tests/admission/world.rs
+++ b/crates/core/tests/admission/world.rs
@@ -12,6 +12,7 @@
 use persimmonbend_core::machine::Reply;
 use persimmonbend_core::publication::Publication;
 use persimmonbend_core::roster::Effect;
+use persimmonbend_core::roster::Entry;
 use persimmonbend_core::roster::admission::Admission;
 use persimmonbend_core::roster::admission::Bounds;
 use persimmonbend_core::roster::admission::Context;
@@ -239,6 +240,27 @@
         self.admission.begin_term(self.machine.roster(), now);
     }
 
+    /// Returns what a follower remembers that has applied the same.
+    pub fn admission_of_a_follower(&self) -> Admission {
+        let mut admission = new_admission();
+        let entries: Vec<Entry> = self.machine.roster().entries().collect();
+        admission.note_changes(&entries, self.instant());
+        admission
+    }
+
+    /// A replica becomes the leader that has got the roster in a snapshot and remembers what it had applied before.
+    pub fn lead_with(&mut self, admission: Admission) {
+        let now = self.instant();
+        self.admission = admission;
+        self.admission.begin_term(self.machine.roster(), now);
+    }
+
+    /// Announces a start that has become cold; returns whether that is acknowledged.
+    pub fn announce_as_starting(&mut self, start: Start) -> bool {
+        let announcement = self.announcement(start, Stage::Starting);
+        self.receive(&announcement, Some(start))
+    }
+
     /// All replicas are killed and start again with what they had committed.
     pub fn kill_all(&mut self) {
         self.log.clear();
